--- /dev/null
+++ b/src/hollowrack/__init__.py
@@ -0,0 +1,1 @@
+"""Hollowrack: a rollout service between callers, trainers and model engines."""
--- /dev/null
+++ b/src/hollowrack/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP faces of a node: callers, trainers and operators."""
--- /dev/null
+++ b/src/hollowrack/api/callers.py
@@ -0,0 +1,319 @@
+"""The callers' face: OpenAI-style completions, service pools, reading answers again.
+
+Headers: ``X-Request-Id`` names a request (drawn if absent), ``Idempotency-Key`` names one that is
+unsafe to repeat, ``X-Tenant`` says whose it is, ``X-Timeout-S`` how long the caller will wait.
+"""
+
+import asyncio
+import json
+import math
+import time
+import uuid
+from typing import Literal
+
+from pydantic import Field
+from returns.result import Failure, Result, Success
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+from starlette.types import Message, Receive, Scope, Send
+
+from hollowrack.api.responses import (
+    RequestBody,
+    problem_body,
+    problem_response,
+    read_body,
+    read_json,
+)
+from hollowrack.observability.metrics import NodeMetrics
+from hollowrack.platform.engine import TokenChunk
+from hollowrack.requests.gateway import CompletionCall, Gateway, ServiceCall
+from hollowrack.requests.types import RecordedAnswer
+from hollowrack.results import Problem, ResultCode
+
+DEFAULT_TIMEOUT_S = 120.0
+MAX_TIMEOUT_S = 3600.0
+MAX_TOKENS_LIMIT = 131_072
+MAX_IDENTIFIER_LENGTH = 200
+DEFAULT_TENANT = "default"
+SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class CompletionBody(RequestBody):
+    """Body of ``POST /v1/completions``."""
+
+    model: str
+    prompt: str
+    max_tokens: int = Field(default=256, ge=1, le=MAX_TOKENS_LIMIT)
+    seed: int = Field(default=0, ge=0, lt=2**63)
+    stream: bool = False
+
+
+class ChatMessage(RequestBody):
+    """One message of a chat."""
+
+    role: Literal["system", "user", "assistant"]
+    content: str
+
+
+class ChatBody(RequestBody):
+    """Body of ``POST /v1/chat/completions``."""
+
+    model: str
+    messages: list[ChatMessage] = Field(min_length=1)
+    max_tokens: int = Field(default=256, ge=1, le=MAX_TOKENS_LIMIT)
+    seed: int = Field(default=0, ge=0, lt=2**63)
+    stream: bool = False
+
+    def prompt(self) -> str:
+        """The chat as one text."""
+        return "".join(f"<{entry.role}>{entry.content}" for entry in self.messages) + "<assistant>"
+
+
+class _CallHeaders:
+    """The checked headers of a call.
+
+    Raises:
+        ValueError: Naming the bad header.
+    """
+
+    def __init__(self, request: Request) -> None:
+        headers = request.headers
+        key = headers.get("Idempotency-Key")
+        self.is_unsafe = key is not None
+        self.request_id = key or headers.get("X-Request-Id") or uuid.uuid4().hex
+        if len(self.request_id) > MAX_IDENTIFIER_LENGTH:
+            raise ValueError(f"the request identifier is over {MAX_IDENTIFIER_LENGTH} characters")
+        self.tenant = headers.get("X-Tenant", DEFAULT_TENANT)[:MAX_IDENTIFIER_LENGTH]
+        self.timeout_s = float(headers.get("X-Timeout-S", DEFAULT_TIMEOUT_S))
+        if not math.isfinite(self.timeout_s) or not 0 < self.timeout_s <= MAX_TIMEOUT_S:
+            raise ValueError(f"X-Timeout-S must be above 0 and at most {MAX_TIMEOUT_S}")
+
+
+class CallersFace:
+    """Routes of the callers' listener.
+
+    Args:
+        gateway: Runs the requests.
+        metrics: The node's metrics.
+        max_body_bytes: Longest accepted body.
+    """
+
+    def __init__(self, gateway: Gateway, metrics: NodeMetrics, max_body_bytes: int) -> None:
+        self._gateway = gateway
+        self._metrics = metrics
+        self._max_body_bytes = max_body_bytes
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            Route("/v1/completions", self._completions, methods=["POST"]),
+            Route("/v1/chat/completions", self._chat, methods=["POST"]),
+            Route("/v1/models", self._models, methods=["GET"]),
+            Route("/v1/requests/{request_id:path}", self._read, methods=["GET"]),
+            Route("/v1/services/{pool}/{path:path}", self._service, methods=SERVICE_METHODS),
+        ]
+
+    async def _completions(self, request: Request) -> Response:
+        body = await read_json(request, CompletionBody, self._max_body_bytes)
+        if isinstance(body, Failure):
+            return self._refuse("completions", body.failure())
+        parsed = body.unwrap()
+        return await self._complete(request, parsed, parsed.prompt, is_chat=False)
+
+    async def _chat(self, request: Request) -> Response:
+        body = await read_json(request, ChatBody, self._max_body_bytes)
+        if isinstance(body, Failure):
+            return self._refuse("completions", body.failure())
+        parsed = body.unwrap()
+        return await self._complete(request, parsed, parsed.prompt(), is_chat=True)
+
+    async def _complete(
+        self, request: Request, body: CompletionBody | ChatBody, prompt: str, is_chat: bool
+    ) -> Response:
+        headers = self._headers(request)
+        if isinstance(headers, Failure):
+            return self._refuse("completions", headers.failure())
+        checked = headers.unwrap()
+        call = CompletionCall(
+            request_id=checked.request_id,
+            tenant=checked.tenant,
+            model=body.model,
+            prompt=prompt,
+            max_tokens=body.max_tokens,
+            seed=body.seed,
+            timeout_s=checked.timeout_s,
+            is_unsafe=checked.is_unsafe,
+            is_chat=is_chat,
+        )
+        if body.stream:
+            return CompletionStream(call, self._gateway, self._metrics)
+        started_s = time.monotonic()
+        result = await self._gateway.complete(call)
+        return self._answer("completions", call.request_id, started_s, result)
+
+    async def _service(self, request: Request) -> Response:
+        headers = self._headers(request)
+        if isinstance(headers, Failure):
+            return self._refuse("services", headers.failure())
+        body = await read_body(request, self._max_body_bytes)
+        if isinstance(body, Failure):
+            return self._refuse("services", body.failure())
+        checked = headers.unwrap()
+        path = request.path_params["path"]
+        if request.url.query:
+            path = f"{path}?{request.url.query}"
+        call = ServiceCall(
+            request_id=checked.request_id,
+            tenant=checked.tenant,
+            pool=request.path_params["pool"],
+            method=request.method,
+            path=path,
+            headers=request.headers,
+            body=body.unwrap(),
+            is_unsafe=checked.is_unsafe,
+        )
+        started_s = time.monotonic()
+        result = await self._gateway.call_service(call)
+        return self._answer("services", call.request_id, started_s, result)
+
+    async def _read(self, request: Request) -> Response:
+        request_id = request.path_params["request_id"]
+        result = await self._gateway.read(request_id)
+        return self._answer("requests", request_id, time.monotonic(), result)
+
+    async def _models(self, request: Request) -> Response:
+        del request
+        bundle = self._gateway.bundle
+        models = sorted(bundle.models) if bundle is not None else []
+        data = [{"id": model, "object": "model"} for model in models]
+        return JSONResponse({"object": "list", "data": data})
+
+    def _headers(self, request: Request) -> Result[_CallHeaders, Problem]:
+        try:
+            return Success(_CallHeaders(request))
+        except ValueError as error:
+            return Failure(Problem(ResultCode.BAD_REQUEST, f"{error}.", "headers"))
+
+    def _answer(
+        self, face: str, request_id: str, started_s: float, result: Result[RecordedAnswer, Problem]
+    ) -> Response:
+        if isinstance(result, Failure):
+            return self._refuse(face, result.failure(), request_id)
+        answer = result.unwrap()
+        self._metrics.requests.labels(face=face, code=ResultCode.OK.name).inc()
+        self._metrics.request_seconds.labels(face=face).observe(time.monotonic() - started_s)
+        return Response(
+            answer.body,
+            status_code=answer.http_status,
+            media_type=answer.content_type,
+            headers={"X-Request-Id": request_id},
+        )
+
+    def _refuse(self, face: str, problem: Problem, request_id: str = "") -> Response:
+        self._metrics.requests.labels(face=face, code=problem.code.name).inc()
+        response = problem_response(problem)
+        if request_id:
+            response.headers["X-Request-Id"] = request_id
+        return response
+
+
+_STREAM_HEADERS = [
+    (b"content-type", b"text/event-stream; charset=utf-8"),
+    (b"cache-control", b"no-store"),
+]
+_DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class CompletionStream(Response):
+    """Streams a completion as server-sent events.
+
+    The stream ends with an event that holds the number of tokens and the version spans, then
+    ``[DONE]``; a stream without ``[DONE]`` is incomplete. A caller that goes away cancels the work.
+    """
+
+    def __init__(self, call: CompletionCall, gateway: Gateway, metrics: NodeMetrics) -> None:
+        super().__init__()
+        self._call = call
+        self._gateway = gateway
+        self._metrics = metrics
+        self._is_started = False
+        self._num_tokens = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Run the generation while the caller is there."""
+        started_s = time.monotonic()
+        work = asyncio.create_task(self._run(send))
+        watch = asyncio.create_task(_wait_for_disconnect(receive))
+        done, _ = await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
+        watch.cancel()
+        if work not in done:
+            work.cancel()
+            await asyncio.gather(work, return_exceptions=True)
+            self._metrics.requests.labels(face="completions", code="CALLER_GONE").inc()
+            return
+        code = work.result()
+        self._metrics.requests.labels(face="completions", code=code.name).inc()
+        self._metrics.request_seconds.labels(face="completions").observe(
+            time.monotonic() - started_s
+        )
+
+    async def _run(self, send: Send) -> ResultCode:
+        async def on_chunks(chunks: list[TokenChunk]) -> None:
+            await self._start(send)
+            events = b"".join(self._event(chunk) for chunk in chunks)
+            await send(_body(events, more=True))
+
+        result = await self._gateway.complete(self._call, on_chunks)
+        if isinstance(result, Success):
+            await self._finish(send, result.unwrap())
+            return ResultCode.OK
+        problem = result.failure()
+        if self._is_started:
+            event = b"event: error\ndata: " + json.dumps(problem_body(problem)).encode() + b"\n\n"
+            await send(_body(event, more=False))
+        else:
+            await self._refuse(send, problem)
+        return problem.code
+
+    async def _start(self, send: Send) -> None:
+        if not self._is_started:
+            self._is_started = True
+            request_id = (b"x-request-id", self._call.request_id.encode())
+            await send(_start(200, [*_STREAM_HEADERS, request_id]))
+
+    async def _finish(self, send: Send, answer: RecordedAnswer) -> None:
+        if self._num_tokens == 0:
+            # The answer of another attempt: it comes whole instead of token by token.
+            await self._start(send)
+        await send(_body(b"data: " + answer.body + b"\n\n" + _DONE_EVENT, more=False))
+
+    async def _refuse(self, send: Send, problem: Problem) -> None:
+        response = problem_response(problem)
+        await send(_start(response.status_code, response.raw_headers))
+        await send(_body(bytes(response.body), more=False))
+
+    def _event(self, chunk: TokenChunk) -> bytes:
+        self._num_tokens += chunk.num_tokens
+        text = json.dumps(chunk.text)
+        content = f'"delta":{{"content":{text}}}' if self._call.is_chat else f'"text":{text}'
+        return (
+            f'data: {{"id":{json.dumps(self._call.request_id)},"choices":[{{"index":0,{content},'
+            f'"finish_reason":null}}],"hollowrack":{{"token_index":{chunk.token_index},'
+            f'"weight_version":{chunk.weight_version}}}}}\n\n'
+        ).encode()
+
+
+def _start(status: int, headers: list[tuple[bytes, bytes]]) -> Message:
+    return {"type": "http.response.start", "status": status, "headers": headers}
+
+
+def _body(data: bytes, more: bool) -> Message:
+    return {"type": "http.response.body", "body": data, "more_body": more}
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            return
--- /dev/null
+++ b/src/hollowrack/api/operators.py
@@ -0,0 +1,115 @@
+"""The operators' face: status, metrics, decisions, bundles and planned stops."""
+
+import base64
+import binascii
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from hollowrack.api.responses import RequestBody, problem_response, read_json
+from hollowrack.bundle.agent import BundleAgent
+from hollowrack.bundle.signing import SignedBundle, open_bundle
+from hollowrack.bundle.store import BundleStore
+from hollowrack.observability.decisions import DecisionLog
+from hollowrack.observability.metrics import NodeMetrics
+from hollowrack.results import Problem, ResultCode
+
+MAX_BUNDLE_BYTES = 4 * 1024 * 1024
+MAX_DECISIONS = 500
+
+
+class SignedBundleBody(RequestBody):
+    """Body of ``POST /v1/bundle``; binary fields in base64."""
+
+    document: str
+    signer: str
+    signature: str
+
+
+class OperatorsFace:
+    """Routes of the operators' listener.
+
+    Args:
+        agent: The bundle in force.
+        store: Where bundles are accepted.
+        trusted_signers: Public keys of the signers.
+        decisions: The node's decisions.
+        metrics: The node's metrics.
+        status: Returns the node's status as JSON.
+        drain: Starts a planned stop.
+    """
+
+    def __init__(
+        self,
+        agent: BundleAgent,
+        store: BundleStore,
+        trusted_signers: dict[str, str],
+        decisions: DecisionLog,
+        metrics: NodeMetrics,
+        status: Callable[[], dict[str, Any]],
+        drain: Callable[[], None],
+    ) -> None:
+        self._agent = agent
+        self._store = store
+        self._trusted_signers = trusted_signers
+        self._decisions = decisions
+        self._metrics = metrics
+        self._status = status
+        self._drain = drain
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            Route("/v1/status", self._read_status, methods=["GET"]),
+            Route("/metrics", self._read_metrics, methods=["GET"]),
+            Route("/v1/decisions", self._read_decisions, methods=["GET"]),
+            Route("/v1/bundle", self._propose, methods=["POST"]),
+            Route("/v1/drain", self._start_drain, methods=["POST"]),
+        ]
+
+    async def _read_status(self, request: Request) -> Response:
+        del request
+        return JSONResponse(self._status())
+
+    async def _read_metrics(self, request: Request) -> Response:
+        del request
+        return Response(self._metrics.render(), media_type="text/plain; version=0.0.4")
+
+    async def _read_decisions(self, request: Request) -> Response:
+        subject = request.query_params.get("subject")
+        if subject is not None:
+            records = self._decisions.about(subject)[-MAX_DECISIONS:]
+        else:
+            records = self._decisions.latest(MAX_DECISIONS)
+        return JSONResponse([record.as_json() for record in records])
+
+    async def _propose(self, request: Request) -> Response:
+        body = await read_json(request, SignedBundleBody, MAX_BUNDLE_BYTES)
+        if isinstance(body, Failure):
+            return problem_response(body.failure())
+        try:
+            signed = SignedBundle(
+                base64.b64decode(body.unwrap().document, validate=True),
+                body.unwrap().signer,
+                base64.b64decode(body.unwrap().signature, validate=True),
+            )
+        except binascii.Error as error:
+            return problem_response(Problem(ResultCode.BAD_REQUEST, f"{error}.", "body"))
+        opened = open_bundle(signed, self._trusted_signers)
+        if isinstance(opened, Failure):
+            return problem_response(opened.failure())
+        revision = opened.unwrap().revision
+        accepted = await self._store.accept(revision, signed)
+        if isinstance(accepted, Failure):
+            return problem_response(accepted.failure())
+        self._agent.offer(signed)
+        return JSONResponse({"code": int(ResultCode.OK), "revision": revision})
+
+    async def _start_drain(self, request: Request) -> Response:
+        del request
+        self._drain()
+        return JSONResponse({"code": int(ResultCode.OK)}, status_code=202)
--- /dev/null
+++ b/src/hollowrack/api/responses.py
@@ -0,0 +1,82 @@
+"""How problems appear over HTTP, and how JSON bodies are read and checked."""
+
+import json
+import math
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from returns.result import Failure, Result, Success
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+
+from hollowrack.results import DESCRIPTIONS, Problem, ResultCode
+
+Body = TypeVar("Body", bound="RequestBody")
+
+
+class RequestBody(BaseModel):
+    """Base of all request bodies: unknown fields are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+def problem_body(problem: Problem) -> dict[str, Any]:
+    """Return the JSON form of a problem."""
+    description = DESCRIPTIONS[problem.code]
+    return {
+        "error": {
+            "code": int(problem.code),
+            "name": problem.code.name,
+            "detail": problem.detail,
+            "place": problem.place,
+            "remedy": problem.remedy,
+            "may_have_run": description.execution.value,
+            "repeat": description.repeat.value,
+        }
+    }
+
+
+def problem_response(problem: Problem) -> Response:
+    """Return the HTTP response of a problem."""
+    headers = {}
+    if problem.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(problem.retry_after_s)))
+        headers["Retry-After-Ms"] = str(math.ceil(problem.retry_after_s * 1000))
+    return JSONResponse(
+        problem_body(problem),
+        status_code=DESCRIPTIONS[problem.code].http_status,
+        headers=headers,
+    )
+
+
+async def read_body(request: Request, max_bytes: int) -> Result[bytes, Problem]:
+    """Read a request's body; fails with ``BODY_TOO_LARGE`` before buffering more than the limit."""
+    parts: list[bytes] = []
+    num_bytes = 0
+    async for part in request.stream():
+        num_bytes += len(part)
+        if num_bytes > max_bytes:
+            detail = f"the body is over {max_bytes} bytes"
+            return Failure(Problem(ResultCode.BODY_TOO_LARGE, detail, "body"))
+        parts.append(part)
+    return Success(b"".join(parts))
+
+
+def parse_body(data: bytes, body_type: type[Body]) -> Result[Body, Problem]:
+    """Parse and check a JSON body; fails with ``BAD_REQUEST`` and the field."""
+    try:
+        return Success(body_type.model_validate(json.loads(data)))
+    except ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(part) for part in first["loc"]) or "body"
+        return Failure(Problem(ResultCode.BAD_REQUEST, f"{first['msg']}.", place))
+    except (ValueError, RecursionError) as error:
+        return Failure(Problem(ResultCode.BAD_REQUEST, f"not JSON: {error}.", "body"))
+
+
+async def read_json(
+    request: Request, body_type: type[Body], max_bytes: int
+) -> Result[Body, Problem]:
+    """Read, parse and check a JSON body."""
+    data = await read_body(request, max_bytes)
+    return data.bind(lambda raw: parse_body(raw, body_type))
--- /dev/null
+++ b/src/hollowrack/api/server.py
@@ -0,0 +1,92 @@
+"""Serves a Starlette application with uvicorn inside the node's own event loop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+from starlette.types import ASGIApp
+
+from hollowrack.results import Problem, ProblemError, ResultCode
+from hollowrack.settings.model import split_address
+
+START_POLL_S = 0.01
+LISTEN_BACKLOG = 1024
+
+
+class _EmbeddedServer(uvicorn.Server):
+    """A server that leaves signals to the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Do not touch the process's signal handlers."""
+        yield
+
+
+class HttpServer:
+    """One HTTP listener.
+
+    Args:
+        app: The application.
+        address: ``IP:PORT`` to listen on; port 0 takes a free one.
+        place: The settings key, for errors.
+        max_connections: Most connections at once; more are answered 503.
+    """
+
+    def __init__(self, app: ASGIApp, address: str, place: str, max_connections: int) -> None:
+        self._socket = _bind(address, place)
+        host, port = self._socket.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            limit_concurrency=max_connections,
+            timeout_keep_alive=30,
+            timeout_graceful_shutdown=5,
+        )
+        self._server = _EmbeddedServer(config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start serving and return once connections are accepted."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
+        while not self._server.started and not self._task.done():  # noqa: ASYNC110 (no event)
+            await asyncio.sleep(START_POLL_S)
+
+    async def stop(self) -> None:
+        """Stop accepting, let open requests finish for a moment, then close."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._socket.close()
+
+    async def abort(self) -> None:
+        """Close everything at once, as a crash would."""
+        self._server.should_exit = True
+        self._server.force_exit = True
+        if self._task is not None:
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._socket.close()
+
+
+def _bind(address: str, place: str) -> socket.socket:
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+        listener.listen(LISTEN_BACKLOG)
+    except OSError as error:
+        listener.close()
+        detail = f"{address}: {error.strerror or error}."
+        raise ProblemError(Problem(ResultCode.ADDRESS_UNAVAILABLE, detail, place)) from error
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/src/hollowrack/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""The signed, versioned document by which operators steer the fleet."""
--- /dev/null
+++ b/src/hollowrack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/hollowrack/engines/controller.py
@@ -0,0 +1,136 @@
+"""Brings the engines of a zone to the weight versions they should run.
+
+The leader of the zone's replicated group gives the orders, and each order carries the leader's
+ballot as a fencing token, so that an engine refuses a leader that was replaced without knowing it.
+An engine whose swap failed is ordered again until it reports one consistent version.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+from returns.result import Failure
+
+from hollowrack.observability.decisions import DecisionKind, DecisionLog
+from hollowrack.platform.engine import EngineClient
+from hollowrack.replication.host import GroupHost
+from hollowrack.routing.fleet import BackEndRecord, FleetView
+from hollowrack.routing.types import BackEndKind
+
+ENGINE_GROUP_PREFIX = "engines:"
+NUM_CONTROL_REPLICAS = 3
+RECONCILE_INTERVAL_S = 0.1
+ENSURE_INTERVAL_S = 1.0
+FAILED_ORDER_PAUSE_S = 1.0
+
+
+def engine_group(zone: str) -> str:
+    """Return the group whose leader orders a zone's engines."""
+    return ENGINE_GROUP_PREFIX + zone
+
+
+class NoState:
+    """State machine of a group that is used for its leadership alone."""
+
+    def apply(self, command: bytes) -> bytes:
+        """Do nothing."""
+        return command
+
+    def snapshot(self) -> bytes:
+        """Return no state."""
+        return b""
+
+    def restore(self, snapshot: bytes) -> None:
+        """Take back no state."""
+
+
+class EngineController:
+    """Orders the engines of one zone while this node leads the zone's group.
+
+    Args:
+        zone: The zone.
+        host: Runs the zone's group.
+        fleet: The node's view of the back ends.
+        make_client: Returns the client of an engine by its address.
+        target_version: Returns the weight version a model should run, or ``None``.
+        decisions: Where decisions are recorded.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        host: GroupHost,
+        fleet: FleetView,
+        make_client: Callable[[str], EngineClient],
+        target_version: Callable[[str], int | None],
+        decisions: DecisionLog,
+    ) -> None:
+        self._zone = zone
+        self._host = host
+        self._fleet = fleet
+        self._make_client = make_client
+        self._target_version = target_version
+        self._decisions = decisions
+        self._orders: dict[str, asyncio.Task[None]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start the loops."""
+        self._tasks = [
+            asyncio.create_task(self._run_ensure()),
+            asyncio.create_task(self._run_reconcile()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop giving orders."""
+        tasks = [*self._tasks, *self._orders.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run_ensure(self) -> None:
+        group = engine_group(self._zone)
+        while True:
+            await self._host.ensure(group, NUM_CONTROL_REPLICAS, self._zone)
+            await asyncio.sleep(ENSURE_INTERVAL_S)
+
+    async def _run_reconcile(self) -> None:
+        group = engine_group(self._zone)
+        while True:
+            await asyncio.sleep(RECONCILE_INTERVAL_S)
+            if not self._host.leads(group):
+                continue
+            token = self._host.groups[group].replica.promised.fencing_token
+            for address, record in self._fleet.records.items():
+                if address not in self._orders:
+                    self._order_if_needed(address, record, token)
+
+    def _order_if_needed(self, address: str, record: BackEndRecord, token: int) -> None:
+        machine = record.machine
+        if machine.kind != BackEndKind.ENGINE.value or machine.zone != self._zone:
+            return
+        if record.engine is None or record.is_leaving:
+            return
+        target = self._target_version(machine.pool)
+        is_current = record.engine.weight_version == target and record.engine.status == "serving"
+        if target is None or is_current or record.engine.weight_version > target:
+            return
+        incarnation = record.engine.incarnation
+        task = asyncio.create_task(self._order(address, machine.pool, target, token, incarnation))
+        self._orders[address] = task
+        task.add_done_callback(lambda _: self._orders.pop(address, None))
+
+    async def _order(
+        self, address: str, model: str, version: int, token: int, incarnation: str
+    ) -> None:
+        client = self._make_client(address)
+        result = await client.order_version(model, version, token, incarnation)
+        outcome = result.failure().code.name if isinstance(result, Failure) else "done"
+        self._decisions.record(
+            DecisionKind.ORDER_ENGINE, address, outcome, model=model, version=version, token=token
+        )
+        state = await client.state()
+        self._fleet.apply_engine_state(address, state.value_or(None))
+        if isinstance(result, Failure):
+            logging.warning("order to %s failed: %s", address, result.failure())
+            await asyncio.sleep(FAILED_ORDER_PAUSE_S)
--- /dev/null
+++ b/src/hollowrack/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between nodes, their encoding and their transport."""
--- /dev/null
+++ b/src/hollowrack/messages/codec.py
@@ -0,0 +1,88 @@
+"""Encoding of typed messages as CBOR.
+
+A message is a frozen dataclass registered under a short name with :func:`message`. On the wire it
+is the CBOR array ``[wire_version, name, body]`` where ``body`` maps field names to values.
+Decoding validates every field against the dataclass's type hints, so a malformed message becomes a
+:class:`~hollowrack.results.Problem` and never a partly filled object.
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import cbor2
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from hollowrack.results import Problem, ResultCode
+
+WIRE_VERSION = 1
+_ENVELOPE_LENGTH = 3
+
+MessageType = TypeVar("MessageType", bound=type)
+
+_types_by_name: dict[str, type] = {}
+_names_by_type: dict[type, str] = {}
+_adapters: dict[type, TypeAdapter[Any]] = {}
+
+
+def message(name: str) -> Callable[[MessageType], MessageType]:
+    """Register a frozen dataclass as a message called ``name``.
+
+    Raises:
+        ValueError: If the name is taken, which is a programming error.
+    """
+
+    def register(message_type: MessageType) -> MessageType:
+        if name in _types_by_name:
+            raise ValueError(f"message name {name!r} is taken")
+        _types_by_name[name] = message_type
+        _names_by_type[message_type] = name
+        return message_type
+
+    return register
+
+
+def _adapter(message_type: type) -> TypeAdapter[Any]:
+    # Built on first use: fields may refer to message types that are declared later.
+    adapter = _adapters.get(message_type)
+    if adapter is None:
+        adapter = TypeAdapter(message_type)
+        _adapters[message_type] = adapter
+    return adapter
+
+
+def encode(value: object) -> bytes:
+    """Encode a registered message.
+
+    Raises:
+        KeyError: If the type of ``value`` was never registered.
+    """
+    name = _names_by_type[type(value)]
+    body = _adapter(type(value)).dump_python(value)
+    return cbor2.dumps([WIRE_VERSION, name, body])
+
+
+def decode(data: bytes) -> Result[Any, Problem]:
+    """Decode a message, or say what is wrong with it (``MESSAGE_INVALID``)."""
+    try:
+        envelope = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, EOFError, OverflowError, RecursionError) as error:
+        return _invalid(f"not CBOR: {error}", "envelope")
+    if not isinstance(envelope, list) or len(envelope) != _ENVELOPE_LENGTH:
+        return _invalid("the envelope is not [version, name, body]", "envelope")
+    version, name, body = envelope
+    if version != WIRE_VERSION:
+        return _invalid(f"wire version {version!r}, expected {WIRE_VERSION}", "version")
+    message_type = _types_by_name.get(name) if isinstance(name, str) else None
+    if message_type is None:
+        return _invalid(f"unknown message {name!r}", "name")
+    try:
+        return Success(_adapter(message_type).validate_python(body))
+    except ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        return _invalid(first["msg"], f"{name}.{place}")
+
+
+def _invalid(detail: str, place: str) -> Result[Any, Problem]:
+    return Failure(Problem(ResultCode.MESSAGE_INVALID, detail, place))
--- /dev/null
+++ b/src/hollowrack/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs, metrics and the records that explain decisions."""
--- /dev/null
+++ b/src/hollowrack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: configuration store, machine list, weight store and engines."""
--- /dev/null
+++ b/src/hollowrack/platform/machine_list.py
@@ -0,0 +1,76 @@
+"""Client of the machine list, in Prometheus HTTP service-discovery JSON; a lagging hint."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from hollowrack.platform.http import request_json
+from hollowrack.results import Problem, ResultCode
+
+REQUEST_TIMEOUT_S = 2.0
+KNOWN_KINDS = frozenset({"engine", "service"})
+
+
+@dataclass(frozen=True)
+class _TargetGroup:
+    targets: list[str]
+    labels: dict[str, str]
+
+
+_TARGET_GROUPS = TypeAdapter(list[_TargetGroup])
+
+
+@dataclass(frozen=True)
+class Machine:
+    """One back end of the list.
+
+    Attributes:
+        address: ``IP:PORT``.
+        kind: ``engine`` or ``service``.
+        pool: Model of an engine, or name of a service pool.
+        zone: Zone it runs in.
+        is_leaving: Whether the list says that it is leaving.
+    """
+
+    address: str
+    kind: str
+    pool: str
+    zone: str
+    is_leaving: bool
+
+
+async def read_machine_list(
+    session: aiohttp.ClientSession, url: str
+) -> Result[list[Machine], Problem]:
+    """Read the list; fails with the codes of :func:`~hollowrack.platform.http.request_json`."""
+    answer = await request_json(session, "GET", url, REQUEST_TIMEOUT_S)
+    return answer.bind(_decode)
+
+
+def _decode(answer: Any) -> Result[list[Machine], Problem]:
+    try:
+        groups = _TARGET_GROUPS.validate_python(answer)
+    except ValidationError as error:
+        detail = str(error.errors()[0]["msg"])
+        return Failure(Problem(ResultCode.PLATFORM_ANSWER_INVALID, detail, "machine_list"))
+    return Success(
+        [
+            _machine(address, group.labels)
+            for group in groups
+            for address in group.targets
+            if group.labels.get("kind") in KNOWN_KINDS
+        ]
+    )
+
+
+def _machine(address: str, labels: dict[str, str]) -> Machine:
+    return Machine(
+        address=address,
+        kind=labels.get("kind", ""),
+        pool=labels.get("pool", ""),
+        zone=labels.get("zone", ""),
+        is_leaving=labels.get("state") == "leaving",
+    )
--- /dev/null
+++ b/src/hollowrack/replication/replica.py
@@ -0,0 +1,542 @@
+"""One replica of a replicated log, as a state machine without I/O, clock or randomness of its own.
+
+The protocol is Multi-Paxos with whole-log adoption, close to Viewstamped Replication (Liskov and
+Cowling, "Viewstamped Replication Revisited", 2012): a leader elected in a ballot adopts the most
+advanced log among a majority and every follower takes over that log whole before it accepts
+anything of the ballot. Membership changes follow Vertical Paxos (Lamport, Malkhi and Zhou, 2009):
+the configuration store fixes one membership per epoch, and a leader of a new epoch also needs a
+majority of every earlier member set that may hold state nobody has copied.
+
+Safety rests on promises alone. Time is used to decide when to try an election and for nothing else.
+"""
+
+import random
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from hollowrack.replication.log import ReplicaLog
+from hollowrack.replication.messages import (
+    Accepted,
+    Append,
+    Fetch,
+    NeedSync,
+    Prepare,
+    Promise,
+    Reject,
+    ReplicaMessage,
+    Snapshot,
+    Suffix,
+    Sync,
+    TakeOver,
+)
+from hollowrack.replication.storage import (
+    Adopted,
+    Appended,
+    Compacted,
+    Promised,
+    Storage,
+    StorageRecord,
+)
+from hollowrack.replication.types import (
+    ZERO_BALLOT,
+    Ballot,
+    Membership,
+    ReplicaId,
+    StateMachine,
+    is_majority,
+)
+
+HEARTBEAT_INTERVAL_S = 0.1
+ELECTION_TIMEOUT_MIN_S = 0.5
+ELECTION_TIMEOUT_MAX_S = 1.0
+COMPACT_AFTER_NUM_ENTRIES = 2048
+
+
+class Role(Enum):
+    """What a replica does at present."""
+
+    FOLLOWER = auto()
+    CANDIDATE = auto()
+    LEADER = auto()
+
+
+@dataclass(frozen=True)
+class Outgoing:
+    """A message to be sent once the storage has been flushed."""
+
+    recipient: ReplicaId
+    message: ReplicaMessage
+
+
+@dataclass(frozen=True)
+class Applied:
+    """A committed command was applied.
+
+    Attributes:
+        index: Its place in the log.
+        ballot: Ballot in which this replica accepted it.
+        outcome: What the state machine returned.
+    """
+
+    index: int
+    ballot: Ballot
+    outcome: bytes
+
+
+@dataclass
+class _FollowerProgress:
+    """What a leader knows of one follower."""
+
+    match_index: int = 0
+    next_index: int = 1
+    is_synced: bool = False
+    heard_since_heartbeat: bool = False
+
+
+class Replica:
+    """One replica of one group.
+
+    Outgoing messages gather in ``outbox`` and applied commands in ``applied``; the owner drains
+    both after each call, flushing the storage before it sends anything.
+
+    Args:
+        replica: This replica's identifier.
+        membership: The membership it starts from.
+        state_machine: Driven by committed entries.
+        storage: Takes what must survive a restart.
+        rng: Source of the election jitter.
+        now_s: Present time in seconds on the owner's monotonic clock.
+    """
+
+    def __init__(
+        self,
+        replica: ReplicaId,
+        membership: Membership,
+        state_machine: StateMachine,
+        storage: Storage,
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        self.id = replica
+        self.membership = membership
+        self.role = Role.FOLLOWER
+        self.promised = ZERO_BALLOT
+        self.accepted_ballot = ZERO_BALLOT
+        self.log = ReplicaLog()
+        self.commit_index = 0
+        self.leader: ReplicaId | None = None
+        self.outbox: list[Outgoing] = []
+        self.applied: list[Applied] = []
+        self._state_machine = state_machine
+        self._storage = storage
+        self._rng = rng
+        self._promises: dict[ReplicaId, Promise] = {}
+        self._progress: dict[ReplicaId, _FollowerProgress] = {}
+        self._election_deadline_s = 0.0
+        self._heartbeat_due_s = 0.0
+        self._now_s = now_s
+        self._postpone_election()
+
+    # -- recovery ---------------------------------------------------------------------------
+
+    def replay(self, record: StorageRecord) -> None:
+        """Take back one record of an earlier life; call in order before anything else."""
+        match record:
+            case Promised(ballot, membership):
+                self.promised = max(self.promised, ballot)
+                self._adopt_membership(membership)
+            case Adopted():
+                self._install_log(record.snapshot, record.after_index, record.entries)
+                self.promised = max(self.promised, record.ballot)
+                self.accepted_ballot = record.ballot
+                self._adopt_membership(record.membership)
+            case Appended(after_index, entries):
+                self.log.replace_after(after_index, entries)
+            case Compacted(snapshot):
+                if snapshot.index <= self.log.last_index:
+                    self.log.compact(snapshot)
+                else:
+                    self.log.install(snapshot)
+                self._restore(snapshot)
+
+    # -- inputs -----------------------------------------------------------------------------
+
+    def propose(self, command: bytes) -> int | None:
+        """Append a command if this replica leads; return its index, or ``None``."""
+        if self.role is not Role.LEADER:
+            return None
+        self._storage.record(Appended(self.log.last_index, (command,)))
+        self.log.append(command)
+        self._advance_commit()
+        return self.log.last_index
+
+    def replicate(self) -> None:
+        """Send entries that followers have not been sent yet; call once per batch of proposals."""
+        if self.role is not Role.LEADER:
+            return
+        for follower, progress in self._progress.items():
+            if progress.is_synced and progress.next_index <= self.log.last_index:
+                self._send_append(follower, progress)
+
+    def tick(self, now_s: float) -> None:
+        """Let time pass: heartbeats for a leader, elections for the others."""
+        self._now_s = now_s
+        if self.role is Role.LEADER:
+            if now_s >= self._heartbeat_due_s:
+                self._heartbeat()
+        elif now_s >= self._election_deadline_s:
+            self.start_election()
+
+    def start_election(self) -> None:
+        """Become a candidate in a ballot above all seen; members of the epoch only."""
+        self._postpone_election()
+        if self.id not in self.membership.members:
+            return
+        epoch = self.membership.epoch
+        seen_round = self.promised.round if self.promised.epoch == epoch else 0
+        ballot = Ballot(epoch, seen_round + 1, self.id)
+        if ballot <= self.promised:
+            return
+        self._promise(ballot)
+        self.role = Role.CANDIDATE
+        self.leader = None
+        self._promises = {self.id: self._own_promise(ballot)}
+        for elector in sorted(self.membership.electors() - {self.id}):
+            self._send(elector, Prepare(ballot, self.membership))
+        self._finish_phase_one()
+
+    def resign(self) -> None:
+        """Stop leading, for a planned stop, and ask the most advanced follower to take over."""
+        if self.role is not Role.LEADER:
+            return
+        ranked = sorted(self._progress, key=lambda name: self._progress[name].match_index)
+        self._step_down()
+        self._election_deadline_s = self._now_s + 2 * ELECTION_TIMEOUT_MAX_S
+        if ranked:
+            self._send(ranked[-1], TakeOver(self.promised))
+
+    def _on_take_over(self, message: TakeOver) -> None:
+        if message.ballot == self.promised:
+            self.start_election()
+
+    def adopt_membership(self, membership: Membership) -> None:
+        """Take in a membership read from the configuration store."""
+        if membership.epoch > self.membership.epoch and self.role is not Role.FOLLOWER:
+            self._step_down()
+        self._adopt_membership(membership)
+
+    def receive(self, sender: ReplicaId, message: ReplicaMessage) -> None:
+        """Handle one message of another replica."""
+        match message:
+            case Prepare():
+                self._on_prepare(sender, message)
+            case Promise():
+                self._on_promise(sender, message)
+            case Reject():
+                self._on_reject(message)
+            case Fetch():
+                self._on_fetch(sender, message)
+            case Suffix():
+                self._on_suffix(message)
+            case Sync():
+                self._on_sync(sender, message)
+            case Append():
+                self._on_append(sender, message)
+            case Accepted():
+                self._on_accepted(sender, message)
+            case NeedSync():
+                self._on_need_sync(sender, message)
+            case TakeOver():
+                self._on_take_over(message)
+
+    @property
+    def needs_activation(self) -> bool:
+        """Whether this leader has copied all earlier state and may activate its epoch."""
+        return (
+            self.role is Role.LEADER
+            and bool(self.membership.previous)
+            and is_majority(self.membership.members, self._synced())
+        )
+
+    # -- phase one --------------------------------------------------------------------------
+
+    def _on_prepare(self, sender: ReplicaId, message: Prepare) -> None:
+        if message.ballot <= self.promised:
+            self._reject(sender)
+            return
+        self._step_down()
+        self._adopt_membership(message.membership)
+        self._promise(message.ballot)
+        self._postpone_election()
+        self._send(sender, self._own_promise(message.ballot))
+
+    def _own_promise(self, ballot: Ballot) -> Promise:
+        return Promise(ballot, self.accepted_ballot, self.log.last_index, self.commit_index)
+
+    def _on_promise(self, sender: ReplicaId, message: Promise) -> None:
+        if self.role is not Role.CANDIDATE or message.ballot != self.promised:
+            return
+        self._promises[sender] = message
+        self._finish_phase_one()
+
+    def _finish_phase_one(self) -> None:
+        if not self.membership.elects(set(self._promises)):
+            return
+        best = max(
+            self._promises,
+            key=lambda replica: (
+                self._promises[replica].accepted_ballot,
+                self._promises[replica].last_index,
+                replica == self.id,
+            ),
+        )
+        if best == self.id:
+            self._lead(
+                self.log.snapshot, self.log.snapshot.index, self.log.after(self.log.snapshot.index)
+            )
+        else:
+            self._send(best, Fetch(self.promised, self.commit_index))
+
+    def _on_fetch(self, sender: ReplicaId, message: Fetch) -> None:
+        if message.ballot != self.promised:
+            self._reject(sender)
+            return
+        snapshot, after_index = self._start_for(message.after_index)
+        entries = self.log.after(after_index)
+        self._send(sender, Suffix(message.ballot, snapshot, after_index, entries))
+
+    def _on_suffix(self, message: Suffix) -> None:
+        if self.role is not Role.CANDIDATE or message.ballot != self.promised:
+            return
+        if message.snapshot is None and message.after_index > self.commit_index:
+            return
+        self._lead(message.snapshot, message.after_index, message.entries)
+
+    def _lead(
+        self, snapshot: Snapshot | None, after_index: int, entries: tuple[bytes, ...]
+    ) -> None:
+        self._adopt_log(self.promised, snapshot, after_index, entries)
+        self.role = Role.LEADER
+        self.leader = self.id
+        followers = set(self.membership.members) - {self.id}
+        self._progress = {follower: _FollowerProgress() for follower in sorted(followers)}
+        for follower, promise in self._promises.items():
+            if follower in self._progress:
+                self._send_sync(follower, promise.commit_index)
+        self._heartbeat()
+        self._advance_commit()
+
+    # -- phase two, leader ------------------------------------------------------------------
+
+    def _heartbeat(self) -> None:
+        self._heartbeat_due_s = self._now_s + HEARTBEAT_INTERVAL_S
+        for follower, progress in self._progress.items():
+            if not progress.heard_since_heartbeat:
+                progress.next_index = progress.match_index + 1
+            progress.heard_since_heartbeat = False
+            self._send_append(follower, progress)
+
+    def _send_append(self, follower: ReplicaId, progress: _FollowerProgress) -> None:
+        after_index = progress.next_index - 1
+        entries: tuple[bytes, ...] = ()
+        if not progress.is_synced:
+            after_index = self.log.last_index
+        elif after_index < self.log.snapshot.index:
+            self._send_sync(follower, progress.match_index)
+            return
+        else:
+            entries = self.log.after(after_index)
+            progress.next_index = self.log.last_index + 1
+        is_active = not self.membership.previous
+        self._send(
+            follower, Append(self.promised, after_index, entries, self.commit_index, is_active)
+        )
+
+    def _send_sync(self, follower: ReplicaId, follower_commit_index: int) -> None:
+        snapshot, after_index = self._start_for(follower_commit_index)
+        entries = self.log.after(after_index)
+        self._send(
+            follower,
+            Sync(
+                self.promised,
+                self.membership,
+                snapshot,
+                after_index,
+                entries,
+                self.commit_index,
+            ),
+        )
+
+    def _start_for(self, commit_index: int) -> tuple[Snapshot | None, int]:
+        """Return the snapshot to send, if any, and the index the entries start after."""
+        if commit_index < self.log.snapshot.index:
+            return self.log.snapshot, self.log.snapshot.index
+        return None, min(commit_index, self.log.last_index)
+
+    def _on_accepted(self, sender: ReplicaId, message: Accepted) -> None:
+        progress = self._progress_of(sender, message.ballot)
+        if progress is None:
+            return
+        progress.is_synced = True
+        progress.heard_since_heartbeat = True
+        progress.match_index = max(progress.match_index, message.last_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        self._advance_commit()
+
+    def _on_need_sync(self, sender: ReplicaId, message: NeedSync) -> None:
+        progress = self._progress_of(sender, message.ballot)
+        if progress is not None and not progress.is_synced:
+            progress.heard_since_heartbeat = True
+            self._send_sync(sender, message.commit_index)
+
+    def _progress_of(self, sender: ReplicaId, ballot: Ballot) -> _FollowerProgress | None:
+        if self.role is not Role.LEADER or ballot != self.promised:
+            return None
+        return self._progress.get(sender)
+
+    def _synced(self) -> set[ReplicaId]:
+        synced = {follower for follower, state in self._progress.items() if state.is_synced}
+        return synced | {self.id}
+
+    def _advance_commit(self) -> None:
+        indexes = {follower: state.match_index for follower, state in self._progress.items()}
+        indexes[self.id] = self.log.last_index
+        ranked = sorted(
+            (indexes.get(member, 0) for member in self.membership.members), reverse=True
+        )
+        majority_index = ranked[len(ranked) // 2]
+        if is_majority(self.membership.members, self._synced()):
+            self._commit(majority_index)
+
+    # -- phase two, follower ----------------------------------------------------------------
+
+    def _on_sync(self, sender: ReplicaId, message: Sync) -> None:
+        if message.ballot < self.promised:
+            self._reject(sender)
+            return
+        if self.accepted_ballot == message.ballot:
+            self._follow(sender, message.ballot)
+            self._send(sender, Accepted(message.ballot, self.log.last_index))
+            return
+        if message.snapshot is None and message.after_index > self.commit_index:
+            self._send(sender, NeedSync(message.ballot, self.commit_index))
+            return
+        self._adopt_membership(message.membership)
+        self._follow(sender, message.ballot)
+        self._adopt_log(message.ballot, message.snapshot, message.after_index, message.entries)
+        self._commit(min(message.commit_index, self.log.last_index))
+        self._send(sender, Accepted(message.ballot, self.log.last_index))
+
+    def _on_append(self, sender: ReplicaId, message: Append) -> None:
+        if message.ballot < self.promised:
+            self._reject(sender)
+            return
+        self._follow(sender, message.ballot)
+        if self.accepted_ballot != message.ballot:
+            self._send(sender, NeedSync(message.ballot, self.commit_index))
+            return
+        if message.is_active and self.membership.epoch == message.ballot.epoch:
+            self.membership = self.membership.activated()
+        self._append_new(message.after_index, message.entries)
+        self._commit(min(message.commit_index, self.log.last_index))
+        self._send(sender, Accepted(message.ballot, self.log.last_index))
+
+    def _append_new(self, after_index: int, entries: tuple[bytes, ...]) -> None:
+        # Within one ballot all copies of an entry are equal, so overlaps are skipped, and a gap is
+        # filled when the leader sees our last index.
+        if after_index > self.log.last_index:
+            return
+        new_entries = entries[self.log.last_index - after_index :]
+        if not new_entries:
+            return
+        self._storage.record(Appended(self.log.last_index, new_entries))
+        for command in new_entries:
+            self.log.append(command)
+
+    def _follow(self, leader: ReplicaId, ballot: Ballot) -> None:
+        if self.role is not Role.FOLLOWER:
+            self._step_down()
+        if ballot > self.promised:
+            self._promise(ballot)
+        self.leader = leader
+        self._postpone_election()
+
+    # -- shared -----------------------------------------------------------------------------
+
+    def _on_reject(self, message: Reject) -> None:
+        if message.promised <= self.promised:
+            return
+        # The higher ballot is remembered so that the next attempt goes above it.
+        self._step_down()
+        self._adopt_membership(message.membership)
+        self._promise(message.promised)
+
+    def _reject(self, sender: ReplicaId) -> None:
+        self._send(sender, Reject(self.promised, self.membership))
+
+    def _promise(self, ballot: Ballot) -> None:
+        self.promised = ballot
+        self._storage.record(Promised(ballot, self.membership))
+
+    def _adopt_membership(self, membership: Membership) -> None:
+        own = self.membership
+        is_newer = membership.epoch > own.epoch
+        is_activation = membership.epoch == own.epoch and not membership.previous
+        if is_newer or is_activation:
+            self.membership = membership
+
+    def _adopt_log(
+        self,
+        ballot: Ballot,
+        snapshot: Snapshot | None,
+        after_index: int,
+        entries: tuple[bytes, ...],
+    ) -> None:
+        self._storage.record(Adopted(ballot, self.membership, snapshot, after_index, entries))
+        self._install_log(snapshot, after_index, entries)
+        self.accepted_ballot = ballot
+
+    def _install_log(
+        self, snapshot: Snapshot | None, after_index: int, entries: tuple[bytes, ...]
+    ) -> None:
+        if snapshot is not None and snapshot.index > self.commit_index:
+            self.log.install(snapshot)
+            self._restore(snapshot)
+            after_index = snapshot.index
+        elif after_index < self.log.snapshot.index:
+            # Everything up to our own snapshot is committed and therefore equal.
+            entries = entries[self.log.snapshot.index - after_index :]
+            after_index = self.log.snapshot.index
+        self.log.replace_after(after_index, entries)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        if snapshot.index > self.commit_index:
+            self._state_machine.restore(snapshot.state)
+            self.commit_index = snapshot.index
+
+    def _commit(self, index: int) -> None:
+        while self.commit_index < index:
+            self.commit_index += 1
+            outcome = self._state_machine.apply(self.log.entry(self.commit_index))
+            self.applied.append(Applied(self.commit_index, self.accepted_ballot, outcome))
+        self._compact()
+
+    def _compact(self) -> None:
+        if self.commit_index - self.log.snapshot.index < COMPACT_AFTER_NUM_ENTRIES:
+            return
+        snapshot = Snapshot(self.commit_index, self._state_machine.snapshot())
+        self.log.compact(snapshot)
+        self._storage.record(Compacted(snapshot))
+
+    def _step_down(self) -> None:
+        self.role = Role.FOLLOWER
+        self.leader = None
+        self._promises = {}
+        self._progress = {}
+
+    def _postpone_election(self) -> None:
+        jitter = self._rng.uniform(ELECTION_TIMEOUT_MIN_S, ELECTION_TIMEOUT_MAX_S)
+        self._election_deadline_s = self._now_s + jitter
+
+    def _send(self, recipient: ReplicaId, message: ReplicaMessage) -> None:
+        self.outbox.append(Outgoing(recipient, message))
--- /dev/null
+++ b/src/hollowrack/requests/generation.py
@@ -0,0 +1,230 @@
+"""Runs one generation on the engines: placement, streaming, resumption and cancelling.
+
+A generation is safe to repeat, so a broken stream is resumed on another engine from the tokens so
+far. Each token keeps the weight version of the engine that produced it.
+"""
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from hollowrack.observability.decisions import DecisionKind, DecisionLog
+from hollowrack.platform.engine import (
+    EngineClient,
+    EngineRefusedError,
+    EngineUnreachableError,
+    GenerationRequest,
+    StreamBrokenError,
+    TokenChunk,
+)
+from hollowrack.requests.budget import RetryBudget
+from hollowrack.requests.lifecycle import (
+    Admitted,
+    Dispatched,
+    NoBytesSentProof,
+    NotRunCode,
+    Received,
+    UnresolvedCode,
+)
+from hollowrack.requests.types import GeneratedText
+from hollowrack.results import Problem, ResultCode
+from hollowrack.rollout.spans import SpanBuilder
+from hollowrack.routing.choice import choose
+from hollowrack.routing.fleet import FleetView
+from hollowrack.routing.types import Priority, RouteRequest
+
+STREAM_IDLE_TIMEOUT_S = 10.0
+MAX_ATTEMPTS = 6
+
+ChunkSink = Callable[[list[TokenChunk]], Awaitable[None]]
+StopCheck = Callable[[SpanBuilder], Problem | None]
+
+
+@dataclass(frozen=True)
+class GenerationPlan:
+    """What to generate and within which limits.
+
+    Attributes:
+        generation: What the engine is asked for.
+        route: How to place it.
+        deadline_s: Time on the monotonic clock after which it is not worth starting.
+        on_chunks: Called with new tokens as they arrive.
+        stop_check: Called after new tokens; a problem ends the generation early.
+    """
+
+    generation: GenerationRequest
+    route: RouteRequest
+    deadline_s: float
+    on_chunks: ChunkSink | None = None
+    stop_check: StopCheck | None = None
+
+
+@dataclass
+class _Progress:
+    """Tokens received so far, over all engines."""
+
+    spans: SpanBuilder = field(default_factory=SpanBuilder)
+    texts: list[str] = field(default_factory=list)
+    finish_reason: str | None = None
+    num_engines: int = 0
+
+    def take(self, chunk: TokenChunk) -> None:
+        """Append a chunk.
+
+        Raises:
+            StreamBrokenError: If the chunk does not continue the tokens so far.
+        """
+        if chunk.token_index != self.spans.num_tokens:
+            raise StreamBrokenError(
+                f"token {chunk.token_index} came where {self.spans.num_tokens} was expected"
+            )
+        if chunk.num_tokens:
+            self.spans.add(chunk.weight_version, chunk.num_tokens)
+        self.texts.append(chunk.text)
+        self.finish_reason = chunk.finish_reason
+
+    def whole(self) -> GeneratedText:
+        """Return the finished generation."""
+        return GeneratedText(
+            text="".join(self.texts),
+            num_tokens=self.spans.num_tokens,
+            spans=self.spans.build(),
+            finish_reason=self.finish_reason or "",
+            num_engines=self.num_engines,
+        )
+
+
+class _StoppedEarlyError(Exception):
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(str(problem))
+        self.problem = problem
+
+
+class GenerationRunner:
+    """Runs generations for one node.
+
+    Args:
+        fleet: The node's view of the back ends.
+        session: HTTP session towards engines.
+        budget: Retry budget.
+        decisions: Where decisions are recorded.
+        rng: Random source of the routing.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetView,
+        session: aiohttp.ClientSession,
+        budget: RetryBudget,
+        decisions: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._session = session
+        self._budget = budget
+        self._decisions = decisions
+        self._rng = rng
+
+    async def run(self, plan: GenerationPlan) -> Result[GeneratedText, Problem]:
+        """Run a generation to its end marker.
+
+        Fails with a "not run" code if no engine was given the request, with ``OUTCOME_UNKNOWN`` or
+        ``ANSWER_INCOMPLETE`` if one was, or with the stop check's problem.
+        """
+        request_id = plan.generation.request_id
+        state = Received(request_id).admit()
+        self._budget.note_request()
+        progress = _Progress()
+        tried: set[str] = set()
+        unresolved: Problem | None = None
+        for attempt in range(MAX_ATTEMPTS):
+            if attempt and not self._budget.take_retry():
+                break
+            if time.monotonic() >= plan.deadline_s:
+                expired = state.refuse(NotRunCode.DEADLINE_EXPIRED, "the deadline passed")
+                return Failure(unresolved or expired.problem)
+            route = replace(plan.route, excluded=frozenset(tried))
+            choice = choose(
+                route, self._fleet.snapshot(time.monotonic()), self._fleet.prefixes, self._rng
+            )
+            if isinstance(choice, Failure):
+                return Failure(unresolved or choice.failure())
+            address = choice.unwrap().address
+            tried.add(address)
+            kind = DecisionKind.RESUME if progress.spans.num_tokens else DecisionKind.ROUTE
+            scores = {entry.address: entry.cost_ms for entry in choice.unwrap().candidates}
+            self._decisions.record(kind, request_id, address, attempt=attempt, cost_ms=scores)
+            outcome = await self._attempt(plan, progress, state.dispatch(address))
+            if isinstance(outcome, Admitted):
+                state = outcome
+                continue
+            if isinstance(outcome, Failure):
+                unresolved = outcome.failure()
+                if unresolved.code not in _RESUMABLE:
+                    return outcome
+                continue
+            return outcome
+        refused = state.refuse(NotRunCode.BACK_END_REFUSED, "no engine took the request")
+        return Failure(unresolved or refused.problem)
+
+    async def _attempt(
+        self, plan: GenerationPlan, progress: _Progress, state: Dispatched
+    ) -> Admitted | Result[GeneratedText, Problem]:
+        is_training = plan.route.priority is Priority.TRAINING
+        record = self._fleet.records[state.address]
+        self._fleet.note_sent(state.address, is_training, time.monotonic())
+        self._fleet.prefixes.note_sent(state.address, plan.route.prefix_blocks)
+        try:
+            await self._stream(plan, progress, state.address)
+            record.circuit.note_success()
+            return Success(progress.whole())
+        except EngineUnreachableError:
+            record.circuit.note_failure(time.monotonic(), is_conclusive=True)
+            return state.did_not_run(NoBytesSentProof.NO_CONNECTION)
+        except EngineRefusedError:
+            record.circuit.note_abandoned(time.monotonic())
+            return state.did_not_run(NoBytesSentProof.EXPLICIT_REFUSAL)
+        except StreamBrokenError as error:
+            record.circuit.note_failure(time.monotonic())
+            has_tokens = progress.spans.num_tokens > 0
+            code = UnresolvedCode.OUTCOME_UNKNOWN
+            if has_tokens:
+                code = UnresolvedCode.ANSWER_INCOMPLETE
+            return Failure(state.unresolved(code, str(error)).problem)
+        except _StoppedEarlyError as stopped:
+            record.circuit.note_abandoned(time.monotonic())
+            return Failure(stopped.problem)
+        finally:
+            self._fleet.note_finished(state.address, is_training)
+
+    async def _stream(self, plan: GenerationPlan, progress: _Progress, address: str) -> None:
+        generation = replace(
+            plan.generation,
+            resume_text="".join(progress.texts),
+            resume_num_tokens=progress.spans.num_tokens,
+        )
+        client = EngineClient(self._session, address)
+        incarnation: str | None = None
+        async with client.generate(generation, STREAM_IDLE_TIMEOUT_S) as batches:
+            progress.num_engines += 1
+            async for chunks in batches:
+                for chunk in chunks:
+                    if incarnation not in (None, chunk.incarnation):
+                        raise StreamBrokenError("the engine's incarnation changed in a stream")
+                    incarnation = chunk.incarnation
+                    progress.take(chunk)
+                if plan.on_chunks is not None:
+                    await plan.on_chunks(chunks)
+                if plan.stop_check is not None:
+                    problem = plan.stop_check(progress.spans)
+                    if problem is not None:
+                        raise _StoppedEarlyError(problem)
+        if progress.finish_reason is None:
+            raise StreamBrokenError("the stream ended without a finish reason")
+
+
+_RESUMABLE = frozenset({ResultCode.OUTCOME_UNKNOWN, ResultCode.ANSWER_INCOMPLETE})
--- /dev/null
+++ b/src/hollowrack/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Training rollouts: runs, steps, sample slots, their ledger and their scheduling."""
--- /dev/null
+++ b/src/hollowrack/rollout/service.py
@@ -0,0 +1,193 @@
+"""The trainers' requests on any node: carried out here or passed to the ledger's leader."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from hollowrack.messages import codec
+from hollowrack.replication.host import NodeLinks
+from hollowrack.replication.types import node_of
+from hollowrack.results import Problem, ProblemError, ResultCode, value_or_raise
+from hollowrack.rollout.commands import LedgerCommand, LedgerOutcome, OpenRun
+from hollowrack.rollout.coordinator import RolloutContext, RunCoordinator
+from hollowrack.rollout.groups import RUN_GROUP_PREFIX, run_group
+from hollowrack.rollout.ledger import SampleLedger
+from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples, RunStatus, Samples
+
+NUM_LEDGER_REPLICAS = 3
+COMMAND_TIMEOUT_S = 10.0
+FIND_LEADER_TIMEOUT_S = 8.0
+FORWARD_MARGIN_S = 5.0
+RECONCILE_INTERVAL_S = 0.02
+_RETRY_PAUSE_S = 0.1
+
+VersionListener = Callable[[str, int], None]
+
+
+class RunService:
+    """All runs as one node sees them.
+
+    Args:
+        node: This node.
+        links: How to reach other nodes.
+        context: What coordinators need.
+        training_room: Returns the share of an engine's slots training may take, by model.
+        on_version: Called with the model and the trainer's version while this node leads a run.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        links: NodeLinks,
+        context: RolloutContext,
+        training_room: Callable[[str], float],
+        on_version: VersionListener,
+    ) -> None:
+        self._node = node
+        self._links = links
+        self._context = context
+        self._host = context.host
+        self._training_room = training_room
+        self._on_version = on_version
+        self._coordinators: dict[str, RunCoordinator] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start the reconcile loop."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop all coordinators; other nodes take the runs over."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for run in list(self._coordinators):
+            await self._coordinators.pop(run).stop()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(RECONCILE_INTERVAL_S)
+            for group, hosted in list(self._host.groups.items()):
+                if isinstance(hosted.state_machine, SampleLedger):
+                    await self._reconcile(group, hosted.state_machine)
+
+    async def _reconcile(self, group: str, ledger: SampleLedger) -> None:
+        run = group.removeprefix(RUN_GROUP_PREFIX)
+        coordinator = self._coordinators.get(run)
+        if not self._host.leads(group):
+            if coordinator is not None:
+                del self._coordinators[run]
+                await coordinator.stop()
+            return
+        if coordinator is None:
+            coordinator = RunCoordinator(run, ledger, self._context)
+            self._coordinators[run] = coordinator
+        settings = ledger.state.settings
+        if settings is not None:
+            coordinator.training_room = self._training_room(settings.model)
+            self._on_version(settings.model, ledger.state.trainer_version)
+        await coordinator.reconcile()
+
+    # -- commands ---------------------------------------------------------------------------
+
+    async def open(self, run: str, command: OpenRun) -> Result[LedgerOutcome, Problem]:
+        """Open a run, creating its group if need be."""
+        ensured = await self._host.ensure(run_group(run), NUM_LEDGER_REPLICAS)
+        if isinstance(ensured, Failure):
+            return ensured
+        return await self.execute(run, command)
+
+    async def execute(self, run: str, command: LedgerCommand) -> Result[LedgerOutcome, Problem]:
+        """Commit a command; an outcome that is not ``OK`` is returned as a failure."""
+        group = run_group(run)
+        found = await self._host.find(group)
+        if isinstance(found, Failure):
+            return _unknown_run(run, found.failure())
+        proposed = await self._host.propose(group, codec.encode(command), COMMAND_TIMEOUT_S)
+        decoded: Result[LedgerOutcome, Problem] = proposed.bind(codec.decode)
+        return decoded.bind(lambda outcome: _check_outcome(run, outcome))
+
+    # -- reads ------------------------------------------------------------------------------
+
+    async def read_samples(self, request: ReadSamples) -> Result[Samples, Problem]:
+        """Long poll for samples at the ledger's leader."""
+        return await self._at_leader(request.run, request, request.wait_s + FORWARD_MARGIN_S)
+
+    async def read_status(self, request: ReadRunStatus) -> Result[RunStatus, Problem]:
+        """Read a run's status at the ledger's leader."""
+        return await self._at_leader(request.run, request, FORWARD_MARGIN_S)
+
+    async def _at_leader(
+        self, run: str, request: ReadSamples | ReadRunStatus, timeout_s: float
+    ) -> Result[Any, Problem]:
+        group = run_group(run)
+        deadline_s = time.monotonic() + FIND_LEADER_TIMEOUT_S
+        result: Result[Any, Problem] = Failure(
+            Problem(ResultCode.NO_QUORUM, "the run has no leader", run, retry_after_s=1.0)
+        )
+        while time.monotonic() < deadline_s:
+            found = await self._host.find(group)
+            if isinstance(found, Failure):
+                return _unknown_run(run, found.failure())
+            members = {node_of(member) for member in found.unwrap().members}
+            for node in sorted(members, key=lambda name: name != self._node):
+                if node != self._node and not self._links.is_reachable(node):
+                    continue
+                result = await self._ask(node, request, timeout_s)
+                if not _should_ask_elsewhere(result):
+                    return result
+            await asyncio.sleep(_RETRY_PAUSE_S)
+        return result
+
+    async def _ask(
+        self, node: str, request: ReadSamples | ReadRunStatus, timeout_s: float
+    ) -> Result[Any, Problem]:
+        if node != self._node:
+            return await self._links.request(node, request, timeout_s)
+        try:
+            return Success(await self.answer(request))
+        except ProblemError as error:
+            return Failure(error.problem)
+
+    async def answer(self, request: ReadSamples | ReadRunStatus) -> Samples | RunStatus:
+        """Answer a read on this node, which must lead the run's ledger.
+
+        Raises:
+            ProblemError: ``NOT_LEADER``, or the codes of the read.
+        """
+        coordinator = self._coordinators.get(request.run)
+        if coordinator is None or not self._host.leads(run_group(request.run)):
+            raise ProblemError(Problem(ResultCode.NOT_LEADER, "", request.run))
+        if isinstance(request, ReadSamples):
+            return value_or_raise(await coordinator.read_samples(request))
+        return value_or_raise(coordinator.status(self._node))
+
+
+_ASK_ELSEWHERE = frozenset(
+    {
+        ResultCode.NOT_LEADER,
+        ResultCode.GROUP_UNKNOWN,
+        ResultCode.PEER_UNREACHABLE,
+        ResultCode.OUTCOME_UNKNOWN,
+        ResultCode.NO_QUORUM,
+    }
+)
+
+
+def _should_ask_elsewhere(result: Result[Any, Problem]) -> bool:
+    return isinstance(result, Failure) and result.failure().code in _ASK_ELSEWHERE
+
+
+def _unknown_run(run: str, problem: Problem) -> Failure[Problem]:
+    if problem.code is ResultCode.GROUP_UNKNOWN:
+        return Failure(Problem(ResultCode.UNKNOWN_RUN, "the run was never opened", run))
+    return Failure(problem)
+
+
+def _check_outcome(run: str, outcome: LedgerOutcome) -> Result[LedgerOutcome, Problem]:
+    if outcome.code == ResultCode.OK:
+        return Success(outcome)
+    return Failure(Problem(ResultCode(outcome.code), outcome.detail, run))
--- /dev/null
+++ b/src/hollowrack/routing/choice.py
@@ -0,0 +1,141 @@
+"""The scored choice of a back end: synchronous, without I/O, with the random source passed in."""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from hollowrack.hashing import text_hash
+from hollowrack.results import Problem, ResultCode
+from hollowrack.routing.prefix import PrefixIndex
+from hollowrack.routing.types import (
+    BackEnd,
+    BackEndStatus,
+    Priority,
+    RouteChoice,
+    RouteRequest,
+    ScoredCandidate,
+)
+
+NO_BACK_END_RETRY_AFTER_S = 1.0
+_NUM_RANDOM_CHOICES = 2
+
+
+@dataclass(frozen=True)
+class RoutingCosts:
+    """What the parts of a choice cost, in milliseconds.
+
+    Attributes:
+        other_zone_ms: A request to another zone instead of this one.
+        queued_request_ms: Waiting behind one queued request, per slot of the back end.
+        full_load_ms: Slowdown of an engine with all slots busy against an idle one.
+        prefill_block_ms: Computing one prefix block that is not cached.
+        max_affinity_load: Load share above which affinity no longer counts.
+    """
+
+    other_zone_ms: float = 2.0
+    queued_request_ms: float = 200.0
+    full_load_ms: float = 20.0
+    prefill_block_ms: float = 2.0
+    max_affinity_load: float = 0.9
+
+
+Chooser = Callable[
+    [RouteRequest, Sequence[BackEnd], PrefixIndex, random.Random], Result[RouteChoice, Problem]
+]
+
+
+def eligible(request: RouteRequest, back_ends: Sequence[BackEnd]) -> list[BackEnd]:
+    """Return the back ends that may serve a request at all."""
+    return [back_end for back_end in back_ends if _is_eligible(request, back_end)]
+
+
+def _is_eligible(request: RouteRequest, back_end: BackEnd) -> bool:
+    if back_end.kind is not request.kind or back_end.pool != request.pool:
+        return False
+    if back_end.status is not BackEndStatus.SERVING or not back_end.is_circuit_closed:
+        return False
+    if back_end.address in request.excluded:
+        return False
+    if back_end.weight_version < request.min_weight_version:
+        return False
+    return request.priority is Priority.LIVE or _has_training_room(request, back_end)
+
+
+def _has_training_room(request: RouteRequest, back_end: BackEnd) -> bool:
+    return back_end.num_training < request.training_room * back_end.num_slots
+
+
+def choose(
+    request: RouteRequest,
+    back_ends: Sequence[BackEnd],
+    prefixes: PrefixIndex,
+    rng: random.Random,
+    costs: RoutingCosts = RoutingCosts(),
+) -> Result[RouteChoice, Problem]:
+    """Choose a back end: two random candidates of the own zone, one of another, one by affinity.
+
+    Drawing few candidates keeps nodes with the same lagging reports from all choosing the same back
+    end (Mitzenmacher, "The Power of Two Choices", 2001). Fails with ``NO_BACK_END``.
+    """
+    candidates = eligible(request, back_ends)
+    if not candidates:
+        return _no_back_end(request, back_ends)
+    drawn = _draw(request, candidates, prefixes, rng)
+    scored = tuple(_score(request, back_end, prefixes, costs) for back_end in drawn)
+    best = min(scored, key=lambda candidate: candidate.cost_ms)
+    return Success(RouteChoice(best.address, scored))
+
+
+def _draw(
+    request: RouteRequest,
+    candidates: list[BackEnd],
+    prefixes: PrefixIndex,
+    rng: random.Random,
+) -> list[BackEnd]:
+    near = [back_end for back_end in candidates if back_end.zone == request.zone]
+    far = [back_end for back_end in candidates if back_end.zone != request.zone]
+    drawn = rng.sample(near, min(_NUM_RANDOM_CHOICES, len(near)))
+    num_far = _NUM_RANDOM_CHOICES if not near else 1
+    drawn += rng.sample(far, min(num_far, len(far)))
+    if request.prefix_blocks:
+        drawn.append(
+            max(
+                candidates,
+                key=lambda back_end: prefixes.num_matching(back_end.address, request.prefix_blocks),
+            )
+        )
+    if request.affinity_key:
+        drawn.append(max(candidates, key=lambda back_end: _rendezvous(request, back_end)))
+    return list({back_end.address: back_end for back_end in drawn}.values())
+
+
+def _rendezvous(request: RouteRequest, back_end: BackEnd) -> int:
+    return text_hash(f"{request.affinity_key}\n{back_end.address}")
+
+
+def _score(
+    request: RouteRequest, back_end: BackEnd, prefixes: PrefixIndex, costs: RoutingCosts
+) -> ScoredCandidate:
+    num_slots = max(1, back_end.num_slots)
+    load_share = back_end.estimated_load / num_slots
+    num_queued = max(0.0, back_end.estimated_load + 1 - num_slots)
+    queue_ms = costs.queued_request_ms * num_queued / num_slots
+    queue_ms += costs.full_load_ms * min(1.0, load_share)
+    distance_ms = 0.0 if back_end.zone == request.zone else costs.other_zone_ms
+    saved_ms = 0.0
+    if load_share <= costs.max_affinity_load:
+        matching = prefixes.num_matching(back_end.address, request.prefix_blocks)
+        saved_ms = costs.prefill_block_ms * matching
+    return ScoredCandidate(back_end.address, queue_ms, distance_ms, saved_ms)
+
+
+def _no_back_end(request: RouteRequest, back_ends: Sequence[BackEnd]) -> Failure[Problem]:
+    num_in_pool = sum(1 for back_end in back_ends if back_end.pool == request.pool)
+    detail = f"none of {num_in_pool} back ends of {request.pool!r} can take the request"
+    return Failure(
+        Problem(
+            ResultCode.NO_BACK_END, detail, request.pool, retry_after_s=NO_BACK_END_RETRY_AFTER_S
+        )
+    )
--- /dev/null
+++ b/src/hollowrack/routing/fleet.py
@@ -0,0 +1,168 @@
+"""This node's view of all back ends, kept from the machine list, reports and direct evidence."""
+
+from dataclasses import dataclass, field
+
+from hollowrack.platform.engine import EngineLoad, EngineState
+from hollowrack.platform.machine_list import Machine
+from hollowrack.routing.circuit import Circuit
+from hollowrack.routing.prefix import PrefixIndex
+from hollowrack.routing.types import BackEnd, BackEndKind, BackEndStatus
+
+DEFAULT_SERVICE_SLOTS = 32
+ENGINE_STATUS_SERVING = "serving"
+
+
+@dataclass
+class BackEndRecord:
+    """What this node knows of one back end.
+
+    Attributes:
+        machine: Its entry in the machine list.
+        is_leaving: Whether it is marked as leaving; the mark outlives a lagging list.
+        engine: The engine's last control state, for engines.
+        reported_load: Requests running and waiting by the last report.
+        reported_live: Live ones among them.
+        num_live_since_report: Live requests of this node sent less finished since then.
+        num_sent_since_report: Requests of this node sent since then.
+        num_finished_since_report: Requests of this node finished since then.
+        num_live: Live requests of this node in progress.
+        num_training: Training generations of this node in progress.
+        circuit: Direct evidence.
+    """
+
+    machine: Machine
+    is_leaving: bool = False
+    engine: EngineState | None = None
+    reported_load: int = 0
+    reported_live: int = 0
+    num_live_since_report: int = 0
+    num_sent_since_report: int = 0
+    num_finished_since_report: int = 0
+    num_live: int = 0
+    num_training: int = 0
+    circuit: Circuit = field(default_factory=Circuit)
+
+    @property
+    def estimated_load(self) -> float:
+        """The last report corrected by this node's own sends and finishes."""
+        since_report = self.num_sent_since_report - self.num_finished_since_report
+        return max(self.reported_load + since_report, self.num_live + self.num_training, 0)
+
+    @property
+    def estimated_live(self) -> int:
+        """Live requests on it, estimated in the same way."""
+        return max(self.reported_live + self.num_live_since_report, self.num_live, 0)
+
+    @property
+    def status(self) -> BackEndStatus:
+        """Whether it may be given work, circuit aside."""
+        if self.is_leaving:
+            return BackEndStatus.LEAVING
+        if self.machine.kind == BackEndKind.ENGINE.value:
+            is_serving = self.engine is not None and self.engine.status == ENGINE_STATUS_SERVING
+            return BackEndStatus.SERVING if is_serving else BackEndStatus.OUT
+        return BackEndStatus.SERVING
+
+
+class FleetView:
+    """All back ends as this node sees them."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, BackEndRecord] = {}
+        self.prefixes = PrefixIndex()
+
+    def apply_machine_list(self, machines: list[Machine]) -> None:
+        """Take in the machine list; a machine that is gone from it counts as leaving."""
+        listed = {machine.address for machine in machines}
+        for machine in machines:
+            record = self.records.get(machine.address)
+            if record is None:
+                self.records[machine.address] = BackEndRecord(machine, machine.is_leaving)
+                continue
+            record.machine = machine
+            record.is_leaving = record.is_leaving or machine.is_leaving
+        for address, record in list(self.records.items()):
+            if address in listed:
+                continue
+            record.is_leaving = True
+            if record.num_live + record.num_training == 0:
+                del self.records[address]
+                self.prefixes.forget(address)
+
+    def mark_leaving(self, address: str) -> None:
+        """Mark a back end as leaving; no new work goes to it from now on."""
+        record = self.records.get(address)
+        if record is not None:
+            record.is_leaving = True
+
+    def apply_engine_state(self, address: str, state: EngineState | None) -> None:
+        """Take in an engine's control state; ``None`` if it did not answer."""
+        record = self.records.get(address)
+        if record is not None:
+            record.engine = state
+
+    def apply_load(self, address: str, load: EngineLoad) -> None:
+        """Take in a load report."""
+        record = self.records.get(address)
+        if record is not None:
+            record.reported_load = load.num_running + load.num_waiting
+            record.reported_live = load.num_live
+            record.num_live_since_report = 0
+            record.num_sent_since_report = 0
+            record.num_finished_since_report = 0
+
+    def note_sent(self, address: str, is_training: bool, now_s: float) -> None:
+        """A request is about to be sent."""
+        record = self.records[address]
+        record.num_sent_since_report += 1
+        record.circuit.note_sent(now_s)
+        if is_training:
+            record.num_training += 1
+        else:
+            record.num_live += 1
+            record.num_live_since_report += 1
+
+    def note_finished(self, address: str, is_training: bool) -> None:
+        """A request ended, however it did."""
+        record = self.records.get(address)
+        if record is None:
+            return
+        record.num_finished_since_report += 1
+        if is_training:
+            record.num_training -= 1
+        else:
+            record.num_live -= 1
+            record.num_live_since_report -= 1
+
+    def live_capacity(self, pool: str) -> tuple[int, int]:
+        """Return the slots of a pool's serving back ends and the live requests on them."""
+        serving = [
+            record
+            for record in self.records.values()
+            if record.machine.pool == pool and record.status is BackEndStatus.SERVING
+        ]
+        num_slots = sum(
+            record.engine.num_slots if record.engine is not None else DEFAULT_SERVICE_SLOTS
+            for record in serving
+        )
+        return num_slots, sum(record.estimated_live for record in serving)
+
+    def snapshot(self, now_s: float) -> list[BackEnd]:
+        """Return all back ends as they are seen at ``now_s``."""
+        return [_back_end(record, now_s) for record in self.records.values()]
+
+
+def _back_end(record: BackEndRecord, now_s: float) -> BackEnd:
+    engine = record.engine
+    return BackEnd(
+        address=record.machine.address,
+        kind=BackEndKind(record.machine.kind),
+        pool=record.machine.pool,
+        zone=record.machine.zone,
+        status=record.status,
+        num_slots=engine.num_slots if engine is not None else DEFAULT_SERVICE_SLOTS,
+        estimated_load=record.estimated_load,
+        num_training=record.num_training,
+        weight_version=engine.weight_version if engine is not None else 0,
+        is_circuit_closed=record.circuit.allows(now_s),
+    )
--- /dev/null
+++ b/src/hollowrack/routing/observer.py
@@ -0,0 +1,83 @@
+"""Keeps a node's view of the back ends up to date: machine list, engine states, loads, caches."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+from returns.result import Success
+
+from hollowrack.platform.engine import EngineClient
+from hollowrack.platform.machine_list import read_machine_list
+from hollowrack.routing.fleet import FleetView
+from hollowrack.routing.types import BackEndKind
+
+MACHINE_LIST_INTERVAL_S = 0.5
+ENGINE_INTERVAL_S = 0.25
+
+
+class FleetObserver:
+    """Polls the platform for one node.
+
+    Args:
+        fleet: The view to keep up to date.
+        session: HTTP session to use.
+        machine_list_url: Where the machine list is.
+        make_client: Returns the client of an engine by its address.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetView,
+        session: aiohttp.ClientSession,
+        machine_list_url: str,
+        make_client: Callable[[str], EngineClient],
+    ) -> None:
+        self._fleet = fleet
+        self._session = session
+        self._machine_list_url = machine_list_url
+        self._make_client = make_client
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start polling."""
+        self._tasks = [
+            asyncio.create_task(self._run_machine_list()),
+            asyncio.create_task(self._run_engines()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop polling."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _run_machine_list(self) -> None:
+        while True:
+            listed = await read_machine_list(self._session, self._machine_list_url)
+            # An unreachable list leaves the view as it is: it is a hint and no more.
+            if isinstance(listed, Success):
+                self._fleet.apply_machine_list(listed.unwrap())
+            await asyncio.sleep(MACHINE_LIST_INTERVAL_S)
+
+    async def _run_engines(self) -> None:
+        while True:
+            addresses = [
+                address
+                for address, record in self._fleet.records.items()
+                if record.machine.kind == BackEndKind.ENGINE.value
+            ]
+            await asyncio.gather(*(self._observe(address) for address in addresses))
+            await asyncio.sleep(ENGINE_INTERVAL_S)
+
+    async def _observe(self, address: str) -> None:
+        client = self._make_client(address)
+        state, load, events = await asyncio.gather(
+            client.state(),
+            client.load(),
+            client.cache_events(self._fleet.prefixes.next_sequence(address)),
+        )
+        self._fleet.apply_engine_state(address, state.value_or(None))
+        if isinstance(load, Success):
+            self._fleet.apply_load(address, load.unwrap())
+        if isinstance(events, Success):
+            self._fleet.prefixes.apply(address, events.unwrap())
--- /dev/null
+++ b/src/hollowrack/routing/types.py
@@ -0,0 +1,106 @@
+"""Snapshot types that routing decides over, and what it decides."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class BackEndKind(Enum):
+    """What a back end is."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class BackEndStatus(Enum):
+    """Whether a back end may be given work."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    OUT = "out"
+
+
+class Priority(Enum):
+    """Who a request is for; the value is the engine priority, lower first."""
+
+    LIVE = 0
+    TRAINING = 10
+
+
+@dataclass(frozen=True)
+class BackEnd:
+    """One back end as seen at one moment.
+
+    Attributes:
+        address: ``IP:PORT``.
+        kind: Engine or service worker.
+        pool: Model of an engine, or name of a service pool.
+        zone: Zone it runs in.
+        status: Whether it may be given work.
+        num_slots: Requests it runs at once.
+        estimated_load: Requests running and waiting: the last report, corrected by what this node
+            sent and finished since.
+        num_training: Training generations of this node in progress on it.
+        weight_version: Version an engine reported last; 0 for services.
+        is_circuit_closed: Whether direct evidence speaks for it.
+    """
+
+    address: str
+    kind: BackEndKind
+    pool: str
+    zone: str
+    status: BackEndStatus = BackEndStatus.SERVING
+    num_slots: int = 1
+    estimated_load: float = 0.0
+    num_training: int = 0
+    weight_version: int = 0
+    is_circuit_closed: bool = True
+
+
+@dataclass(frozen=True)
+class RouteRequest:
+    """What is to be placed.
+
+    Attributes:
+        kind: Kind of back end needed.
+        pool: Model or service pool.
+        zone: Zone of the deciding node.
+        priority: Live or training.
+        prefix_blocks: Hashes of the prompt's leading blocks, shortest prefix first.
+        affinity_key: Requests with the same key gain from the same engine; empty for none.
+        min_weight_version: Lowest useful weight version of the engine.
+        training_room: Share of an engine's slots that training may take.
+        excluded: Addresses that were tried already.
+    """
+
+    kind: BackEndKind
+    pool: str
+    zone: str
+    priority: Priority = Priority.LIVE
+    prefix_blocks: tuple[int, ...] = ()
+    affinity_key: str = ""
+    min_weight_version: int = 0
+    training_room: float = 1.0
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True)
+class ScoredCandidate:
+    """One candidate with the parts of its cost, all in milliseconds."""
+
+    address: str
+    queue_ms: float
+    distance_ms: float
+    prefix_saved_ms: float
+
+    @property
+    def cost_ms(self) -> float:
+        """Expected delay; the lowest wins."""
+        return self.queue_ms + self.distance_ms - self.prefix_saved_ms
+
+
+@dataclass(frozen=True)
+class RouteChoice:
+    """A decision and what it was taken from."""
+
+    address: str
+    candidates: tuple[ScoredCandidate, ...] = field(default=())
--- /dev/null
+++ b/src/hollowrack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a node: one TOML file, environment variables and command-line flags."""
--- /dev/null
+++ b/src/hollowrack/settings/example.py
@@ -0,0 +1,54 @@
+"""Generates the commented example settings file from the settings model."""
+
+from typing import Any, get_args, get_origin
+
+from pydantic import BaseModel
+
+from hollowrack.settings.model import NodeSettings, Peer
+
+_EXAMPLE_VALUES = {
+    "node": '"buc-a-1"',
+    "zone": '"buc-a"',
+    "region": '"bucharest"',
+    "cluster_key_file": '"cluster.key"',
+    "trusted_signers": '{ night-shift = "<64 hexadecimal digits>" }',
+    "data_dir": '"data"',
+    "listeners.callers": '"127.0.0.1:7100"',
+    "listeners.operators": '"127.0.0.1:7101"',
+    "listeners.nodes": '"127.0.0.1:7102"',
+    "platform.config_store": '["http://127.0.0.1:7200"]',
+    "platform.machine_list": '"http://127.0.0.1:7201/targets"',
+    "platform.weight_store": '"http://127.0.0.1:7202"',
+    "peers.node": '"buc-b-1"',
+    "peers.zone": '"buc-b"',
+    "peers.address": '"127.0.0.1:7112"',
+}
+
+
+def example_settings() -> str:
+    """Return a complete settings file with a comment on every key."""
+    top: list[str] = []
+    sections: list[str] = []
+    for name, field in NodeSettings.model_fields.items():
+        annotation: Any = field.annotation
+        if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+            sections += ["", f"# {field.description}", f"[{name}]", *_keys(annotation, f"{name}.")]
+        elif get_origin(annotation) is tuple and Peer in get_args(annotation):
+            sections += ["", f"# {field.description}", f"[[{name}]]", *_keys(Peer, f"{name}.")]
+        else:
+            top += _key(name, name, field.description, field.default)
+    return "\n".join(top + sections) + "\n"
+
+
+def _keys(model: type[BaseModel], prefix: str) -> list[str]:
+    lines: list[str] = []
+    for name, field in model.model_fields.items():
+        lines += _key(name, prefix + name, field.description, field.default)
+    return lines
+
+
+def _key(name: str, path: str, description: str | None, default: object) -> list[str]:
+    value = _EXAMPLE_VALUES.get(path)
+    if value is None:
+        value = f'"{default}"' if isinstance(default, str) else str(default)
+    return [f"# {description}", f"{name} = {value}"]
--- /dev/null
+++ b/src/hollowrack_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, load and experiments; joins the product and the stand-ins."""
--- /dev/null
+++ b/src/hollowrack_bench/program.py
@@ -0,0 +1,32 @@
+"""The ``hollowrack`` program: the product's commands and those that need the stand-ins."""
+
+import asyncio
+import sys
+
+import click
+
+from hollowrack.cli.commands import hollowrack
+from hollowrack.cli.output import exit_with_problem, print_table
+from hollowrack.results import Problem, ResultCode
+from hollowrack_bench.demo import run_demo
+from hollowrack_bench.standin_commands import standin
+
+
+@hollowrack.command()
+def demo() -> None:
+    """Run a whole fleet with stand-ins in this process and check the promises."""
+    outcome = asyncio.run(run_demo())
+    print_table(outcome.rows)
+    if outcome.broken:
+        detail = "; ".join(outcome.broken)
+        exit_with_problem(Problem(ResultCode.DEMO_PROMISE_BROKEN, detail))
+    click.echo("\nAll promises held.")
+
+
+hollowrack.add_command(standin)
+
+
+def main() -> None:
+    """Run the program."""
+    hollowrack(prog_name="hollowrack")
+    sys.exit(0)
--- /dev/null
+++ b/src/hollowrack_standins/trainer.py
@@ -0,0 +1,204 @@
+"""A trainer: submits steps, collects samples, trains for a while and announces versions."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+
+RETRY_PAUSE_S = 0.1
+REQUEST_TIMEOUT_S = 30.0
+POLL_WAIT_S = 5.0
+_REPEATED_STATUSES = frozenset(
+    {
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.GATEWAY_TIMEOUT,
+    }
+)
+
+
+@dataclass(frozen=True)
+class TrainerConfig:
+    """Shape of a training run.
+
+    Attributes:
+        run: Its name.
+        model: Model to sample from.
+        num_steps: Steps to train.
+        num_groups: Prompt groups a step.
+        group_size: Samples a group.
+        max_tokens: Longest sample.
+        train_s: Time of one training step, in seconds.
+        max_staleness_versions: Staleness bound.
+        num_steps_ahead: Steps submitted before the present one is whole.
+        prompt_characters: Length of each prompt.
+    """
+
+    run: str = "run"
+    model: str = "quote"
+    num_steps: int = 3
+    num_groups: int = 8
+    group_size: int = 8
+    max_tokens: int = 64
+    train_s: float = 0.3
+    max_staleness_versions: int = 2
+    num_steps_ahead: int = 1
+    prompt_characters: int = 192
+
+
+@dataclass
+class TrainerReport:
+    """What the trainer saw.
+
+    Attributes:
+        delivered: Times each slot was delivered.
+        ages_versions: Age of each sample at hand-over.
+        idle_s: Time the trainer waited for samples.
+        total_s: Time of the whole run.
+        num_unnamed: Samples whose spans do not cover their tokens.
+        num_over_age: Samples over the staleness bound.
+        num_retries: Calls that were sent again.
+    """
+
+    delivered: Counter[str] = field(default_factory=Counter)
+    ages_versions: list[int] = field(default_factory=list)
+    idle_s: float = 0.0
+    total_s: float = 0.0
+    num_unnamed: int = 0
+    num_over_age: int = 0
+    num_retries: int = 0
+
+    @property
+    def num_duplicated(self) -> int:
+        """Slots delivered more than once."""
+        return sum(1 for count in self.delivered.values() if count > 1)
+
+
+class TrainerStandin:
+    """A trainer that talks to any of several nodes.
+
+    Args:
+        config: Shape of the run.
+        urls: Base URLs of the nodes' callers' listeners; tried in turn.
+        publish: Called with each new version before it is announced.
+    """
+
+    def __init__(
+        self,
+        config: TrainerConfig,
+        urls: list[str],
+        publish: Callable[[int], Awaitable[None]] | None = None,
+    ) -> None:
+        self.config = config
+        self.report = TrainerReport()
+        self._urls = urls
+        self._publish = publish
+        self._next_url = 0
+        self._cursor = 0
+
+    async def run(self, on_step: Callable[[int], Awaitable[None]] | None = None) -> TrainerReport:
+        """Train all steps; ``on_step`` is called before each."""
+        started_s = time.monotonic()
+        async with aiohttp.ClientSession() as session:
+            self._session = session
+            await self._open()
+            for step in range(self.config.num_steps):
+                if on_step is not None:
+                    await on_step(step)
+                await self._submit_ahead(step)
+                await self._collect(step)
+                await self._train(step)
+        self.report.total_s = time.monotonic() - started_s
+        return self.report
+
+    async def _open(self) -> None:
+        body = {
+            "run": self.config.run,
+            "model": self.config.model,
+            "max_staleness_versions": self.config.max_staleness_versions,
+            "initial_version": 0,
+        }
+        await self._call("POST", "/v1/runs", body)
+
+    async def _submit_ahead(self, step: int) -> None:
+        last = min(self.config.num_steps - 1, step + self.config.num_steps_ahead)
+        for number in range(step, last + 1):
+            body = {"step": number, "prompts": self.prompts(number)}
+            await self._call("POST", f"/v1/runs/{self.config.run}/steps", body)
+
+    def prompts(self, step: int) -> list[dict[str, Any]]:
+        """Return the prompts of a step: the same at every call."""
+        text = f"step {step} group {{}} ".ljust(self.config.prompt_characters, "x")
+        return [
+            {
+                "prompt": f"g{group}",
+                "text": text.format(group),
+                "num_samples": self.config.group_size,
+                "max_tokens": self.config.max_tokens,
+            }
+            for group in range(self.config.num_groups)
+        ]
+
+    async def _collect(self, step: int) -> None:
+        started_s = time.monotonic()
+        num_remaining = 1
+        while num_remaining:
+            path = (
+                f"/v1/runs/{self.config.run}/samples?step={step}&cursor={self._cursor}"
+                f"&wait_s={POLL_WAIT_S}"
+            )
+            answer = await self._call("GET", path)
+            for sample in answer["samples"]:
+                self._take(sample)
+            self._cursor = answer["cursor"]
+            num_remaining = answer["num_remaining"]
+            await self._call(
+                "POST", f"/v1/runs/{self.config.run}/acknowledge", {"cursor": self._cursor}
+            )
+        self.report.idle_s += time.monotonic() - started_s
+
+    def _take(self, sample: dict[str, Any]) -> None:
+        slot = sample["slot"]
+        self.report.delivered[f"{slot['step']}/{slot['prompt']}/{slot['sample_index']}"] += 1
+        self.report.ages_versions.append(sample["age_versions"])
+        if sample["age_versions"] > self.config.max_staleness_versions:
+            self.report.num_over_age += 1
+        position = 0
+        for span in sample["spans"]:
+            if span["first_token"] != position:
+                break
+            position = span["end_token"]
+        if position != sample["num_tokens"] or not position:
+            self.report.num_unnamed += 1
+
+    async def _train(self, step: int) -> None:
+        await asyncio.sleep(self.config.train_s)
+        version = step + 1
+        if self._publish is not None:
+            await self._publish(version)
+        await self._call("POST", f"/v1/runs/{self.config.run}/version", {"version": version})
+
+    async def _call(self, method: str, path: str, body: object = None) -> Any:
+        """Call any node that answers; every call of this face is safe to repeat."""
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        while True:
+            url = self._urls[self._next_url % len(self._urls)]
+            try:
+                async with self._session.request(
+                    method, url + path, json=body, timeout=timeout
+                ) as response:
+                    if response.status == HTTPStatus.OK:
+                        return await response.json()
+                    if response.status not in _REPEATED_STATUSES:
+                        raise RuntimeError(f"{path}: {await response.text()}")
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                pass
+            self.report.num_retries += 1
+            self._next_url += 1
+            await asyncio.sleep(RETRY_PAUSE_S)
