--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+import uuid
 from typing import Any
 
 import aiohttp
@@ -36,6 +37,7 @@
     ProposeAnswer,
     ProposeRequest,
 )
+from hollowrack.replication.journal import JournalFolder
 from hollowrack.replication.messages import Envelope
 from hollowrack.replication.types import StateMachine
 from hollowrack.requests.answers import AnswerStore
@@ -54,11 +56,12 @@
 from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples
 from hollowrack.routing.fleet import FleetView
 from hollowrack.routing.observer import FleetObserver
-from hollowrack.settings.load import read_cluster_key, read_incarnation
+from hollowrack.settings.load import read_cluster_key
 from hollowrack.settings.model import NodeSettings, split_address
 
 DEFAULT_DRAIN_DEADLINE_S = 30.0
 LEAVE_SPREAD_S = 0.5
+JOURNAL_FOLDER = "journals"
 WEIGHT_FACT_PREFIX = "weights/"
 LEAVING_FACT_PREFIX = "leaving/"
 MAX_ENGINE_CONNECTIONS = 0  # aiohttp's "no limit": admission bounds the number of streams.
@@ -90,7 +93,12 @@
         self.fleet = FleetView()
         self._rng = random.Random(seed)
         self._cluster_key = value_or_raise(read_cluster_key(settings.cluster_key_file))
-        self._incarnation = read_incarnation(settings.data_dir)
+        self._journals: JournalFolder | None = None
+        if settings.data_dir is not None:
+            self._journals = JournalFolder(settings.data_dir / JOURNAL_FOLDER)
+        self._incarnation = uuid.uuid4().hex
+        if self._journals is not None:
+            self._incarnation = self._journals.incarnation
         self._dispatcher = Dispatcher()
         self._is_draining = False
         self.drained = asyncio.Event()
@@ -205,6 +213,7 @@
             self.membership,
             GroupDirectory(store),
             make_state_machine,
+            self._journals,
             seed=self._rng.getrandbits(32),
         )
         self.bundle_store = BundleStore(store)
--- a/src/hollowrack/replication/host.py
+++ b/src/hollowrack/replication/host.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from operator import methodcaller
 from typing import Protocol
 
 from absl import logging
@@ -13,9 +14,10 @@
 from hollowrack.messages import codec
 from hollowrack.messages.codec import message
 from hollowrack.replication.directory import GroupDirectory
+from hollowrack.replication.journal import JournalFolder
 from hollowrack.replication.messages import Envelope
 from hollowrack.replication.replica import Replica, Role
-from hollowrack.replication.storage import MemoryStorage, Storage
+from hollowrack.replication.storage import MemoryStorage, Storage, StorageRecord
 from hollowrack.replication.types import (
     Membership,
     ReplicaId,
@@ -35,6 +37,9 @@
 # Answers that prove that a proposal was not taken into a log.
 _NEVER_COMMITTED = frozenset({ResultCode.NOT_LEADER, ResultCode.GROUP_UNKNOWN})
 
+# A replica from a journal learns its membership from the records.
+_NO_MEMBERSHIP = Membership(0, ())
+
 StateMachineFactory = Callable[[str], StateMachine]
 
 
@@ -142,7 +147,7 @@
         links: How to reach other nodes.
         directory: Where memberships are recorded.
         make_state_machine: Returns the initial state of a group by its name.
-        make_storage: Returns the storage of a group by its name.
+        journals: The node's journals; without them replicas live in memory only.
         seed: Seed of the election jitter.
     """
 
@@ -153,7 +158,7 @@
         links: NodeLinks,
         directory: GroupDirectory,
         make_state_machine: StateMachineFactory,
-        make_storage: Callable[[str], Storage] | None = None,
+        journals: JournalFolder | None = None,
         seed: int | None = None,
     ) -> None:
         self.replica_id = replica_id(node, incarnation)
@@ -162,7 +167,7 @@
         self._links = links
         self._directory = directory
         self._make_state_machine = make_state_machine
-        self._make_storage = make_storage or (lambda group: MemoryStorage())
+        self._journals = journals
         self._rng = random.Random(seed)
         self._known: dict[str, Membership] = {}
         self._leader_hints: dict[str, str] = {}
@@ -172,19 +177,23 @@
     # -- life -------------------------------------------------------------------------------
 
     def start(self) -> None:
-        """Start the timer loop."""
+        """Take up the replicas of an earlier life and start the loops."""
+        if self._journals is not None:
+            for group, content in self._journals.loaded.items():
+                self._start_replica(group, _NO_MEMBERSHIP, content.records)
         self._tasks.append(asyncio.create_task(self._run_timers()))
         self._tasks.append(asyncio.create_task(self._run_repairs()))
 
     async def stop(self) -> None:
         """Hand leaderships over; the replicas go on as followers until :meth:`close`."""
         self._is_stopping = True
-        for group, hosted in self.groups.items():
-            hosted.replica.resign()
-            self._drain(hosted, group)
+        for group, hosted in list(self.groups.items()):
+            self._act(group, hosted, Replica.resign)
 
     def abandon(self) -> None:
         """Drop all replicas at once, as a crash would."""
+        for hosted in self.groups.values():
+            hosted.storage.close()
         self.groups = {}
 
     async def close(self) -> None:
@@ -192,14 +201,16 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for hosted in self.groups.values():
+            hosted.storage.close()
+        self.groups = {}
 
     async def _run_timers(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now_s = time.monotonic()
             for group, hosted in list(self.groups.items()):
-                hosted.replica.tick(now_s)
-                self._drain(hosted, group)
+                self._act(group, hosted, methodcaller("tick", now_s))
 
     async def _run_repairs(self) -> None:
         while True:
@@ -214,8 +225,7 @@
         if replica.needs_activation:
             activated = await self._directory.activate(group, membership.epoch)
             if isinstance(activated, Success):
-                replica.adopt_membership(membership.activated())
-                self._drain(self.groups[group], group)
+                self.join(group, membership.activated())
             return
         if membership.previous:
             return
@@ -240,14 +250,29 @@
         if isinstance(decoded, Failure):
             logging.warning("replica message dropped: %s", decoded.failure())
             return
-        hosted.replica.receive(envelope.sender, decoded.unwrap())
-        self._drain(hosted, envelope.group)
+        incoming = decoded.unwrap()
+        self._act(
+            envelope.group, hosted, lambda replica: replica.receive(envelope.sender, incoming)
+        )
+
+    def _act(self, group: str, hosted: HostedGroup, action: Callable[[Replica], object]) -> None:
+        """Let a replica act, then make its records durable and send what it has to say."""
+        try:
+            action(hosted.replica)
+        except ProblemError as error:
+            self._give_up(group, hosted, error.problem)
+            return
+        self._drain(hosted, group)
 
     def _drain(self, hosted: HostedGroup, group: str) -> None:
         replica = hosted.replica
         if not replica.outbox and not replica.applied and not hosted.waiting:
             return
-        hosted.storage.flush()
+        try:
+            hosted.storage.flush()
+        except ProblemError as error:
+            self._give_up(group, hosted, error.problem)
+            return
         outbox, replica.outbox = replica.outbox, []
         for outgoing in outbox:
             envelope = Envelope(
@@ -260,11 +285,18 @@
             if future is not None and not future.done():
                 future.set_result(entry.outcome)
         if replica.role is not Role.LEADER and hosted.waiting:
-            self._fail_waiting(hosted)
+            self._fail_waiting(
+                hosted, Problem(ResultCode.OUTCOME_UNKNOWN, "the leader was replaced")
+            )
+
+    def _give_up(self, group: str, hosted: HostedGroup, problem: Problem) -> None:
+        """Stop a replica whose disk failed: it must not act on what it could not remember."""
+        logging.error("replica of %s stopped: %s", group, problem)
+        self.groups.pop(group, None)
+        self._fail_waiting(hosted, problem)
 
-    def _fail_waiting(self, hosted: HostedGroup) -> None:
+    def _fail_waiting(self, hosted: HostedGroup, problem: Problem) -> None:
         waiting, hosted.waiting = hosted.waiting, {}
-        problem = Problem(ResultCode.OUTCOME_UNKNOWN, "the leader was replaced")
         for future in waiting.values():
             if not future.done():
                 future.set_exception(ProblemError(problem))
@@ -275,16 +307,24 @@
         """Run a replica of a group from this membership on, or take in a newer membership."""
         hosted = self.groups.get(group)
         if hosted is not None:
-            hosted.replica.adopt_membership(membership)
-            self._drain(hosted, group)
+            self._act(group, hosted, lambda replica: replica.adopt_membership(membership))
             return
         if self.replica_id not in membership.members:
             return
+        self._start_replica(group, membership, ())
+
+    def _start_replica(
+        self, group: str, membership: Membership, records: tuple[StorageRecord, ...]
+    ) -> None:
         state_machine = self._make_state_machine(group)
-        storage = self._make_storage(group)
+        storage: Storage = MemoryStorage()
+        if self._journals is not None:
+            storage = self._journals.storage(group)
         replica = Replica(
             self.replica_id, membership, state_machine, storage, self._rng, time.monotonic()
         )
+        for record in records:
+            replica.replay(record)
         self.groups[group] = HostedGroup(replica, state_machine, storage, {})
 
     async def ensure(
@@ -315,7 +355,10 @@
 
     async def _announce(self, group: str, membership: Membership) -> None:
         self._known[group] = membership
-        self.join(group, membership)
+        try:
+            self.join(group, membership)
+        except ProblemError as error:
+            logging.error("replica of %s not started: %s", group, error)
         others = {node_of(member) for member in membership.members} - {self._node}
         requests = [
             self._links.request(node, JoinGroup(group, membership), FORWARD_TIMEOUT_S)
@@ -369,7 +412,11 @@
         hosted = self.groups.get(group)
         if hosted is None:
             return Failure(Problem(ResultCode.GROUP_UNKNOWN, "no replica here", group))
-        index = None if self._is_stopping else hosted.replica.propose(command)
+        try:
+            index = None if self._is_stopping else hosted.replica.propose(command)
+        except ProblemError as error:
+            self._give_up(group, hosted, error.problem)
+            return Failure(error.problem)
         if index is None:
             leader = hosted.replica.leader or ""
             return Failure(Problem(ResultCode.NOT_LEADER, node_of(leader), group))
@@ -377,8 +424,7 @@
         hosted.waiting[index] = future
         # Let proposals made in the same turn of the loop share one message and one flush.
         await asyncio.sleep(0)
-        hosted.replica.replicate()
-        self._drain(hosted, group)
+        self._act(group, hosted, Replica.replicate)
         try:
             async with asyncio.timeout(PROPOSAL_TIMEOUT_S):
                 return Success(await future)
--- /dev/null
+++ b/src/hollowrack/replication/journal.py
@@ -0,0 +1,272 @@
+"""Journals of a node's replicas under its data folder.
+
+One folder holds a manifest and one journal a group. The manifest names the node's incarnation and
+the groups whose journals must be there. If one of them is missing or damaged, the node has lost
+part of what it promised, so the whole folder is set aside and the node starts under a new
+incarnation; it then holds no vote of the old one.
+
+Journal record: 4-byte length, 8-byte xxHash of the payload, payload (an encoded storage record). A
+record that ends beyond the end of the file was never flushed: it is cut off and reported. A record
+with a wrong hash and others behind it is damage.
+"""
+
+import os
+import struct
+import uuid
+from dataclasses import dataclass
+from io import BufferedWriter
+from pathlib import Path
+from urllib.parse import quote
+
+import xxhash
+from absl import logging
+from returns.result import Failure, Result, Success
+
+from hollowrack.messages import codec
+from hollowrack.messages.codec import message
+from hollowrack.replication.storage import Compacted, StorageRecord
+from hollowrack.results import Problem, ProblemError, ResultCode
+
+_HEADER = struct.Struct("!IQ")
+_MANIFEST = "manifest.cbor"
+_JOURNAL_SUFFIX = ".journal"
+_TEMPORARY_SUFFIX = ".tmp"
+
+
+@message("journal.manifest")
+@dataclass(frozen=True)
+class Manifest:
+    """What a journal folder must hold."""
+
+    incarnation: str
+    groups: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class JournalContent:
+    """The records of a journal, and how many bytes of a torn tail were cut off."""
+
+    records: tuple[StorageRecord, ...]
+    num_valid_bytes: int
+    num_torn_bytes: int
+
+
+def encode_record(record: StorageRecord) -> bytes:
+    """Return a record as it stands in a journal."""
+    payload = codec.encode(record)
+    return _HEADER.pack(len(payload), xxhash.xxh64_intdigest(payload)) + payload
+
+
+def read_journal(path: Path) -> Result[JournalContent, Problem]:
+    """Read a journal; fails with ``JOURNAL_CORRUPT`` for damage before the last record."""
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        return _corrupt(path, 0, error.strerror or str(error))
+    records: list[StorageRecord] = []
+    position = 0
+    while position < len(data):
+        end = _record_end(data, position)
+        if end is None:
+            break
+        payload = data[position + _HEADER.size : end]
+        _, checksum = _HEADER.unpack_from(data, position)
+        if xxhash.xxh64_intdigest(payload) != checksum:
+            if end == len(data):
+                break
+            return _corrupt(path, position, "checksum does not match")
+        decoded = codec.decode(payload)
+        if isinstance(decoded, Failure):
+            return _corrupt(path, position, decoded.failure().detail)
+        records.append(decoded.unwrap())
+        position = end
+    return Success(JournalContent(tuple(records), position, len(data) - position))
+
+
+def _record_end(data: bytes, position: int) -> int | None:
+    if position + _HEADER.size > len(data):
+        return None
+    length, _ = _HEADER.unpack_from(data, position)
+    end = position + _HEADER.size + int(length)
+    return end if end <= len(data) else None
+
+
+def _corrupt(path: Path, position: int, detail: str) -> Failure[Problem]:
+    return Failure(Problem(ResultCode.JOURNAL_CORRUPT, detail, f"{path.name} byte {position}"))
+
+
+class JournalStorage:
+    """The journal of one group, open for appending.
+
+    Args:
+        path: Its file.
+        num_valid_bytes: Where its last whole record ends.
+    """
+
+    def __init__(self, path: Path, num_valid_bytes: int = 0) -> None:
+        self._path = path
+        self._file = _open_at(path, num_valid_bytes)
+        self._is_dirty = False
+
+    def record(self, record: StorageRecord) -> None:
+        """Append a record; a compacted one starts a new file.
+
+        Raises:
+            ProblemError: ``DISK_FULL`` if the disk cannot take it.
+        """
+        try:
+            if isinstance(record, Compacted):
+                self._rewrite(record)
+            else:
+                self._file.write(encode_record(record))
+                self._is_dirty = True
+        except OSError as error:
+            raise _disk_problem(self._path, error) from error
+
+    def flush(self) -> None:
+        """Make all records durable.
+
+        Raises:
+            ProblemError: ``DISK_FULL`` if the disk cannot take them.
+        """
+        if not self._is_dirty:
+            return
+        try:
+            self._file.flush()
+            os.fsync(self._file.fileno())
+        except OSError as error:
+            raise _disk_problem(self._path, error) from error
+        self._is_dirty = False
+
+    def close(self) -> None:
+        """Close the file; what was not flushed may be lost."""
+        try:
+            self._file.close()
+        except OSError as error:
+            logging.warning("%s", _disk_problem(self._path, error))
+
+    def _rewrite(self, record: Compacted) -> None:
+        self._file.close()
+        write_durably(self._path, encode_record(record))
+        self._file = _open_at(self._path, self._path.stat().st_size)
+        self._is_dirty = False
+
+
+def _open_at(path: Path, num_valid_bytes: int) -> BufferedWriter:
+    os.truncate(path, num_valid_bytes)
+    return path.open("ab")
+
+
+def _disk_problem(path: Path, error: OSError) -> ProblemError:
+    return ProblemError(Problem(ResultCode.DISK_FULL, error.strerror or str(error), path.name))
+
+
+def write_durably(path: Path, data: bytes) -> None:
+    """Replace a file's content, all or nothing.
+
+    Raises:
+        OSError: If the disk cannot take it; the old content stays.
+    """
+    temporary = path.with_name(path.name + _TEMPORARY_SUFFIX)
+    with temporary.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    _sync_folder(path.parent)
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+class JournalFolder:
+    """All journals of a node.
+
+    Args:
+        folder: The folder; created if it does not exist.
+
+    Raises:
+        OSError: If the folder cannot be written.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self.loaded: dict[str, JournalContent] = {}
+        self._manifest = self._load()
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of what the folder remembers."""
+        return self._manifest.incarnation
+
+    def storage(self, group: str) -> JournalStorage:
+        """Open a group's journal for appending; a new group is entered in the manifest first.
+
+        Raises:
+            ProblemError: ``DISK_FULL`` if the manifest cannot be written.
+        """
+        content = self.loaded.get(group)
+        if content is not None:
+            return JournalStorage(self._path(group), content.num_valid_bytes)
+        groups = (*self._manifest.groups, group)
+        path = self._path(group)
+        try:
+            # The journal comes first: a manifest must never name a file that is not there.
+            write_durably(path, b"")
+            self._write_manifest(Manifest(self._manifest.incarnation, groups))
+        except OSError as error:
+            raise _disk_problem(path, error) from error
+        return JournalStorage(path)
+
+    def _load(self) -> Manifest:
+        manifest = self._read_manifest()
+        if manifest is None:
+            return self._start_over("no usable manifest")
+        for group in manifest.groups:
+            content = read_journal(self._path(group))
+            if isinstance(content, Failure):
+                return self._start_over(str(content.failure()))
+            self.loaded[group] = content.unwrap()
+            if content.unwrap().num_torn_bytes:
+                logging.warning(
+                    "journal of %s: a torn tail of %d bytes was cut off",
+                    group,
+                    content.unwrap().num_torn_bytes,
+                )
+        return manifest
+
+    def _read_manifest(self) -> Manifest | None:
+        try:
+            data = (self._folder / _MANIFEST).read_bytes()
+        except OSError:
+            return None
+        decoded = codec.decode(data).value_or(None)
+        return decoded if isinstance(decoded, Manifest) else None
+
+    def _start_over(self, reason: str) -> Manifest:
+        """Set aside whatever is here and begin under a new incarnation."""
+        self.loaded = {}
+        incarnation = uuid.uuid4().hex
+        leftovers = [path for path in self._folder.iterdir() if path.is_file()]
+        if leftovers:
+            logging.error("journals set aside, new incarnation: %s", reason)
+            aside = self._folder / f"lost-{incarnation}"
+            aside.mkdir()
+            for path in leftovers:
+                path.rename(aside / path.name)
+        manifest = Manifest(incarnation)
+        self._write_manifest(manifest)
+        return manifest
+
+    def _write_manifest(self, manifest: Manifest) -> None:
+        write_durably(self._folder / _MANIFEST, codec.encode(manifest))
+        self._manifest = manifest
+
+    def _path(self, group: str) -> Path:
+        return self._folder / (quote(group, safe="") + _JOURNAL_SUFFIX)
--- a/src/hollowrack/replication/replica.py
+++ b/src/hollowrack/replication/replica.py
@@ -152,12 +152,13 @@
                 self._adopt_membership(record.membership)
             case Appended(after_index, entries):
                 self.log.replace_after(after_index, entries)
-            case Compacted(snapshot):
-                if snapshot.index <= self.log.last_index:
-                    self.log.compact(snapshot)
-                else:
-                    self.log.install(snapshot)
-                self._restore(snapshot)
+            case Compacted():
+                self.promised = max(self.promised, record.promised)
+                self.accepted_ballot = record.accepted_ballot
+                self._adopt_membership(record.membership)
+                self.log.install(record.snapshot)
+                self.log.replace_after(record.snapshot.index, record.entries)
+                self._restore(record.snapshot)
 
     # -- inputs -----------------------------------------------------------------------------
 
@@ -405,8 +406,8 @@
             (indexes.get(member, 0) for member in self.membership.members), reverse=True
         )
         majority_index = ranked[len(ranked) // 2]
-        if is_majority(self.membership.members, self._synced()):
-            self._commit(majority_index)
+        # Followers that have not adopted this ballot's log count with index zero.
+        self._commit(majority_index)
 
     # -- phase two, follower ----------------------------------------------------------------
 
@@ -526,7 +527,15 @@
             return
         snapshot = Snapshot(self.commit_index, self._state_machine.snapshot())
         self.log.compact(snapshot)
-        self._storage.record(Compacted(snapshot))
+        self._storage.record(
+            Compacted(
+                self.promised,
+                self.accepted_ballot,
+                self.membership,
+                snapshot,
+                tuple(self.log.entries),
+            )
+        )
 
     def _step_down(self) -> None:
         self.role = Role.FOLLOWER
--- a/src/hollowrack/replication/storage.py
+++ b/src/hollowrack/replication/storage.py
@@ -41,9 +41,16 @@
 @message("journal.compacted")
 @dataclass(frozen=True)
 class Compacted:
-    """The replica replaced its first entries by a snapshot."""
+    """The replica replaced its first entries by a snapshot; holds all there is to remember.
 
+    A storage may drop every earlier record.
+    """
+
+    promised: Ballot
+    accepted_ballot: Ballot
+    membership: Membership
     snapshot: Snapshot
+    entries: tuple[bytes, ...]
 
 
 StorageRecord = Promised | Adopted | Appended | Compacted
@@ -58,6 +65,9 @@
     def flush(self) -> None:
         """Make all records durable."""
 
+    def close(self) -> None:
+        """Give up the place where the records are kept."""
+
 
 class MemoryStorage:
     """For a node without a data directory: nothing survives, and nothing claims to."""
@@ -67,3 +77,6 @@
 
     def flush(self) -> None:
         """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
--- a/src/hollowrack/settings/load.py
+++ b/src/hollowrack/settings/load.py
@@ -16,7 +16,6 @@
 from hollowrack.settings.model import NodeSettings, split_address
 
 CLUSTER_KEY_BYTES = 32
-_INCARNATION_FILE = "incarnation"
 
 
 def read_settings(
@@ -131,19 +130,3 @@
             detail = f"{address}: {error.strerror}."
             return Failure(Problem(ResultCode.ADDRESS_UNAVAILABLE, detail, place))
     return Success(None)
-
-
-def read_incarnation(data_dir: Path | None) -> str:
-    """Return the identifier of this node's memory: kept with a disk, fresh without one.
-
-    Raises:
-        OSError: If the data folder cannot be written.
-    """
-    if data_dir is None:
-        return uuid.uuid4().hex
-    path = data_dir / _INCARNATION_FILE
-    if path.exists():
-        return path.read_text(encoding="ascii").strip()
-    incarnation = uuid.uuid4().hex
-    path.write_text(incarnation, encoding="ascii")
-    return incarnation
