--- a/src/hollowrack/membership/service.py
+++ b/src/hollowrack/membership/service.py
@@ -19,8 +19,6 @@
 from hollowrack.settings.model import split_address
 
 TICK_INTERVAL_S = 0.05
-EXCHANGE_INTERVAL_S = 10.0
-FIRST_EXCHANGE_INTERVAL_S = 0.25
 EXCHANGE_TIMEOUT_S = 2.0
 MAX_POSTS_WAITING = 4096
 
@@ -77,7 +75,6 @@
                 Problem(ResultCode.ADDRESS_UNAVAILABLE, detail, "listeners.nodes")
             ) from error
         self._spawn(self._run_timer())
-        self._spawn(self._run_exchanges())
 
     async def stop(self) -> None:
         """Stop probing and close all connections."""
@@ -119,6 +116,9 @@
             if self._transport is not None and not self._transport.is_closing():
                 data = self._sealer.seal(datagram.message)
                 self._transport.sendto(data, split_address(datagram.address))
+        peers, self.swim.exchange_with = self.swim.exchange_with, []
+        for peer in peers:
+            self._spawn(self._exchange_with(peer))
         changes, self.swim.changes = self.swim.changes, []
         for change in changes:
             logging.info("member %s is %s", change.member.node, change.member.status.name)
@@ -131,24 +131,6 @@
 
     # -- full exchanges ---------------------------------------------------------------------
 
-    async def _run_exchanges(self) -> None:
-        while True:
-            is_alone = not any(
-                member.incarnation
-                for member in self.swim.members.values()
-                if member.node != self.swim.own.node
-            )
-            await asyncio.sleep(FIRST_EXCHANGE_INTERVAL_S if is_alone else EXCHANGE_INTERVAL_S)
-            peer = self._random_peer()
-            if peer is not None:
-                await self._exchange_with(peer)
-
-    def _random_peer(self) -> str | None:
-        own = self.swim.own.node
-        peers = [name for name, member in self.swim.members.items() if member.is_running]
-        others = sorted(name for name in peers if name != own)
-        return self._rng.choice(others) if others else None
-
     async def _exchange_with(self, peer: str) -> None:
         digest = Digest(self.swim.state_hash())
         compared = await self.request(peer, digest, EXCHANGE_TIMEOUT_S)
--- a/src/hollowrack/membership/swim.py
+++ b/src/hollowrack/membership/swim.py
@@ -31,6 +31,8 @@
 NUM_WATCHERS = 3
 NUM_INDIRECT = 3
 NUM_ZONE_DELEGATES = 2
+EXCHANGE_INTERVAL_S = 10.0
+FIRST_EXCHANGE_INTERVAL_S = 0.25
 MAX_MEMBERS_PER_DATAGRAM = 4
 MAX_FACTS_PER_DATAGRAM = 6
 
@@ -81,8 +83,9 @@
 class Swim:
     """The membership protocol of one node.
 
-    Outgoing datagrams gather in ``outbox``, status changes in ``changes`` and risen facts in
-    ``risen_facts``; the owner drains them after each call.
+    Outgoing datagrams gather in ``outbox``, status changes in ``changes``, risen facts in
+    ``risen_facts`` and peers to compare everything with in ``exchange_with``; the owner drains them
+    after each call. The full exchanges catch what rumours missed, as after a cut.
 
     Args:
         own: This node's own entry.
@@ -100,6 +103,7 @@
         self.outbox: list[Datagram] = []
         self.changes: list[MembershipChange] = []
         self.risen_facts: list[Fact] = []
+        self.exchange_with: list[str] = []
         self._rng = rng
         self._now_s = now_s
         self._numbers = 0
@@ -111,10 +115,12 @@
         self._member_rumours: RumourQueue[Member] = RumourQueue()
         self._fact_rumours: RumourQueue[Fact] = RumourQueue()
         self._next_probe_s = now_s + rng.uniform(0, PROBE_INTERVAL_S)
+        self._next_exchange_s = now_s
         self._ring: list[str] | None = None
         for seed in seeds:
             self._merge_member(seed)
-        self._member_rumours.add(own.node, own)
+        # Merging the seeds may have raised this node's generation above an earlier life's.
+        self._member_rumours.add(own.node, self.own)
 
     # -- reads ------------------------------------------------------------------------------
 
@@ -150,6 +156,8 @@
         if now_s >= self._next_probe_s:
             self._next_probe_s = now_s + PROBE_INTERVAL_S
             self._probe_round()
+        if now_s >= self._next_exchange_s:
+            self._start_exchange()
         self._check_probes()
         self._check_suspicions()
         self._forget()
@@ -187,6 +195,20 @@
         """Announce a planned stop."""
         self._restate_own(MemberStatus.LEAVING)
 
+    # -- full exchanges ---------------------------------------------------------------------
+
+    def _start_exchange(self) -> None:
+        others = sorted(
+            member.node
+            for member in self.members.values()
+            if member.is_running and member.node != self.own.node
+        )
+        is_alone = not any(self.members[node].incarnation for node in others)
+        interval_s = FIRST_EXCHANGE_INTERVAL_S if is_alone else EXCHANGE_INTERVAL_S
+        self._next_exchange_s = self._now_s + interval_s * self._rng.uniform(0.5, 1.5)
+        if others:
+            self.exchange_with.append(self._rng.choice(others))
+
     # -- probing ----------------------------------------------------------------------------
 
     def _probe_round(self) -> None:
@@ -284,8 +306,13 @@
 
     def _answer_ping(self, sender: str, message: Ping) -> None:
         member = self.members.get(sender)
-        if member is not None:
-            self.outbox.append(Datagram(member.address, Ack(message.number, self._rumours())))
+        if member is None:
+            return
+        rumours = self._rumours()
+        if member.status is not MemberStatus.ALIVE and member not in rumours.members:
+            # A node that is thought dead and still pings must hear of it, to be able to refute.
+            rumours = replace(rumours, members=(*rumours.members, member))
+        self.outbox.append(Datagram(member.address, Ack(message.number, rumours)))
 
     def _on_ack(self, message: Ack) -> None:
         self._probes.pop(message.number, None)
--- a/src/hollowrack_standins/service_worker.py
+++ b/src/hollowrack_standins/service_worker.py
@@ -8,6 +8,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
 
 from hollowrack_standins.server import StandinServer
 
@@ -33,6 +34,15 @@
     num_errors: int = 0
 
 
+class _LostAnswer(Response):
+    """Closes the connection after the head of an answer: nobody learns what it was."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        headers = [(b"content-length", b"1")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        raise ConnectionResetError("the answer is lost")
+
+
 class ServiceWorkerStandin:
     """One worker.
 
@@ -77,7 +87,7 @@
             self.executions[identifier] += 1
         await asyncio.sleep(self.faults.delay_s)
         if self._take("num_lost_answers"):
-            raise ConnectionResetError("the answer is lost")
+            return _LostAnswer()
         answer = {
             "worker": self._name,
             "path": request.path_params["path"],
--- /dev/null
+++ b/tests/membership/test_datagrams.py
@@ -0,0 +1,63 @@
+"""Sealed datagrams: foreign, replayed and malformed ones are dropped and counted."""
+
+import cbor2
+import pytest
+
+from hollowrack.membership.datagrams import DatagramSealer, _tag
+from hollowrack.membership.messages import Ping, Rumours
+from hollowrack.membership.types import Fact, Member
+from hollowrack.messages import codec
+from hollowrack.replication.messages import Fetch
+from hollowrack.replication.types import ZERO_BALLOT
+
+KEY = b"k" * 32
+PING = Ping(7, Rumours((Member("n", "z", "127.0.0.1:1", "i"),), (Fact("bundle", 3),)))
+
+
+def test_a_sealed_datagram_opens_once() -> None:
+    receiver = DatagramSealer("b", KEY)
+    datagram = DatagramSealer("a", KEY).seal(PING)
+    opened = receiver.open(datagram).unwrap()
+    assert (opened.sender, opened.message) == ("a", PING)
+    assert receiver.open(datagram).failure().detail == "replayed"
+    assert receiver.num_dropped == 1
+
+
+def test_numbers_may_arrive_out_of_order_but_not_from_long_ago() -> None:
+    sender, receiver = DatagramSealer("a", KEY), DatagramSealer("b", KEY)
+    datagrams = [sender.seal(PING) for _ in range(600)]
+    assert receiver.open(datagrams[500]).unwrap()
+    assert receiver.open(datagrams[499]).unwrap()
+    assert receiver.open(datagrams[0]).failure()
+
+
+def test_two_keys_are_accepted_while_they_are_rotated() -> None:
+    new_key = b"n" * 32
+    receiver = DatagramSealer("b", new_key, previous_key=KEY)
+    assert receiver.open(DatagramSealer("a", KEY).seal(PING)).unwrap()
+    assert receiver.open(DatagramSealer("c", new_key).seal(PING)).unwrap()
+
+
+def _sealed(payload: bytes) -> bytes:
+    return _tag(KEY, payload) + payload
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [
+        b"",
+        b"short",
+        b"\x00" * 1400,
+        DatagramSealer("a", b"f" * 32).seal(PING),
+        _sealed(b"\xff\xff"),
+        _sealed(cbor2.dumps("text")),
+        _sealed(cbor2.dumps([1, b"life", 1, b""])),
+        _sealed(cbor2.dumps(["a", b"life", "one", b""])),
+        _sealed(cbor2.dumps(["a", b"life", 1, b"junk"])),
+        _sealed(cbor2.dumps(["a", b"life", 1, codec.encode(Fetch(ZERO_BALLOT, 0))])),
+    ],
+)
+def test_a_bad_datagram_is_dropped_and_counted(datagram: bytes) -> None:
+    receiver = DatagramSealer("b", KEY)
+    assert receiver.open(datagram).failure()
+    assert receiver.num_dropped == 1
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,192 @@
+"""Contract of the engine, through the product's client, under its faults."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import pytest
+
+from hollowrack.platform.engine import (
+    EngineClient,
+    EngineRefusedError,
+    EngineUnreachableError,
+    GenerationRequest,
+    StreamBrokenError,
+    TokenChunk,
+)
+from hollowrack.results import ResultCode
+from hollowrack_standins.engine import EngineStandin
+from hollowrack_standins.engine_core import EngineConfig, EngineCore, Sequence
+
+CONFIG = EngineConfig(model="m", num_slots=2, step_s=0.001, median_tokens=10, swap_s=0.001)
+REQUEST = GenerationRequest("r1", "m", "a prompt", max_tokens=40)
+
+
+def _run(test: Callable[[EngineStandin, EngineClient], Awaitable[None]]) -> None:
+    async def run() -> None:
+        engine = EngineStandin(CONFIG)
+        address = await engine.start()
+        async with aiohttp.ClientSession() as session:
+            await test(engine, EngineClient(session, address))
+        await engine.stop()
+
+    asyncio.run(run())
+
+
+async def _generate(client: EngineClient, request: GenerationRequest) -> list[TokenChunk]:
+    chunks: list[TokenChunk] = []
+    async with client.generate(request, idle_timeout_s=1.0) as batches:
+        async for batch in batches:
+            chunks += batch
+    return chunks
+
+
+def test_a_stream_is_whole_and_names_versions() -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        chunks = await _generate(client, REQUEST)
+        assert [chunk.token_index for chunk in chunks] == list(range(len(chunks)))
+        assert {chunk.weight_version for chunk in chunks} == {0}
+        assert [chunk.finish_reason for chunk in chunks][-1] is not None
+
+    _run(test)
+
+
+def test_a_resumed_stream_continues_with_the_same_tokens() -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        whole = await _generate(client, REQUEST)
+        rest = await _generate(
+            client,
+            GenerationRequest(
+                "r2", "m", "a prompt", 40, resume_text=whole[0].text, resume_num_tokens=1
+            ),
+        )
+        assert [chunk.text for chunk in rest] == [chunk.text for chunk in whole[1:]]
+
+    _run(test)
+
+
+@pytest.mark.parametrize(
+    ("fault", "value", "error"),
+    [
+        ("refuses", True, EngineRefusedError),
+        ("breaks_after_tokens", 3, StreamBrokenError),
+        ("is_paused", True, StreamBrokenError),
+    ],
+)
+def test_faults_of_a_stream(fault: str, value: Any, error: type[Exception]) -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        setattr(engine.core.faults, fault, value)
+        with pytest.raises(error):
+            await _generate(client, REQUEST)
+
+    _run(test)
+
+
+def test_a_crash_breaks_streams_and_a_new_life_forgets() -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        incarnation = engine.core.incarnation
+        slow = asyncio.create_task(_generate(client, GenerationRequest("s", "m", "p", 10_000)))
+        engine.core.faults.is_paused = True
+        await asyncio.sleep(0.05)
+        await engine.crash()
+        with pytest.raises((StreamBrokenError, EngineUnreachableError)):
+            await slow
+        with pytest.raises(EngineUnreachableError):
+            await _generate(client, REQUEST)
+        engine.core.faults.is_paused = False
+        await engine.start()
+        assert engine.core.incarnation != incarnation
+        assert await _generate(client, REQUEST)
+
+    _run(test)
+
+
+def test_a_caller_that_leaves_cancels_the_generation() -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        engine.core.faults.is_paused = True
+        task = asyncio.create_task(_generate(client, REQUEST))
+        await asyncio.sleep(0.05)
+        assert not engine.core.is_idle
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        for _ in range(100):
+            if engine.core.is_idle:
+                break
+            await asyncio.sleep(0.02)
+        assert engine.core.is_idle
+        assert engine.num_cancelled == 1
+
+    _run(test)
+
+
+def test_orders_are_fenced_by_token_and_by_life() -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        life = engine.core.incarnation
+        assert (await client.order_version("m", 1, 10, life)).unwrap() is None
+        older = await client.order_version("m", 2, 9, life)
+        assert older.failure().code is ResultCode.ORDER_FENCED
+        other_life = await client.order_version("m", 2, 11, "another")
+        assert other_life.failure().code is ResultCode.ORDER_FENCED
+        assert (await client.state()).unwrap().weight_version == 1
+
+    _run(test)
+
+
+def test_a_swap_that_fails_partway_leaves_the_engine_out_until_the_next() -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        engine.core.faults.num_failing_swaps = 1
+        life = engine.core.incarnation
+        failed = await client.order_version("m", 1, 1, life)
+        assert failed.failure().code is ResultCode.SWAP_FAILED
+        assert (await client.state()).unwrap().status == "broken"
+        with pytest.raises(EngineRefusedError):
+            await _generate(client, REQUEST)
+        assert (await client.order_version("m", 1, 2, life)).unwrap() is None
+        assert (await client.state()).unwrap().status == "serving"
+
+    _run(test)
+
+
+def test_load_lags_and_cache_events_have_gaps() -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        engine.core.faults.event_gap_every = 2
+        engine.core.faults.load_lag_s = 30.0
+        await _generate(client, GenerationRequest("r", "m", "x" * 640, 4))
+        events = (await client.cache_events(0)).unwrap()
+        assert len(events.stored) == 5 and events.num_events == 9
+        assert (await client.load()).unwrap().num_running == 0
+
+    _run(test)
+
+
+def test_kv_export_and_import_carry_the_prefix() -> None:
+    async def test(engine: EngineStandin, client: EngineClient) -> None:
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{engine.server.address}/kv"
+            async with session.post(f"{url}/export", json={"prompt": "y" * 128}) as response:
+                blob = await response.read()
+            async with session.post(f"{url}/import", data=blob) as response:
+                assert (await response.json())["num_blocks"] == 2
+            async with session.post(f"{url}/import", data=b"junk") as response:
+                assert response.status == 400
+
+    _run(test)
+
+
+def test_priority_preempts_and_the_preempted_sequence_keeps_its_tokens() -> None:
+    core = EngineCore(CONFIG, "life")
+    for number in range(2):
+        core.add(Sequence(f"t{number}", f"p{number}", 100, priority=10, seed=1))
+    core.step()
+    core.add(Sequence("live", "q", 100, priority=0, seed=1))
+    tokens = core.step()
+    assert {token.request_id for token in tokens} == {"live", "t1"} or {
+        token.request_id for token in tokens
+    } == {"live", "t0"}
+    seen: dict[str, list[int]] = {}
+    while not core.is_idle:
+        for token in core.step():
+            seen.setdefault(token.request_id, []).append(token.index)
+    for indexes in seen.values():
+        assert indexes == list(range(indexes[0], indexes[-1] + 1))
