--- a/src/hollowrack/admission/controller.py
+++ b/src/hollowrack/admission/controller.py
@@ -1,13 +1,13 @@
 """Lets live requests in up to their pool's capacity, queues a few and refuses the rest early."""
 
 import asyncio
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
 
 from hollowrack.admission.fair_queue import FairQueue
+from hollowrack.clock import now_s
 from hollowrack.results import Problem, ResultCode
 
 PUMP_INTERVAL_S = 0.02
@@ -42,7 +42,7 @@
     def __init__(self, pool: _Pool, on_release: Callable[[_Pool], None]) -> None:
         self._pool = pool
         self._on_release = on_release
-        self._started_s = time.monotonic()
+        self._started_s = now_s()
         self._is_released = False
 
     def release(self) -> None:
@@ -51,7 +51,7 @@
             return
         self._is_released = True
         self._pool.num_running -= 1
-        service_s = time.monotonic() - self._started_s
+        service_s = now_s() - self._started_s
         self._pool.mean_service_s += SERVICE_TIME_SMOOTHING * (
             service_s - self._pool.mean_service_s
         )
@@ -114,15 +114,15 @@
             return Success(self._ticket(pool))
         expected_wait_s = self._expected_wait_s(pool_name, pool)
         max_wait_s = MAX_QUEUE_SHARE * pool.mean_service_s
-        if expected_wait_s > min(max_wait_s, deadline_s - time.monotonic()):
+        if expected_wait_s > min(max_wait_s, deadline_s - now_s()):
             return Failure(_overloaded(pool_name, max(MIN_RETRY_AFTER_S, expected_wait_s)))
-        waiter = _Waiter(min(deadline_s, time.monotonic() + 2 * max_wait_s))
+        waiter = _Waiter(min(deadline_s, now_s() + 2 * max_wait_s))
         pool.queue.push(tenant, waiter)
         return await self._wait(pool_name, pool, waiter)
 
     async def _wait(self, pool_name: str, pool: _Pool, waiter: _Waiter) -> Result[Ticket, Problem]:
         try:
-            async with asyncio.timeout(max(0.0, waiter.deadline_s - time.monotonic())):
+            async with asyncio.timeout(max(0.0, waiter.deadline_s - now_s())):
                 is_admitted = await waiter.admitted
         except TimeoutError:
             pool.queue.discard(waiter)
--- a/src/hollowrack/api/callers.py
+++ b/src/hollowrack/api/callers.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import math
-import time
 import uuid
 from typing import Literal
 
@@ -25,6 +24,7 @@
     read_body,
     read_json,
 )
+from hollowrack.clock import now_s
 from hollowrack.observability.metrics import NodeMetrics
 from hollowrack.platform.engine import TokenChunk
 from hollowrack.requests.gateway import CompletionCall, Gateway, ServiceCall
@@ -148,7 +148,7 @@
         )
         if body.stream:
             return CompletionStream(call, self._gateway, self._metrics)
-        started_s = time.monotonic()
+        started_s = now_s()
         result = await self._gateway.complete(call)
         return self._answer("completions", call.request_id, started_s, result)
 
@@ -173,14 +173,14 @@
             body=body.unwrap(),
             is_unsafe=checked.is_unsafe,
         )
-        started_s = time.monotonic()
+        started_s = now_s()
         result = await self._gateway.call_service(call)
         return self._answer("services", call.request_id, started_s, result)
 
     async def _read(self, request: Request) -> Response:
         request_id = request.path_params["request_id"]
         result = await self._gateway.read(request_id)
-        return self._answer("requests", request_id, time.monotonic(), result)
+        return self._answer("requests", request_id, now_s(), result)
 
     async def _models(self, request: Request) -> Response:
         del request
@@ -202,7 +202,7 @@
             return self._refuse(face, result.failure(), request_id)
         answer = result.unwrap()
         self._metrics.requests.labels(face=face, code=ResultCode.OK.name).inc()
-        self._metrics.request_seconds.labels(face=face).observe(time.monotonic() - started_s)
+        self._metrics.request_seconds.labels(face=face).observe(now_s() - started_s)
         return Response(
             answer.body,
             status_code=answer.http_status,
@@ -242,7 +242,7 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Run the generation while the caller is there."""
-        started_s = time.monotonic()
+        started_s = now_s()
         work = asyncio.create_task(self._run(send))
         watch = asyncio.create_task(_wait_for_disconnect(receive))
         done, _ = await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
@@ -254,9 +254,7 @@
             return
         code = work.result()
         self._metrics.requests.labels(face="completions", code=code.name).inc()
-        self._metrics.request_seconds.labels(face="completions").observe(
-            time.monotonic() - started_s
-        )
+        self._metrics.request_seconds.labels(face="completions").observe(now_s() - started_s)
 
     async def _run(self, send: Send) -> ResultCode:
         async def on_chunks(chunks: list[TokenChunk]) -> None:
--- a/src/hollowrack/engines/controller.py
+++ b/src/hollowrack/engines/controller.py
@@ -12,7 +12,7 @@
 from returns.result import Failure
 
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
-from hollowrack.platform.engine import EngineClient
+from hollowrack.platform.engine import MakeEngineClient
 from hollowrack.replication.host import GroupHost
 from hollowrack.routing.fleet import BackEndRecord, FleetView
 from hollowrack.routing.types import BackEndKind
@@ -61,7 +61,7 @@
         zone: str,
         host: GroupHost,
         fleet: FleetView,
-        make_client: Callable[[str], EngineClient],
+        make_client: MakeEngineClient,
         target_version: Callable[[str], int | None],
         decisions: DecisionLog,
     ) -> None:
--- a/src/hollowrack/membership/service.py
+++ b/src/hollowrack/membership/service.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
 from absl import logging
 from returns.result import Failure, Result
 
+from hollowrack.clock import now_s
 from hollowrack.hashing import text_hash
 from hollowrack.membership.datagrams import DatagramSealer
 from hollowrack.membership.messages import Digest, DigestAnswer, Exchange
@@ -46,7 +46,7 @@
         self, own: Member, seeds: list[Member], cluster_key: bytes, seed: int | None = None
     ) -> None:
         self._rng = random.Random(seed)
-        self.swim = Swim(own, seeds, self._rng, time.monotonic())
+        self.swim = Swim(own, seeds, self._rng, now_s())
         self.on_change: list[Callable[[MembershipChange], None]] = []
         self.on_fact: list[Callable[[Fact], None]] = []
         self._cluster_key = cluster_key
@@ -99,7 +99,7 @@
     async def _run_timer(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self.swim.tick(time.monotonic())
+            self.swim.tick(now_s())
             self._drain()
 
     def _receive(self, data: bytes) -> None:
--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 import uuid
 from typing import Any
 
@@ -18,6 +17,7 @@
 from hollowrack.bundle.agent import BundleAgent, FetchBundle
 from hollowrack.bundle.schema import Bundle
 from hollowrack.bundle.store import BundleStore
+from hollowrack.clock import now_s
 from hollowrack.engines.controller import ENGINE_GROUP_PREFIX, EngineController, NoState
 from hollowrack.membership.messages import Digest, Exchange
 from hollowrack.membership.service import MembershipService
@@ -27,7 +27,7 @@
 from hollowrack.observability.decisions import DecisionLog
 from hollowrack.observability.metrics import NodeMetrics
 from hollowrack.platform.config_store import ConfigStoreClient
-from hollowrack.platform.engine import EngineClient
+from hollowrack.platform.engine import EngineClient, HttpEngineClient
 from hollowrack.replication.directory import GroupDirectory
 from hollowrack.replication.host import (
     FindGroup,
@@ -242,7 +242,7 @@
         budget = RetryBudget()
         self.admission = AdmissionController(self.fleet.live_capacity, settings.limits.max_requests)
         self.generations = GenerationRunner(
-            self.fleet, self._session, budget, self.decisions, self._rng
+            self.fleet, self._engine_client, budget, self.decisions, self._rng
         )
         services = ServiceForwarder(
             self.fleet, self._session, self._fresh_session, budget, self.decisions, self._rng
@@ -265,7 +265,7 @@
     def _build_rollout(self) -> None:
         # Rollouts have a budget of their own: the coordinator starts failed slots again anyway.
         runner = GenerationRunner(
-            self.fleet, self._session, RetryBudget(share=1.0), self.decisions, self._rng
+            self.fleet, self._engine_client, RetryBudget(share=1.0), self.decisions, self._rng
         )
         context = RolloutContext(
             self.settings.zone, runner, self.fleet, self.host, self.decisions, self.metrics
@@ -327,7 +327,7 @@
     # -- glue -------------------------------------------------------------------------------
 
     def _engine_client(self, address: str) -> EngineClient:
-        return EngineClient(self._session, address)
+        return HttpEngineClient(self._session, address)
 
     def _target_version(self, model: str) -> int | None:
         return self.membership.swim.facts.get(WEIGHT_FACT_PREFIX + model)
@@ -368,7 +368,7 @@
                     "weight_version": back_end.weight_version,
                     "estimated_load": back_end.estimated_load,
                 }
-                for back_end in self.fleet.snapshot(time.monotonic())
+                for back_end in self.fleet.snapshot(now_s())
             },
             "groups": {
                 group: hosted.replica.role.name for group, hosted in self.host.groups.items()
--- a/src/hollowrack/platform/engine.py
+++ b/src/hollowrack/platform/engine.py
@@ -1,11 +1,11 @@
 """Client of a model engine: OpenAI-style token streams, load reports and fenced orders."""
 
 import json
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
@@ -153,8 +153,34 @@
     }
 
 
-class EngineClient:
-    """Talks to one engine.
+class EngineClient(Protocol):
+    """What the system needs of one engine; see :class:`HttpEngineClient`."""
+
+    def generate(
+        self, request: GenerationRequest, idle_timeout_s: float
+    ) -> AbstractAsyncContextManager[AsyncIterator[list[TokenChunk]]]:
+        """Open a stream of chunks."""
+
+    async def state(self) -> Result[EngineState, Problem]:
+        """Read the engine's control state."""
+
+    async def load(self) -> Result[EngineLoad, Problem]:
+        """Read the engine's load report."""
+
+    async def cache_events(self, first_sequence: int) -> Result[CacheEvents, Problem]:
+        """Read the cache events from a sequence number on."""
+
+    async def order_version(
+        self, model: str, weight_version: int, fencing_token: int, incarnation: str
+    ) -> Result[None, Problem]:
+        """Order the engine to switch to a weight version."""
+
+
+MakeEngineClient = Callable[[str], EngineClient]
+
+
+class HttpEngineClient:
+    """Talks to one engine over HTTP.
 
     Args:
         session: HTTP session to use.
--- a/src/hollowrack/replication/host.py
+++ b/src/hollowrack/replication/host.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from operator import methodcaller
@@ -11,6 +10,7 @@
 from absl import logging
 from returns.result import Failure, Result, Success
 
+from hollowrack.clock import now_s
 from hollowrack.messages import codec
 from hollowrack.messages.codec import message
 from hollowrack.replication.directory import GroupDirectory
@@ -208,9 +208,9 @@
     async def _run_timers(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            now_s = time.monotonic()
+            tick = methodcaller("tick", now_s())
             for group, hosted in list(self.groups.items()):
-                self._act(group, hosted, methodcaller("tick", now_s))
+                self._act(group, hosted, tick)
 
     async def _run_repairs(self) -> None:
         while True:
@@ -320,9 +320,7 @@
         storage: Storage = MemoryStorage()
         if self._journals is not None:
             storage = self._journals.storage(group)
-        replica = Replica(
-            self.replica_id, membership, state_machine, storage, self._rng, time.monotonic()
-        )
+        replica = Replica(self.replica_id, membership, state_machine, storage, self._rng, now_s())
         for record in records:
             replica.replay(record)
         self.groups[group] = HostedGroup(replica, state_machine, storage, {})
@@ -440,10 +438,10 @@
         Commands must be safe to repeat: after a lost answer the command is proposed again. Fails
         with ``NO_QUORUM`` if the command was never handed to a leader, else ``OUTCOME_UNKNOWN``.
         """
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = now_s() + timeout_s
         may_have_run = False
         last: Problem | None = None
-        while time.monotonic() < deadline_s:
+        while now_s() < deadline_s:
             for node in await self._leader_candidates(group):
                 result = await self._propose_at(node, group, command)
                 if isinstance(result, Success):
@@ -455,7 +453,7 @@
                     self._leader_hints[group] = last.detail
                     break
                 self._leader_hints.pop(group, None)
-                if time.monotonic() >= deadline_s:
+                if now_s() >= deadline_s:
                     break
             await asyncio.sleep(PROPOSE_PAUSE_S)
             await self._refresh(group)
--- a/src/hollowrack/requests/forwarding.py
+++ b/src/hollowrack/requests/forwarding.py
@@ -1,7 +1,6 @@
 """Forwards one request to a service worker and reads its whole answer."""
 
 import random
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -9,6 +8,7 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
+from hollowrack.clock import now_s
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.requests.budget import RetryBudget
 from hollowrack.requests.lifecycle import (
@@ -96,21 +96,19 @@
         """
         state = Received(request.request_id).admit()
         self._budget.note_request()
-        deadline_s = time.monotonic() + request.timeout_s
+        deadline_s = now_s() + request.timeout_s
         tried: set[str] = set()
         unresolved: Problem | None = None
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self._budget.take_retry():
                 break
-            if time.monotonic() >= deadline_s:
+            if now_s() >= deadline_s:
                 expired = state.refuse(NotRunCode.DEADLINE_EXPIRED, "the deadline passed")
                 return Failure(unresolved or expired.problem)
             route = RouteRequest(
                 BackEndKind.SERVICE, request.pool, request.zone, excluded=frozenset(tried)
             )
-            choice = choose(
-                route, self._fleet.snapshot(time.monotonic()), self._fleet.prefixes, self._rng
-            )
+            choice = choose(route, self._fleet.snapshot(now_s()), self._fleet.prefixes, self._rng)
             if isinstance(choice, Failure):
                 return Failure(unresolved or choice.failure())
             address = choice.unwrap().address
@@ -134,20 +132,20 @@
         self, request: ServiceRequest, state: Dispatched, deadline_s: float
     ) -> Admitted | Result[RecordedAnswer, Problem]:
         record = self._fleet.records[state.address]
-        self._fleet.note_sent(state.address, False, time.monotonic())
+        self._fleet.note_sent(state.address, False, now_s())
         try:
             answer = await self._send(request, state.address, deadline_s)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            record.circuit.note_failure(time.monotonic(), is_conclusive=True)
+            record.circuit.note_failure(now_s(), is_conclusive=True)
             return state.did_not_run(NoBytesSentProof.NO_CONNECTION)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            record.circuit.note_failure(time.monotonic())
+            record.circuit.note_failure(now_s())
             detail = f"{type(error).__name__}: {error}"
             return Failure(state.unresolved(UnresolvedCode.OUTCOME_UNKNOWN, detail).problem)
         finally:
             self._fleet.note_finished(state.address, False)
         if answer is None:
-            record.circuit.note_abandoned(time.monotonic())
+            record.circuit.note_abandoned(now_s())
             return state.did_not_run(NoBytesSentProof.EXPLICIT_REFUSAL)
         record.circuit.note_success()
         return Success(answer)
@@ -157,7 +155,7 @@
     ) -> RecordedAnswer | None:
         """Return the whole answer, or ``None`` if the worker refused without running."""
         timeout = aiohttp.ClientTimeout(
-            total=max(0.001, deadline_s - time.monotonic()), sock_connect=CONNECT_TIMEOUT_S
+            total=max(0.001, deadline_s - now_s()), sock_connect=CONNECT_TIMEOUT_S
         )
         headers = {
             name: request.headers[name] for name in _FORWARDED_HEADERS if name in request.headers
--- a/src/hollowrack/requests/gateway.py
+++ b/src/hollowrack/requests/gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import time
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 from http import HTTPStatus
@@ -11,6 +10,7 @@
 
 from hollowrack.admission.controller import AdmissionController
 from hollowrack.bundle.schema import Bundle
+from hollowrack.clock import now_s
 from hollowrack.platform.engine import GenerationRequest
 from hollowrack.requests.claims import ClaimStatus
 from hollowrack.requests.forwarding import ServiceForwarder, ServiceRequest
@@ -182,7 +182,7 @@
     async def _generate(
         self, call: CompletionCall, on_chunks: ChunkSink | None
     ) -> Result[GeneratedText, Problem]:
-        deadline_s = time.monotonic() + call.timeout_s
+        deadline_s = now_s() + call.timeout_s
         admitted = await self._parts.admission.admit(call.model, call.tenant, deadline_s)
         if isinstance(admitted, Failure):
             return admitted
@@ -219,7 +219,7 @@
     async def _forward(
         self, call: ServiceCall, timeout_s: float
     ) -> Result[RecordedAnswer, Problem]:
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = now_s() + timeout_s
         admitted = await self._parts.admission.admit(call.pool, call.tenant, deadline_s)
         if isinstance(admitted, Failure):
             return admitted
--- a/src/hollowrack/requests/generation.py
+++ b/src/hollowrack/requests/generation.py
@@ -5,19 +5,18 @@
 """
 
 import random
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
-import aiohttp
 from returns.result import Failure, Result, Success
 
+from hollowrack.clock import now_s
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.platform.engine import (
-    EngineClient,
     EngineRefusedError,
     EngineUnreachableError,
     GenerationRequest,
+    MakeEngineClient,
     StreamBrokenError,
     TokenChunk,
 )
@@ -109,7 +108,7 @@
 
     Args:
         fleet: The node's view of the back ends.
-        session: HTTP session towards engines.
+        make_client: Returns the client of an engine by its address.
         budget: Retry budget.
         decisions: Where decisions are recorded.
         rng: Random source of the routing.
@@ -118,13 +117,13 @@
     def __init__(
         self,
         fleet: FleetView,
-        session: aiohttp.ClientSession,
+        make_client: MakeEngineClient,
         budget: RetryBudget,
         decisions: DecisionLog,
         rng: random.Random,
     ) -> None:
         self._fleet = fleet
-        self._session = session
+        self._make_client = make_client
         self._budget = budget
         self._decisions = decisions
         self._rng = rng
@@ -144,13 +143,11 @@
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self._budget.take_retry():
                 break
-            if time.monotonic() >= plan.deadline_s:
+            if now_s() >= plan.deadline_s:
                 expired = state.refuse(NotRunCode.DEADLINE_EXPIRED, "the deadline passed")
                 return Failure(unresolved or expired.problem)
             route = replace(plan.route, excluded=frozenset(tried))
-            choice = choose(
-                route, self._fleet.snapshot(time.monotonic()), self._fleet.prefixes, self._rng
-            )
+            choice = choose(route, self._fleet.snapshot(now_s()), self._fleet.prefixes, self._rng)
             if isinstance(choice, Failure):
                 return Failure(unresolved or choice.failure())
             address = choice.unwrap().address
@@ -176,27 +173,27 @@
     ) -> Admitted | Result[GeneratedText, Problem]:
         is_training = plan.route.priority is Priority.TRAINING
         record = self._fleet.records[state.address]
-        self._fleet.note_sent(state.address, is_training, time.monotonic())
+        self._fleet.note_sent(state.address, is_training, now_s())
         self._fleet.prefixes.note_sent(state.address, plan.route.prefix_blocks)
         try:
             await self._stream(plan, progress, state.address)
             record.circuit.note_success()
             return Success(progress.whole())
         except EngineUnreachableError:
-            record.circuit.note_failure(time.monotonic(), is_conclusive=True)
+            record.circuit.note_failure(now_s(), is_conclusive=True)
             return state.did_not_run(NoBytesSentProof.NO_CONNECTION)
         except EngineRefusedError:
-            record.circuit.note_abandoned(time.monotonic())
+            record.circuit.note_abandoned(now_s())
             return state.did_not_run(NoBytesSentProof.EXPLICIT_REFUSAL)
         except StreamBrokenError as error:
-            record.circuit.note_failure(time.monotonic())
+            record.circuit.note_failure(now_s())
             has_tokens = progress.spans.num_tokens > 0
             code = UnresolvedCode.OUTCOME_UNKNOWN
             if has_tokens:
                 code = UnresolvedCode.ANSWER_INCOMPLETE
             return Failure(state.unresolved(code, str(error)).problem)
         except _StoppedEarlyError as stopped:
-            record.circuit.note_abandoned(time.monotonic())
+            record.circuit.note_abandoned(now_s())
             return Failure(stopped.problem)
         finally:
             self._fleet.note_finished(state.address, is_training)
@@ -207,7 +204,7 @@
             resume_text="".join(progress.texts),
             resume_num_tokens=progress.spans.num_tokens,
         )
-        client = EngineClient(self._session, address)
+        client = self._make_client(address)
         incarnation: str | None = None
         async with client.generate(generation, STREAM_IDLE_TIMEOUT_S) as batches:
             progress.num_engines += 1
--- a/src/hollowrack/requests/unsafe.py
+++ b/src/hollowrack/requests/unsafe.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import itertools
-import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -19,6 +18,7 @@
 from absl import logging
 from returns.result import Failure, Result, Success
 
+from hollowrack.clock import now_s
 from hollowrack.hashing import text_hash
 from hollowrack.messages import codec
 from hollowrack.messages.codec import message
@@ -119,7 +119,7 @@
             max_wait_s: Longest wait for the answer of another attempt, in seconds.
         """
         digest = xxhash.xxh64_intdigest(body) >> 1
-        deadline_s = time.monotonic() + max_wait_s
+        deadline_s = now_s() + max_wait_s
         while True:
             attempt = f"{self._own_replica}/{next(self._numbers)}"
             self._running.add(attempt)
@@ -183,7 +183,7 @@
                 return _ended(request_id, claim)
             status = await self._status_of(claim.attempt)
             if status is AttemptStatus.RUNNING:
-                if time.monotonic() >= deadline_s:
+                if now_s() >= deadline_s:
                     return Failure(_unknown(request_id, "the first attempt is still running"))
                 await asyncio.sleep(WAIT_POLL_S)
                 claim = (await self.read(request_id)).value_or(claim)
--- a/src/hollowrack/rollout/coordinator.py
+++ b/src/hollowrack/rollout/coordinator.py
@@ -6,12 +6,12 @@
 
 import asyncio
 import itertools
-import time
 from dataclasses import dataclass
 
 from absl import logging
 from returns.result import Failure, Result, Success
 
+from hollowrack.clock import now_s
 from hollowrack.messages import codec
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.observability.metrics import NodeMetrics
@@ -102,7 +102,7 @@
     def _num_training_slots(self, model: str) -> int:
         return sum(
             int(self.training_room * back_end.num_slots)
-            for back_end in self._context.fleet.snapshot(time.monotonic())
+            for back_end in self._context.fleet.snapshot(now_s())
             if back_end.kind is BackEndKind.ENGINE
             and back_end.pool == model
             and back_end.status is BackEndStatus.SERVING
@@ -146,7 +146,7 @@
         return GenerationPlan(
             generation=request,
             route=route,
-            deadline_s=time.monotonic() + GENERATION_TIMEOUT_S,
+            deadline_s=now_s() + GENERATION_TIMEOUT_S,
             stop_check=self._stop_if_stale,
         )
 
@@ -212,14 +212,14 @@
             problem = self._check_cursor(request)
         if problem is not None:
             return Failure(problem)
-        deadline_s = time.monotonic() + min(request.wait_s, MAX_POLL_WAIT_S)
+        deadline_s = now_s() + min(request.wait_s, MAX_POLL_WAIT_S)
         while True:
             if not self._context.host.leads(run_group(self._run)):
                 return Failure(Problem(ResultCode.NOT_LEADER, "", self._run))
             samples = self._ledger.handed_over_after(request.cursor, request.max_samples)
             step = self._ledger.state.steps[request.step]
             num_remaining = step.num_slots - step.num_handed_over
-            if samples or not num_remaining or time.monotonic() >= deadline_s:
+            if samples or not num_remaining or now_s() >= deadline_s:
                 cursor = samples[-1].cursor if samples else request.cursor
                 return Success(Samples(tuple(samples), cursor, num_remaining))
             if step.commit_order:
@@ -257,7 +257,7 @@
         return outcome
 
     async def _wait_for_change(self, deadline_s: float) -> None:
-        remaining_s = max(0.0, deadline_s - time.monotonic())
+        remaining_s = max(0.0, deadline_s - now_s())
         try:
             async with asyncio.timeout(min(remaining_s, 1.0)):
                 await self._changed.wait()
--- a/src/hollowrack/rollout/service.py
+++ b/src/hollowrack/rollout/service.py
@@ -1,12 +1,12 @@
 """The trainers' requests on any node: carried out here or passed to the ledger's leader."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Any
 
 from returns.result import Failure, Result, Success
 
+from hollowrack.clock import now_s
 from hollowrack.messages import codec
 from hollowrack.replication.host import NodeLinks
 from hollowrack.replication.types import node_of
@@ -124,11 +124,11 @@
         self, run: str, request: ReadSamples | ReadRunStatus, timeout_s: float
     ) -> Result[Any, Problem]:
         group = run_group(run)
-        deadline_s = time.monotonic() + FIND_LEADER_TIMEOUT_S
+        deadline_s = now_s() + FIND_LEADER_TIMEOUT_S
         result: Result[Any, Problem] = Failure(
             Problem(ResultCode.NO_QUORUM, "the run has no leader", run, retry_after_s=1.0)
         )
-        while time.monotonic() < deadline_s:
+        while now_s() < deadline_s:
             found = await self._host.find(group)
             if isinstance(found, Failure):
                 return _unknown_run(run, found.failure())
--- a/src/hollowrack/routing/observer.py
+++ b/src/hollowrack/routing/observer.py
@@ -1,12 +1,11 @@
 """Keeps a node's view of the back ends up to date: machine list, engine states, loads, caches."""
 
 import asyncio
-from collections.abc import Callable
 
 import aiohttp
 from returns.result import Success
 
-from hollowrack.platform.engine import EngineClient
+from hollowrack.platform.engine import MakeEngineClient
 from hollowrack.platform.machine_list import read_machine_list
 from hollowrack.routing.fleet import FleetView
 from hollowrack.routing.types import BackEndKind
@@ -30,7 +29,7 @@
         fleet: FleetView,
         session: aiohttp.ClientSession,
         machine_list_url: str,
-        make_client: Callable[[str], EngineClient],
+        make_client: MakeEngineClient,
     ) -> None:
         self._fleet = fleet
         self._session = session
--- /dev/null
+++ b/tests/requests/test_unsafe.py
@@ -0,0 +1,349 @@
+"""At most once: claims under lost answers, dead nodes, paused owners and reused identifiers."""
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from returns.result import Failure, Result, Success
+
+from hollowrack.requests.claims import ClaimStatus, RequestClaims
+from hollowrack.requests.types import RecordedAnswer
+from hollowrack.requests.unsafe import AskAttempt, AttemptStatus, UnsafeRequests
+from hollowrack.results import DESCRIPTIONS, Execution, Problem, ResultCode
+from hollowrack_bench.virtual_time import VirtualTimeLoop, run_virtual
+
+LATENCY_S = 0.01
+
+
+class ClaimLogStandin:
+    """One replicated claim group, seen from nodes whose link to it can fail."""
+
+    def __init__(self) -> None:
+        self.claims = RequestClaims()
+        self.is_reachable = True
+        self.num_answers_to_lose = 0
+        self.late: list[bytes] = []
+
+    async def ensure(self, group: str, num_replicas: int) -> Result[Any, Problem]:
+        return Success(None)
+
+    async def propose(self, group: str, command: bytes, timeout_s: float) -> Result[bytes, Problem]:
+        await asyncio.sleep(LATENCY_S)
+        if not self.is_reachable:
+            self.late.append(command)
+            await asyncio.sleep(timeout_s)
+            return Failure(Problem(ResultCode.OUTCOME_UNKNOWN, "no quorum"))
+        outcome = self.claims.apply(command)
+        if self.num_answers_to_lose:
+            self.num_answers_to_lose -= 1
+            await asyncio.sleep(timeout_s)
+            return Failure(Problem(ResultCode.OUTCOME_UNKNOWN, "answer lost"))
+        return Success(outcome)
+
+    def land_late(self) -> None:
+        """Commands that were thought lost are committed after all."""
+        late, self.late = self.late, []
+        for command in late:
+            self.claims.apply(command)
+
+
+class Cluster:
+    """Nodes that share a claim group and a back end that counts executions."""
+
+    def __init__(self, num_nodes: int = 3) -> None:
+        self.log = ClaimLogStandin()
+        self.executions: Counter[str] = Counter()
+        self.false_refusals = 0
+        self.unreachable: set[str] = set()
+        self.lives = dict.fromkeys((f"n{index}" for index in range(num_nodes)), 1)
+        self.nodes = {name: self._make(name) for name in self.lives}
+        self.run_s = 0.1
+        self.outcome = "answer"
+
+    def _make(self, name: str) -> UnsafeRequests:
+        return UnsafeRequests(self.log, self, f"{name}#{self.lives[name]}")
+
+    def restart(self, name: str) -> None:
+        self.lives[name] += 1
+        self.nodes[name] = self._make(name)
+
+    async def request(self, node: str, message: object, timeout_s: float) -> Result[Any, Problem]:
+        await asyncio.sleep(LATENCY_S)
+        if node in self.unreachable:
+            return Failure(Problem(ResultCode.PEER_UNREACHABLE, "cut"))
+        assert isinstance(message, AskAttempt)
+        return Success(self.nodes[node].answer_ask(message))
+
+    def post(self, node: str, message: object) -> None:
+        raise NotImplementedError
+
+    def is_reachable(self, node: str) -> bool:
+        return node not in self.unreachable
+
+    def is_gone(self, node: str) -> bool:
+        return False
+
+    def incarnation_of(self, node: str) -> str | None:
+        return str(self.lives[node])
+
+    def candidates(self, key: str, preferred_zone: str | None = None) -> list[str]:
+        return list(self.nodes)
+
+    async def call(
+        self, node: str, request_id: str, body: bytes = b"b", max_wait_s: float = 5.0
+    ) -> Result[RecordedAnswer, Problem]:
+        has_run = False
+
+        async def run() -> Result[RecordedAnswer, Problem]:
+            nonlocal has_run
+            if self.outcome == "refuse":
+                return Failure(Problem(ResultCode.BACK_END_REFUSED, "busy"))
+            has_run = True
+            self.executions[request_id] += 1
+            await asyncio.sleep(self.run_s)
+            if self.outcome == "lose":
+                return Failure(Problem(ResultCode.OUTCOME_UNKNOWN, "cut"))
+            return Success(RecordedAnswer(200, "text/plain", request_id.encode() + body))
+
+        result = await self.nodes[node].run(request_id, body, run, max_wait_s)
+        self.false_refusals += int(has_run and _says_not_run(result))
+        return result
+
+
+def _code(result: Result[RecordedAnswer, Problem]) -> ResultCode:
+    return result.failure().code if isinstance(result, Failure) else ResultCode.OK
+
+
+def test_a_repeat_at_another_node_gets_the_recorded_answer() -> None:
+    async def run() -> None:
+        cluster = Cluster()
+        first = await cluster.call("n0", "a")
+        assert await cluster.call("n1", "a") == first
+        assert cluster.executions["a"] == 1
+
+    run_virtual(run())
+
+
+def test_a_repeat_waits_for_the_running_attempt() -> None:
+    async def run() -> None:
+        cluster = Cluster()
+        answers = await asyncio.gather(*(cluster.call(node, "a") for node in cluster.nodes))
+        assert len({answer.unwrap().body for answer in answers}) == 1
+        assert cluster.executions["a"] == 1
+
+    run_virtual(run())
+
+
+def test_an_identifier_reused_with_another_body_is_refused() -> None:
+    async def run() -> None:
+        cluster = Cluster()
+        await cluster.call("n0", "a", b"one")
+        assert _code(await cluster.call("n1", "a", b"two")) is ResultCode.IDENTIFIER_REUSED
+        assert cluster.executions["a"] == 1
+
+    run_virtual(run())
+
+
+def test_without_quorum_nothing_runs_and_the_identifier_stays_usable() -> None:
+    async def run() -> None:
+        cluster = Cluster()
+        cluster.log.is_reachable = False
+        assert _code(await cluster.call("n0", "a")) is ResultCode.NO_QUORUM
+        assert cluster.executions["a"] == 0
+        cluster.log.is_reachable = True
+        cluster.log.land_late()
+        assert _code(await cluster.call("n1", "a")) is ResultCode.OK
+        assert cluster.executions["a"] == 1
+
+    run_virtual(run())
+
+
+def test_a_claim_whose_answer_was_lost_is_not_run_and_is_released() -> None:
+    async def run() -> None:
+        cluster = Cluster()
+        cluster.log.num_answers_to_lose = 1
+        assert _code(await cluster.call("n0", "a")) is ResultCode.NO_QUORUM
+        assert _code(await cluster.call("n1", "a")) is ResultCode.OK
+        assert cluster.executions["a"] == 1
+
+    run_virtual(run())
+
+
+def test_a_refusal_of_the_back_end_frees_the_identifier() -> None:
+    async def run() -> None:
+        cluster = Cluster()
+        cluster.outcome = "refuse"
+        assert _code(await cluster.call("n0", "a")) is ResultCode.BACK_END_REFUSED
+        cluster.outcome = "answer"
+        assert _code(await cluster.call("n1", "a")) is ResultCode.OK
+
+    run_virtual(run())
+
+
+def test_an_owner_that_died_leaves_the_outcome_unknown_at_once() -> None:
+    async def run() -> None:
+        cluster = Cluster()
+        cluster.run_s = 3600.0
+        owner = asyncio.create_task(cluster.call("n0", "a"))
+        await asyncio.sleep(0.1)
+        cluster.restart("n0")
+        started_s = asyncio.get_running_loop().time()
+        assert _code(await cluster.call("n1", "a", max_wait_s=60)) is ResultCode.OUTCOME_UNKNOWN
+        assert asyncio.get_running_loop().time() - started_s < 5.0
+        assert cluster.executions["a"] == 1
+        owner.cancel()
+        await asyncio.gather(owner, return_exceptions=True)
+
+    run_virtual(run())
+
+
+def test_a_paused_owner_that_goes_on_runs_once_and_its_late_answer_is_kept() -> None:
+    async def run() -> None:
+        cluster = Cluster()
+        cluster.run_s = 10.0
+        owner = asyncio.create_task(cluster.call("n0", "a"))
+        await asyncio.sleep(0.1)
+        cluster.unreachable.add("n0")
+        assert _code(await cluster.call("n1", "a")) is ResultCode.OUTCOME_UNKNOWN
+        answer = await owner
+        assert await cluster.call("n2", "a") == answer
+        assert cluster.executions["a"] == 1
+
+    run_virtual(run())
+
+
+def test_ended_claims_are_dropped_by_count_and_answers_by_size() -> None:
+    claims = RequestClaims(max_kept_claims=2, max_answer_bytes=10)
+    cluster = Cluster()
+    cluster.log.claims = claims
+
+    async def run() -> None:
+        for name in ("a", "b", "c"):
+            await cluster.call("n0", name, b"12345")
+        assert claims.find("a").status is None
+        assert claims.find("b").status is ClaimStatus.FINISHED and claims.find("b").answer is None
+        assert _code(await cluster.call("n1", "b", b"12345")) is ResultCode.OUTCOME_UNKNOWN
+        assert _code(await cluster.call("n1", "c", b"12345")) is ResultCode.OK
+        assert cluster.executions["b"] == cluster.executions["c"] == 1
+
+    run_virtual(run())
+
+
+def test_a_snapshot_holds_everything() -> None:
+    cluster = Cluster()
+    run_virtual(cluster.call("n0", "a"))
+    restored = RequestClaims()
+    restored.restore(cluster.log.claims.snapshot())
+    assert restored.find("a") == cluster.log.claims.find("a")
+    restored.restore(b"")
+    assert restored.find("a").status is None
+
+
+nodes = st.sampled_from(["n0", "n1", "n2"])
+identifiers = st.sampled_from(["a", "b"])
+
+
+class AtMostOnceMachine(RuleBasedStateMachine):
+    """Callers repeat two identifiers anywhere while nodes, links and the back end fail."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualTimeLoop()
+        self.cluster = Cluster()
+        self.calls: list[tuple[str, asyncio.Task[Result[RecordedAnswer, Problem]]]] = []
+
+    def teardown(self) -> None:
+        for _, task in self.calls:
+            task.cancel()
+        if self.calls:
+            tasks = [task for _, task in self.calls]
+            self.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        self.loop.run_until_complete(asyncio.sleep(60))
+        self.loop.close()
+
+    @rule(node=nodes, identifier=identifiers)
+    def call(self, node: str, identifier: str) -> None:
+        coroutine = self.cluster.call(node, identifier)
+        self.calls.append((identifier, self.loop.create_task(coroutine)))
+
+    @rule(seconds=st.sampled_from([0.005, 0.05, 1.0, 10.0]))
+    def wait(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @rule(node=nodes)
+    def restart(self, node: str) -> None:
+        # The old life goes on like a paused process that nobody can reach any more.
+        self.cluster.restart(node)
+
+    @rule(node=nodes, is_cut=st.booleans())
+    def cut(self, node: str, is_cut: bool) -> None:
+        (self.cluster.unreachable.add if is_cut else self.cluster.unreachable.discard)(node)
+
+    @rule(is_reachable=st.booleans())
+    def quorum(self, is_reachable: bool) -> None:
+        self.cluster.log.is_reachable = is_reachable
+
+    @rule()
+    def late(self) -> None:
+        self.cluster.log.land_late()
+
+    @rule()
+    def lose_answer(self) -> None:
+        self.cluster.log.num_answers_to_lose += 1
+
+    @rule(outcome=st.sampled_from(["answer", "lose", "refuse"]), run_s=st.sampled_from([0.01, 8.0]))
+    def back_end(self, outcome: str, run_s: float) -> None:
+        self.cluster.outcome, self.cluster.run_s = outcome, run_s
+
+    @invariant()
+    def at_most_once(self) -> None:
+        assert all(count <= 1 for count in self.cluster.executions.values())
+
+    @invariant()
+    def not_run_is_true_and_answers_agree(self) -> None:
+        assert self.cluster.false_refusals == 0
+        for identifier in ("a", "b"):
+            results = [
+                task.result() for name, task in self.calls if name == identifier and task.done()
+            ]
+            bodies = {result.unwrap().body for result in results if isinstance(result, Success)}
+            assert len(bodies) <= 1
+            ran = [result for result in results if not _says_not_run(result)]
+            is_pending = any(name == identifier and not task.done() for name, task in self.calls)
+            if results and not ran and not is_pending:
+                assert self.cluster.executions[identifier] == 0
+
+
+def _says_not_run(result: Result[RecordedAnswer, Problem]) -> bool:
+    if isinstance(result, Success):
+        return False
+    return DESCRIPTIONS[result.failure().code].execution is Execution.NOT_RUN
+
+
+TestAtMostOnce = AtMostOnceMachine.TestCase
+TestAtMostOnce.settings = settings(
+    derandomize=True, max_examples=80, stateful_step_count=40, deadline=None
+)
+
+
+def test_the_machine_finds_a_release_without_proof(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The check can fail: treating every lost attempt as not run doubles executions."""
+    monkeypatch.setattr(UnsafeRequests, "_status_of", _async_constant(AttemptStatus.NOT_RUN))
+
+    async def run() -> int:
+        cluster = Cluster()
+        await asyncio.gather(cluster.call("n0", "a"), cluster.call("n1", "a"))
+        return cluster.executions["a"]
+
+    assert run_virtual(run()) == 2
+
+
+def _async_constant(value: object) -> Any:
+    async def constant(*_: object) -> object:
+        return value
+
+    return constant
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,185 @@
+"""Routing: candidates, scores, circuits, prefix hints and lag-corrected load."""
+
+import random
+from collections import Counter
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from hollowrack.platform.engine import CacheEvents, EngineLoad, EngineState
+from hollowrack.platform.machine_list import Machine
+from hollowrack.results import ResultCode
+from hollowrack.routing.choice import choose, eligible
+from hollowrack.routing.circuit import OPEN_FIRST_S, Circuit, CircuitStatus
+from hollowrack.routing.fleet import FleetView
+from hollowrack.routing.prefix import BLOCK_CHARACTERS, PrefixIndex, prefix_blocks
+from hollowrack.routing.types import (
+    BackEnd,
+    BackEndKind,
+    BackEndStatus,
+    Priority,
+    RouteRequest,
+)
+
+ENGINE = BackEnd("e1", BackEndKind.ENGINE, "m", "a", num_slots=10)
+REQUEST = RouteRequest(BackEndKind.ENGINE, "m", "a")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"pool": "other"},
+        {"kind": BackEndKind.SERVICE},
+        {"status": BackEndStatus.LEAVING},
+        {"status": BackEndStatus.OUT},
+        {"is_circuit_closed": False},
+    ],
+)
+def test_back_ends_that_may_not_serve(change: dict[str, Any]) -> None:
+    assert eligible(REQUEST, [replace(ENGINE, **change)]) == []
+
+
+def test_requests_that_a_back_end_may_not_serve() -> None:
+    assert eligible(replace(REQUEST, excluded=frozenset({"e1"})), [ENGINE]) == []
+    assert eligible(replace(REQUEST, min_weight_version=1), [ENGINE]) == []
+    training = replace(REQUEST, priority=Priority.TRAINING, training_room=0.5)
+    assert eligible(training, [replace(ENGINE, num_training=4)])
+    assert eligible(training, [replace(ENGINE, num_training=5)]) == []
+    assert eligible(replace(training, training_room=0.0), [ENGINE]) == []
+
+
+def test_no_candidate_is_a_numbered_refusal_with_a_time_to_come_back() -> None:
+    problem = choose(REQUEST, [], PrefixIndex(), random.Random(0)).failure()
+    assert problem.code is ResultCode.NO_BACK_END
+    assert problem.retry_after_s
+
+
+def _share(back_ends: list[BackEnd], request: RouteRequest = REQUEST) -> Counter[str]:
+    rng = random.Random(1)
+    return Counter(
+        choose(request, back_ends, PrefixIndex(), rng).unwrap().address for _ in range(300)
+    )
+
+
+def test_the_own_zone_goes_first_and_spills_when_it_queues() -> None:
+    near = [replace(ENGINE, address=f"near{index}") for index in range(3)]
+    far = [replace(ENGINE, address=f"far{index}", zone="b") for index in range(3)]
+    assert not any(address.startswith("far") for address in _share(near + far))
+    full = [replace(back_end, estimated_load=15.0) for back_end in near]
+    assert all(address.startswith("far") for address in _share(full + far))
+
+
+def test_equal_back_ends_share_the_work() -> None:
+    share = _share([replace(ENGINE, address=f"e{index}") for index in range(6)])
+    assert min(share.values()) > 20
+
+
+def test_the_emptier_of_two_wins() -> None:
+    back_ends = [
+        replace(ENGINE, address="busy", estimated_load=8.0),
+        replace(ENGINE, address="idle"),
+    ]
+    assert set(_share(back_ends)) == {"idle"}
+
+
+def test_a_cached_prefix_draws_requests_until_the_engine_is_full() -> None:
+    prompt = "x" * BLOCK_CHARACTERS * 20
+    blocks = prefix_blocks(prompt)
+    prefixes = PrefixIndex()
+    prefixes.note_sent("warm", blocks)
+    request = replace(REQUEST, prefix_blocks=blocks)
+    cold = [replace(ENGINE, address=f"cold{index}") for index in range(5)]
+    warm = replace(ENGINE, address="warm", estimated_load=5.0)
+    assert choose(request, [*cold, warm], prefixes, random.Random(0)).unwrap().address == "warm"
+    full = replace(warm, estimated_load=10.0)
+    assert choose(request, [*cold, full], prefixes, random.Random(0)).unwrap().address != "warm"
+
+
+def test_cache_events_with_gaps_and_new_lives() -> None:
+    index = PrefixIndex()
+    index.apply("e", CacheEvents("life1", 0, (1, 2, 3), (), 3))
+    assert index.num_matching("e", (1, 2, 3, 4)) == 3
+    assert index.num_matching("e", (9, 1)) == 0
+    index.apply("e", CacheEvents("life1", 3, (), (2,), 1))
+    assert index.num_matching("e", (1, 2, 3)) == 1
+    index.apply("e", CacheEvents("life1", 10, (2,), (), 1))
+    assert index.num_matching("e", (1, 2, 3)) == 1.5, "after a gap the index counts half"
+    index.apply("e", CacheEvents("life2", 0, (7,), (), 1))
+    assert index.num_matching("e", (1,)) == 0
+    assert index.num_matching("e", (7,)) == 1
+
+
+def test_prefixes_of_equal_prompts_are_equal_up_to_where_they_differ() -> None:
+    first = prefix_blocks("a" * 200 + "b" * 200)
+    second = prefix_blocks("a" * 200 + "c" * 200)
+    assert first[:3] == second[:3] and first[3:] != second[3:]
+
+
+def test_a_circuit_opens_tries_once_and_backs_off() -> None:
+    circuit = Circuit()
+    for _ in range(3):
+        assert circuit.allows(0.0)
+        circuit.note_failure(0.0)
+    assert not circuit.allows(OPEN_FIRST_S - 0.01)
+    assert circuit.allows(OPEN_FIRST_S)
+    circuit.note_sent(OPEN_FIRST_S)
+    assert circuit.status is CircuitStatus.HALF_OPEN
+    assert not circuit.allows(OPEN_FIRST_S), "one trial at a time"
+    circuit.note_failure(1.0)
+    assert not circuit.allows(1.0 + OPEN_FIRST_S)
+    assert circuit.allows(1.0 + 2 * OPEN_FIRST_S)
+    circuit.note_sent(2.0)
+    circuit.note_success()
+    assert circuit.allows(2.0)
+
+
+def test_a_connection_that_cannot_be_made_opens_the_circuit_at_once() -> None:
+    circuit = Circuit()
+    circuit.note_failure(0.0, is_conclusive=True)
+    assert not circuit.allows(0.0)
+
+
+def _view() -> FleetView:
+    view = FleetView()
+    view.apply_machine_list([Machine("e1", "engine", "m", "a", False)])
+    view.apply_engine_state("e1", EngineState("i", "serving", "m", 3, 8, 0))
+    return view
+
+
+def test_reported_load_is_corrected_by_what_was_sent_and_finished_since() -> None:
+    view = _view()
+    view.apply_load("e1", EngineLoad(4, 1, 2))
+    for _ in range(3):
+        view.note_sent("e1", is_training=False, now_s=0.0)
+    view.note_finished("e1", is_training=False)
+    back_end = view.snapshot(0.0)[0]
+    assert (back_end.estimated_load, view.live_capacity("m")) == (7, (8, 4))
+    view.apply_load("e1", EngineLoad(0, 0, 0))
+    assert view.snapshot(0.0)[0].estimated_load == 2, "never below what this node has running"
+
+
+def test_a_leaving_mark_outlives_a_lagging_list() -> None:
+    view = _view()
+    view.mark_leaving("e1")
+    view.apply_machine_list([Machine("e1", "engine", "m", "a", False)])
+    assert view.snapshot(0.0)[0].status is BackEndStatus.LEAVING
+
+
+def test_a_machine_gone_from_the_list_goes_when_its_work_is_done() -> None:
+    view = _view()
+    view.note_sent("e1", is_training=True, now_s=0.0)
+    view.apply_machine_list([])
+    assert view.snapshot(0.0)[0].status is BackEndStatus.LEAVING
+    view.note_finished("e1", is_training=True)
+    view.apply_machine_list([])
+    assert view.snapshot(0.0) == []
+
+
+@pytest.mark.parametrize("status", ["swapping", "broken"])
+def test_an_engine_that_does_not_serve_is_out(status: str) -> None:
+    view = _view()
+    view.apply_engine_state("e1", EngineState("i", status, "m", 3, 8, 0))
+    assert view.snapshot(0.0)[0].status is BackEndStatus.OUT
+    view.apply_engine_state("e1", None)
+    assert view.snapshot(0.0)[0].status is BackEndStatus.OUT
