--- a/src/hollowrack/cli/commands.py
+++ b/src/hollowrack/cli/commands.py
@@ -8,6 +8,8 @@
 from absl import logging
 from returns.result import Failure
 
+from hollowrack.cli.bundle_commands import bundle
+from hollowrack.cli.fleet_commands import drain, explain, status
 from hollowrack.cli.output import exit_with_problem
 from hollowrack.cli.settings_commands import keys, settings
 from hollowrack.node import Node
@@ -22,8 +24,8 @@
     """Rollout service between callers, trainers and model engines."""
 
 
-hollowrack.add_command(settings)
-hollowrack.add_command(keys)
+for command in (settings, keys, bundle, status, explain, drain):
+    hollowrack.add_command(command)
 
 
 @hollowrack.command()
--- a/src/hollowrack/cli/settings_commands.py
+++ b/src/hollowrack/cli/settings_commands.py
@@ -4,9 +4,12 @@
 from pathlib import Path
 
 import click
+from cryptography.hazmat.primitives import serialization
 from returns.result import Failure
 
+from hollowrack.bundle.signing import generate_key, public_key_hex
 from hollowrack.cli.output import exit_with_problem, print_json
+from hollowrack.results import Problem, ResultCode
 from hollowrack.settings.example import example_settings
 from hollowrack.settings.load import CLUSTER_KEY_BYTES, check_environment, read_settings
 
@@ -47,6 +50,27 @@
 @click.argument("key_file", type=click.Path(path_type=Path))
 def cluster(key_file: Path) -> None:
     """Write a new cluster key, the one that all nodes share."""
-    key_file.touch(mode=0o600, exist_ok=False)
-    key_file.write_text(secrets.token_hex(CLUSTER_KEY_BYTES) + "\n", encoding="ascii")
+    _write_key(key_file, (secrets.token_hex(CLUSTER_KEY_BYTES) + "\n").encode())
     click.echo(f"{key_file}: new cluster key")
+
+
+@keys.command()
+@click.argument("key_file", type=click.Path(path_type=Path))
+def signer(key_file: Path) -> None:
+    """Write a new bundle-signing key and print its public half for trusted_signers."""
+    key = generate_key()
+    pem = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    _write_key(key_file, pem)
+    click.echo(public_key_hex(key))
+
+
+def _write_key(path: Path, content: bytes) -> None:
+    try:
+        path.touch(mode=0o600, exist_ok=False)
+        path.write_bytes(content)
+    except OSError as error:
+        exit_with_problem(Problem(ResultCode.USAGE, f"{error.strerror}.", str(path)))
--- a/src/hollowrack/observability/logs.py
+++ b/src/hollowrack/observability/logs.py
@@ -6,11 +6,10 @@
 
 import contextvars
 import logging as standard_logging
-import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from absl import logging
+from absl import flags, logging
 from pythonjsonlogger.json import JsonFormatter
 
 from hollowrack.settings.model import Logging
@@ -58,6 +57,8 @@
 
 def setup_logging(settings: Logging, node: str, zone: str) -> None:
     """Set the process's log format and level, and the fields that name this node."""
+    # The program has no absl flags; without this absl takes every message for a premature one.
+    flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(_LEVELS[settings.level])
     handler = logging.get_absl_handler()
     if settings.format == "json":
@@ -77,5 +78,3 @@
     _fields.set({"node": node, "zone": zone})
     for noisy in ("uvicorn", "uvicorn.error", "uvicorn.access", "aiohttp", "asyncio"):
         standard_logging.getLogger(noisy).setLevel(standard_logging.WARNING)
-    if handler.python_handler.stream is None:
-        handler.python_handler.stream = sys.stderr
--- a/src/hollowrack/requests/gateway.py
+++ b/src/hollowrack/requests/gateway.py
@@ -6,11 +6,13 @@
 from dataclasses import asdict, dataclass
 from http import HTTPStatus
 
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from hollowrack.admission.controller import AdmissionController
 from hollowrack.bundle.schema import Bundle
 from hollowrack.clock import now_s
+from hollowrack.observability.logs import log_fields
 from hollowrack.platform.engine import GenerationRequest
 from hollowrack.requests.claims import ClaimStatus
 from hollowrack.requests.forwarding import ServiceForwarder, ServiceRequest
@@ -167,10 +169,12 @@
         self.num_in_progress += 1
         self._idle.clear()
         try:
-            if is_unsafe:
-                result = await self._parts.unsafe.run(request_id, identity, run)
-            else:
-                result = await run()
+            with log_fields(request=request_id):
+                if is_unsafe:
+                    result = await self._parts.unsafe.run(request_id, identity, run)
+                else:
+                    result = await run()
+                _log_result(result)
         finally:
             self.num_in_progress -= 1
             if not self.num_in_progress:
@@ -253,6 +257,14 @@
         return Problem(code, f"{name!r} is not in bundle revision {self.bundle.revision}", name)
 
 
+def _log_result(result: Result[RecordedAnswer, Problem]) -> None:
+    if isinstance(result, Failure):
+        problem = result.failure()
+        logging.info("request failed: %d %s", problem.code, problem.code.name)
+    else:
+        logging.debug("request answered: %d bytes", len(result.unwrap().body))
+
+
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
--- a/src/hollowrack/rollout/coordinator.py
+++ b/src/hollowrack/rollout/coordinator.py
@@ -14,6 +14,7 @@
 from hollowrack.clock import now_s
 from hollowrack.messages import codec
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
+from hollowrack.observability.logs import log_fields
 from hollowrack.observability.metrics import NodeMetrics
 from hollowrack.platform.engine import GenerationRequest
 from hollowrack.replication.host import GroupHost
@@ -111,13 +112,15 @@
     # -- one sample -------------------------------------------------------------------------
 
     async def _generate(self, dispatch: Dispatch) -> None:
+        slot = dispatch.slot
         try:
-            result = await self._context.runner.run(self._plan(dispatch))
-            if isinstance(result, Success):
-                await self._commit(dispatch, result.unwrap())
-            else:
-                self._note_failure(dispatch, result.failure())
-                await asyncio.sleep(RETRY_PAUSE_S)
+            with log_fields(run=self._run, step=str(slot.step), sample=str(slot)):
+                result = await self._context.runner.run(self._plan(dispatch))
+                if isinstance(result, Success):
+                    await self._commit(dispatch, result.unwrap())
+                else:
+                    self._note_failure(dispatch, result.failure())
+                    await asyncio.sleep(RETRY_PAUSE_S)
         finally:
             self._running.pop(dispatch.slot, None)
 
@@ -187,6 +190,7 @@
             kind = DecisionKind.STOP_EARLY
         self._context.decisions.record(kind, f"{self._run}/{dispatch.slot}", problem.code.name)
         self._context.metrics.samples.labels(outcome=problem.code.name.lower()).inc()
+        logging.info("sample not generated: %d %s", problem.code, problem.code.name)
 
     async def _propose(
         self, command: LedgerCommand, timeout_s: float
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,85 @@
+"""The command line: output, exit statuses, and errors that name the place."""
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from hollowrack.results import ResultCode, code_table, exit_status
+from hollowrack_bench.program import hollowrack
+
+
+def _run(*arguments: object) -> Result:
+    return CliRunner().invoke(hollowrack, [str(argument) for argument in arguments])
+
+
+def test_the_example_with_fresh_keys_passes_the_check(tmp_path: Path) -> None:
+    assert _run("keys", "cluster", tmp_path / "cluster.key").exit_code == 0
+    public_key = _run("keys", "signer", tmp_path / "signer.pem").output.strip()
+    (tmp_path / "data").mkdir()
+    text = _run("settings", "example").output
+    text = text.replace("<64 hexadecimal digits>", public_key)
+    text = text.replace('"cluster.key"', f'"{tmp_path}/cluster.key"')
+    text = text.replace('data_dir = "data"', f'data_dir = "{tmp_path}/data"')
+    for port in ("7100", "7101", "7102"):
+        text = text.replace(f"127.0.0.1:{port}", "127.0.0.1:0")
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    checked = _run("settings", "check", path)
+    assert checked.exit_code == 0, checked.output
+    as_json = json.loads(_run("settings", "check", path, "--json").output)
+    assert as_json["trusted_signers"] == {"night-shift": public_key}
+
+
+@pytest.mark.parametrize(
+    ("text", "code", "place"),
+    [
+        ("node = [", ResultCode.SETTINGS_UNREADABLE, "node.toml"),
+        ('colour = "red"', ResultCode.SETTINGS_INVALID, ""),
+    ],
+)
+def test_a_failed_check_exits_with_the_code_of_the_table(
+    tmp_path: Path, text: str, code: ResultCode, place: str
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    checked = _run("settings", "check", path, "--json")
+    error = json.loads(checked.output)["error"]
+    assert checked.exit_code == exit_status(code)
+    assert error["code"] == int(code) and place in error["place"] and error["remedy"]
+    assert _run("node", path).exit_code == exit_status(code)
+
+
+def test_codes_prints_the_table() -> None:
+    assert _run("codes").output == code_table()
+
+
+def test_keys_are_never_overwritten(tmp_path: Path) -> None:
+    path = tmp_path / "cluster.key"
+    _run("keys", "cluster", path)
+    before = path.read_text()
+    assert _run("keys", "cluster", path).exit_code == exit_status(ResultCode.USAGE)
+    assert path.read_text() == before
+    assert path.stat().st_mode & 0o077 == 0
+
+
+def test_bundles_are_checked_and_signed(tmp_path: Path) -> None:
+    path = tmp_path / "bundle.toml"
+    path.write_text("revision = 1\n[models.quote]\ntraining_room = 0.5\n")
+    assert _run("bundle", "check", path).exit_code == 0
+    _run("keys", "signer", tmp_path / "key.pem")
+    signed = _run("bundle", "sign", path, "--signer", "ana", "--key", tmp_path / "key.pem")
+    assert json.loads(signed.output)["signer"] == "ana"
+    path.write_text("revision = 0")
+    refused = _run("bundle", "check", path)
+    assert refused.exit_code == exit_status(ResultCode.BUNDLE_INVALID)
+    assert "revision" in refused.output
+    path.write_text("revision = 1")
+    no_key = _run("bundle", "sign", path, "--signer", "ana", "--key", path)
+    assert no_key.exit_code == exit_status(ResultCode.USAGE)
+
+
+def test_a_node_that_does_not_answer_is_a_numbered_error() -> None:
+    refused = _run("status", "--operator", "http://127.0.0.1:1")
+    assert refused.exit_code == exit_status(ResultCode.PEER_UNREACHABLE)
