--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -61,6 +61,7 @@
 
 DEFAULT_DRAIN_DEADLINE_S = 30.0
 LEAVE_SPREAD_S = 0.5
+PREPARE_CLAIMS_AFTER_S = 1.0
 JOURNAL_FOLDER = "journals"
 WEIGHT_FACT_PREFIX = "weights/"
 LEAVING_FACT_PREFIX = "leaving/"
@@ -142,6 +143,7 @@
         self.admission.start()
         self.engines.start()
         self.runs.start()
+        self._prepare_task = asyncio.create_task(self._prepare_claims())
         await self.callers_server.start()
         await self.operators_server.start()
         logging.info("node %s listens on %s", self.settings.node, self.callers_server.address)
@@ -175,7 +177,14 @@
         await self.operators_server.abort()
         await self._close()
 
+    async def _prepare_claims(self) -> None:
+        # Members are chosen among the nodes known by then, so the first full exchanges come first.
+        await asyncio.sleep(PREPARE_CLAIMS_AFTER_S)
+        await self.unsafe.prepare()
+
     async def _close(self) -> None:
+        self._prepare_task.cancel()
+        await asyncio.gather(self._prepare_task, return_exceptions=True)
         await self.observer.stop()
         await self.bundles.stop()
         await self.host.close()
--- a/src/hollowrack/requests/unsafe.py
+++ b/src/hollowrack/requests/unsafe.py
@@ -44,6 +44,7 @@
 ASK_TIMEOUT_S = 1.0
 WAIT_POLL_S = 0.1
 MAX_WAIT_S = 30.0
+PREPARE_RETRY_S = 1.0
 MAX_NOT_RUN_REMEMBERED = 10_000
 NO_QUORUM_RETRY_AFTER_S = 2.0
 
@@ -107,6 +108,15 @@
         self._not_run: OrderedDict[str, None] = OrderedDict()
         self._background: set[asyncio.Task[None]] = set()
 
+    async def prepare(self) -> None:
+        """Create the claim groups ahead of need: an outage of the store then finds them there."""
+        while True:
+            groups = [f"{CLAIM_GROUP_PREFIX}{index}" for index in range(NUM_CLAIM_GROUPS)]
+            results = [await self._log.ensure(group, NUM_CLAIM_REPLICAS) for group in groups]
+            if all(isinstance(result, Success) for result in results):
+                return
+            await asyncio.sleep(PREPARE_RETRY_S)
+
     async def run(
         self, request_id: str, body: bytes, run: RunRequest, max_wait_s: float = MAX_WAIT_S
     ) -> Result[RecordedAnswer, Problem]:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -42,10 +42,8 @@
         )
         log.close()
 
-    def standin(self, name: str, *arguments: str) -> str:
-        self.start(name, "standin", *arguments)
-        line = self.wait_for_line(name, "listening on")
-        return line.rsplit(" ", 1)[1]
+    def address_of(self, name: str) -> str:
+        return self.wait_for_line(name, "listening on").rsplit(" ", 1)[1]
 
     def wait_for_line(self, name: str, text: str) -> str:
         deadline_s = time.monotonic() + START_TIMEOUT_S
@@ -87,42 +85,44 @@
 
 def _start_fleet(processes: Processes) -> tuple[list[str], str]:
     """Start stand-ins and five nodes; return the callers' URLs and the store's address."""
-    store = processes.standin("store", "config-store")
-    machines = processes.standin("machines", "machine-list")
-    weights = processes.standin("weights", "weight-store")
+    for name, command in (
+        ("store", "config-store"),
+        ("machines", "machine-list"),
+        ("weights", "weight-store"),
+    ):
+        processes.start(name, "standin", command)
+    store, machines, weights = map(processes.address_of, ("store", "machines", "weights"))
     _call("PUT", f"http://{weights}/weights/{MODEL}/0")
-    for index in range(4):
-        zone = ZONES[index % 3]
-        engine = processes.standin(
-            f"engine{index}", "engine", "--weight-store", f"http://{weights}"
-        )
-        _list_machine(machines, engine, "engine", MODEL, zone)
-        if index < 3:
-            worker = processes.standin(f"worker{index}", "service", "--name", f"w{index}")
-            _list_machine(machines, worker, "service", SERVICE_POOL, zone)
     key = generate_key()
     platform = {
         "config_store": [f"http://{store}"],
         "machine_list": f"http://{machines}/targets",
         "weight_store": f"http://{weights}",
     }
-    urls, peers, operators = [], [], []
-    for index in range(5):
-        name = f"n{index}"
-        ports = _free_ports(3)
-        settings = _settings_text(
-            processes.folder, name, ZONES[index % 3], ports, platform, key, peers
-        )
+    for index in range(4):
+        store_url = f"http://{weights}"
+        processes.start(f"engine{index}", "standin", "engine", "--weight-store", store_url)
+    for index in range(3):
+        processes.start(f"worker{index}", "standin", "service", "--name", f"w{index}")
+    ports = [_free_ports(3) for _ in range(5)]
+    peers = [(f"n{index}", ZONES[index % 3], f"127.0.0.1:{ports[index][2]}") for index in range(5)]
+    for (name, zone, _), node_ports in zip(peers, ports, strict=True):
+        text = _settings_text(processes.folder, name, zone, node_ports, platform, key, peers)
         path = processes.folder / f"{name}.toml"
-        path.write_text(settings)
+        path.write_text(text)
         processes.start(name, "node", str(path))
+    for index in range(4):
+        address = processes.address_of(f"engine{index}")
+        _list_machine(machines, address, "engine", MODEL, ZONES[index % 3])
+    for index in range(3):
+        address = processes.address_of(f"worker{index}")
+        _list_machine(machines, address, "service", SERVICE_POOL, ZONES[index % 3])
+    for name, _, _ in peers:
         processes.wait_for_line(name, "listens on")
-        peers.append((name, ZONES[index % 3], f"127.0.0.1:{ports[2]}"))
-        urls.append(f"http://127.0.0.1:{ports[0]}")
-        operators.append(f"http://127.0.0.1:{ports[1]}")
+    operators = [f"http://127.0.0.1:{node_ports[1]}" for node_ports in ports]
     _accept_bundle(operators[0], key)
     _wait_ready(operators)
-    return urls, store
+    return [f"http://127.0.0.1:{node_ports[0]}" for node_ports in ports], store
 
 
 def _list_machine(machines: str, address: str, kind: str, pool: str, zone: str) -> None:
@@ -214,7 +214,7 @@
     processes: Processes, urls: list[str], store: str, config: TrainerConfig
 ) -> tuple[TrainerReport, LiveReport, list[int]]:
     exit_codes: list[int] = []
-    weights = processes.wait_for_line("weights", "listening on").rsplit(" ", 1)[1]
+    weights = processes.address_of("weights")
 
     async def publish(version: int) -> None:
         await asyncio.to_thread(_call, "PUT", f"http://{weights}/weights/{MODEL}/{version}")
@@ -248,7 +248,8 @@
 
 def test_a_port_in_use_ends_the_process_with_its_code(tmp_path: Path) -> None:
     with _processes(tmp_path) as processes:
-        taken = processes.standin("store", "config-store")
+        processes.start("store", "standin", "config-store")
+        taken = processes.address_of("store")
         ports = [int(taken.rpartition(":")[2]), *_free_ports(2)]
         platform = {"config_store": [], "machine_list": "http://x", "weight_store": "http://x"}
         text = _settings_text(tmp_path, "n0", "a", ports, platform, generate_key(), [])
