Groups repair themselves: grow, replace leaving members, follow the leader

Cause: the demonstration sometimes stalled 9 s, since a cached membership hid the new leader; a group created by the first node of a fleet stayed at one member; two leaders killed in a row left a memory-only group of three without a majority.

Change: host, repair, placement and client apart; members that leave are replaced before they go, missing ones are added; the search for a leader asks the members again after each failed pass; ledgers and claims have five replicas; long polls end when their node stops.

Ruled out: election time-outs (a leader was there within 1 s each time).

Conclusion: the stall was the lookup, not the log.

--- a/src/hollowrack/engines/controller.py
+++ b/src/hollowrack/engines/controller.py
@@ -13,17 +13,24 @@
 
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.platform.engine import MakeEngineClient
+from hollowrack.replication.client import GroupClient
 from hollowrack.replication.host import GroupHost
 from hollowrack.routing.fleet import BackEndRecord, FleetView
 from hollowrack.routing.types import BackEndKind
 
 ENGINE_GROUP_PREFIX = "engines:"
-NUM_CONTROL_REPLICAS = 3
 RECONCILE_INTERVAL_S = 0.1
 ENSURE_INTERVAL_S = 1.0
 FAILED_ORDER_PAUSE_S = 1.0
 
 
+def zone_of_group(group: str) -> str | None:
+    """Return the zone of an engine group, or ``None`` for another kind of group."""
+    if group.startswith(ENGINE_GROUP_PREFIX):
+        return group.removeprefix(ENGINE_GROUP_PREFIX)
+    return None
+
+
 def engine_group(zone: str) -> str:
     """Return the group whose leader orders a zone's engines."""
     return ENGINE_GROUP_PREFIX + zone
@@ -49,7 +56,8 @@
 
     Args:
         zone: The zone.
-        host: Runs the zone's group.
+        host: Runs the zone's group, if this node is a member.
+        groups: Creates the zone's group.
         fleet: The node's view of the back ends.
         make_client: Returns the client of an engine by its address.
         target_version: Returns the weight version a model should run, or ``None``.
@@ -60,6 +68,7 @@
         self,
         zone: str,
         host: GroupHost,
+        groups: GroupClient,
         fleet: FleetView,
         make_client: MakeEngineClient,
         target_version: Callable[[str], int | None],
@@ -67,6 +76,7 @@
     ) -> None:
         self._zone = zone
         self._host = host
+        self._groups = groups
         self._fleet = fleet
         self._make_client = make_client
         self._target_version = target_version
@@ -91,7 +101,7 @@
     async def _run_ensure(self) -> None:
         group = engine_group(self._zone)
         while True:
-            await self._host.ensure(group, NUM_CONTROL_REPLICAS, self._zone)
+            await self._groups.ensure(group)
             await asyncio.sleep(ENSURE_INTERVAL_S)
 
     async def _run_reconcile(self) -> None:
--- a/src/hollowrack/membership/service.py
+++ b/src/hollowrack/membership/service.py
@@ -189,10 +189,10 @@
         member = self.swim.members.get(node)
         return (member.incarnation or None) if member is not None else None
 
-    def is_gone(self, node: str) -> bool:
-        """Whether a node was declared dead by its own zone, or was never heard of."""
+    def is_retiring(self, node: str) -> bool:
+        """Whether a node is leaving, was declared dead by its own zone, or was never heard of."""
         member = self.swim.members.get(node)
-        return member is None or not member.is_running
+        return member is None or not member.takes_work
 
     def candidates(self, key: str, preferred_zone: str | None = None) -> list[str]:
         """Live nodes by rendezvous hash of ``key``, the zones taking turns."""
--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -18,7 +18,7 @@
 from hollowrack.bundle.schema import Bundle
 from hollowrack.bundle.store import BundleStore
 from hollowrack.clock import now_s
-from hollowrack.engines.controller import ENGINE_GROUP_PREFIX, EngineController, NoState
+from hollowrack.engines.controller import EngineController, NoState, zone_of_group
 from hollowrack.membership.messages import Digest, Exchange
 from hollowrack.membership.service import MembershipService
 from hollowrack.membership.types import Fact, Member
@@ -28,17 +28,20 @@
 from hollowrack.observability.metrics import NodeMetrics
 from hollowrack.platform.config_store import ConfigStoreClient
 from hollowrack.platform.engine import EngineClient, HttpEngineClient
+from hollowrack.replication.client import GroupClient
 from hollowrack.replication.directory import GroupDirectory
-from hollowrack.replication.host import (
+from hollowrack.replication.group_messages import (
     FindGroup,
-    GroupHost,
     Joined,
     JoinGroup,
     ProposeAnswer,
     ProposeRequest,
 )
+from hollowrack.replication.host import GroupHost
 from hollowrack.replication.journal import JournalFolder
 from hollowrack.replication.messages import Envelope
+from hollowrack.replication.placement import GroupPlacement
+from hollowrack.replication.repair import GroupRepair
 from hollowrack.replication.types import StateMachine
 from hollowrack.requests.answers import AnswerStore
 from hollowrack.requests.budget import RetryBudget
@@ -61,6 +64,7 @@
 
 DEFAULT_DRAIN_DEADLINE_S = 30.0
 LEAVE_SPREAD_S = 0.5
+REPLACED_TIMEOUT_S = 5.0
 PREPARE_CLAIMS_AFTER_S = 1.0
 JOURNAL_FOLDER = "journals"
 WEIGHT_FACT_PREFIX = "weights/"
@@ -74,11 +78,23 @@
         return SampleLedger()
     if group.startswith(CLAIM_GROUP_PREFIX):
         return RequestClaims()
-    if group.startswith(ENGINE_GROUP_PREFIX):
+    if zone_of_group(group) is not None:
         return NoState()
     raise ValueError(f"group {group!r} has no state machine")
 
 
+def placement_of(group: str) -> GroupPlacement:
+    """Return how a group wants to be placed.
+
+    What cannot be rebuilt (samples, claims) is kept five times and survives two losses at once. A
+    zone's engine group holds nothing but its leadership and stays near its engines.
+    """
+    zone = zone_of_group(group)
+    if zone is not None:
+        return GroupPlacement(num_replicas=3, preferred_zone=zone)
+    return GroupPlacement(num_replicas=5)
+
+
 class Node:
     """One node of the fleet.
 
@@ -138,6 +154,7 @@
         self._register_messages()
         await self.membership.start()
         self.host.start()
+        self.repair.start()
         self.bundles.start()
         self.observer.start()
         self.admission.start()
@@ -152,14 +169,16 @@
         """Planned stop: announce, refuse new work, finish what runs, hand leaderships over."""
         self._is_draining = True
         self.gateway.is_stopping = True
+        self.runs.is_stopping.set()
         self.membership.leave()
         await self.gateway.wait_idle(self._drain_deadline_s())
         await self.unsafe.drain()
         await self.runs.stop()
         await self.engines.stop()
         await self.admission.stop()
-        await self.host.stop()
+        self.host.resign()
         await asyncio.sleep(LEAVE_SPREAD_S)
+        await self.repair.wait_until_replaced(REPLACED_TIMEOUT_S)
         await self.callers_server.stop()
         await self.operators_server.stop()
         await self._close()
@@ -187,6 +206,7 @@
         await asyncio.gather(self._prepare_task, return_exceptions=True)
         await self.observer.stop()
         await self.bundles.stop()
+        await self.repair.stop()
         await self.host.close()
         await self.membership.stop()
         await self._peer_server.stop()
@@ -220,11 +240,15 @@
             settings.node,
             self._incarnation,
             self.membership,
-            GroupDirectory(store),
             make_state_machine,
             self._journals,
             seed=self._rng.getrandbits(32),
         )
+        directory = GroupDirectory(store)
+        self.repair = GroupRepair(
+            self.host, self.membership, directory, placement_of, self.decisions
+        )
+        self.groups = GroupClient(self.host, self.membership, directory, self.repair, placement_of)
         self.bundle_store = BundleStore(store)
         self.bundles = BundleAgent(
             self.bundle_store,
@@ -240,6 +264,7 @@
         self.engines = EngineController(
             settings.zone,
             self.host,
+            self.groups,
             self.fleet,
             self._engine_client,
             self._target_version,
@@ -256,7 +281,7 @@
         services = ServiceForwarder(
             self.fleet, self._session, self._fresh_session, budget, self.decisions, self._rng
         )
-        self.unsafe = UnsafeRequests(self.host, self.membership, self.host.replica_id)
+        self.unsafe = UnsafeRequests(self.groups, self.membership, self.host.replica_id)
         self.answers = HomeAnswers(
             settings.node, self.membership, AnswerStore(settings.limits.max_answers)
         )
@@ -277,7 +302,13 @@
             self.fleet, self._engine_client, RetryBudget(share=1.0), self.decisions, self._rng
         )
         context = RolloutContext(
-            self.settings.zone, runner, self.fleet, self.host, self.decisions, self.metrics
+            self.settings.zone,
+            runner,
+            self.fleet,
+            self.host,
+            self.groups,
+            self.decisions,
+            self.metrics,
         )
         self.runs = RunService(
             self.settings.node, self.membership, context, self._training_room, self._on_version
@@ -326,7 +357,7 @@
         on(ReadRunStatus, self.runs.answer)
 
     async def _answer_propose(self, request: ProposeRequest) -> ProposeAnswer:
-        result = await self.host.propose_here(request.group, request.command)
+        result = await self.host.propose(request.group, request.command)
         return ProposeAnswer(value_or_raise(result))
 
     def _answer_join(self, request: JoinGroup) -> Joined:
--- a/src/hollowrack/requests/home_answers.py
+++ b/src/hollowrack/requests/home_answers.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from hollowrack.messages.codec import message
-from hollowrack.replication.host import NodeLinks
+from hollowrack.replication.links import NodeLinks
 from hollowrack.requests.answers import AnswerStore
 from hollowrack.requests.types import RecordedAnswer
 from hollowrack.results import Problem, ProblemError, ResultCode
--- a/src/hollowrack/requests/unsafe.py
+++ b/src/hollowrack/requests/unsafe.py
@@ -22,7 +22,7 @@
 from hollowrack.hashing import text_hash
 from hollowrack.messages import codec
 from hollowrack.messages.codec import message
-from hollowrack.replication.host import GroupHost, NodeLinks
+from hollowrack.replication.links import NodeLinks
 from hollowrack.replication.types import ReplicaId, node_of, replica_id
 from hollowrack.requests.claims import (
     Abandon,
@@ -38,7 +38,6 @@
 
 CLAIM_GROUP_PREFIX = "claims:"
 NUM_CLAIM_GROUPS = 8
-NUM_CLAIM_REPLICAS = 3
 CLAIM_TIMEOUT_S = 3.0
 RECORD_TIMEOUT_S = 10.0
 ASK_TIMEOUT_S = 1.0
@@ -81,9 +80,9 @@
 
 
 class ClaimLog(Protocol):
-    """Where claims are committed; the group host, or a stand-in in tests."""
+    """Where claims are committed; the group client, or a stand-in in tests."""
 
-    async def ensure(self, group: str, num_replicas: int) -> Result[Any, Problem]:
+    async def ensure(self, group: str) -> Result[Any, Problem]:
         """Make sure the group exists."""
 
     async def propose(self, group: str, command: bytes, timeout_s: float) -> Result[bytes, Problem]:
@@ -99,7 +98,7 @@
         own_replica: This node's identity and incarnation.
     """
 
-    def __init__(self, log: ClaimLog | GroupHost, links: NodeLinks, own_replica: ReplicaId) -> None:
+    def __init__(self, log: ClaimLog, links: NodeLinks, own_replica: ReplicaId) -> None:
         self._log = log
         self._links = links
         self._own_replica = own_replica
@@ -112,7 +111,7 @@
         """Create the claim groups ahead of need: an outage of the store then finds them there."""
         while True:
             groups = [f"{CLAIM_GROUP_PREFIX}{index}" for index in range(NUM_CLAIM_GROUPS)]
-            results = [await self._log.ensure(group, NUM_CLAIM_REPLICAS) for group in groups]
+            results = [await self._log.ensure(group) for group in groups]
             if all(isinstance(result, Success) for result in results):
                 return
             await asyncio.sleep(PREPARE_RETRY_S)
@@ -239,7 +238,7 @@
 
     async def _commit(self, command: ClaimCommand, timeout_s: float) -> Result[ClaimState, Problem]:
         group = claim_group(command.request_id)
-        ensured = await self._log.ensure(group, NUM_CLAIM_REPLICAS)
+        ensured = await self._log.ensure(group)
         if isinstance(ensured, Failure):
             return ensured
         proposed = await self._log.propose(group, codec.encode(command), timeout_s)
--- a/src/hollowrack/rollout/coordinator.py
+++ b/src/hollowrack/rollout/coordinator.py
@@ -17,6 +17,7 @@
 from hollowrack.observability.logs import log_fields
 from hollowrack.observability.metrics import NodeMetrics
 from hollowrack.platform.engine import GenerationRequest
+from hollowrack.replication.client import GroupClient
 from hollowrack.replication.host import GroupHost
 from hollowrack.requests.generation import GenerationPlan, GenerationRunner
 from hollowrack.requests.types import GeneratedText
@@ -49,7 +50,8 @@
         zone: The node's zone.
         runner: Runs generations.
         fleet: The node's view of the back ends.
-        host: Commits to the ledger.
+        host: Knows which ledgers this node leads.
+        groups: Commits to the ledgers.
         decisions: Where decisions are recorded.
         metrics: The node's metrics.
     """
@@ -58,6 +60,7 @@
     runner: GenerationRunner
     fleet: FleetView
     host: GroupHost
+    groups: GroupClient
     decisions: DecisionLog
     metrics: NodeMetrics
 
@@ -196,7 +199,7 @@
         self, command: LedgerCommand, timeout_s: float
     ) -> Result[LedgerOutcome, Problem]:
         group = run_group(self._run)
-        proposed = await self._context.host.propose(group, codec.encode(command), timeout_s)
+        proposed = await self._context.groups.propose(group, codec.encode(command), timeout_s)
         return proposed.bind(codec.decode)
 
     # -- trainer's reads --------------------------------------------------------------------
--- a/src/hollowrack/rollout/service.py
+++ b/src/hollowrack/rollout/service.py
@@ -6,10 +6,8 @@
 
 from returns.result import Failure, Result, Success
 
-from hollowrack.clock import now_s
 from hollowrack.messages import codec
-from hollowrack.replication.host import NodeLinks
-from hollowrack.replication.types import node_of
+from hollowrack.replication.links import NodeLinks
 from hollowrack.results import Problem, ProblemError, ResultCode, value_or_raise
 from hollowrack.rollout.commands import LedgerCommand, LedgerOutcome, OpenRun
 from hollowrack.rollout.coordinator import RolloutContext, RunCoordinator
@@ -17,12 +15,10 @@
 from hollowrack.rollout.ledger import SampleLedger
 from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples, RunStatus, Samples
 
-NUM_LEDGER_REPLICAS = 3
 COMMAND_TIMEOUT_S = 10.0
 FIND_LEADER_TIMEOUT_S = 8.0
 FORWARD_MARGIN_S = 5.0
 RECONCILE_INTERVAL_S = 0.02
-_RETRY_PAUSE_S = 0.1
 
 VersionListener = Callable[[str, int], None]
 
@@ -50,10 +46,12 @@
         self._links = links
         self._context = context
         self._host = context.host
+        self._groups = context.groups
         self._training_room = training_room
         self._on_version = on_version
         self._coordinators: dict[str, RunCoordinator] = {}
         self._task: asyncio.Task[None] | None = None
+        self.is_stopping = asyncio.Event()
 
     def start(self) -> None:
         """Start the reconcile loop."""
@@ -95,7 +93,7 @@
 
     async def open(self, run: str, command: OpenRun) -> Result[LedgerOutcome, Problem]:
         """Open a run, creating its group if need be."""
-        ensured = await self._host.ensure(run_group(run), NUM_LEDGER_REPLICAS)
+        ensured = await self._groups.ensure(run_group(run))
         if isinstance(ensured, Failure):
             return ensured
         return await self.execute(run, command)
@@ -103,18 +101,29 @@
     async def execute(self, run: str, command: LedgerCommand) -> Result[LedgerOutcome, Problem]:
         """Commit a command; an outcome that is not ``OK`` is returned as a failure."""
         group = run_group(run)
-        found = await self._host.find(group)
+        found = await self._groups.find(group)
         if isinstance(found, Failure):
             return _unknown_run(run, found.failure())
-        proposed = await self._host.propose(group, codec.encode(command), COMMAND_TIMEOUT_S)
+        proposed = await self._groups.propose(group, codec.encode(command), COMMAND_TIMEOUT_S)
         decoded: Result[LedgerOutcome, Problem] = proposed.bind(codec.decode)
         return decoded.bind(lambda outcome: _check_outcome(run, outcome))
 
     # -- reads ------------------------------------------------------------------------------
 
     async def read_samples(self, request: ReadSamples) -> Result[Samples, Problem]:
-        """Long poll for samples at the ledger's leader."""
-        return await self._at_leader(request.run, request, request.wait_s + FORWARD_MARGIN_S)
+        """Long poll for samples at the ledger's leader; ends early if this node stops."""
+        poll = asyncio.create_task(
+            self._at_leader(request.run, request, request.wait_s + FORWARD_MARGIN_S)
+        )
+        stopping = asyncio.create_task(self.is_stopping.wait())
+        try:
+            await asyncio.wait({poll, stopping}, return_when=asyncio.FIRST_COMPLETED)
+            if poll.done():
+                return poll.result()
+        finally:
+            poll.cancel()
+            stopping.cancel()
+        return Failure(Problem(ResultCode.STOPPING, "this node is stopping", request.run, 0.0))
 
     async def read_status(self, request: ReadRunStatus) -> Result[RunStatus, Problem]:
         """Read a run's status at the ledger's leader."""
@@ -123,35 +132,19 @@
     async def _at_leader(
         self, run: str, request: ReadSamples | ReadRunStatus, timeout_s: float
     ) -> Result[Any, Problem]:
-        group = run_group(run)
-        deadline_s = now_s() + FIND_LEADER_TIMEOUT_S
-        result: Result[Any, Problem] = Failure(
-            Problem(ResultCode.NO_QUORUM, "the run has no leader", run, retry_after_s=1.0)
-        )
-        while now_s() < deadline_s:
-            found = await self._host.find(group)
-            if isinstance(found, Failure):
-                return _unknown_run(run, found.failure())
-            members = {node_of(member) for member in found.unwrap().members}
-            for node in sorted(members, key=lambda name: name != self._node):
-                if node != self._node and not self._links.is_reachable(node):
-                    continue
-                result = await self._ask(node, request, timeout_s)
-                if not _should_ask_elsewhere(result):
-                    return result
-            await asyncio.sleep(_RETRY_PAUSE_S)
+        async def ask(node: str) -> Result[Any, Problem]:
+            if node != self._node:
+                return await self._links.request(node, request, timeout_s)
+            try:
+                return Success(await self.answer(request))
+            except ProblemError as error:
+                return Failure(error.problem)
+
+        result = await self._groups.at_leader(run_group(run), ask, FIND_LEADER_TIMEOUT_S)
+        if isinstance(result, Failure):
+            return _unknown_run(run, result.failure())
         return result
 
-    async def _ask(
-        self, node: str, request: ReadSamples | ReadRunStatus, timeout_s: float
-    ) -> Result[Any, Problem]:
-        if node != self._node:
-            return await self._links.request(node, request, timeout_s)
-        try:
-            return Success(await self.answer(request))
-        except ProblemError as error:
-            return Failure(error.problem)
-
     async def answer(self, request: ReadSamples | ReadRunStatus) -> Samples | RunStatus:
         """Answer a read on this node, which must lead the run's ledger.
 
@@ -166,21 +159,6 @@
         return value_or_raise(coordinator.status(self._node))
 
 
-_ASK_ELSEWHERE = frozenset(
-    {
-        ResultCode.NOT_LEADER,
-        ResultCode.GROUP_UNKNOWN,
-        ResultCode.PEER_UNREACHABLE,
-        ResultCode.OUTCOME_UNKNOWN,
-        ResultCode.NO_QUORUM,
-    }
-)
-
-
-def _should_ask_elsewhere(result: Result[Any, Problem]) -> bool:
-    return isinstance(result, Failure) and result.failure().code in _ASK_ELSEWHERE
-
-
 def _unknown_run(run: str, problem: Problem) -> Failure[Problem]:
     if problem.code is ResultCode.GROUP_UNKNOWN:
         return Failure(Problem(ResultCode.UNKNOWN_RUN, "the run was never opened", run))
--- a/src/hollowrack_bench/local_fleet.py
+++ b/src/hollowrack_bench/local_fleet.py
@@ -24,6 +24,7 @@
 from hollowrack_standins.weight_store import WeightStoreStandin
 
 SIGNER = "demo"
+ANY_ADDRESS = "127.0.0.1:0"
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.05
 MODEL = "quote"
@@ -99,23 +100,32 @@
         await self.machine_list.stop()
         await self.store.stop()
 
-    async def start_node(self, name: str, zone: str) -> Node:
-        """Start a node that knows the nodes started so far."""
-        node = Node(self.node_settings(name, zone), seed=self.config.seed + len(self.nodes))
+    async def start_node(
+        self,
+        name: str,
+        zone: str,
+        callers_address: str = ANY_ADDRESS,
+        node_address: str = ANY_ADDRESS,
+    ) -> Node:
+        """Start a node that knows the nodes started so far; by default on free ports."""
+        settings = self.node_settings(name, zone, callers_address, node_address)
+        node = Node(settings, seed=self.config.seed + len(self.nodes))
         await node.start()
         self.nodes[name] = node
         return node
 
-    def node_settings(self, name: str, zone: str) -> NodeSettings:
-        """Return the settings of a node, with free ports."""
+    def node_settings(
+        self, name: str, zone: str, callers_address: str, node_address: str
+    ) -> NodeSettings:
+        """Return the settings of a node."""
         values: dict[str, Any] = {
             "node": name,
             "zone": zone,
             "cluster_key_file": str(self._folder / "cluster.key"),
             "listeners": {
-                "callers": "127.0.0.1:0",
-                "operators": "127.0.0.1:0",
-                "nodes": "127.0.0.1:0",
+                "callers": callers_address,
+                "operators": ANY_ADDRESS,
+                "nodes": node_address,
             },
             "platform": self._platform,
             "trusted_signers": {SIGNER: public_key_hex(self._signing_key)},
--- a/src/hollowrack_standins/trainer.py
+++ b/src/hollowrack_standins/trainer.py
@@ -98,6 +98,7 @@
         self.config = config
         self.report = TrainerReport()
         self._urls = urls
+        self.before_acknowledge: Callable[[], Awaitable[None]] | None = None
         self._publish = publish
         self._next_url = 0
         self._cursor = 0
@@ -158,6 +159,8 @@
                 self._take(sample)
             self._cursor = answer["cursor"]
             num_remaining = answer["num_remaining"]
+            if self.before_acknowledge is not None:
+                await self.before_acknowledge()
             await self._call(
                 "POST", f"/v1/runs/{self.config.run}/acknowledge", {"cursor": self._cursor}
             )
--- a/tests/requests/test_unsafe.py
+++ b/tests/requests/test_unsafe.py
@@ -28,7 +28,7 @@
         self.num_answers_to_lose = 0
         self.late: list[bytes] = []
 
-    async def ensure(self, group: str, num_replicas: int) -> Result[Any, Problem]:
+    async def ensure(self, group: str) -> Result[Any, Problem]:
         return Success(None)
 
     async def propose(self, group: str, command: bytes, timeout_s: float) -> Result[bytes, Problem]:
@@ -84,7 +84,7 @@
     def is_reachable(self, node: str) -> bool:
         return node not in self.unreachable
 
-    def is_gone(self, node: str) -> bool:
+    def is_retiring(self, node: str) -> bool:
         return False
 
     def incarnation_of(self, node: str) -> str | None:
