Replaced replicas are dropped, and a dropped one cannot help an old leader

Cause: a stopping node waited 5 s for its replacement, because a replaced replica never learned that its epoch had been activated. Dropping replicas then opened a hole: a node chosen again had forgotten its promises and could help a leader paused since an earlier epoch.

--- a/src/hollowrack/replication/client.py
+++ b/src/hollowrack/replication/client.py
@@ -80,7 +80,7 @@
         created = await self._directory.create(group, members)
         if isinstance(created, Success):
             self._known[group] = created.unwrap()
-            await self._repair.announce(group, created.unwrap())
+            await self._repair.announce(group, created.unwrap(), created.unwrap().members)
         return created
 
     async def find(self, group: str) -> Result[Membership, Problem]:
--- a/src/hollowrack/replication/host.py
+++ b/src/hollowrack/replication/host.py
@@ -128,6 +128,8 @@
         hosted = self.groups.get(group)
         if hosted is not None:
             self._act(group, hosted, methodcaller("adopt_membership", membership))
+            if self._is_dispensable(hosted.replica):
+                self._drop(group, hosted)
         elif self.replica_id in membership.members:
             self._start_replica(group, membership, ())
 
@@ -200,6 +202,18 @@
             replica.replay(record)
         self.groups[group] = HostedGroup(replica, state_machine, storage, {})
 
+    def _is_dispensable(self, replica: Replica) -> bool:
+        """Whether the group has an activated epoch that does without this replica."""
+        membership = replica.membership
+        return replica.id not in membership.members and not membership.previous
+
+    def _drop(self, group: str, hosted: HostedGroup) -> None:
+        self._fail_waiting(hosted, Problem(ResultCode.OUTCOME_UNKNOWN, "the replica was replaced"))
+        hosted.storage.close()
+        self.groups.pop(group, None)
+        if self._journals is not None:
+            self._journals.forget(group)
+
     def _act(self, group: str, hosted: HostedGroup, action: Callable[[Replica], object]) -> None:
         """Let a replica act, then make its records durable and send what it has to say."""
         try:
--- a/src/hollowrack/replication/journal.py
+++ b/src/hollowrack/replication/journal.py
@@ -224,6 +224,16 @@
             raise _disk_problem(path, error) from error
         return JournalStorage(path)
 
+    def forget(self, group: str) -> None:
+        """Remove a group's journal; the manifest forgets it first."""
+        groups = tuple(name for name in self._manifest.groups if name != group)
+        try:
+            self._write_manifest(Manifest(self._manifest.incarnation, groups))
+            self._path(group).unlink(missing_ok=True)
+        except OSError as error:
+            logging.warning("%s", _disk_problem(self._path(group), error))
+        self.loaded.pop(group, None)
+
     def _load(self) -> Manifest:
         manifest = self._read_manifest()
         if manifest is None:
--- a/src/hollowrack/replication/repair.py
+++ b/src/hollowrack/replication/repair.py
@@ -1,7 +1,7 @@
 """Keeps the groups that this node leads at full strength: a reconcile loop over their members."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from absl import logging
 from returns.result import Success
@@ -14,7 +14,7 @@
 from hollowrack.replication.links import NodeLinks
 from hollowrack.replication.placement import GroupPlacement, next_members
 from hollowrack.replication.replica import Replica, Role
-from hollowrack.replication.types import Membership, node_of
+from hollowrack.replication.types import Membership, ReplicaId, node_of
 from hollowrack.results import ProblemError
 
 REPAIR_INTERVAL_S = 0.5
@@ -72,7 +72,7 @@
     def _counts_on_us(self, group: str) -> bool:
         membership = self._host.groups[group].replica.membership
         if self._host.replica_id not in membership.members:
-            return bool(membership.previous)
+            return True  # Replaced, but the new epoch may still need this replica's state.
         members = next_members(group, membership.members, self._placement_of(group), self._links)
         return members != membership.members
 
@@ -88,7 +88,8 @@
         if replica.needs_activation:
             activated = await self._directory.activate(group, membership.epoch)
             if isinstance(activated, Success):
-                self._join_here(group, membership.activated())
+                # Those that were replaced hear of it as well and drop their replicas.
+                await self.announce(group, membership.activated(), membership.electors())
             return
         if membership.previous:
             return
@@ -98,10 +99,12 @@
             return
         changed = await self._directory.change(group, membership, members)
         if isinstance(changed, Success):
-            await self.announce(group, changed.unwrap())
+            await self.announce(group, changed.unwrap(), changed.unwrap().members)
 
-    async def announce(self, group: str, membership: Membership) -> None:
-        """Tell all members of a membership, this node included, that they are in it."""
+    async def announce(
+        self, group: str, membership: Membership, recipients: Iterable[ReplicaId]
+    ) -> None:
+        """Tell replicas, this node's own included, of a membership."""
         self._decisions.record(
             DecisionKind.CHANGE_GROUP,
             group,
@@ -109,7 +112,7 @@
             members=membership.members,
         )
         self._join_here(group, membership)
-        others = {node_of(member) for member in membership.members} - {self._host.node}
+        others = {node_of(member) for member in recipients} - {self._host.node}
         request = JoinGroup(group, membership)
         await asyncio.gather(
             *(self._links.request(node, request, JOIN_TIMEOUT_S) for node in sorted(others))
--- a/src/hollowrack_bench/replication_model.py
+++ b/src/hollowrack_bench/replication_model.py
@@ -64,6 +64,11 @@
     def close(self) -> None:
         """Keep everything: the disk outlives the process."""
 
+    def erase(self) -> None:
+        """Forget everything, as when a journal is removed."""
+        self.records = []
+        self._unflushed = []
+
     def lose_unflushed(self) -> None:
         """What a crash does to records that were not flushed."""
         self._unflushed = []
@@ -264,9 +269,20 @@
         if node.replica is not None:
             node.replica.adopt_membership(membership)
             self._after(node)
+            self._drop_if_dispensable(node, node.replica)
         elif node.replica_id in membership.members:
             self._start_replica(node, membership)
 
+    def _drop_if_dispensable(self, node: ModelNode, replica: Replica) -> None:
+        """A replaced replica forgets everything; its node may be chosen again later."""
+        membership = replica.membership
+        if replica.id in membership.members or membership.previous:
+            return
+        node.replica = None
+        self.counts["replicas dropped"] += 1
+        if node.disk is not None:
+            node.disk.erase()
+
     def activate(self, index: int) -> None:
         """Let a leader that copied all earlier state ask the store to activate its epoch."""
         node = self.nodes[index % len(self.nodes)]
--- a/tests/replication/test_model.py
+++ b/tests/replication/test_model.py
@@ -177,3 +177,47 @@
             model.tick(index, 0.05)
         while model.network:
             model.deliver(0)
+
+
+def test_a_replica_that_was_dropped_and_came_back_does_not_help_a_leader_of_long_ago() -> None:
+    model = ReplicationModel(num_nodes=5, num_members=3, num_with_disk=0)
+    _settle(model)
+    old_leader = next(index for index, node in enumerate(model.nodes) if _leads(node))
+    first, second = (index for index in range(3) if index != old_leader)
+    model.pause(old_leader, is_paused=True)
+
+    def change(*members: int) -> None:
+        names = tuple(model.nodes[index].replica_id for index in members)
+        assert model.change_membership(model.stored_membership(), names)
+        for index in range(5):
+            model.join(index)
+        _settle(model)
+        for index in range(5):
+            model.activate(index)
+        model.land_activation(0)
+        _settle(model)
+        for index in range(5):
+            model.join(index)
+
+    change(first, 3, 4)
+    assert model.nodes[second].replica is None, "it was replaced and forgot everything"
+    for index in range(5):
+        model.propose(index)
+    _settle(model)
+    assert model.committed
+    names = tuple(model.nodes[index].replica_id for index in (first, 3, second))
+    assert model.change_membership(model.stored_membership(), names)
+    model.join(second)
+    model.pause(old_leader, is_paused=False)
+    model.propose(old_leader)
+    for _ in range(20):
+        model.tick(old_leader, 0.05)
+        model.network = [
+            entry
+            for entry in model.network
+            if model.nodes[old_leader].replica_id in (entry.sender, entry.recipient)
+            and model.nodes[first].replica_id != entry.recipient
+        ]
+        while model.network:
+            model.deliver(0)
+    assert not _leads(model.nodes[old_leader])
