Split the node into a core with injected edges and the daemon around it

Cause: nothing larger than a handful of nodes could be run, since a node was tied to sockets.

Change: NodeCore holds every part and decision; network, store, engines, workers and machine list are injected. An engine reads weights before it switches: a version that does not exist took all engines out (found by the bad-input test, which opens a run at version 5).

--- a/src/hollowrack/membership/service.py
+++ b/src/hollowrack/membership/service.py
@@ -1,4 +1,4 @@
-"""Runs the membership protocol over UDP and keeps connections to other nodes."""
+"""Runs the membership protocol over the network; also a node's links to the others."""
 
 import asyncio
 import random
@@ -10,81 +10,49 @@
 
 from hollowrack.clock import now_s
 from hollowrack.hashing import text_hash
-from hollowrack.membership.datagrams import DatagramSealer
-from hollowrack.membership.messages import Digest, DigestAnswer, Exchange
+from hollowrack.membership.messages import Digest, DigestAnswer, Exchange, GossipMessage
+from hollowrack.membership.network import NodeNetwork
 from hollowrack.membership.swim import MembershipChange, Swim
 from hollowrack.membership.types import Fact, Member
-from hollowrack.messages.transport import PeerConnection
-from hollowrack.results import Problem, ProblemError, ResultCode
-from hollowrack.settings.model import split_address
+from hollowrack.results import Problem, ResultCode
 
 TICK_INTERVAL_S = 0.05
 EXCHANGE_TIMEOUT_S = 2.0
 MAX_POSTS_WAITING = 4096
 
 
-class _DatagramProtocol(asyncio.DatagramProtocol):
-    def __init__(self, on_datagram: Callable[[bytes], None]) -> None:
-        self._on_datagram = on_datagram
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        del addr  # The sender's name is inside, under the cluster key.
-        self._on_datagram(data)
-
-
 class MembershipService:
     """Membership of one node; also its links to the others.
 
     Args:
         own: This node's own entry, with its bound address.
         seeds: Members to start from.
-        cluster_key: The key shared by all nodes.
+        network: The node's open network.
         seed: Seed of the protocol's random source.
     """
 
     def __init__(
-        self, own: Member, seeds: list[Member], cluster_key: bytes, seed: int | None = None
+        self, own: Member, seeds: list[Member], network: NodeNetwork, seed: int | None = None
     ) -> None:
         self._rng = random.Random(seed)
         self.swim = Swim(own, seeds, self._rng, now_s())
         self.on_change: list[Callable[[MembershipChange], None]] = []
         self.on_fact: list[Callable[[Fact], None]] = []
-        self._cluster_key = cluster_key
-        self._sealer = DatagramSealer(own.node, cluster_key)
-        self._transport: asyncio.DatagramTransport | None = None
-        self._connections: dict[str, PeerConnection] = {}
+        self._network = network
         self._tasks: set[asyncio.Task[None]] = set()
 
     # -- life -------------------------------------------------------------------------------
 
-    async def start(self) -> None:
-        """Bind the datagram socket and start probing.
-
-        Raises:
-            ProblemError: ``ADDRESS_UNAVAILABLE`` if the UDP address cannot be bound.
-        """
-        loop = asyncio.get_running_loop()
-        address = split_address(self.swim.own.address)
-        try:
-            self._transport, _ = await loop.create_datagram_endpoint(
-                lambda: _DatagramProtocol(self._receive), local_addr=address
-            )
-        except OSError as error:
-            detail = f"udp {self.swim.own.address}: {error.strerror or error}"
-            raise ProblemError(
-                Problem(ResultCode.ADDRESS_UNAVAILABLE, detail, "listeners.nodes")
-            ) from error
+    def start(self) -> None:
+        """Start probing."""
         self._spawn(self._run_timer())
 
     async def stop(self) -> None:
-        """Stop probing and close all connections."""
+        """Stop probing and give up all messages under way."""
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        if self._transport is not None:
-            self._transport.close()
-        await asyncio.gather(*(link.close() for link in self._connections.values()))
 
     def leave(self) -> None:
         """Announce a planned stop to the fleet."""
@@ -102,20 +70,15 @@
             self.swim.tick(now_s())
             self._drain()
 
-    def _receive(self, data: bytes) -> None:
-        opened = self._sealer.open(data)
-        if isinstance(opened, Failure):
-            return
-        datagram = opened.unwrap()
-        self.swim.receive(datagram.sender, datagram.message)
+    def receive(self, sender: str, message: GossipMessage) -> None:
+        """Handle a datagram from a node."""
+        self.swim.receive(sender, message)
         self._drain()
 
     def _drain(self) -> None:
         outbox, self.swim.outbox = self.swim.outbox, []
         for datagram in outbox:
-            if self._transport is not None and not self._transport.is_closing():
-                data = self._sealer.seal(datagram.message)
-                self._transport.sendto(data, split_address(datagram.address))
+            self._network.send_datagram(datagram.address, datagram.message)
         peers, self.swim.exchange_with = self.swim.exchange_with, []
         for peer in peers:
             self._spawn(self._exchange_with(peer))
@@ -169,16 +132,16 @@
 
     async def request(self, node: str, message: object, timeout_s: float) -> Result[Any, Problem]:
         """Send a message to a node and wait for its answer; see ``PeerConnection.request``."""
-        connection = self._connection(node)
-        if connection is None:
+        member = self.swim.members.get(node)
+        if member is None:
             return Failure(Problem(ResultCode.PEER_UNREACHABLE, "unknown node", node))
-        return await connection.request(message, timeout_s)
+        return await self._network.request(member.address, message, timeout_s)
 
     def post(self, node: str, message: object) -> None:
         """Send a message that may be lost."""
-        connection = self._connection(node)
-        if connection is not None and len(self._tasks) < MAX_POSTS_WAITING:
-            self._spawn(connection.send(message))
+        member = self.swim.members.get(node)
+        if member is not None and len(self._tasks) < MAX_POSTS_WAITING:
+            self._spawn(self._network.send(member.address, message))
 
     def is_reachable(self, node: str) -> bool:
         """Whether a node is believed to run in a zone that answers."""
@@ -209,13 +172,3 @@
                 if queue:
                     ordered.append(queue.pop(0)[1])
         return ordered
-
-    def _connection(self, node: str) -> PeerConnection | None:
-        member = self.swim.members.get(node)
-        if member is None:
-            return None
-        connection = self._connections.get(member.address)
-        if connection is None:
-            connection = PeerConnection(split_address(member.address), self._cluster_key)
-            self._connections[member.address] = connection
-        return connection
--- /dev/null
+++ b/src/hollowrack/node_core.py
@@ -0,0 +1,411 @@
+"""The parts of one node, joined; without sockets of its own.
+
+Everything a node decides is in here. What it touches (network, store, engines, workers, machine
+list) comes in as :class:`NodeEdges`, so that the daemon and the bench run the same code.
+"""
+
+import asyncio
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from hollowrack.admission.controller import AdmissionController
+from hollowrack.bundle.agent import BundleAgent, FetchBundle
+from hollowrack.bundle.schema import Bundle
+from hollowrack.bundle.store import BundleStore
+from hollowrack.clock import now_s
+from hollowrack.engines.controller import EngineController, NoState, zone_of_group
+from hollowrack.membership.messages import Digest, Exchange, GossipMessage
+from hollowrack.membership.network import NodeNetwork
+from hollowrack.membership.service import MembershipService
+from hollowrack.membership.types import Fact, Member
+from hollowrack.messages.dispatch import Dispatcher
+from hollowrack.observability.decisions import DecisionLog
+from hollowrack.observability.metrics import NodeMetrics
+from hollowrack.platform.config_store import ConfigStoreClient, StoreCall
+from hollowrack.platform.engine import MakeEngineClient
+from hollowrack.platform.machine_list import ReadMachines
+from hollowrack.platform.service import ServiceClient
+from hollowrack.replication.client import GroupClient
+from hollowrack.replication.directory import GroupDirectory
+from hollowrack.replication.group_messages import (
+    FindGroup,
+    Joined,
+    JoinGroup,
+    ProposeAnswer,
+    ProposeRequest,
+)
+from hollowrack.replication.host import GroupHost
+from hollowrack.replication.journal import JournalFolder
+from hollowrack.replication.messages import Envelope
+from hollowrack.replication.placement import GroupPlacement
+from hollowrack.replication.repair import GroupRepair
+from hollowrack.replication.types import StateMachine
+from hollowrack.requests.answers import AnswerStore
+from hollowrack.requests.budget import RetryBudget
+from hollowrack.requests.claims import RequestClaims
+from hollowrack.requests.forwarding import ServiceForwarder
+from hollowrack.requests.gateway import Gateway, GatewayParts
+from hollowrack.requests.generation import GenerationRunner
+from hollowrack.requests.home_answers import FindAnswer, HomeAnswers, KeepAnswer
+from hollowrack.requests.unsafe import CLAIM_GROUP_PREFIX, AskAttempt, UnsafeRequests
+from hollowrack.results import value_or_raise
+from hollowrack.rollout.coordinator import RolloutContext
+from hollowrack.rollout.groups import RUN_GROUP_PREFIX
+from hollowrack.rollout.ledger import SampleLedger
+from hollowrack.rollout.service import RunService
+from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples
+from hollowrack.routing.choice import Chooser, choose
+from hollowrack.routing.fleet import FleetView
+from hollowrack.routing.observer import FleetObserver
+from hollowrack.settings.model import Limits
+
+DEFAULT_DRAIN_DEADLINE_S = 30.0
+LEAVE_SPREAD_S = 0.5
+REPLACED_TIMEOUT_S = 5.0
+PREPARE_CLAIMS_AFTER_S = 1.0
+WEIGHT_FACT_PREFIX = "weights/"
+LEAVING_FACT_PREFIX = "leaving/"
+NUM_LEDGER_REPLICAS = 5
+NUM_CLAIM_REPLICAS = 5
+NUM_CONTROL_REPLICAS = 3
+
+
+@dataclass(frozen=True)
+class NodeIdentity:
+    """Who a node is.
+
+    Attributes:
+        node: Its name.
+        zone: Its zone.
+        incarnation: Identity of its memory.
+        seeds: Members it knows from the start.
+        seed: Seed of all its random choices; ``None`` draws one.
+    """
+
+    node: str
+    zone: str
+    incarnation: str
+    seeds: tuple[Member, ...] = ()
+    seed: int | None = None
+
+
+@dataclass(frozen=True)
+class NodeEdges:
+    """What a node touches.
+
+    Attributes:
+        network: The network between nodes.
+        store_call: Calls the configuration store.
+        read_machines: Reads the machine list.
+        make_engine_client: Returns the client of an engine by its address.
+        services: Sends requests to service workers.
+        journals: The node's journals, if it has a data folder.
+        chooser: Chooses back ends.
+    """
+
+    network: NodeNetwork
+    store_call: StoreCall
+    read_machines: ReadMachines
+    make_engine_client: MakeEngineClient
+    services: ServiceClient
+    journals: JournalFolder | None = None
+    chooser: Chooser = field(default=choose)
+
+
+def make_state_machine(group: str) -> StateMachine:
+    """Return the initial state of a group by the prefix of its name.
+
+    Raises:
+        ValueError: If no kind of group has such a name.
+    """
+    if group.startswith(RUN_GROUP_PREFIX):
+        return SampleLedger()
+    if group.startswith(CLAIM_GROUP_PREFIX):
+        return RequestClaims()
+    if zone_of_group(group) is not None:
+        return NoState()
+    raise ValueError(f"group {group!r} has no state machine")
+
+
+def placement_of(group: str) -> GroupPlacement:
+    """Return how a group wants to be placed.
+
+    What cannot be rebuilt (samples, claims) is kept five times and survives two losses at once. A
+    zone's engine group holds nothing but its leadership and stays near its engines.
+    """
+    zone = zone_of_group(group)
+    if zone is not None:
+        return GroupPlacement(NUM_CONTROL_REPLICAS, preferred_zone=zone)
+    if group.startswith(CLAIM_GROUP_PREFIX):
+        return GroupPlacement(NUM_CLAIM_REPLICAS)
+    return GroupPlacement(NUM_LEDGER_REPLICAS)
+
+
+class NodeCore:
+    """One node.
+
+    Args:
+        identity: Who it is.
+        edges: What it touches.
+        trusted_signers: Public keys of bundle signers by name.
+        limits: Bounds that protect its memory.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        edges: NodeEdges,
+        trusted_signers: Mapping[str, str],
+        limits: Limits,
+    ) -> None:
+        self.identity = identity
+        self.address = ""
+        self.decisions = DecisionLog()
+        self.metrics = NodeMetrics()
+        self.fleet = FleetView()
+        self.is_draining = False
+        self._edges = edges
+        self._trusted_signers = trusted_signers
+        self._limits = limits
+        self._rng = random.Random(identity.seed)
+        self._dispatcher = Dispatcher()
+        self._prepare_task: asyncio.Task[None] | None = None
+
+    # -- life -------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Open the network, build the parts and start them.
+
+        Raises:
+            ProblemError: ``ADDRESS_UNAVAILABLE`` if the node's address cannot be bound.
+        """
+        self.address = await self._edges.network.open(
+            self._receive_datagram, self._dispatcher.handle
+        )
+        self._build_control()
+        self._build_requests()
+        self._build_rollout()
+        self._register_messages()
+        self.membership.start()
+        self.host.start()
+        self.repair.start()
+        self.bundles.start()
+        self.observer.start()
+        self.admission.start()
+        self.engines.start()
+        self.runs.start()
+        self._prepare_task = asyncio.create_task(self._prepare_claims())
+
+    async def drain(self) -> None:
+        """First half of a planned stop: announce, refuse new work, finish, hand over."""
+        self.is_draining = True
+        self.gateway.is_stopping = True
+        self.runs.is_stopping.set()
+        self.membership.leave()
+        await self.gateway.wait_idle(self._drain_deadline_s())
+        await self.unsafe.drain()
+        await self.runs.stop()
+        await self.engines.stop()
+        await self.admission.stop()
+        self.host.resign()
+        await asyncio.sleep(LEAVE_SPREAD_S)
+        await self.repair.wait_until_replaced(REPLACED_TIMEOUT_S)
+
+    async def close(self) -> None:
+        """Stop everything at once: the second half of a planned stop, or all of a crash."""
+        if self._prepare_task is not None:
+            self._prepare_task.cancel()
+            await asyncio.gather(self._prepare_task, return_exceptions=True)
+        await self._edges.network.close()
+        await self.membership.stop()
+        await self.runs.stop()
+        await self.engines.stop()
+        await self.admission.stop()
+        await self.observer.stop()
+        await self.bundles.stop()
+        await self.repair.stop()
+        await self.host.close()
+
+    def _drain_deadline_s(self) -> float:
+        bundle = self.bundles.bundle
+        return bundle.drain_deadline_s if bundle is not None else DEFAULT_DRAIN_DEADLINE_S
+
+    async def _prepare_claims(self) -> None:
+        # Members are chosen among the nodes known by then, so the first full exchanges come first.
+        await asyncio.sleep(PREPARE_CLAIMS_AFTER_S)
+        await self.unsafe.prepare()
+
+    def _receive_datagram(self, sender: str, message: GossipMessage) -> None:
+        self.membership.receive(sender, message)
+
+    # -- building ---------------------------------------------------------------------------
+
+    def _build_control(self) -> None:
+        identity, edges = self.identity, self._edges
+        own = Member(identity.node, identity.zone, self.address, identity.incarnation)
+        self.membership = MembershipService(
+            own, list(identity.seeds), edges.network, self._rng.getrandbits(32)
+        )
+        self.membership.on_fact.append(self._on_fact)
+        store = ConfigStoreClient(edges.store_call)
+        self.bundle_store = BundleStore(store)
+        self.bundles = BundleAgent(
+            self.bundle_store, self.membership, self._trusted_signers, self.decisions, self._rng
+        )
+        self.bundles.on_applied.append(self._on_bundle)
+        self._build_groups(GroupDirectory(store))
+        self.observer = FleetObserver(self.fleet, edges.read_machines, edges.make_engine_client)
+        self.engines = EngineController(
+            identity.zone,
+            self.host,
+            self.groups,
+            self.fleet,
+            edges.make_engine_client,
+            self._target_version,
+            self.decisions,
+        )
+
+    def _build_groups(self, directory: GroupDirectory) -> None:
+        self.host = GroupHost(
+            self.identity.node,
+            self.identity.incarnation,
+            self.membership,
+            make_state_machine,
+            self._edges.journals,
+            seed=self._rng.getrandbits(32),
+        )
+        self.repair = GroupRepair(
+            self.host, self.membership, directory, placement_of, self.decisions
+        )
+        self.groups = GroupClient(self.host, self.membership, directory, self.repair, placement_of)
+
+    def _build_requests(self) -> None:
+        edges = self._edges
+        self.retry_budget = RetryBudget()
+        self.admission = AdmissionController(self.fleet.live_capacity, self._limits.max_requests)
+        self.generations = GenerationRunner(
+            self.fleet,
+            edges.make_engine_client,
+            self.retry_budget,
+            self.decisions,
+            self._rng,
+            edges.chooser,
+        )
+        services = ServiceForwarder(
+            self.fleet,
+            edges.services,
+            self.retry_budget,
+            self.decisions,
+            self._rng,
+            edges.chooser,
+        )
+        self.unsafe = UnsafeRequests(self.groups, self.membership, self.host.replica_id)
+        self.answers = HomeAnswers(
+            self.identity.node, self.membership, AnswerStore(self._limits.max_answers)
+        )
+        self.gateway = Gateway(
+            GatewayParts(
+                self.identity.zone,
+                self.admission,
+                self.generations,
+                services,
+                self.unsafe,
+                self.answers,
+            )
+        )
+
+    def _build_rollout(self) -> None:
+        # Rollouts have a budget of their own: the coordinator starts failed slots again anyway.
+        runner = GenerationRunner(
+            self.fleet,
+            self._edges.make_engine_client,
+            RetryBudget(share=1.0),
+            self.decisions,
+            self._rng,
+            self._edges.chooser,
+        )
+        context = RolloutContext(
+            self.identity.zone,
+            runner,
+            self.fleet,
+            self.host,
+            self.groups,
+            self.decisions,
+            self.metrics,
+        )
+        self.runs = RunService(
+            self.identity.node, self.membership, context, self._training_room, self._on_version
+        )
+
+    def _register_messages(self) -> None:
+        on, on_sync = self._dispatcher.on, self._dispatcher.on_sync
+        on_sync(Envelope, self.host.receive)
+        on(ProposeRequest, self._answer_propose)
+        on_sync(FindGroup, lambda request: self.host.describe(request.group))
+        on_sync(JoinGroup, self._answer_join)
+        on_sync(Digest, self.membership.answer_digest)
+        on_sync(Exchange, self.membership.answer_exchange)
+        on_sync(FetchBundle, self.bundles.answer_fetch)
+        on_sync(AskAttempt, self.unsafe.answer_ask)
+        on_sync(KeepAnswer, self.answers.answer_keep)
+        on_sync(FindAnswer, self.answers.answer_find)
+        on(ReadSamples, self.runs.answer)
+        on(ReadRunStatus, self.runs.answer)
+
+    async def _answer_propose(self, request: ProposeRequest) -> ProposeAnswer:
+        result = await self.host.propose(request.group, request.command)
+        return ProposeAnswer(value_or_raise(result))
+
+    def _answer_join(self, request: JoinGroup) -> Joined:
+        self.host.join(request.group, request.membership)
+        return Joined(self.host.replica_id)
+
+    # -- glue -------------------------------------------------------------------------------
+
+    def _target_version(self, model: str) -> int | None:
+        return self.membership.swim.facts.get(WEIGHT_FACT_PREFIX + model)
+
+    def _on_version(self, model: str, version: int) -> None:
+        self.membership.raise_fact(WEIGHT_FACT_PREFIX + model, version)
+
+    def _training_room(self, model: str) -> float:
+        bundle = self.bundles.bundle
+        if bundle is None or model not in bundle.models:
+            return 0.0
+        return bundle.models[model].training_room
+
+    def _on_fact(self, fact: Fact) -> None:
+        if fact.name.startswith(LEAVING_FACT_PREFIX):
+            self.fleet.mark_leaving(fact.name.removeprefix(LEAVING_FACT_PREFIX))
+
+    def _on_bundle(self, bundle: Bundle) -> None:
+        self.gateway.bundle = bundle
+        self.admission.set_weights(bundle.tenants)
+        self.metrics.bundle_revision.set(bundle.revision)
+
+    def status(self) -> dict[str, Any]:
+        """Return the node's status for operators, as JSON."""
+        members = self.membership.swim.members.values()
+        return {
+            "node": self.identity.node,
+            "zone": self.identity.zone,
+            "is_draining": self.is_draining,
+            "bundle_revision": self.bundles.revision,
+            "requests_in_progress": self.gateway.num_in_progress,
+            "members": {member.node: member.status.name for member in members},
+            "back_ends": {
+                back_end.address: {
+                    "pool": back_end.pool,
+                    "zone": back_end.zone,
+                    "status": back_end.status.value,
+                    "weight_version": back_end.weight_version,
+                    "estimated_load": back_end.estimated_load,
+                }
+                for back_end in self.fleet.snapshot(now_s())
+            },
+            "groups": {
+                group: hosted.replica.role.name for group, hosted in self.host.groups.items()
+            },
+        }
--- a/src/hollowrack/platform/config_store.py
+++ b/src/hollowrack/platform/config_store.py
@@ -8,7 +8,7 @@
 import base64
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 from returns.result import Failure, Result, Success
@@ -30,8 +30,15 @@
     mod_revision: int
 
 
-class ConfigStoreClient:
-    """Typed access to the configuration store.
+class StoreCall(Protocol):
+    """Sends one call to the store, for example ``kv/range``, and returns the JSON answer."""
+
+    async def __call__(self, method: str, body: dict[str, Any]) -> Result[Any, Problem]:
+        """Fail with ``PLATFORM_UNAVAILABLE`` if the call may or may not have taken effect."""
+
+
+class HttpStoreCall:
+    """Calls the store over HTTP.
 
     Args:
         session: HTTP session to use.
@@ -42,6 +49,35 @@
         self._session = session
         self._endpoints = list(endpoints)
 
+    async def __call__(self, method: str, body: dict[str, Any]) -> Result[Any, Problem]:
+        """Call the first endpoint that answers."""
+        result: Result[Any, Problem] = Failure(
+            Problem(ResultCode.PLATFORM_UNAVAILABLE, "no endpoint is configured", "config_store")
+        )
+        for endpoint in list(self._endpoints):
+            url = f"{endpoint}/v3/{method}"
+            result = await request_json(self._session, "POST", url, REQUEST_TIMEOUT_S, body)
+            if isinstance(result, Success):
+                self._prefer(endpoint)
+                return result
+        return result
+
+    def _prefer(self, endpoint: str) -> None:
+        if self._endpoints[0] != endpoint:
+            self._endpoints.remove(endpoint)
+            self._endpoints.insert(0, endpoint)
+
+
+class ConfigStoreClient:
+    """Typed access to the configuration store.
+
+    Args:
+        call: Sends one call.
+    """
+
+    def __init__(self, call: StoreCall) -> None:
+        self._call = call
+
     async def read(self, key: str) -> Result[StoredValue | None, Problem]:
         """Read one key; ``None`` if it does not exist."""
         answer = await self._call("kv/range", {"key": _encode(key.encode())})
@@ -112,23 +148,6 @@
         }
         return (await self._call("kv/txn", body)).bind(lambda answer: _decode_create(answer, value))
 
-    async def _call(self, method: str, body: object) -> Result[Any, Problem]:
-        result: Result[Any, Problem] = Failure(
-            Problem(ResultCode.PLATFORM_UNAVAILABLE, "no endpoint is configured", "config_store")
-        )
-        for endpoint in list(self._endpoints):
-            url = f"{endpoint}/v3/{method}"
-            result = await request_json(self._session, "POST", url, REQUEST_TIMEOUT_S, body)
-            if isinstance(result, Success):
-                self._prefer(endpoint)
-                return result
-        return result
-
-    def _prefer(self, endpoint: str) -> None:
-        if self._endpoints[0] != endpoint:
-            self._endpoints.remove(endpoint)
-            self._endpoints.insert(0, endpoint)
-
 
 def _encode(value: bytes) -> str:
     return base64.b64encode(value).decode()
--- a/src/hollowrack/platform/machine_list.py
+++ b/src/hollowrack/platform/machine_list.py
@@ -1,5 +1,6 @@
 """Client of the machine list, in Prometheus HTTP service-discovery JSON; a lagging hint."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -42,6 +43,9 @@
     is_leaving: bool
 
 
+ReadMachines = Callable[[], Awaitable[Result[list[Machine], Problem]]]
+
+
 async def read_machine_list(
     session: aiohttp.ClientSession, url: str
 ) -> Result[list[Machine], Problem]:
--- a/src/hollowrack/replication/replica.py
+++ b/src/hollowrack/replication/replica.py
@@ -135,8 +135,8 @@
         self._election_deadline_s = 0.0
         self._heartbeat_due_s = 0.0
         self._now_s = now_s
-        # A replica that joins an epoch has no part in earlier ones, even if its node had: an earlier
-        # replica under the same identity may have been dropped along with its promises.
+        # A replica that joins an epoch has no part in earlier ones, even if its node had: a replica
+        # under the same identity may have been dropped along with its promises.
         self.promised = Ballot(membership.epoch, 0, "")
         self._postpone_election()
 
--- a/src/hollowrack/requests/gateway.py
+++ b/src/hollowrack/requests/gateway.py
@@ -14,8 +14,9 @@
 from hollowrack.clock import now_s
 from hollowrack.observability.logs import log_fields
 from hollowrack.platform.engine import GenerationRequest
+from hollowrack.platform.service import ServiceRequest
 from hollowrack.requests.claims import ClaimStatus
-from hollowrack.requests.forwarding import ServiceForwarder, ServiceRequest
+from hollowrack.requests.forwarding import ServiceForwarder
 from hollowrack.requests.generation import ChunkSink, GenerationPlan, GenerationRunner
 from hollowrack.requests.home_answers import HomeAnswers
 from hollowrack.requests.types import GeneratedText, RecordedAnswer
--- a/src/hollowrack/requests/generation.py
+++ b/src/hollowrack/requests/generation.py
@@ -32,7 +32,7 @@
 from hollowrack.requests.types import GeneratedText
 from hollowrack.results import Problem, ResultCode
 from hollowrack.rollout.spans import SpanBuilder
-from hollowrack.routing.choice import choose
+from hollowrack.routing.choice import Chooser
 from hollowrack.routing.fleet import FleetView
 from hollowrack.routing.types import Priority, RouteRequest
 
@@ -112,6 +112,7 @@
         budget: Retry budget.
         decisions: Where decisions are recorded.
         rng: Random source of the routing.
+        chooser: Chooses the engine.
     """
 
     def __init__(
@@ -121,7 +122,9 @@
         budget: RetryBudget,
         decisions: DecisionLog,
         rng: random.Random,
+        chooser: Chooser,
     ) -> None:
+        self._choose = chooser
         self._fleet = fleet
         self._make_client = make_client
         self._budget = budget
@@ -147,14 +150,16 @@
                 expired = state.refuse(NotRunCode.DEADLINE_EXPIRED, "the deadline passed")
                 return Failure(unresolved or expired.problem)
             route = replace(plan.route, excluded=frozenset(tried))
-            choice = choose(route, self._fleet.snapshot(now_s()), self._fleet.prefixes, self._rng)
+            back_ends = self._fleet.snapshot(now_s())
+            choice = self._choose(route, back_ends, self._fleet.prefixes, self._rng)
             if isinstance(choice, Failure):
                 return Failure(unresolved or choice.failure())
             address = choice.unwrap().address
             tried.add(address)
             kind = DecisionKind.RESUME if progress.spans.num_tokens else DecisionKind.ROUTE
-            scores = {entry.address: entry.cost_ms for entry in choice.unwrap().candidates}
-            self._decisions.record(kind, request_id, address, attempt=attempt, cost_ms=scores)
+            self._decisions.record(
+                kind, request_id, address, attempt=attempt, cost_ms=choice.unwrap().costs_ms()
+            )
             outcome = await self._attempt(plan, progress, state.dispatch(address))
             if isinstance(outcome, Admitted):
                 state = outcome
--- a/src/hollowrack/routing/choice.py
+++ b/src/hollowrack/routing/choice.py
@@ -1,8 +1,9 @@
 """The scored choice of a back end: synchronous, without I/O, with the random source passed in."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -41,9 +42,17 @@
     max_affinity_load: float = 0.9
 
 
-Chooser = Callable[
-    [RouteRequest, Sequence[BackEnd], PrefixIndex, random.Random], Result[RouteChoice, Problem]
-]
+class Chooser(Protocol):
+    """Chooses a back end; :func:`choose` in the product, others as baselines in the bench."""
+
+    def __call__(
+        self,
+        request: RouteRequest,
+        back_ends: Sequence[BackEnd],
+        prefixes: PrefixIndex,
+        rng: random.Random,
+    ) -> Result[RouteChoice, Problem]:
+        """Return the choice, or ``NO_BACK_END``."""
 
 
 def eligible(request: RouteRequest, back_ends: Sequence[BackEnd]) -> list[BackEnd]:
@@ -81,7 +90,7 @@
     """
     candidates = eligible(request, back_ends)
     if not candidates:
-        return _no_back_end(request, back_ends)
+        return no_back_end(request, back_ends)
     drawn = _draw(request, candidates, prefixes, rng)
     scored = tuple(_score(request, back_end, prefixes, costs) for back_end in drawn)
     best = min(scored, key=lambda candidate: candidate.cost_ms)
@@ -131,7 +140,8 @@
     return ScoredCandidate(back_end.address, queue_ms, distance_ms, saved_ms)
 
 
-def _no_back_end(request: RouteRequest, back_ends: Sequence[BackEnd]) -> Failure[Problem]:
+def no_back_end(request: RouteRequest, back_ends: Sequence[BackEnd]) -> Failure[Problem]:
+    """Return the refusal for a request that no back end can take."""
     num_in_pool = sum(1 for back_end in back_ends if back_end.pool == request.pool)
     detail = f"none of {num_in_pool} back ends of {request.pool!r} can take the request"
     return Failure(
--- a/src/hollowrack/routing/observer.py
+++ b/src/hollowrack/routing/observer.py
@@ -2,11 +2,10 @@
 
 import asyncio
 
-import aiohttp
 from returns.result import Success
 
 from hollowrack.platform.engine import MakeEngineClient
-from hollowrack.platform.machine_list import read_machine_list
+from hollowrack.platform.machine_list import ReadMachines
 from hollowrack.routing.fleet import FleetView
 from hollowrack.routing.types import BackEndKind
 
@@ -19,21 +18,18 @@
 
     Args:
         fleet: The view to keep up to date.
-        session: HTTP session to use.
-        machine_list_url: Where the machine list is.
+        read_machines: Reads the machine list.
         make_client: Returns the client of an engine by its address.
     """
 
     def __init__(
         self,
         fleet: FleetView,
-        session: aiohttp.ClientSession,
-        machine_list_url: str,
+        read_machines: ReadMachines,
         make_client: MakeEngineClient,
     ) -> None:
         self._fleet = fleet
-        self._session = session
-        self._machine_list_url = machine_list_url
+        self._read_machines = read_machines
         self._make_client = make_client
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -52,7 +48,7 @@
 
     async def _run_machine_list(self) -> None:
         while True:
-            listed = await read_machine_list(self._session, self._machine_list_url)
+            listed = await self._read_machines()
             # An unreachable list leaves the view as it is: it is a hint and no more.
             if isinstance(listed, Success):
                 self._fleet.apply_machine_list(listed.unwrap())
--- a/src/hollowrack/routing/types.py
+++ b/src/hollowrack/routing/types.py
@@ -104,3 +104,7 @@
 
     address: str
     candidates: tuple[ScoredCandidate, ...] = field(default=())
+
+    def costs_ms(self) -> dict[str, float]:
+        """Return each candidate's cost, for decision records."""
+        return {candidate.address: candidate.cost_ms for candidate in self.candidates}
--- a/src/hollowrack_bench/local_fleet.py
+++ b/src/hollowrack_bench/local_fleet.py
@@ -130,7 +130,7 @@
             "platform": self._platform,
             "trusted_signers": {SIGNER: public_key_hex(self._signing_key)},
             "peers": [
-                {"node": other, "zone": node.settings.zone, "address": node.node_address}
+                {"node": other, "zone": node.settings.zone, "address": node.core.address}
                 for other, node in self.nodes.items()
             ],
         }
@@ -158,7 +158,7 @@
         bundle = Bundle.model_validate(values | changes)
         signed = sign_bundle(bundle, SIGNER, self._signing_key)
         node = next(iter(self.nodes.values()))
-        value_or_raise(await node.bundle_store.accept(bundle.revision, signed))
+        value_or_raise(await node.core.bundle_store.accept(bundle.revision, signed))
         return bundle
 
     def urls(self) -> list[str]:
@@ -221,11 +221,13 @@
         return all(self._is_node_ready(node) for node in self.nodes.values())
 
     def _is_node_ready(self, node: Node) -> bool:
-        num_engines, _ = node.fleet.live_capacity(MODEL)
-        num_workers, _ = node.fleet.live_capacity(SERVICE_POOL)
-        known = [member for member in node.membership.swim.members.values() if member.incarnation]
+        num_engines, _ = node.core.fleet.live_capacity(MODEL)
+        num_workers, _ = node.core.fleet.live_capacity(SERVICE_POOL)
+        known = [
+            member for member in node.core.membership.swim.members.values() if member.incarnation
+        ]
         return (
-            node.bundles.revision >= 1
+            node.core.bundles.revision >= 1
             and num_engines == len(self.engines) * self.config.engine.num_slots
             and num_workers > 0
             and len(known) == len(self.nodes)
--- a/src/hollowrack_bench/program.py
+++ b/src/hollowrack_bench/program.py
@@ -1,6 +1,7 @@
 """The ``hollowrack`` program: the product's commands and those that need the stand-ins."""
 
 import asyncio
+import logging
 import sys
 
 import click
@@ -15,6 +16,8 @@
 @hollowrack.command()
 def demo() -> None:
     """Run a whole fleet with stand-ins in this process and check the promises."""
+    # Stand-ins cut streams on purpose; their servers' reports of it would only confuse.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     outcome = asyncio.run(run_demo())
     print_table(outcome.rows)
     if outcome.broken:
--- a/src/hollowrack_standins/engine.py
+++ b/src/hollowrack_standins/engine.py
@@ -180,16 +180,17 @@
         body = await request.json()
         async with self._swap_lock:
             token = int(body["fencing_token"])
+            # Weights are read before the switch, so that the engine serves on if they cannot be.
+            if not await self._fetch_weights(body["model"], body["weight_version"]):
+                return PlainTextResponse("the weights cannot be read", status_code=502)
             is_for_this_life = body["incarnation"] == self.core.incarnation
             if not is_for_this_life or not self.core.begin_swap(token):
                 self.refused_tokens.append(token)
                 return PlainTextResponse("fenced: an older token or life", status_code=409)
             self.accepted_tokens.append(token)
             core = self.core
-            fetched = await self._fetch_weights(body["model"], body["weight_version"])
             await asyncio.sleep(self._config.swap_s)
-            if not fetched or not core.end_swap(body["weight_version"]):
-                core.status = EngineStatus.BROKEN
+            if not core.end_swap(body["weight_version"]):
                 return PlainTextResponse("the swap failed partway", status_code=500)
         return JSONResponse({"weight_version": body["weight_version"]})
 
--- a/tests/bundle/test_bundle.py
+++ b/tests/bundle/test_bundle.py
@@ -10,7 +10,7 @@
 from hollowrack.bundle.schema import Bundle, parse_bundle
 from hollowrack.bundle.signing import generate_key, open_bundle, public_key_hex, sign_bundle
 from hollowrack.bundle.store import BundleStore
-from hollowrack.platform.config_store import ConfigStoreClient
+from hollowrack.platform.config_store import ConfigStoreClient, HttpStoreCall
 from hollowrack.results import ResultCode
 from hollowrack_standins.config_store import ConfigStoreStandin
 
@@ -58,7 +58,7 @@
         address = await standin.start()
         standin.faults.lost_answer_share = 0.3
         async with aiohttp.ClientSession() as session:
-            store = BundleStore(ConfigStoreClient(session, [f"http://{address}"]))
+            store = BundleStore(ConfigStoreClient(HttpStoreCall(session, [f"http://{address}"])))
             proposals = [
                 sign_bundle(Bundle(revision=1, drain_deadline_s=float(number + 1)), "ana", KEY)
                 for number in range(10)
--- a/tests/standins/test_config_store.py
+++ b/tests/standins/test_config_store.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pytest
 
-from hollowrack.platform.config_store import ConfigStoreClient
+from hollowrack.platform.config_store import ConfigStoreClient, HttpStoreCall
 from hollowrack.results import ResultCode
 from hollowrack_standins.config_store import ConfigStoreStandin, KeyValueCore
 
@@ -19,7 +19,7 @@
     standin = ConfigStoreStandin(seed=3)
     address = await standin.start()
     async with aiohttp.ClientSession() as session:
-        yield standin, ConfigStoreClient(session, [f"http://{address}"])
+        yield standin, ConfigStoreClient(HttpStoreCall(session, [f"http://{address}"]))
     await standin.stop()
 
 
@@ -104,7 +104,7 @@
         address = await standin.start()
         body = {"create_request": {"key": _base64("w/"), "range_end": _base64("w0")}}
         async with aiohttp.ClientSession() as session:
-            client = ConfigStoreClient(session, [f"http://{address}"])
+            client = ConfigStoreClient(HttpStoreCall(session, [f"http://{address}"]))
             async with session.post(f"http://{address}/v3/watch", json=body) as response:
                 assert json.loads(await response.content.readline())["result"]["created"]
                 await client.put("w/1", b"x")
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -148,6 +148,21 @@
     _run(test)
 
 
+def test_weights_that_cannot_be_read_leave_the_engine_serving() -> None:
+    async def run() -> None:
+        engine = EngineStandin(CONFIG, weight_store_url="http://127.0.0.1:1")
+        address = await engine.start()
+        async with aiohttp.ClientSession() as session:
+            client = HttpEngineClient(session, address)
+            failed = await client.order_version("m", 5, 1, engine.core.incarnation)
+            assert failed.failure().code is ResultCode.SWAP_FAILED
+            assert (await client.state()).unwrap().status == "serving"
+            assert await _generate(client, REQUEST)
+        await engine.stop()
+
+    asyncio.run(run())
+
+
 def test_load_lags_and_cache_events_have_gaps() -> None:
     async def test(engine: EngineStandin, client: HttpEngineClient) -> None:
         engine.core.faults.event_gap_every = 2
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -33,7 +33,7 @@
 
 
 def _ledger_leader(fleet: LocalFleet) -> str:
-    leaders = [name for name, node in fleet.nodes.items() if node.host.leads(f"run:{RUN}")]
+    leaders = [name for name, node in fleet.nodes.items() if node.core.host.leads(f"run:{RUN}")]
     assert leaders
     return leaders[-1]
 
@@ -88,7 +88,7 @@
         async def power_cut(step: int) -> None:
             if step == 2:
                 places = {
-                    name: (node.settings.zone, node.callers_server.address, node.node_address)
+                    name: (node.settings.zone, node.callers_server.address, node.core.address)
                     for name, node in fleet.nodes.items()
                 }
                 for name in places:
