--- /dev/null
+++ b/src/hollowrack_bench/hollow/platform.py
@@ -0,0 +1,374 @@
+"""The platform in memory: configuration store, machine list, engines and service workers."""
+
+import asyncio
+import json
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from hollowrack.platform.engine import (
+    CacheEvents,
+    EngineLoad,
+    EngineRefusedError,
+    EngineState,
+    EngineUnreachableError,
+    GenerationRequest,
+    StreamBrokenError,
+    TokenChunk,
+)
+from hollowrack.platform.machine_list import Machine
+from hollowrack.platform.service import (
+    ServiceBrokenError,
+    ServiceRefusedError,
+    ServiceRequest,
+    ServiceUnreachableError,
+)
+from hollowrack.requests.types import RecordedAnswer
+from hollowrack.results import Problem, ResultCode
+from hollowrack_bench.hollow.network import HollowWorld
+from hollowrack_standins.config_store import KeyValueCore, StoreFaults
+from hollowrack_standins.engine_core import EngineConfig, EngineCore, EngineStatus, Sequence, Token
+
+STORE_LATENCY_S = 0.002
+_IDLE_PAUSE_S = 0.005
+
+
+class HollowStore:
+    """The configuration store's semantics behind a ``StoreCall``."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.core = KeyValueCore()
+        self.faults = StoreFaults()
+        self.num_calls = 0
+        self._rng = rng
+
+    async def __call__(self, method: str, body: dict[str, Any]) -> Result[Any, Problem]:
+        """Carry out a call, with the faults that are switched on."""
+        self.num_calls += 1
+        await asyncio.sleep(STORE_LATENCY_S + self.faults.delay_s)
+        if self.faults.is_down:
+            return Failure(Problem(ResultCode.PLATFORM_UNAVAILABLE, "down", method))
+        operation = {
+            "kv/range": self.core.range,
+            "kv/put": self.core.put,
+            "kv/txn": self.core.txn,
+            "kv/deleterange": self.core.delete_range,
+        }[method]
+        answer = operation(body)
+        is_write = method != "kv/range"
+        if is_write and self._rng.random() < self.faults.lost_answer_share:
+            return Failure(Problem(ResultCode.PLATFORM_UNAVAILABLE, "answer lost", method))
+        return Success(answer)
+
+
+@dataclass
+class HollowMachineList:
+    """The machine list; changes show after a lag.
+
+    Attributes:
+        lag_s: Age of what readers see, in seconds.
+    """
+
+    lag_s: float = 0.5
+    _machines: dict[str, Machine] = field(default_factory=dict)
+    _visible: list[Machine] = field(default_factory=list)
+
+    def set_machine(self, machine: Machine) -> None:
+        """Add or change a machine."""
+        self._machines[machine.address] = machine
+        self._publish_later()
+
+    def remove_machine(self, address: str) -> None:
+        """Remove a machine."""
+        self._machines.pop(address, None)
+        self._publish_later()
+
+    def _publish_later(self) -> None:
+        listed = list(self._machines.values())
+
+        def publish() -> None:
+            self._visible = listed
+
+        asyncio.get_running_loop().call_later(self.lag_s, publish)
+
+    async def read(self) -> Result[list[Machine], Problem]:
+        """Return what readers see."""
+        return Success(self._visible)
+
+
+class HollowEngine:
+    """An engine core advanced on virtual time.
+
+    Args:
+        address: Its address.
+        zone: Its zone.
+        config: Its shape.
+    """
+
+    def __init__(self, address: str, zone: str, config: EngineConfig) -> None:
+        self.address = address
+        self.zone = zone
+        self.config = config
+        self.num_lives = 1
+        self.is_down = False
+        self.core = EngineCore(config, f"{address}/1")
+        self.num_tokens = 0
+        self.accepted_tokens: list[int] = []
+        self._queues: dict[str, asyncio.Queue[Token | None]] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._load: list[tuple[float, EngineLoad]] = []
+
+    def start(self) -> None:
+        """Start stepping."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop stepping."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def crash(self) -> None:
+        """Break all streams and refuse connections until :meth:`restart`."""
+        self.is_down = True
+        queues, self._queues = self._queues, {}
+        for queue in queues.values():
+            queue.put_nowait(None)
+
+    def restart(self, weight_version: int = 0) -> None:
+        """Begin a new life."""
+        self.num_lives += 1
+        faults = self.core.faults
+        self.core = EngineCore(self.config, f"{self.address}/{self.num_lives}", weight_version)
+        self.core.faults = faults
+        self.is_down = False
+
+    async def _run(self) -> None:
+        while True:
+            if self.core.is_idle or self.is_down or self.core.faults.is_paused:
+                await asyncio.sleep(_IDLE_PAUSE_S)
+                continue
+            for token in self.core.step():
+                self.num_tokens += token.num_tokens
+                queue = self._queues.get(token.request_id)
+                if queue is not None:
+                    queue.put_nowait(token)
+            await asyncio.sleep(self.core.step_duration_s())
+
+    def open_stream(self, sequence: Sequence) -> asyncio.Queue[Token | None]:
+        """Queue a generation."""
+        queue: asyncio.Queue[Token | None] = asyncio.Queue()
+        self._queues[sequence.request_id] = queue
+        self.core.add(sequence)
+        return queue
+
+    def close_stream(self, request_id: str) -> None:
+        """Drop a generation."""
+        self._queues.pop(request_id, None)
+        self.core.cancel(request_id)
+
+    def lagged_load(self) -> EngineLoad:
+        """Return the load report, as old as its lag."""
+        now_s = asyncio.get_running_loop().time()
+        core = self.core
+        self._load.append((now_s, EngineLoad(core.num_running, core.num_waiting, core.num_live)))
+        wanted_s = now_s - core.faults.load_lag_s
+        while len(self._load) > 1 and self._load[1][0] <= wanted_s:
+            self._load.pop(0)
+        at_s, load = self._load[0]
+        return load if at_s <= wanted_s else EngineLoad(0, 0, 0)
+
+
+class HollowEngineClient:
+    """Implements ``EngineClient`` against a hollow engine.
+
+    Args:
+        world: For latency and cuts.
+        zone: Zone of the calling node.
+        engine: The engine.
+    """
+
+    def __init__(self, world: HollowWorld, zone: str, engine: HollowEngine | None) -> None:
+        self._world = world
+        self._zone = zone
+        self._engine = engine
+
+    def _reach(self) -> HollowEngine | None:
+        engine = self._engine
+        if engine is None or engine.is_down or self._world.is_cut(self._zone, engine.zone):
+            return None
+        return engine
+
+    async def _travel(self) -> HollowEngine | None:
+        engine = self._reach()
+        if engine is not None:
+            await asyncio.sleep(self._world.latency_s(self._zone, engine.zone))
+        return self._reach()
+
+    @asynccontextmanager
+    async def generate(
+        self, request: GenerationRequest, idle_timeout_s: float
+    ) -> AsyncIterator[AsyncIterator[list[TokenChunk]]]:
+        """Open a stream of chunks."""
+        engine = await self._travel()
+        if engine is None:
+            raise EngineUnreachableError(request.request_id)
+        if engine.core.faults.refuses or engine.core.status is not EngineStatus.SERVING:
+            raise EngineRefusedError(engine.core.status.value, None)
+        sequence = Sequence(
+            request.request_id,
+            request.prompt,
+            request.max_tokens,
+            request.priority,
+            request.seed,
+            num_tokens=request.resume_num_tokens,
+        )
+        queue = engine.open_stream(sequence)
+        try:
+            yield self._read(engine, queue, idle_timeout_s)
+        finally:
+            engine.close_stream(request.request_id)
+
+    async def _read(
+        self, engine: HollowEngine, queue: asyncio.Queue[Token | None], idle_timeout_s: float
+    ) -> AsyncIterator[list[TokenChunk]]:
+        incarnation = engine.core.incarnation
+        while True:
+            try:
+                async with asyncio.timeout(idle_timeout_s):
+                    token = await queue.get()
+            except TimeoutError as error:
+                raise StreamBrokenError("the stream stalled") from error
+            if token is None or self._world.is_cut(self._zone, engine.zone):
+                raise StreamBrokenError("the stream was cut")
+            yield [
+                TokenChunk(
+                    token.text,
+                    token.index,
+                    token.num_tokens,
+                    token.weight_version,
+                    incarnation,
+                    token.finish_reason,
+                )
+            ]
+            if token.finish_reason is not None:
+                return
+
+    async def state(self) -> Result[EngineState, Problem]:
+        """Read the engine's control state."""
+        engine = await self._travel()
+        if engine is None:
+            return Failure(Problem(ResultCode.PLATFORM_UNAVAILABLE, "unreachable"))
+        core = engine.core
+        return Success(
+            EngineState(
+                core.incarnation,
+                core.status.value,
+                core.config.model,
+                core.weight_version,
+                core.config.num_slots,
+                core.fencing_token,
+            )
+        )
+
+    async def load(self) -> Result[EngineLoad, Problem]:
+        """Read the engine's load report."""
+        engine = self._reach()
+        if engine is None:
+            return Failure(Problem(ResultCode.PLATFORM_UNAVAILABLE, "unreachable"))
+        return Success(engine.lagged_load())
+
+    async def cache_events(self, first_sequence: int) -> Result[CacheEvents, Problem]:
+        """Read the cache events from a sequence number on."""
+        engine = self._reach()
+        if engine is None:
+            return Failure(Problem(ResultCode.PLATFORM_UNAVAILABLE, "unreachable"))
+        events = engine.core.events_from(first_sequence)
+        first = events[0].sequence if events else first_sequence
+        end = events[-1].sequence + 1 if events else first
+        return Success(
+            CacheEvents(
+                engine.core.incarnation,
+                first,
+                tuple(event.block for event in events if event.is_stored),
+                tuple(event.block for event in events if not event.is_stored),
+                end - first,
+            )
+        )
+
+    async def order_version(
+        self, model: str, weight_version: int, fencing_token: int, incarnation: str
+    ) -> Result[None, Problem]:
+        """Order the engine to switch to a weight version."""
+        engine = await self._travel()
+        if engine is None:
+            return Failure(Problem(ResultCode.PLATFORM_UNAVAILABLE, "unreachable"))
+        core = engine.core
+        if core.incarnation != incarnation or not core.begin_swap(fencing_token):
+            return Failure(Problem(ResultCode.ORDER_FENCED, "an older token or life"))
+        engine.accepted_tokens.append(fencing_token)
+        await asyncio.sleep(core.config.swap_s)
+        if not core.end_swap(weight_version):
+            return Failure(Problem(ResultCode.SWAP_FAILED, "partway"))
+        return Success(None)
+
+
+@dataclass
+class HollowWorker:
+    """A service worker that counts executions.
+
+    Attributes:
+        address: Its address.
+        zone: Its zone.
+        service_s: Time a request takes.
+        lost_answer_share: Share of requests that run and lose their answer.
+        refusal_share: Share of requests refused without running.
+        is_down: Whether connections are refused.
+        executions: Executions by request identifier, shared by all workers.
+    """
+
+    address: str
+    zone: str
+    service_s: float
+    executions: Counter[str]
+    lost_answer_share: float = 0.0
+    refusal_share: float = 0.0
+    is_down: bool = False
+
+
+class HollowServiceClient:
+    """Implements ``ServiceClient`` against hollow workers.
+
+    Args:
+        world: For latency, cuts and randomness.
+        zone: Zone of the calling node.
+        workers: All workers by address.
+    """
+
+    def __init__(self, world: HollowWorld, zone: str, workers: dict[str, HollowWorker]) -> None:
+        self._world = world
+        self._zone = zone
+        self._workers = workers
+
+    async def send(self, request: ServiceRequest, address: str, timeout_s: float) -> RecordedAnswer:
+        """Send a request to one worker."""
+        worker = self._workers[address]
+        if worker.is_down or self._world.is_cut(self._zone, worker.zone):
+            raise ServiceUnreachableError(address)
+        latency_s = self._world.latency_s(self._zone, worker.zone)
+        await asyncio.sleep(latency_s)
+        if self._world.rng.random() < worker.refusal_share:
+            raise ServiceRefusedError(address)
+        worker.executions[request.request_id] += 1
+        await asyncio.sleep(worker.service_s)
+        is_lost = self._world.rng.random() < worker.lost_answer_share
+        if is_lost or worker.is_down or self._world.is_cut(self._zone, worker.zone):
+            raise ServiceBrokenError("the answer was lost")
+        await asyncio.sleep(latency_s)
+        body = json.dumps({"identifier": request.request_id, "path": request.path}).encode()
+        return RecordedAnswer(200, "application/json", body)
