--- a/src/hollowrack/routing/fleet.py
+++ b/src/hollowrack/routing/fleet.py
@@ -162,6 +162,7 @@
         status=record.status,
         num_slots=engine.num_slots if engine is not None else DEFAULT_SERVICE_SLOTS,
         estimated_load=record.estimated_load,
+        reported_load=record.reported_load,
         num_training=record.num_training,
         weight_version=engine.weight_version if engine is not None else 0,
         is_circuit_closed=record.circuit.allows(now_s),
--- a/src/hollowrack/routing/types.py
+++ b/src/hollowrack/routing/types.py
@@ -39,6 +39,7 @@
         num_slots: Requests it runs at once.
         estimated_load: Requests running and waiting: the last report, corrected by what this node
             sent and finished since.
+        reported_load: The last report itself, for comparison.
         num_training: Training generations of this node in progress on it.
         weight_version: Version an engine reported last; 0 for services.
         is_circuit_closed: Whether direct evidence speaks for it.
@@ -51,6 +52,7 @@
     status: BackEndStatus = BackEndStatus.SERVING
     num_slots: int = 1
     estimated_load: float = 0.0
+    reported_load: int = 0
     num_training: int = 0
     weight_version: int = 0
     is_circuit_closed: bool = True
--- a/src/hollowrack_bench/hollow/platform.py
+++ b/src/hollowrack_bench/hollow/platform.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
+from hollowrack.clock import now_s
 from hollowrack.platform.engine import (
     CacheEvents,
     EngineLoad,
@@ -76,29 +77,29 @@
 
     lag_s: float = 0.5
     _machines: dict[str, Machine] = field(default_factory=dict)
-    _visible: list[Machine] = field(default_factory=list)
+    _history: list[tuple[float, list[Machine]]] = field(default_factory=list)
 
     def set_machine(self, machine: Machine) -> None:
         """Add or change a machine."""
         self._machines[machine.address] = machine
-        self._publish_later()
+        self._note_change()
 
     def remove_machine(self, address: str) -> None:
         """Remove a machine."""
         self._machines.pop(address, None)
-        self._publish_later()
+        self._note_change()
 
-    def _publish_later(self) -> None:
-        listed = list(self._machines.values())
-
-        def publish() -> None:
-            self._visible = listed
-
-        asyncio.get_running_loop().call_later(self.lag_s, publish)
+    def _note_change(self) -> None:
+        self._history.append((now_s(), list(self._machines.values())))
 
     async def read(self) -> Result[list[Machine], Problem]:
         """Return what readers see."""
-        return Success(self._visible)
+        visible: list[Machine] = []
+        for at_s, machines in self._history:
+            if at_s > now_s() - self.lag_s:
+                break
+            visible = machines
+        return Success(visible)
 
 
 class HollowEngine:
