Admission: nodes that share a pool do not fill the same room several times

Cause: under a surge of 3x every node saw the same old report and admitted into the same free slots; live p99 6.2 s, 3.8 times the unloaded one. Live requests were also placed by a load that counted training, which gives way to them.

Change: others are assumed to have added since the last report what this node added; live requests weigh live load only; queueing is weighed by the measured service time.

--- a/src/hollowrack/admission/controller.py
+++ b/src/hollowrack/admission/controller.py
@@ -1,6 +1,8 @@
 """Lets live requests in up to their pool's capacity, queues a few and refuses the rest early."""
 
 import asyncio
+import math
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -9,6 +11,7 @@
 from hollowrack.admission.fair_queue import FairQueue
 from hollowrack.clock import now_s
 from hollowrack.results import Problem, ResultCode
+from hollowrack.routing.fleet import PoolLoad
 
 PUMP_INTERVAL_S = 0.02
 SERVICE_TIME_SMOOTHING = 0.1
@@ -18,7 +21,8 @@
 MAX_QUEUE_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.2
 
-Capacity = Callable[[str], tuple[int, int]]
+# Age of what load reports say by the time they are used: the engines' lag and the polling interval.
+REPORT_AGE_S = 0.75
 
 
 class _Waiter:
@@ -34,6 +38,24 @@
     queue: FairQueue[_Waiter] = field(default_factory=FairQueue)
     num_running: int = 0
     mean_service_s: float = INITIAL_SERVICE_TIME_S
+    history: deque[tuple[float, int]] = field(default_factory=lambda: deque([(-math.inf, 0)]))
+
+    def change_running(self, change: int) -> None:
+        """Change the number of running requests and remember it for a while."""
+        self.num_running += change
+        self.history.append((now_s(), self.num_running))
+        self._forget()
+
+    def num_added_lately(self) -> int:
+        """Requests that this node added since the last reports were made."""
+        self._forget()
+        return max(0, self.num_running - self.history[0][1])
+
+    def _forget(self) -> None:
+        # The oldest entry kept is the state at the time of the last reports.
+        horizon_s = now_s() - REPORT_AGE_S
+        while len(self.history) > 1 and self.history[1][0] <= horizon_s:
+            self.history.popleft()
 
 
 class Ticket:
@@ -50,7 +72,7 @@
         if self._is_released:
             return
         self._is_released = True
-        self._pool.num_running -= 1
+        self._pool.change_running(-1)
         service_s = now_s() - self._started_s
         self._pool.mean_service_s += SERVICE_TIME_SMOOTHING * (
             service_s - self._pool.mean_service_s
@@ -62,12 +84,19 @@
     """Admission of live requests at one node.
 
     Args:
-        capacity: Returns the slots of a pool and the live requests on them, as this node sees it.
+        pool_load: Returns the slots of a pool and the live requests on them by the last reports.
+        num_nodes: Returns how many nodes share the pools.
         max_requests: Most requests of this node at once, over all pools.
     """
 
-    def __init__(self, capacity: Capacity, max_requests: int) -> None:
-        self._capacity = capacity
+    def __init__(
+        self,
+        pool_load: Callable[[str], PoolLoad],
+        num_nodes: Callable[[], int],
+        max_requests: int,
+    ) -> None:
+        self._pool_load = pool_load
+        self._num_nodes = num_nodes
         self._max_requests = max_requests
         self._pools: dict[str, _Pool] = {}
         self._task: asyncio.Task[None] | None = None
@@ -130,29 +159,39 @@
         except asyncio.CancelledError:
             pool.queue.discard(waiter)
             if waiter.admitted.done() and not waiter.admitted.cancelled():
-                pool.num_running -= 1
+                pool.change_running(-1)
             raise
         if not is_admitted:
             return Failure(Problem(ResultCode.STOPPING, "the node is stopping", pool_name))
         return Success(Ticket(pool, self._pump_released))
 
     def _ticket(self, pool: _Pool) -> Ticket:
-        pool.num_running += 1
+        pool.change_running(1)
         return Ticket(pool, self._pump_released)
 
     def _has_room(self, pool_name: str, pool: _Pool) -> bool:
         if self.num_running >= self._max_requests:
             return False
-        num_slots, num_live = self._capacity(pool_name)
-        if not num_slots:
+        load = self._pool_load(pool_name)
+        if not load.num_slots:
             # Nothing is known of the pool; routing will say so with a better reason.
             return True
-        return max(num_live, pool.num_running) < num_slots
+        return self._estimated_live(pool, load) < load.num_slots
+
+    def _estimated_live(self, pool: _Pool, load: PoolLoad) -> int:
+        """Live requests in the pool now, by the last reports and what came since.
+
+        The other nodes see the same reports and are assumed to have added as many requests since as
+        this one. Without that, all nodes together fill the same room several times over.
+        """
+        added = pool.num_added_lately() * max(1, self._num_nodes())
+        return max(load.num_live + added, pool.num_running)
 
     def _expected_wait_s(self, pool_name: str, pool: _Pool) -> float:
-        num_slots, num_live = self._capacity(pool_name)
-        num_ahead = len(pool.queue) + 1 + max(0, num_live - num_slots)
-        return pool.mean_service_s * num_ahead / max(1, num_slots)
+        load = self._pool_load(pool_name)
+        num_excess = max(0, load.num_live - load.num_slots)
+        num_ahead = (len(pool.queue) + 1) * max(1, self._num_nodes()) + num_excess
+        return pool.mean_service_s * num_ahead / max(1, load.num_slots)
 
     async def _run(self) -> None:
         while True:
@@ -169,7 +208,7 @@
         while len(pool.queue) and self._has_room(name, pool):
             waiter = pool.queue.pop()
             if not waiter.admitted.done():
-                pool.num_running += 1
+                pool.change_running(1)
                 waiter.admitted.set_result(True)
 
 
--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -284,7 +284,9 @@
     def _build_requests(self) -> None:
         edges = self._edges
         self.retry_budget = RetryBudget()
-        self.admission = AdmissionController(self.fleet.live_capacity, self._limits.max_requests)
+        self.admission = AdmissionController(
+            self.fleet.pool_load, self._num_nodes, self._limits.max_requests
+        )
         self.generations = GenerationRunner(
             self.fleet,
             edges.make_engine_client,
@@ -364,6 +366,9 @@
 
     # -- glue -------------------------------------------------------------------------------
 
+    def _num_nodes(self) -> int:
+        return sum(1 for member in self.membership.swim.members.values() if member.takes_work)
+
     def _target_version(self, model: str) -> int | None:
         return self.membership.swim.facts.get(WEIGHT_FACT_PREFIX + model)
 
--- a/src/hollowrack/requests/forwarding.py
+++ b/src/hollowrack/requests/forwarding.py
@@ -113,7 +113,8 @@
         self, request: ServiceRequest, state: Dispatched, deadline_s: float
     ) -> Admitted | Result[RecordedAnswer, Problem]:
         record = self._fleet.records[state.address]
-        self._fleet.note_sent(state.address, False, now_s())
+        started_s = now_s()
+        self._fleet.note_sent(state.address, False, started_s)
         try:
             timeout_s = max(MIN_TIMEOUT_S, deadline_s - now_s())
             answer = await self._client.send(request, state.address, timeout_s)
@@ -129,4 +130,5 @@
         finally:
             self._fleet.note_finished(state.address, False)
         record.circuit.note_success()
+        self._fleet.note_service_time(request.pool, now_s() - started_s)
         return Success(answer)
--- a/src/hollowrack/requests/generation.py
+++ b/src/hollowrack/requests/generation.py
@@ -180,9 +180,12 @@
         record = self._fleet.records[state.address]
         self._fleet.note_sent(state.address, is_training, now_s())
         self._fleet.prefixes.note_sent(state.address, plan.route.prefix_blocks)
+        started_s = now_s()
         try:
             await self._stream(plan, progress, state.address)
             record.circuit.note_success()
+            if not is_training:
+                self._fleet.note_service_time(plan.route.pool, now_s() - started_s)
             return Success(progress.whole())
         except EngineUnreachableError:
             record.circuit.note_failure(now_s(), is_conclusive=True)
--- a/src/hollowrack/routing/choice.py
+++ b/src/hollowrack/routing/choice.py
@@ -29,14 +29,12 @@
 
     Attributes:
         other_zone_ms: A request to another zone instead of this one.
-        queued_request_ms: Waiting behind one queued request, per slot of the back end.
         full_load_ms: Slowdown of an engine with all slots busy against an idle one.
         prefill_block_ms: Computing one prefix block that is not cached.
         max_affinity_load: Load share above which affinity no longer counts.
     """
 
     other_zone_ms: float = 2.0
-    queued_request_ms: float = 200.0
     full_load_ms: float = 20.0
     prefill_block_ms: float = 2.0
     max_affinity_load: float = 0.9
@@ -128,9 +126,11 @@
     request: RouteRequest, back_end: BackEnd, prefixes: PrefixIndex, costs: RoutingCosts
 ) -> ScoredCandidate:
     num_slots = max(1, back_end.num_slots)
-    load_share = back_end.estimated_load / num_slots
-    num_queued = max(0.0, back_end.estimated_load + 1 - num_slots)
-    queue_ms = costs.queued_request_ms * num_queued / num_slots
+    is_live = request.priority is Priority.LIVE
+    load = back_end.estimated_live if is_live else back_end.estimated_load
+    load_share = load / num_slots
+    num_queued = max(0.0, load + 1 - num_slots)
+    queue_ms = back_end.mean_service_ms * num_queued / num_slots
     queue_ms += costs.full_load_ms * min(1.0, load_share)
     distance_ms = 0.0 if back_end.zone == request.zone else costs.other_zone_ms
     saved_ms = 0.0
--- a/src/hollowrack/routing/fleet.py
+++ b/src/hollowrack/routing/fleet.py
@@ -6,10 +6,30 @@
 from hollowrack.platform.machine_list import Machine
 from hollowrack.routing.circuit import Circuit
 from hollowrack.routing.prefix import PrefixIndex
-from hollowrack.routing.types import BackEnd, BackEndKind, BackEndStatus
+from hollowrack.routing.types import (
+    DEFAULT_SERVICE_MS,
+    BackEnd,
+    BackEndKind,
+    BackEndStatus,
+)
 
 DEFAULT_SERVICE_SLOTS = 32
 ENGINE_STATUS_SERVING = "serving"
+SERVICE_SMOOTHING = 0.1
+_MS_PER_S = 1000.0
+
+
+@dataclass(frozen=True)
+class PoolLoad:
+    """A pool as the last reports describe it.
+
+    Attributes:
+        num_slots: Requests that its serving back ends run at once.
+        num_live: Live requests on them: reported by engines, this node's own for services.
+    """
+
+    num_slots: int
+    num_live: int
 
 
 @dataclass
@@ -70,6 +90,7 @@
     def __init__(self) -> None:
         self.records: dict[str, BackEndRecord] = {}
         self.prefixes = PrefixIndex()
+        self._mean_service_ms: dict[str, float] = {}
 
     def apply_machine_list(self, machines: list[Machine]) -> None:
         """Take in the machine list; a machine that is gone from it counts as leaving."""
@@ -122,6 +143,12 @@
             record.num_live += 1
             record.num_live_since_report += 1
 
+    def note_service_time(self, pool: str, service_s: float) -> None:
+        """Take in the time a live request took in a pool."""
+        service_ms = service_s * _MS_PER_S
+        known_ms = self._mean_service_ms.get(pool, service_ms)
+        self._mean_service_ms[pool] = known_ms + SERVICE_SMOOTHING * (service_ms - known_ms)
+
     def note_finished(self, address: str, is_training: bool) -> None:
         """A request ended, however it did."""
         record = self.records.get(address)
@@ -134,7 +161,7 @@
             record.num_live -= 1
             record.num_live_since_report -= 1
 
-    def live_capacity(self, pool: str) -> tuple[int, int]:
+    def pool_load(self, pool: str) -> PoolLoad:
         """Return the slots of a pool's serving back ends and the live requests on them."""
         serving = [
             record
@@ -145,14 +172,21 @@
             record.engine.num_slots if record.engine is not None else DEFAULT_SERVICE_SLOTS
             for record in serving
         )
-        return num_slots, sum(record.estimated_live for record in serving)
+        num_live = sum(
+            record.reported_live if record.engine is not None else record.num_live
+            for record in serving
+        )
+        return PoolLoad(num_slots, num_live)
 
     def snapshot(self, now_s: float) -> list[BackEnd]:
         """Return all back ends as they are seen at ``now_s``."""
-        return [_back_end(record, now_s) for record in self.records.values()]
+        return [
+            _back_end(record, now_s, self._mean_service_ms.get(record.machine.pool))
+            for record in self.records.values()
+        ]
 
 
-def _back_end(record: BackEndRecord, now_s: float) -> BackEnd:
+def _back_end(record: BackEndRecord, now_s: float, mean_service_ms: float | None) -> BackEnd:
     engine = record.engine
     return BackEnd(
         address=record.machine.address,
@@ -163,6 +197,8 @@
         num_slots=engine.num_slots if engine is not None else DEFAULT_SERVICE_SLOTS,
         estimated_load=record.estimated_load,
         reported_load=record.reported_load,
+        estimated_live=record.estimated_live,
+        mean_service_ms=DEFAULT_SERVICE_MS if mean_service_ms is None else mean_service_ms,
         num_training=record.num_training,
         weight_version=engine.weight_version if engine is not None else 0,
         is_circuit_closed=record.circuit.allows(now_s),
--- a/src/hollowrack/routing/types.py
+++ b/src/hollowrack/routing/types.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+DEFAULT_SERVICE_MS = 500.0
+
 
 class BackEndKind(Enum):
     """What a back end is."""
@@ -40,6 +42,9 @@
         estimated_load: Requests running and waiting: the last report, corrected by what this node
             sent and finished since.
         reported_load: The last report itself, for comparison.
+        estimated_live: Live requests among them, estimated in the same way; training gives way to
+            live requests, so only these delay a live request.
+        mean_service_ms: Mean time of a live request in its pool.
         num_training: Training generations of this node in progress on it.
         weight_version: Version an engine reported last; 0 for services.
         is_circuit_closed: Whether direct evidence speaks for it.
@@ -53,6 +58,8 @@
     num_slots: int = 1
     estimated_load: float = 0.0
     reported_load: int = 0
+    estimated_live: float = 0.0
+    mean_service_ms: float = DEFAULT_SERVICE_MS
     num_training: int = 0
     weight_version: int = 0
     is_circuit_closed: bool = True
--- a/src/hollowrack_bench/hollow/callers.py
+++ b/src/hollowrack_bench/hollow/callers.py
@@ -35,6 +35,7 @@
         num_sent: Requests of the trace.
         num_ok: Whole answers.
         num_ok_completions: Whole completions.
+        finished_s: When each of them finished, since the first request, in seconds.
         num_tokens: Tokens delivered.
         num_short: Answers with fewer tokens than the request had coming, or of another request.
         codes: Result codes of refusals and failures, each attempt counted.
@@ -46,6 +47,7 @@
     num_sent: int = 0
     num_ok: int = 0
     num_ok_completions: int = 0
+    finished_s: list[float] = field(default_factory=list)
     num_tokens: int = 0
     num_short: int = 0
     codes: Counter[str] = field(default_factory=Counter)
@@ -82,7 +84,7 @@
 
     async def run(self) -> CallerReport:
         """Send the whole trace and wait for all answers."""
-        start_s = now_s()
+        self._start_s = start_s = now_s()
         tasks: set[asyncio.Task[None]] = set()
         for entry in self._trace:
             await asyncio.sleep(max(0.0, start_s + entry.at_s - now_s()))
@@ -163,6 +165,7 @@
         else:
             self.report.latency.record_value(latency_us)
             self.report.num_ok_completions += 1
+            self.report.finished_s.append(now_s() - self._start_s)
             num_tokens = body["usage"]["completion_tokens"]
             self.report.num_tokens += num_tokens
             is_whole = body["id"] == request_id and num_tokens == self._expected(entry, number)
--- a/src/hollowrack_bench/local_fleet.py
+++ b/src/hollowrack_bench/local_fleet.py
@@ -221,14 +221,14 @@
         return all(self._is_node_ready(node) for node in self.nodes.values())
 
     def _is_node_ready(self, node: Node) -> bool:
-        num_engines, _ = node.core.fleet.live_capacity(MODEL)
-        num_workers, _ = node.core.fleet.live_capacity(SERVICE_POOL)
+        num_engine_slots = node.core.fleet.pool_load(MODEL).num_slots
+        num_worker_slots = node.core.fleet.pool_load(SERVICE_POOL).num_slots
         known = [
             member for member in node.core.membership.swim.members.values() if member.incarnation
         ]
         return (
             node.core.bundles.revision >= 1
-            and num_engines == len(self.engines) * self.config.engine.num_slots
-            and num_workers > 0
+            and num_engine_slots == len(self.engines) * self.config.engine.num_slots
+            and num_worker_slots > 0
             and len(known) == len(self.nodes)
         )
