--- a/src/hollowrack/admission/controller.py
+++ b/src/hollowrack/admission/controller.py
@@ -127,7 +127,7 @@
         return sum(pool.num_running for pool in self._pools.values())
 
     async def admit(
-        self, pool_name: str, tenant: str, deadline_s: float
+        self, pool_name: str, tenant: str, deadline_s: float, may_queue: bool = True
     ) -> Result[Ticket, Problem]:
         """Let a request in, now or from the queue.
 
@@ -135,6 +135,7 @@
             pool_name: Model or service pool.
             tenant: Whose request it is.
             deadline_s: Time on the monotonic clock after which it need not run.
+            may_queue: Whether it may wait for room.
 
         Fails with ``OVERLOADED`` and a time to come back, or ``DEADLINE_EXPIRED``; neither ran.
         """
@@ -143,7 +144,7 @@
             return Success(self._ticket(pool))
         expected_wait_s = self._expected_wait_s(pool_name, pool)
         max_wait_s = MAX_QUEUE_SHARE * pool.mean_service_s
-        if expected_wait_s > min(max_wait_s, deadline_s - now_s()):
+        if not may_queue or expected_wait_s > min(max_wait_s, deadline_s - now_s()):
             return Failure(_overloaded(pool_name, max(MIN_RETRY_AFTER_S, expected_wait_s)))
         waiter = _Waiter(min(deadline_s, now_s() + 2 * max_wait_s))
         pool.queue.push(tenant, waiter)
@@ -184,8 +185,9 @@
         The other nodes see the same reports and are assumed to have added as many requests since as
         this one. Without that, all nodes together fill the same room several times over.
         """
-        added = pool.num_added_lately() * max(1, self._num_nodes())
-        return max(load.num_live + added, pool.num_running)
+        num_others = max(0, self._num_nodes() - 1)
+        added_by_others = pool.num_added_lately() * num_others
+        return max(load.num_live, pool.num_running) + added_by_others
 
     def _expected_wait_s(self, pool_name: str, pool: _Pool) -> float:
         load = self._pool_load(pool_name)
--- a/src/hollowrack/api/responses.py
+++ b/src/hollowrack/api/responses.py
@@ -4,6 +4,7 @@
 import math
 from typing import Any, TypeVar
 
+from absl import logging
 from pydantic import BaseModel, ConfigDict, ValidationError
 from returns.result import Failure, Result, Success
 from starlette.requests import Request
@@ -49,6 +50,12 @@
     )
 
 
+async def internal_error_response(request: Request, error: Exception) -> Response:
+    """Answer a request on which the program failed."""
+    logging.error("request to %s failed", request.url.path, exc_info=error)
+    return problem_response(Problem(ResultCode.INTERNAL_ERROR, "the request failed here"))
+
+
 async def read_body(request: Request, max_bytes: int) -> Result[bytes, Problem]:
     """Read a request's body; fails with ``BODY_TOO_LARGE`` before buffering more than the limit."""
     parts: list[bytes] = []
--- a/src/hollowrack/messages/codec.py
+++ b/src/hollowrack/messages/codec.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, TypeVar
 
 import cbor2
@@ -59,7 +60,18 @@
     """
     name = _names_by_type[type(value)]
     body = _adapter(type(value)).dump_python(value)
-    return cbor2.dumps([WIRE_VERSION, name, body])
+    return cbor2.dumps([WIRE_VERSION, name, body], default=_encode_enum)
+
+
+def _encode_enum(encoder: Any, value: object) -> None:
+    if not isinstance(value, Enum):
+        raise TypeError(f"{type(value).__name__} cannot be part of a message")
+    encoder.encode(value.value)
+
+
+def registered_types() -> tuple[type, ...]:
+    """Return all message types, for tests that every one of them can travel."""
+    return tuple(_names_by_type)
 
 
 def decode(data: bytes) -> Result[Any, Problem]:
--- a/src/hollowrack/messages/transport.py
+++ b/src/hollowrack/messages/transport.py
@@ -225,6 +225,11 @@
             reply_kind, reply = FrameKind.ANSWER, codec.encode(answer)
         except ProblemError as error:
             reply_kind, reply = FrameKind.PROBLEM, _encode_problem(error.problem)
+        except Exception:
+            # A fault of the program must not leave the peer waiting for its time-out.
+            logging.exception("request of a peer failed")
+            problem = Problem(ResultCode.INTERNAL_ERROR, "the request failed at the peer")
+            reply_kind, reply = FrameKind.PROBLEM, _encode_problem(problem)
         if kind is FrameKind.ONE_WAY:
             return
         try:
--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -7,9 +7,11 @@
 from absl import logging
 from returns.result import Result
 from starlette.applications import Starlette
+from starlette.routing import Route
 
 from hollowrack.api.callers import CallersFace
 from hollowrack.api.operators import OperatorsFace
+from hollowrack.api.responses import internal_error_response
 from hollowrack.api.server import HttpServer
 from hollowrack.api.trainers import TrainersFace
 from hollowrack.membership.network import SocketNetwork
@@ -152,19 +154,23 @@
         )
         max_connections = settings.limits.max_connections
         self.callers_server = HttpServer(
-            Starlette(routes=[*callers.routes(), *trainers.routes()]),
+            _application([*callers.routes(), *trainers.routes()]),
             settings.listeners.callers,
             "listeners.callers",
             max_connections,
         )
         self.operators_server = HttpServer(
-            Starlette(routes=operators.routes()),
+            _application(operators.routes()),
             settings.listeners.operators,
             "listeners.operators",
             max_connections,
         )
 
 
+def _application(routes: list[Route]) -> Starlette:
+    return Starlette(routes=routes, exception_handlers={Exception: internal_error_response})
+
+
 def _session(force_close: bool = False) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=NO_CONNECTION_LIMIT, force_close=force_close)
     return aiohttp.ClientSession(connector=connector)
--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -56,8 +56,16 @@
 from hollowrack.rollout.ledger import SampleLedger
 from hollowrack.rollout.service import RunService
 from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples
+from hollowrack.routing.broker import (
+    BrokeredPlacer,
+    HeldPlacements,
+    PlacementBroker,
+    PlacementDone,
+    PlaceRequest,
+)
 from hollowrack.routing.choice import Chooser, choose
 from hollowrack.routing.fleet import FleetView
+from hollowrack.routing.local_placer import LocalPlacer, PlacerParts
 from hollowrack.routing.observer import FleetObserver
 from hollowrack.settings.model import Limits
 
@@ -67,6 +75,8 @@
 PREPARE_CLAIMS_AFTER_S = 1.0
 WEIGHT_FACT_PREFIX = "weights/"
 LEAVING_FACT_PREFIX = "leaving/"
+# A broker's own bound is the room of its zone.
+MAX_BROKERED_REQUESTS = 1_000_000
 NUM_LEDGER_REPLICAS = 5
 NUM_CLAIM_REPLICAS = 5
 NUM_CONTROL_REPLICAS = 3
@@ -185,6 +195,7 @@
             self._receive_datagram, self._dispatcher.handle
         )
         self._build_control()
+        self._build_placement()
         self._build_requests()
         self._build_rollout()
         self._register_messages()
@@ -194,6 +205,8 @@
         self.bundles.start()
         self.observer.start()
         self.admission.start()
+        self.broker.start()
+        self.placer.start()
         self.engines.start()
         self.runs.start()
         self._prepare_task = asyncio.create_task(self._prepare_claims())
@@ -223,6 +236,8 @@
         await self.runs.stop()
         await self.engines.stop()
         await self.admission.stop()
+        await self.broker.stop()
+        await self.placer.stop()
         await self.observer.stop()
         await self.bundles.stop()
         await self.repair.stop()
@@ -281,52 +296,42 @@
         )
         self.groups = GroupClient(self.host, self.membership, directory, self.repair, placement_of)
 
+    def _build_placement(self) -> None:
+        parts = PlacerParts(
+            self.identity.node, self.fleet, self._edges.chooser, self.decisions, self._rng
+        )
+        max_requests = self._limits.max_requests
+        self.admission = AdmissionController(self.fleet.pool_load, self._num_nodes, max_requests)
+        self.broker = PlacementBroker(
+            parts,
+            self.membership,
+            lambda zone: AdmissionController(
+                lambda pool: self.fleet.pool_load(pool, zone), lambda: 1, MAX_BROKERED_REQUESTS
+            ),
+        )
+        self.local_placer = LocalPlacer(parts, self.admission)
+        self.placer = BrokeredPlacer(parts, self.membership, self.broker, self.local_placer)
+
     def _build_requests(self) -> None:
         edges = self._edges
         self.retry_budget = RetryBudget()
-        self.admission = AdmissionController(
-            self.fleet.pool_load, self._num_nodes, self._limits.max_requests
-        )
         self.generations = GenerationRunner(
-            self.fleet,
-            edges.make_engine_client,
-            self.retry_budget,
-            self.decisions,
-            self._rng,
-            edges.chooser,
-        )
-        services = ServiceForwarder(
-            self.fleet,
-            edges.services,
-            self.retry_budget,
-            self.decisions,
-            self._rng,
-            edges.chooser,
+            self.placer, edges.make_engine_client, self.retry_budget, self.decisions
         )
+        services = ServiceForwarder(self.local_placer, edges.services, self.retry_budget)
         self.unsafe = UnsafeRequests(self.groups, self.membership, self.host.replica_id)
         self.answers = HomeAnswers(
             self.identity.node, self.membership, AnswerStore(self._limits.max_answers)
         )
         self.gateway = Gateway(
-            GatewayParts(
-                self.identity.zone,
-                self.admission,
-                self.generations,
-                services,
-                self.unsafe,
-                self.answers,
-            )
+            GatewayParts(self.identity.zone, self.generations, services, self.unsafe, self.answers),
+            self._limits.max_requests,
         )
 
     def _build_rollout(self) -> None:
         # Rollouts have a budget of their own: the coordinator starts failed slots again anyway.
         runner = GenerationRunner(
-            self.fleet,
-            self._edges.make_engine_client,
-            RetryBudget(share=1.0),
-            self.decisions,
-            self._rng,
-            self._edges.chooser,
+            self.placer, self._edges.make_engine_client, RetryBudget(share=1.0), self.decisions
         )
         context = RolloutContext(
             self.identity.zone,
@@ -355,6 +360,9 @@
         on_sync(FindAnswer, self.answers.answer_find)
         on(ReadSamples, self.runs.answer)
         on(ReadRunStatus, self.runs.answer)
+        on(PlaceRequest, self.broker.answer_place)
+        on_sync(PlacementDone, self.broker.answer_done)
+        on_sync(HeldPlacements, self.broker.answer_held)
 
     async def _answer_propose(self, request: ProposeRequest) -> ProposeAnswer:
         result = await self.host.propose(request.group, request.command)
@@ -388,6 +396,7 @@
     def _on_bundle(self, bundle: Bundle) -> None:
         self.gateway.bundle = bundle
         self.admission.set_weights(bundle.tenants)
+        self.broker.set_weights(bundle.tenants)
         self.metrics.bundle_revision.set(bundle.revision)
 
     def status(self) -> dict[str, Any]:
--- a/src/hollowrack/platform/service.py
+++ b/src/hollowrack/platform/service.py
@@ -22,6 +22,7 @@
 
     Attributes:
         request_id: Identifier of the request.
+        tenant: Whose request it is.
         pool: Service pool.
         method: HTTP method.
         path: Path and query below the worker's root.
@@ -33,6 +34,7 @@
     """
 
     request_id: str
+    tenant: str
     pool: str
     method: str
     path: str
--- a/src/hollowrack/requests/forwarding.py
+++ b/src/hollowrack/requests/forwarding.py
@@ -1,11 +1,8 @@
 """Forwards one request to a service worker: placement, retries, what is known of the outcome."""
 
-import random
-
 from returns.result import Failure, Result, Success
 
 from hollowrack.clock import now_s
-from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.platform.service import (
     ServiceBrokenError,
     ServiceClient,
@@ -24,8 +21,7 @@
 )
 from hollowrack.requests.types import RecordedAnswer
 from hollowrack.results import Problem
-from hollowrack.routing.choice import Chooser
-from hollowrack.routing.fleet import FleetView
+from hollowrack.routing.placement import Placement, PlacementOutcome, PlacementRequest, Placer
 from hollowrack.routing.types import BackEndKind, RouteRequest
 
 MAX_ATTEMPTS = 4
@@ -36,29 +32,20 @@
     """Forwards requests for one node.
 
     Args:
-        fleet: The node's view of the back ends.
+        placer: Finds workers.
         client: Sends requests to workers.
         budget: Retry budget.
-        decisions: Where decisions are recorded.
-        rng: Random source of the routing.
-        chooser: Chooses the worker.
     """
 
     def __init__(
         self,
-        fleet: FleetView,
+        placer: Placer,
         client: ServiceClient,
         budget: RetryBudget,
-        decisions: DecisionLog,
-        rng: random.Random,
-        chooser: Chooser,
     ) -> None:
-        self._fleet = fleet
+        self._placer = placer
         self._client = client
         self._budget = budget
-        self._decisions = decisions
-        self._rng = rng
-        self._choose = chooser
 
     async def forward(self, request: ServiceRequest) -> Result[RecordedAnswer, Problem]:
         """Forward a request and return the worker's whole answer.
@@ -76,11 +63,13 @@
             if now_s() >= deadline_s:
                 expired = state.refuse(NotRunCode.DEADLINE_EXPIRED, "the deadline passed")
                 return Failure(unresolved or expired.problem)
-            placed = self._place(request, tried, attempt)
+            placed = await self._placer.place(_placement_request(request, tried, attempt))
             if isinstance(placed, Failure):
                 return Failure(unresolved or placed.failure())
-            tried.add(placed.unwrap())
-            outcome = await self._attempt(request, state.dispatch(placed.unwrap()), deadline_s)
+            placement = placed.unwrap()
+            tried.add(placement.address)
+            dispatched = state.dispatch(placement.address)
+            outcome = await self._attempt(request, placement, dispatched, deadline_s)
             if isinstance(outcome, Admitted):
                 state = outcome
                 continue
@@ -91,44 +80,32 @@
         refused = state.refuse(NotRunCode.BACK_END_REFUSED, "no worker took the request")
         return Failure(unresolved or refused.problem)
 
-    def _place(
-        self, request: ServiceRequest, tried: set[str], attempt: int
-    ) -> Result[str, Problem]:
-        route = RouteRequest(
-            BackEndKind.SERVICE, request.pool, request.zone, excluded=frozenset(tried)
-        )
-        back_ends = self._fleet.snapshot(now_s())
-        choice = self._choose(route, back_ends, self._fleet.prefixes, self._rng)
-        if isinstance(choice, Success):
-            self._decisions.record(
-                DecisionKind.ROUTE,
-                request.request_id,
-                choice.unwrap().address,
-                attempt=attempt,
-                cost_ms=choice.unwrap().costs_ms(),
-            )
-        return choice.map(lambda found: found.address)
-
     async def _attempt(
-        self, request: ServiceRequest, state: Dispatched, deadline_s: float
+        self,
+        request: ServiceRequest,
+        placement: Placement,
+        state: Dispatched,
+        deadline_s: float,
     ) -> Admitted | Result[RecordedAnswer, Problem]:
-        record = self._fleet.records[state.address]
         started_s = now_s()
-        self._fleet.note_sent(state.address, False, started_s)
+        evidence = PlacementOutcome.ABANDONED
         try:
-            timeout_s = max(MIN_TIMEOUT_S, deadline_s - now_s())
+            timeout_s = max(MIN_TIMEOUT_S, deadline_s - started_s)
             answer = await self._client.send(request, state.address, timeout_s)
+            evidence = PlacementOutcome.SUCCESS
+            return Success(answer)
         except ServiceUnreachableError:
-            record.circuit.note_failure(now_s(), is_conclusive=True)
+            evidence = PlacementOutcome.UNREACHABLE
             return state.did_not_run(NoBytesSentProof.NO_CONNECTION)
         except ServiceRefusedError:
-            record.circuit.note_abandoned(now_s())
             return state.did_not_run(NoBytesSentProof.EXPLICIT_REFUSAL)
         except ServiceBrokenError as error:
-            record.circuit.note_failure(now_s())
+            evidence = PlacementOutcome.FAILURE
             return Failure(state.unresolved(UnresolvedCode.OUTCOME_UNKNOWN, str(error)).problem)
         finally:
-            self._fleet.note_finished(state.address, False)
-        record.circuit.note_success()
-        self._fleet.note_service_time(request.pool, now_s() - started_s)
-        return Success(answer)
+            self._placer.finish(placement, evidence, now_s() - started_s)
+
+
+def _placement_request(request: ServiceRequest, tried: set[str], attempt: int) -> PlacementRequest:
+    route = RouteRequest(BackEndKind.SERVICE, request.pool, request.zone, excluded=frozenset(tried))
+    return PlacementRequest(request.request_id, request.tenant, route, request.timeout_s, attempt)
--- a/src/hollowrack/requests/gateway.py
+++ b/src/hollowrack/requests/gateway.py
@@ -9,7 +9,6 @@
 from absl import logging
 from returns.result import Failure, Result, Success
 
-from hollowrack.admission.controller import AdmissionController
 from hollowrack.bundle.schema import Bundle
 from hollowrack.clock import now_s
 from hollowrack.observability.logs import log_fields
@@ -76,7 +75,6 @@
     """What a gateway is made of."""
 
     zone: str
-    admission: AdmissionController
     generations: GenerationRunner
     services: ServiceForwarder
     unsafe: UnsafeRequests
@@ -88,10 +86,12 @@
 
     Args:
         parts: The parts of the node it uses.
+        max_requests: Most requests in progress at once.
     """
 
-    def __init__(self, parts: GatewayParts) -> None:
+    def __init__(self, parts: GatewayParts, max_requests: int) -> None:
         self._parts = parts
+        self._max_requests = max_requests
         self.bundle: Bundle | None = None
         self.is_stopping = False
         self.num_in_progress = 0
@@ -167,6 +167,11 @@
         if self.is_stopping:
             detail = "this node is stopping"
             return Failure(Problem(ResultCode.STOPPING, detail, request_id, STOPPING_RETRY_AFTER_S))
+        if self.num_in_progress >= self._max_requests:
+            detail = f"{self.num_in_progress} requests are in progress on this node"
+            return Failure(
+                Problem(ResultCode.OVERLOADED, detail, request_id, STOPPING_RETRY_AFTER_S)
+            )
         self.num_in_progress += 1
         self._idle.clear()
         try:
@@ -188,16 +193,7 @@
         self, call: CompletionCall, on_chunks: ChunkSink | None
     ) -> Result[GeneratedText, Problem]:
         deadline_s = now_s() + call.timeout_s
-        admitted = await self._parts.admission.admit(call.model, call.tenant, deadline_s)
-        if isinstance(admitted, Failure):
-            return admitted
-        ticket = admitted.unwrap()
-        try:
-            return await self._parts.generations.run(
-                self._generation_plan(call, deadline_s, on_chunks)
-            )
-        finally:
-            ticket.release()
+        return await self._parts.generations.run(self._generation_plan(call, deadline_s, on_chunks))
 
     def _generation_plan(
         self, call: CompletionCall, deadline_s: float, on_chunks: ChunkSink | None
@@ -218,33 +214,27 @@
                 prefix_blocks=prefix_blocks(call.prompt),
             ),
             deadline_s=deadline_s,
+            tenant=call.tenant,
             on_chunks=on_chunks,
         )
 
     async def _forward(
         self, call: ServiceCall, timeout_s: float
     ) -> Result[RecordedAnswer, Problem]:
-        deadline_s = now_s() + timeout_s
-        admitted = await self._parts.admission.admit(call.pool, call.tenant, deadline_s)
-        if isinstance(admitted, Failure):
-            return admitted
-        ticket = admitted.unwrap()
-        try:
-            return await self._parts.services.forward(
-                ServiceRequest(
-                    request_id=call.request_id,
-                    pool=call.pool,
-                    method=call.method,
-                    path=call.path,
-                    headers=call.headers,
-                    body=call.body,
-                    is_safe=call.method in SAFE_METHODS,
-                    zone=self._parts.zone,
-                    timeout_s=timeout_s,
-                )
+        return await self._parts.services.forward(
+            ServiceRequest(
+                request_id=call.request_id,
+                tenant=call.tenant,
+                pool=call.pool,
+                method=call.method,
+                path=call.path,
+                headers=call.headers,
+                body=call.body,
+                is_safe=call.method in SAFE_METHODS,
+                zone=self._parts.zone,
+                timeout_s=timeout_s,
             )
-        finally:
-            ticket.release()
+        )
 
     def _check_model(self, model: str) -> Problem | None:
         if self.bundle is None or model not in self.bundle.models:
--- a/src/hollowrack/requests/generation.py
+++ b/src/hollowrack/requests/generation.py
@@ -4,7 +4,6 @@
 far. Each token keeps the weight version of the engine that produced it.
 """
 
-import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
@@ -32,9 +31,8 @@
 from hollowrack.requests.types import GeneratedText
 from hollowrack.results import Problem, ResultCode
 from hollowrack.rollout.spans import SpanBuilder
-from hollowrack.routing.choice import Chooser
-from hollowrack.routing.fleet import FleetView
-from hollowrack.routing.types import Priority, RouteRequest
+from hollowrack.routing.placement import Placement, PlacementOutcome, PlacementRequest, Placer
+from hollowrack.routing.types import RouteRequest
 
 STREAM_IDLE_TIMEOUT_S = 10.0
 MAX_ATTEMPTS = 6
@@ -51,6 +49,7 @@
         generation: What the engine is asked for.
         route: How to place it.
         deadline_s: Time on the monotonic clock after which it is not worth starting.
+        tenant: Whose request it is.
         on_chunks: Called with new tokens as they arrive.
         stop_check: Called after new tokens; a problem ends the generation early.
     """
@@ -58,6 +57,7 @@
     generation: GenerationRequest
     route: RouteRequest
     deadline_s: float
+    tenant: str = ""
     on_chunks: ChunkSink | None = None
     stop_check: StopCheck | None = None
 
@@ -107,29 +107,23 @@
     """Runs generations for one node.
 
     Args:
-        fleet: The node's view of the back ends.
+        placer: Finds engines.
         make_client: Returns the client of an engine by its address.
         budget: Retry budget.
         decisions: Where decisions are recorded.
-        rng: Random source of the routing.
-        chooser: Chooses the engine.
     """
 
     def __init__(
         self,
-        fleet: FleetView,
+        placer: Placer,
         make_client: MakeEngineClient,
         budget: RetryBudget,
         decisions: DecisionLog,
-        rng: random.Random,
-        chooser: Chooser,
     ) -> None:
-        self._choose = chooser
-        self._fleet = fleet
+        self._placer = placer
         self._make_client = make_client
         self._budget = budget
         self._decisions = decisions
-        self._rng = rng
 
     async def run(self, plan: GenerationPlan) -> Result[GeneratedText, Problem]:
         """Run a generation to its end marker.
@@ -149,18 +143,16 @@
             if now_s() >= plan.deadline_s:
                 expired = state.refuse(NotRunCode.DEADLINE_EXPIRED, "the deadline passed")
                 return Failure(unresolved or expired.problem)
-            route = replace(plan.route, excluded=frozenset(tried))
-            back_ends = self._fleet.snapshot(now_s())
-            choice = self._choose(route, back_ends, self._fleet.prefixes, self._rng)
-            if isinstance(choice, Failure):
-                return Failure(unresolved or choice.failure())
-            address = choice.unwrap().address
-            tried.add(address)
-            kind = DecisionKind.RESUME if progress.spans.num_tokens else DecisionKind.ROUTE
-            self._decisions.record(
-                kind, request_id, address, attempt=attempt, cost_ms=choice.unwrap().costs_ms()
+            placed = await self._placer.place(_placement_request(plan, tried, attempt))
+            if isinstance(placed, Failure):
+                return Failure(unresolved or placed.failure())
+            placement = placed.unwrap()
+            tried.add(placement.address)
+            if progress.spans.num_tokens:
+                self._decisions.record(DecisionKind.RESUME, request_id, placement.address)
+            outcome = await self._attempt(
+                plan, progress, placement, state.dispatch(placement.address)
             )
-            outcome = await self._attempt(plan, progress, state.dispatch(address))
             if isinstance(outcome, Admitted):
                 state = outcome
                 continue
@@ -174,37 +166,30 @@
         return Failure(unresolved or refused.problem)
 
     async def _attempt(
-        self, plan: GenerationPlan, progress: _Progress, state: Dispatched
+        self, plan: GenerationPlan, progress: _Progress, placement: Placement, state: Dispatched
     ) -> Admitted | Result[GeneratedText, Problem]:
-        is_training = plan.route.priority is Priority.TRAINING
-        record = self._fleet.records[state.address]
-        self._fleet.note_sent(state.address, is_training, now_s())
-        self._fleet.prefixes.note_sent(state.address, plan.route.prefix_blocks)
         started_s = now_s()
+        evidence = PlacementOutcome.ABANDONED
         try:
             await self._stream(plan, progress, state.address)
-            record.circuit.note_success()
-            if not is_training:
-                self._fleet.note_service_time(plan.route.pool, now_s() - started_s)
+            evidence = PlacementOutcome.SUCCESS
             return Success(progress.whole())
         except EngineUnreachableError:
-            record.circuit.note_failure(now_s(), is_conclusive=True)
+            evidence = PlacementOutcome.UNREACHABLE
             return state.did_not_run(NoBytesSentProof.NO_CONNECTION)
         except EngineRefusedError:
-            record.circuit.note_abandoned(now_s())
             return state.did_not_run(NoBytesSentProof.EXPLICIT_REFUSAL)
         except StreamBrokenError as error:
-            record.circuit.note_failure(now_s())
+            evidence = PlacementOutcome.FAILURE
             has_tokens = progress.spans.num_tokens > 0
             code = UnresolvedCode.OUTCOME_UNKNOWN
             if has_tokens:
                 code = UnresolvedCode.ANSWER_INCOMPLETE
             return Failure(state.unresolved(code, str(error)).problem)
         except _StoppedEarlyError as stopped:
-            record.circuit.note_abandoned(now_s())
             return Failure(stopped.problem)
         finally:
-            self._fleet.note_finished(state.address, is_training)
+            self._placer.finish(placement, evidence, now_s() - started_s)
 
     async def _stream(self, plan: GenerationPlan, progress: _Progress, address: str) -> None:
         generation = replace(
@@ -232,4 +217,14 @@
             raise StreamBrokenError("the stream ended without a finish reason")
 
 
+def _placement_request(plan: GenerationPlan, tried: set[str], attempt: int) -> PlacementRequest:
+    return PlacementRequest(
+        request_id=plan.generation.request_id,
+        tenant=plan.tenant,
+        route=replace(plan.route, excluded=frozenset(tried)),
+        timeout_s=max(0.0, plan.deadline_s - now_s()),
+        attempt=attempt,
+    )
+
+
 _RESUMABLE = frozenset({ResultCode.OUTCOME_UNKNOWN, ResultCode.ANSWER_INCOMPLETE})
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -6,11 +6,12 @@
 the two.
 """
 
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from enum import Enum, IntEnum, unique
 from typing import TypeVar
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 Value = TypeVar("Value")
 
@@ -97,6 +98,8 @@
     ORDER_FENCED = 804
     SWAP_FAILED = 805
 
+    INTERNAL_ERROR = 900
+
 
 @dataclass(frozen=True)
 class CodeDescription:
@@ -343,6 +346,9 @@
     ResultCode.SWAP_FAILED: CodeDescription(
         _U, _YES, 500, "A weight swap failed partway.", "The engine stays out until repaired."
     ),
+    ResultCode.INTERNAL_ERROR: CodeDescription(
+        _U, _SAME, 500, "This is a fault of the program.", "Report it with the log's traceback."
+    ),
 }
 
 # Exit statuses are one byte wide; a code's hundreds digit keeps the group visible to scripts.
@@ -404,6 +410,14 @@
     return result.unwrap()
 
 
+async def result_of(awaitable: Awaitable[Value]) -> Result[Value, Problem]:
+    """Return what an awaitable returns, or the problem of the ``ProblemError`` it raises."""
+    try:
+        return Success(await awaitable)
+    except ProblemError as error:
+        return Failure(error.problem)
+
+
 def code_table() -> str:
     """Return the Markdown table of all result codes."""
     header = (
--- a/src/hollowrack/rollout/service.py
+++ b/src/hollowrack/rollout/service.py
@@ -8,7 +8,7 @@
 
 from hollowrack.messages import codec
 from hollowrack.replication.links import NodeLinks
-from hollowrack.results import Problem, ProblemError, ResultCode, value_or_raise
+from hollowrack.results import Problem, ProblemError, ResultCode, result_of, value_or_raise
 from hollowrack.rollout.commands import LedgerCommand, LedgerOutcome, OpenRun
 from hollowrack.rollout.coordinator import RolloutContext, RunCoordinator
 from hollowrack.rollout.groups import RUN_GROUP_PREFIX, run_group
@@ -135,10 +135,7 @@
         async def ask(node: str) -> Result[Any, Problem]:
             if node != self._node:
                 return await self._links.request(node, request, timeout_s)
-            try:
-                return Success(await self.answer(request))
-            except ProblemError as error:
-                return Failure(error.problem)
+            return await result_of(self.answer(request))
 
         result = await self._groups.at_leader(run_group(run), ask, FIND_LEADER_TIMEOUT_S)
         if isinstance(result, Failure):
--- a/src/hollowrack/routing/choice.py
+++ b/src/hollowrack/routing/choice.py
@@ -65,6 +65,8 @@
         return False
     if back_end.address in request.excluded:
         return False
+    if request.only_zone and back_end.zone != request.only_zone:
+        return False
     if back_end.weight_version < request.min_weight_version:
         return False
     return request.priority is Priority.LIVE or _has_training_room(request, back_end)
@@ -101,8 +103,9 @@
     prefixes: PrefixIndex,
     rng: random.Random,
 ) -> list[BackEnd]:
-    near = [back_end for back_end in candidates if back_end.zone == request.zone]
-    far = [back_end for back_end in candidates if back_end.zone != request.zone]
+    zone = request.only_zone or request.zone
+    near = [back_end for back_end in candidates if back_end.zone == zone]
+    far = [back_end for back_end in candidates if back_end.zone != zone]
     drawn = rng.sample(near, min(_NUM_RANDOM_CHOICES, len(near)))
     num_far = _NUM_RANDOM_CHOICES if not near else 1
     drawn += rng.sample(far, min(num_far, len(far)))
--- a/src/hollowrack/routing/fleet.py
+++ b/src/hollowrack/routing/fleet.py
@@ -1,10 +1,12 @@
 """This node's view of all back ends, kept from the machine list, reports and direct evidence."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from hollowrack.platform.engine import EngineLoad, EngineState
 from hollowrack.platform.machine_list import Machine
 from hollowrack.routing.circuit import Circuit
+from hollowrack.routing.placement import PlacementOutcome
 from hollowrack.routing.prefix import PrefixIndex
 from hollowrack.routing.types import (
     DEFAULT_SERVICE_MS,
@@ -16,16 +18,21 @@
 DEFAULT_SERVICE_SLOTS = 32
 ENGINE_STATUS_SERVING = "serving"
 SERVICE_SMOOTHING = 0.1
+NUM_REPORTS_COMPARED = 5
 _MS_PER_S = 1000.0
 
 
+def _recent() -> deque[int]:
+    return deque(maxlen=NUM_REPORTS_COMPARED)
+
+
 @dataclass(frozen=True)
 class PoolLoad:
     """A pool as the last reports describe it.
 
     Attributes:
         num_slots: Requests that its serving back ends run at once.
-        num_live: Live requests on them: reported by engines, this node's own for services.
+        num_live: Live requests on them, as estimated from this node's counts and the reports.
     """
 
     num_slots: int
@@ -41,12 +48,10 @@
         is_leaving: Whether it is marked as leaving; the mark outlives a lagging list.
         engine: The engine's last control state, for engines.
         reported_load: Requests running and waiting by the last report.
-        reported_live: Live ones among them.
-        num_live_since_report: Live requests of this node sent less finished since then.
-        num_sent_since_report: Requests of this node sent since then.
-        num_finished_since_report: Requests of this node finished since then.
-        num_live: Live requests of this node in progress.
-        num_training: Training generations of this node in progress.
+        num_live: Live requests in progress that this node placed.
+        num_training: Training generations in progress that this node placed.
+        others_live: Live requests beyond those, in each of the last reports.
+        others_load: All requests beyond those, in each of the last reports.
         circuit: Direct evidence.
     """
 
@@ -54,24 +59,25 @@
     is_leaving: bool = False
     engine: EngineState | None = None
     reported_load: int = 0
-    reported_live: int = 0
-    num_live_since_report: int = 0
-    num_sent_since_report: int = 0
-    num_finished_since_report: int = 0
     num_live: int = 0
     num_training: int = 0
+    others_live: deque[int] = field(default_factory=_recent)
+    others_load: deque[int] = field(default_factory=_recent)
     circuit: Circuit = field(default_factory=Circuit)
 
     @property
-    def estimated_load(self) -> float:
-        """The last report corrected by this node's own sends and finishes."""
-        since_report = self.num_sent_since_report - self.num_finished_since_report
-        return max(self.reported_load + since_report, self.num_live + self.num_training, 0)
+    def estimated_load(self) -> int:
+        """All requests on it: what this node placed, and what others must have.
+
+        A report is older than this node's own counts. While requests come and go, their difference
+        is noise; the least of several differences is what others really have.
+        """
+        return self.num_live + self.num_training + min(self.others_load, default=0)
 
     @property
     def estimated_live(self) -> int:
         """Live requests on it, estimated in the same way."""
-        return max(self.reported_live + self.num_live_since_report, self.num_live, 0)
+        return self.num_live + min(self.others_live, default=0)
 
     @property
     def status(self) -> BackEndStatus:
@@ -127,21 +133,18 @@
         record = self.records.get(address)
         if record is not None:
             record.reported_load = load.num_running + load.num_waiting
-            record.reported_live = load.num_live
-            record.num_live_since_report = 0
-            record.num_sent_since_report = 0
-            record.num_finished_since_report = 0
+            num_own = record.num_live + record.num_training
+            record.others_live.append(max(0, load.num_live - record.num_live))
+            record.others_load.append(max(0, record.reported_load - num_own))
 
     def note_sent(self, address: str, is_training: bool, now_s: float) -> None:
         """A request is about to be sent."""
         record = self.records[address]
-        record.num_sent_since_report += 1
         record.circuit.note_sent(now_s)
         if is_training:
             record.num_training += 1
         else:
             record.num_live += 1
-            record.num_live_since_report += 1
 
     def note_service_time(self, pool: str, service_s: float) -> None:
         """Take in the time a live request took in a pool."""
@@ -154,29 +157,40 @@
         record = self.records.get(address)
         if record is None:
             return
-        record.num_finished_since_report += 1
         if is_training:
             record.num_training -= 1
         else:
             record.num_live -= 1
-            record.num_live_since_report -= 1
 
-    def pool_load(self, pool: str) -> PoolLoad:
-        """Return the slots of a pool's serving back ends and the live requests on them."""
+    def pool_load(self, pool: str, zone: str | None = None) -> PoolLoad:
+        """Return the slots of a pool's serving back ends, of one zone or all, and their load."""
         serving = [
             record
             for record in self.records.values()
-            if record.machine.pool == pool and record.status is BackEndStatus.SERVING
+            if record.machine.pool == pool
+            and record.status is BackEndStatus.SERVING
+            and zone in (None, record.machine.zone)
         ]
         num_slots = sum(
             record.engine.num_slots if record.engine is not None else DEFAULT_SERVICE_SLOTS
             for record in serving
         )
-        num_live = sum(
-            record.reported_live if record.engine is not None else record.num_live
-            for record in serving
-        )
-        return PoolLoad(num_slots, num_live)
+        return PoolLoad(num_slots, sum(record.estimated_live for record in serving))
+
+    def note_evidence(self, address: str, outcome: PlacementOutcome, now_s: float) -> None:
+        """Take in direct evidence about a back end."""
+        record = self.records.get(address)
+        if record is None:
+            return
+        match outcome:
+            case PlacementOutcome.SUCCESS:
+                record.circuit.note_success()
+            case PlacementOutcome.FAILURE:
+                record.circuit.note_failure(now_s)
+            case PlacementOutcome.UNREACHABLE:
+                record.circuit.note_failure(now_s, is_conclusive=True)
+            case PlacementOutcome.ABANDONED:
+                record.circuit.note_abandoned(now_s)
 
     def snapshot(self, now_s: float) -> list[BackEnd]:
         """Return all back ends as they are seen at ``now_s``."""
--- /dev/null
+++ b/src/hollowrack/routing/local_placer.py
@@ -0,0 +1,114 @@
+"""Places requests by what this node knows."""
+
+import itertools
+import random
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from hollowrack.admission.controller import AdmissionController, Ticket
+from hollowrack.clock import now_s
+from hollowrack.observability.decisions import DecisionKind, DecisionLog
+from hollowrack.results import Problem
+from hollowrack.routing.choice import Chooser
+from hollowrack.routing.fleet import FleetView
+from hollowrack.routing.placement import Placement, PlacementOutcome, PlacementRequest
+from hollowrack.routing.types import Priority
+
+
+@dataclass(frozen=True)
+class PlacerParts:
+    """What placing needs of its node.
+
+    Attributes:
+        node: Name of the node, the first part of placement names.
+        fleet: The node's view of the back ends.
+        chooser: Chooses among them.
+        decisions: Where decisions are recorded.
+        rng: Random source of the choice.
+    """
+
+    node: str
+    fleet: FleetView
+    chooser: Chooser
+    decisions: DecisionLog
+    rng: random.Random
+
+
+class LocalPlacer:
+    """Implements ``Placer`` without asking anybody.
+
+    Args:
+        parts: What it needs of its node.
+        admission: Lets live requests in; ``None`` to place without admission.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, parts: PlacerParts, admission: AdmissionController | None) -> None:
+        self._parts = parts
+        self._admission = admission
+        self._tickets: dict[str, Ticket] = {}
+
+    async def place(self, request: PlacementRequest) -> Result[Placement, Problem]:
+        """Admit and choose; fails with the codes of both."""
+        ticket: Ticket | None = None
+        is_live = request.route.priority is Priority.LIVE
+        if is_live and request.needs_admission and self._admission is not None:
+            admitted = await self._admission.admit(
+                request.route.pool, request.tenant, now_s() + request.timeout_s, request.may_queue
+            )
+            if isinstance(admitted, Failure):
+                return admitted
+            ticket = admitted.unwrap()
+        placed = self._choose(request)
+        if isinstance(placed, Success):
+            self.adopt(placed.unwrap(), ticket)
+            self._parts.fleet.prefixes.note_sent(
+                placed.unwrap().address, request.route.prefix_blocks
+            )
+        elif ticket is not None:
+            ticket.release()
+        return placed
+
+    def _choose(self, request: PlacementRequest) -> Result[Placement, Problem]:
+        parts = self._parts
+        back_ends = parts.fleet.snapshot(now_s())
+        choice = parts.chooser(request.route, back_ends, parts.fleet.prefixes, parts.rng)
+        if isinstance(choice, Failure):
+            return choice
+        address = choice.unwrap().address
+        parts.decisions.record(
+            DecisionKind.ROUTE,
+            request.request_id,
+            address,
+            attempt=request.attempt,
+            cost_ms=choice.unwrap().costs_ms(),
+        )
+        return Success(
+            Placement(
+                placement_id=f"{parts.node}/{next(self._numbers)}",
+                request_id=request.request_id,
+                address=address,
+                pool=request.route.pool,
+                zone=parts.fleet.records[address].machine.zone,
+                is_training=request.route.priority is Priority.TRAINING,
+            )
+        )
+
+    def adopt(self, placement: Placement, ticket: Ticket | None = None) -> None:
+        """Count a placement, whoever made it."""
+        self._parts.fleet.note_sent(placement.address, placement.is_training, now_s())
+        if ticket is not None:
+            self._tickets[placement.placement_id] = ticket
+
+    def finish(self, placement: Placement, outcome: PlacementOutcome, service_s: float) -> None:
+        """Give a place back and learn from how it ended."""
+        fleet = self._parts.fleet
+        ticket = self._tickets.pop(placement.placement_id, None)
+        if ticket is not None:
+            ticket.release()
+        fleet.note_finished(placement.address, placement.is_training)
+        fleet.note_evidence(placement.address, outcome, now_s())
+        if outcome is PlacementOutcome.SUCCESS and not placement.is_training:
+            fleet.note_service_time(placement.pool, service_s)
--- a/src/hollowrack/routing/types.py
+++ b/src/hollowrack/routing/types.py
@@ -1,6 +1,6 @@
 """Snapshot types that routing decides over, and what it decides."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 DEFAULT_SERVICE_MS = 500.0
@@ -79,6 +79,7 @@
         min_weight_version: Lowest useful weight version of the engine.
         training_room: Share of an engine's slots that training may take.
         excluded: Addresses that were tried already.
+        only_zone: Zone that the back end must be in; empty for any.
     """
 
     kind: BackEndKind
@@ -90,6 +91,11 @@
     min_weight_version: int = 0
     training_room: float = 1.0
     excluded: frozenset[str] = frozenset()
+    only_zone: str = ""
+
+    def in_zone(self, zone: str) -> "RouteRequest":
+        """The same request for the back ends of one zone."""
+        return replace(self, only_zone=zone)
 
 
 @dataclass(frozen=True)
