--- a/src/hollowrack/replication/messages.py
+++ b/src/hollowrack/replication/messages.py
@@ -121,6 +121,22 @@
     commit_index: int
 
 
+@message("replication.canvass")
+@dataclass(frozen=True)
+class Canvass:
+    """Asks whether a replica would promise ``ballot``; changes nothing (Raft's pre-vote)."""
+
+    ballot: Ballot
+
+
+@message("replication.support")
+@dataclass(frozen=True)
+class Support:
+    """The replica hears no leader and would promise ``ballot``."""
+
+    ballot: Ballot
+
+
 @message("replication.take_over")
 @dataclass(frozen=True)
 class TakeOver:
@@ -130,5 +146,16 @@
 
 
 ReplicaMessage = (
-    Prepare | Promise | Reject | Fetch | Suffix | Sync | Append | Accepted | NeedSync | TakeOver
+    Prepare
+    | Promise
+    | Reject
+    | Fetch
+    | Suffix
+    | Sync
+    | Append
+    | Accepted
+    | NeedSync
+    | TakeOver
+    | Canvass
+    | Support
 )
--- a/src/hollowrack/replication/replica.py
+++ b/src/hollowrack/replication/replica.py
@@ -10,6 +10,7 @@
 Safety rests on promises alone. Time is used to decide when to try an election and for nothing else.
 """
 
+import math
 import random
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -18,6 +19,7 @@
 from hollowrack.replication.messages import (
     Accepted,
     Append,
+    Canvass,
     Fetch,
     NeedSync,
     Prepare,
@@ -26,6 +28,7 @@
     ReplicaMessage,
     Snapshot,
     Suffix,
+    Support,
     Sync,
     TakeOver,
 )
@@ -46,9 +49,9 @@
     is_majority,
 )
 
-HEARTBEAT_INTERVAL_S = 0.1
-ELECTION_TIMEOUT_MIN_S = 0.5
-ELECTION_TIMEOUT_MAX_S = 1.0
+HEARTBEAT_INTERVAL_S = 0.2
+ELECTION_TIMEOUT_MIN_S = 0.8
+ELECTION_TIMEOUT_MAX_S = 1.4
 COMPACT_AFTER_NUM_ENTRIES = 2048
 
 
@@ -91,6 +94,7 @@
     next_index: int = 1
     is_synced: bool = False
     heard_since_heartbeat: bool = False
+    last_heard_s: float = 0.0
 
 
 class Replica:
@@ -130,6 +134,8 @@
         self._state_machine = state_machine
         self._storage = storage
         self._rng = rng
+        self._supporters: set[ReplicaId] = set()
+        self._leader_heard_s = -math.inf
         self._promises: dict[ReplicaId, Promise] = {}
         self._progress: dict[ReplicaId, _FollowerProgress] = {}
         self._election_deadline_s = 0.0
@@ -188,19 +194,54 @@
         if self.role is Role.LEADER:
             if now_s >= self._heartbeat_due_s:
                 self._heartbeat()
+            if not self._hears_a_majority():
+                # Followers that hear such a leader would wait for it for ever.
+                self._step_down()
+                self._postpone_election()
         elif now_s >= self._election_deadline_s:
-            self.start_election()
+            self.canvass()
 
-    def start_election(self) -> None:
-        """Become a candidate in a ballot above all seen; members of the epoch only."""
+    def canvass(self) -> None:
+        """Ask whether an election could succeed: a replica that hears nobody disturbs nobody."""
         self._postpone_election()
-        if self.id not in self.membership.members:
+        ballot = self._next_ballot()
+        if ballot is None:
             return
+        self.leader = None
+        self._supporters = {self.id}
+        for elector in sorted(self.membership.electors() - {self.id}):
+            self._send(elector, Canvass(ballot))
+        self._finish_canvass()
+
+    def _on_canvass(self, sender: ReplicaId, message: Canvass) -> None:
+        hears_leader = self._now_s - self._leader_heard_s < ELECTION_TIMEOUT_MIN_S
+        if message.ballot > self.promised and not hears_leader and self.role is not Role.LEADER:
+            self._send(sender, Support(message.ballot))
+
+    def _on_support(self, sender: ReplicaId, message: Support) -> None:
+        if self._supporters and message.ballot == self._next_ballot():
+            self._supporters.add(sender)
+            self._finish_canvass()
+
+    def _finish_canvass(self) -> None:
+        if self.membership.elects(self._supporters):
+            self.start_election()
+
+    def _next_ballot(self) -> Ballot | None:
+        """A ballot of this replica above all seen; ``None`` if it is no member of the epoch."""
         epoch = self.membership.epoch
+        if self.id not in self.membership.members or self.promised.epoch > epoch:
+            return None
         seen_round = self.promised.round if self.promised.epoch == epoch else 0
-        ballot = Ballot(epoch, seen_round + 1, self.id)
-        if ballot <= self.promised:
+        return Ballot(epoch, seen_round + 1, self.id)
+
+    def start_election(self) -> None:
+        """Become a candidate in a ballot above all seen; members of the epoch only."""
+        self._postpone_election()
+        ballot = self._next_ballot()
+        if ballot is None:
             return
+        self._supporters = set()
         self._promise(ballot)
         self.role = Role.CANDIDATE
         self.leader = None
@@ -252,6 +293,10 @@
                 self._on_need_sync(sender, message)
             case TakeOver():
                 self._on_take_over(message)
+            case Canvass():
+                self._on_canvass(sender, message)
+            case Support():
+                self._on_support(sender, message)
 
     @property
     def needs_activation(self) -> bool:
@@ -323,7 +368,9 @@
         self.role = Role.LEADER
         self.leader = self.id
         followers = set(self.membership.members) - {self.id}
-        self._progress = {follower: _FollowerProgress() for follower in sorted(followers)}
+        self._progress = {
+            follower: _FollowerProgress(last_heard_s=self._now_s) for follower in sorted(followers)
+        }
         for follower, promise in self._promises.items():
             if follower in self._progress:
                 self._send_sync(follower, promise.commit_index)
@@ -340,6 +387,14 @@
             progress.heard_since_heartbeat = False
             self._send_append(follower, progress)
 
+    def _hears_a_majority(self) -> bool:
+        heard = {
+            follower
+            for follower, progress in self._progress.items()
+            if self._now_s - progress.last_heard_s < ELECTION_TIMEOUT_MAX_S
+        }
+        return is_majority(self.membership.members, heard | {self.id})
+
     def _send_append(self, follower: ReplicaId, progress: _FollowerProgress) -> None:
         after_index = progress.next_index - 1
         entries: tuple[bytes, ...] = ()
@@ -383,6 +438,7 @@
             return
         progress.is_synced = True
         progress.heard_since_heartbeat = True
+        progress.last_heard_s = self._now_s
         progress.match_index = max(progress.match_index, message.last_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
         self._advance_commit()
@@ -391,6 +447,7 @@
         progress = self._progress_of(sender, message.ballot)
         if progress is not None and not progress.is_synced:
             progress.heard_since_heartbeat = True
+            progress.last_heard_s = self._now_s
             self._send_sync(sender, message.commit_index)
 
     def _progress_of(self, sender: ReplicaId, ballot: Ballot) -> _FollowerProgress | None:
@@ -463,6 +520,8 @@
         if ballot > self.promised:
             self._promise(ballot)
         self.leader = leader
+        self._leader_heard_s = self._now_s
+        self._supporters = set()
         self._postpone_election()
 
     # -- shared -----------------------------------------------------------------------------
--- a/src/hollowrack/rollout/service.py
+++ b/src/hollowrack/rollout/service.py
@@ -16,7 +16,7 @@
 from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples, RunStatus, Samples
 
 COMMAND_TIMEOUT_S = 10.0
-FIND_LEADER_TIMEOUT_S = 8.0
+FIND_LEADER_TIMEOUT_S = 3.0
 FORWARD_MARGIN_S = 5.0
 RECONCILE_INTERVAL_S = 0.02
 
--- a/src/hollowrack_bench/hollow/network.py
+++ b/src/hollowrack_bench/hollow/network.py
@@ -87,7 +87,7 @@
         world = self._world
         world.count(self._node, message)
         target = world.endpoints.get(address)
-        if target is None or world.is_cut(self.zone, target.zone):
+        if target is None or self.is_paused or world.is_cut(self.zone, target.zone):
             return
         if world.datagram_loss and world.rng.random() < world.datagram_loss:
             return
@@ -113,7 +113,7 @@
         if target is None:
             await asyncio.sleep(SAME_ZONE_LATENCY_S)
             return unreachable
-        if world.is_cut(self.zone, target.zone) or target.is_paused:
+        if world.is_cut(self.zone, target.zone) or target.is_paused or self.is_paused:
             await asyncio.sleep(timeout_s)
             return unreachable
         latency_s = world.latency_s(self.zone, target.zone)
@@ -137,7 +137,7 @@
         world = self._world
         world.count(self._node, message)
         target = world.endpoints.get(address)
-        if target is None or world.is_cut(self.zone, target.zone):
+        if target is None or self.is_paused or world.is_cut(self.zone, target.zone):
             return
         await asyncio.sleep(world.latency_s(self.zone, target.zone))
         if not target.is_paused:
--- a/src/hollowrack_bench/program.py
+++ b/src/hollowrack_bench/program.py
@@ -9,6 +9,7 @@
 from hollowrack.cli.commands import hollowrack
 from hollowrack.cli.output import exit_with_problem, print_table
 from hollowrack.results import Problem, ResultCode
+from hollowrack_bench.bench_commands import bench
 from hollowrack_bench.demo import run_demo
 from hollowrack_bench.standin_commands import standin
 
@@ -27,6 +28,7 @@
 
 
 hollowrack.add_command(standin)
+hollowrack.add_command(bench)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/hollowrack_bench/rollout_bench.py
@@ -0,0 +1,237 @@
+"""``hollowrack bench rollout``: training runs on a hollow fleet while everything around them fails.
+
+Faults are drawn from the seed: nodes die and come back empty, engines crash, leaders are paused,
+zones are cut off, the configuration store goes down and loses answers. The same seed gives the same
+run.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, replace
+from typing import Any
+
+from hollowrack_bench.hollow.fleet import HollowConfig, HollowFleet
+from hollowrack_bench.hollow.trainer import (
+    HollowTrainer,
+    HollowTrainerConfig,
+    HollowTrainerReport,
+)
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.engine_core import EngineConfig
+
+# A long-tailed task: 200 tokens in the median, the longest per cent beyond 1,500.
+ENGINE = EngineConfig(
+    num_slots=16,
+    step_s=0.012,
+    step_per_sequence_s=0.0004,
+    prefill_block_s=0.001,
+    median_tokens=200.0,
+    length_sigma=0.9,
+    tokens_per_step=40,
+)
+MAX_TOKENS = 4000
+LEADER_PAUSE_MAX_S = 6.0
+MIN_CALM_S = 4.0
+MAX_CALM_S = 20.0
+
+
+@dataclass(frozen=True)
+class RolloutScenario:
+    """One training run.
+
+    Attributes:
+        num_steps: Steps to train.
+        num_groups: Prompt groups a step.
+        group_size: Samples a group.
+        train_s: Time of one training step, in seconds.
+        max_staleness_versions: Staleness bound.
+        num_steps_ahead: Steps submitted ahead; 0 waits for each step before the next is started.
+        has_faults: Whether faults are drawn.
+    """
+
+    num_steps: int = 10
+    num_groups: int = 16
+    group_size: int = 8
+    train_s: float = 15.0
+    max_staleness_versions: int = 2
+    num_steps_ahead: int = 2
+    has_faults: bool = True
+
+
+@dataclass(frozen=True)
+class RolloutOutcome:
+    """What a training run came to.
+
+    Attributes:
+        seed: Its seed.
+        report: What the trainer saw.
+        num_expected: Samples it should have seen.
+        faults: Faults that were injected.
+        wasted_share: Share of generated tokens that are in no delivered sample.
+    """
+
+    seed: int
+    report: HollowTrainerReport
+    num_expected: int
+    faults: Counter[str]
+    wasted_share: float
+
+    @property
+    def violations(self) -> dict[str, int]:
+        """Broken promises by name; all zero if they were kept."""
+        return {
+            "lost": self.num_expected - len(self.report.delivered),
+            "duplicated": self.report.num_duplicated,
+            "unnamed": self.report.num_unnamed,
+            "over_age": self.report.num_over_age,
+        }
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the figures by name."""
+        ages = sorted(self.report.ages_versions.elements())
+        idle_s = sorted(self.report.step_idle_s)
+        return {
+            "seed": self.seed,
+            "samples": len(self.report.delivered),
+            **self.violations,
+            "trainer_idle_share": self.report.idle_share,
+            "step_wait_p50_s": idle_s[len(idle_s) // 2],
+            "step_wait_max_s": idle_s[-1],
+            "staleness_p50": ages[len(ages) // 2],
+            "staleness_p99": ages[int(0.99 * (len(ages) - 1))],
+            "staleness_max": ages[-1],
+            "wasted_token_share": self.wasted_share,
+            "virtual_s": self.report.total_s,
+            "faults": dict(sorted(self.faults.items())),
+        }
+
+
+def run_rollout(scenario: RolloutScenario, seed: int) -> RolloutOutcome:
+    """Run one training run in virtual time."""
+    return run_virtual(_run(scenario, seed))
+
+
+async def _run(scenario: RolloutScenario, seed: int) -> RolloutOutcome:
+    fleet = HollowFleet(HollowConfig(num_nodes_per_zone=3, num_engines=6, engine=ENGINE, seed=seed))
+    await fleet.start()
+    config = HollowTrainerConfig(
+        num_steps=scenario.num_steps,
+        num_groups=scenario.num_groups,
+        group_size=scenario.group_size,
+        max_tokens=MAX_TOKENS,
+        train_s=scenario.train_s,
+        max_staleness_versions=scenario.max_staleness_versions,
+        num_steps_ahead=scenario.num_steps_ahead,
+        seed=seed,
+    )
+    trainer = HollowTrainer(config, fleet)
+    faults = _Faults(fleet, config.run, random.Random(seed))
+    injecting = asyncio.create_task(faults.run()) if scenario.has_faults else None
+    report = await trainer.run()
+    if injecting is not None:
+        injecting.cancel()
+        await asyncio.gather(injecting, return_exceptions=True)
+    generated = sum(engine.num_tokens for engine in fleet.engines.values())
+    outcome = RolloutOutcome(
+        seed,
+        report,
+        config.num_steps * config.num_samples_per_step,
+        faults.counts,
+        1.0 - report.num_tokens / max(1, generated),
+    )
+    await fleet.stop()
+    return outcome
+
+
+class _Faults:
+    """Draws and heals faults, sometimes two at once."""
+
+    def __init__(self, fleet: HollowFleet, run: str, rng: random.Random) -> None:
+        self.counts: Counter[str] = Counter()
+        self._fleet = fleet
+        self._group = f"run:{run}"
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Break something now and then, for ever."""
+        kinds = [
+            self._kill_node,
+            self._kill_leader,
+            self._pause_leader,
+            self._crash_engine,
+            self._fail_swaps,
+            self._cut_zone,
+            self._store_outage,
+        ]
+        while True:
+            await asyncio.sleep(self._rng.uniform(MIN_CALM_S, MAX_CALM_S))
+            chosen = self._rng.sample(kinds, self._rng.choice([1, 1, 2]))
+            await asyncio.gather(*(kind() for kind in chosen))
+
+    def _leader(self) -> str | None:
+        leaders = [name for name, node in self._fleet.nodes.items() if node.host.leads(self._group)]
+        return self._rng.choice(leaders) if leaders else None
+
+    async def _kill_node(self) -> None:
+        await self._kill(self._rng.choice(list(self._fleet.nodes)), "node killed")
+
+    async def _kill_leader(self) -> None:
+        leader = self._leader()
+        if leader is not None:
+            await self._kill(leader, "ledger leader killed")
+
+    async def _kill(self, name: str, what: str) -> None:
+        if name not in self._fleet.nodes:
+            return
+        self.counts[what] += 1
+        await self._fleet.kill_node(name)
+        await asyncio.sleep(self._rng.uniform(0.5, 10.0))
+        await self._fleet.start_node(name)
+
+    async def _pause_leader(self) -> None:
+        leader = self._leader()
+        if leader is None:
+            return
+        self.counts["ledger leader paused"] += 1
+        network = self._fleet.networks[leader]
+        network.is_paused = True
+        await asyncio.sleep(self._rng.uniform(0.5, LEADER_PAUSE_MAX_S))
+        network.is_paused = False
+
+    async def _crash_engine(self) -> None:
+        engine = self._rng.choice(list(self._fleet.engines.values()))
+        self.counts["engine crashed"] += 1
+        engine.crash()
+        await asyncio.sleep(self._rng.uniform(0.5, 10.0))
+        engine.restart()
+
+    async def _fail_swaps(self) -> None:
+        engine = self._rng.choice(list(self._fleet.engines.values()))
+        self.counts["swaps made to fail"] += 1
+        engine.core.faults.num_failing_swaps = self._rng.randint(1, 3)
+
+    async def _cut_zone(self) -> None:
+        zone = self._rng.choice(self._fleet.config.zones)
+        self.counts["zone cut off"] += 1
+        self._fleet.world.cut_zones.add(zone)
+        await asyncio.sleep(self._rng.uniform(1.0, 20.0))
+        self._fleet.world.cut_zones.discard(zone)
+
+    async def _store_outage(self) -> None:
+        self.counts["store down"] += 1
+        faults = self._fleet.store.faults
+        faults.lost_answer_share = 0.3
+        faults.is_down = True
+        await asyncio.sleep(self._rng.uniform(1.0, 30.0))
+        faults.is_down = False
+
+
+def compare_look_ahead(seed: int) -> dict[str, dict[str, Any]]:
+    """Run without faults: synchronous steps against look-ahead within the staleness bound."""
+    calm = RolloutScenario(has_faults=False)
+    return {
+        "synchronous steps": run_rollout(replace(calm, num_steps_ahead=0), seed).as_json(),
+        "one step ahead": run_rollout(replace(calm, num_steps_ahead=1), seed).as_json(),
+        "hollowrack": run_rollout(calm, seed).as_json(),
+    }
--- a/tests/replication/test_model.py
+++ b/tests/replication/test_model.py
@@ -167,6 +167,22 @@
     assert not _leads(model.nodes[leader])
 
 
+def test_a_leader_that_hears_nobody_gives_up_so_that_its_followers_can_go_on() -> None:
+    model = ReplicationModel(num_nodes=3, num_members=3, num_with_disk=3)
+    _settle(model)
+    deaf = next(index for index, node in enumerate(model.nodes) if _leads(node))
+    for _ in range(100):
+        for index in range(3):
+            model.tick(index, 0.05)
+        for _ in range(len(model.network)):
+            if model.network[0].recipient == model.nodes[deaf].replica_id:
+                model.drop(0)
+            else:
+                model.deliver(0)
+    assert not _leads(model.nodes[deaf])
+    assert any(_leads(node) for node in model.nodes)
+
+
 def _leads(node: ModelNode) -> bool:
     return node.replica is not None and node.replica.role is replica_module.Role.LEADER
 
