--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -52,6 +52,12 @@
 from hollowrack.requests.unsafe import CLAIM_GROUP_PREFIX, AskAttempt, UnsafeRequests
 from hollowrack.results import value_or_raise
 from hollowrack.rollout.coordinator import RolloutContext
+from hollowrack.rollout.executor import (
+    Assignment,
+    ExecutorContext,
+    RolloutExecutor,
+    RunningSlots,
+)
 from hollowrack.rollout.groups import RUN_GROUP_PREFIX
 from hollowrack.rollout.ledger import SampleLedger
 from hollowrack.rollout.service import RunService
@@ -75,6 +81,7 @@
 PREPARE_CLAIMS_AFTER_S = 1.0
 WEIGHT_FACT_PREFIX = "weights/"
 LEAVING_FACT_PREFIX = "leaving/"
+RUN_FACT_PREFIX = "run/"
 # A broker's own bound is the room of its zone.
 MAX_BROKERED_REQUESTS = 1_000_000
 NUM_LEDGER_REPLICAS = 5
@@ -209,6 +216,7 @@
         self.placer.start()
         self.engines.start()
         self.runs.start()
+        self.executor.start()
         self._prepare_task = asyncio.create_task(self._prepare_claims())
 
     async def drain(self) -> None:
@@ -220,6 +228,7 @@
         await self.gateway.wait_idle(self._drain_deadline_s())
         await self.unsafe.drain()
         await self.runs.stop()
+        await self.executor.stop()
         await self.engines.stop()
         await self.admission.stop()
         self.host.resign()
@@ -234,6 +243,7 @@
         await self._edges.network.close()
         await self.membership.stop()
         await self.runs.stop()
+        await self.executor.stop()
         await self.engines.stop()
         await self.admission.stop()
         await self.broker.stop()
@@ -333,14 +343,27 @@
         runner = GenerationRunner(
             self.placer, self._edges.make_engine_client, RetryBudget(share=1.0), self.decisions
         )
+        self.executor = RolloutExecutor(
+            ExecutorContext(
+                node=self.identity.node,
+                zone=self.identity.zone,
+                runner=runner,
+                groups=self.groups,
+                links=self.membership,
+                decisions=self.decisions,
+                metrics=self.metrics,
+                trainer_version=self._trainer_version,
+                on_own_running=self._note_own_running,
+            )
+        )
         context = RolloutContext(
-            self.identity.zone,
-            runner,
-            self.fleet,
-            self.host,
-            self.groups,
-            self.decisions,
-            self.metrics,
+            node=self.identity.node,
+            fleet=self.fleet,
+            host=self.host,
+            groups=self.groups,
+            links=self.membership,
+            executor=self.executor,
+            decisions=self.decisions,
         )
         self.runs = RunService(
             self.identity.node, self.membership, context, self._training_room, self._on_version
@@ -360,6 +383,8 @@
         on_sync(FindAnswer, self.answers.answer_find)
         on(ReadSamples, self.runs.answer)
         on(ReadRunStatus, self.runs.answer)
+        on_sync(Assignment, self.executor.assign)
+        on_sync(RunningSlots, self.runs.note_running)
         on(PlaceRequest, self.broker.answer_place)
         on_sync(PlacementDone, self.broker.answer_done)
         on_sync(HeldPlacements, self.broker.answer_held)
@@ -380,8 +405,16 @@
     def _target_version(self, model: str) -> int | None:
         return self.membership.swim.facts.get(WEIGHT_FACT_PREFIX + model)
 
-    def _on_version(self, model: str, version: int) -> None:
+    def _on_version(self, run: str, model: str, version: int) -> None:
         self.membership.raise_fact(WEIGHT_FACT_PREFIX + model, version)
+        self.membership.raise_fact(RUN_FACT_PREFIX + run, version)
+
+    def _note_own_running(self, running: RunningSlots) -> None:
+        # The run service is built after the executor that reports to it.
+        self.runs.note_running(running)
+
+    def _trainer_version(self, run: str) -> int:
+        return self.membership.swim.facts.get(RUN_FACT_PREFIX + run, 0)
 
     def _training_room(self, model: str) -> float:
         bundle = self.bundles.bundle
--- a/src/hollowrack/rollout/coordinator.py
+++ b/src/hollowrack/rollout/coordinator.py
@@ -1,12 +1,12 @@
-"""Drives one run on the node that leads its ledger: starts generations and commits samples.
+"""Drives one run on the node that leads its ledger: assigns generations and hands samples over.
 
-The coordinator keeps no state that matters. Whoever leads the ledger next sees which slots are open
-and starts them again; a sample that both leaders finish is committed once.
+The coordinator keeps no state that matters. Which slots are open is in the ledger; which of them
+are being generated is restated by the nodes that do it. Whoever leads next waits for the first
+statements and starts only what nobody runs.
 """
 
 import asyncio
-import itertools
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from absl import logging
 from returns.result import Failure, Result, Success
@@ -14,32 +14,27 @@
 from hollowrack.clock import now_s
 from hollowrack.messages import codec
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
-from hollowrack.observability.logs import log_fields
-from hollowrack.observability.metrics import NodeMetrics
-from hollowrack.platform.engine import GenerationRequest
 from hollowrack.replication.client import GroupClient
 from hollowrack.replication.host import GroupHost
-from hollowrack.requests.generation import GenerationPlan, GenerationRunner
-from hollowrack.requests.types import GeneratedText
+from hollowrack.replication.links import NodeLinks
 from hollowrack.results import Problem, ResultCode
-from hollowrack.rollout.commands import CommitSample, HandOver, LedgerCommand, LedgerOutcome
+from hollowrack.rollout.commands import HandOver, LedgerOutcome
+from hollowrack.rollout.executor import RESTATE_INTERVAL_S, Assignment, RolloutExecutor
 from hollowrack.rollout.groups import run_group
 from hollowrack.rollout.ledger import SampleLedger
-from hollowrack.rollout.scheduling import Dispatch, LengthHistory, plan_dispatches
-from hollowrack.rollout.spans import SpanBuilder
+from hollowrack.rollout.scheduling import Dispatch, plan_dispatches
 from hollowrack.rollout.trainer_messages import ReadSamples, RunStatus, Samples, StepStatus
-from hollowrack.rollout.types import Sample, Slot
+from hollowrack.rollout.types import RunSettings, Slot
 from hollowrack.routing.fleet import FleetView
-from hollowrack.routing.prefix import prefix_blocks
-from hollowrack.routing.types import BackEndKind, BackEndStatus, Priority, RouteRequest
+from hollowrack.routing.types import BackEndKind, BackEndStatus
 
-RECONCILE_INTERVAL_S = 0.05
-RETRY_PAUSE_S = 0.2
-GENERATION_TIMEOUT_S = 600.0
-COMMIT_TIMEOUT_S = 10.0
 HAND_OVER_TIMEOUT_S = 5.0
 MAX_POLL_WAIT_S = 20.0
 _POLL_PAUSE_S = 0.02
+# A slot that its node has not restated for this long is started again elsewhere.
+FORGOTTEN_AFTER_S = 4 * RESTATE_INTERVAL_S
+# A new leader hears from every executor within this time.
+FIRST_STATEMENTS_S = 1.5 * RESTATE_INTERVAL_S
 
 
 @dataclass(frozen=True)
@@ -47,22 +42,55 @@
     """What a coordinator needs of its node.
 
     Attributes:
-        zone: The node's zone.
-        runner: Runs generations.
+        node: The node's name.
         fleet: The node's view of the back ends.
         host: Knows which ledgers this node leads.
         groups: Commits to the ledgers.
+        links: Reaches executors on other nodes.
+        executor: The executor on this node.
         decisions: Where decisions are recorded.
-        metrics: The node's metrics.
     """
 
-    zone: str
-    runner: GenerationRunner
+    node: str
     fleet: FleetView
     host: GroupHost
     groups: GroupClient
+    links: NodeLinks
+    executor: RolloutExecutor
     decisions: DecisionLog
-    metrics: NodeMetrics
+
+
+@dataclass
+class _RunningSlot:
+    node: str
+    restated_s: float
+
+
+@dataclass
+class RunningTable:
+    """Which slots of a run are being generated, as their nodes state it.
+
+    Attributes:
+        slots: Where each slot runs and when that was last heard.
+    """
+
+    slots: dict[Slot, _RunningSlot] = field(default_factory=dict)
+
+    def note(self, node: str, stated: tuple[Slot, ...]) -> None:
+        """Take in a node's statement."""
+        names = set(stated)
+        for slot in stated:
+            self.slots[slot] = _RunningSlot(node, now_s())
+        for slot, entry in list(self.slots.items()):
+            is_old = now_s() - entry.restated_s >= RESTATE_INTERVAL_S
+            if entry.node == node and slot not in names and is_old:
+                del self.slots[slot]
+
+    def forget_old(self) -> None:
+        """Drop what was not restated: its node is gone."""
+        for slot, entry in list(self.slots.items()):
+            if now_s() - entry.restated_s >= FORGOTTEN_AFTER_S:
+                del self.slots[slot]
 
 
 class RunCoordinator:
@@ -71,37 +99,60 @@
     Args:
         run: Name of the run.
         ledger: The ledger's state on this node.
+        running: What executors state; kept by every member of the ledger.
         context: The node.
     """
 
-    def __init__(self, run: str, ledger: SampleLedger, context: RolloutContext) -> None:
+    def __init__(
+        self, run: str, ledger: SampleLedger, running: RunningTable, context: RolloutContext
+    ) -> None:
+        self.training_room = 1.0
         self._run = run
         self._ledger = ledger
+        self._running = running
         self._context = context
-        self._history = LengthHistory()
-        self._running: dict[Slot, asyncio.Task[None]] = {}
-        self._numbers = itertools.count(1)
-        self._changed = asyncio.Event()
-        self.training_room = 1.0
+        self._leads_since_s = now_s()
+        self._next_executor = 0
 
     # -- reconcile loop ---------------------------------------------------------------------
 
-    async def reconcile(self) -> None:
-        """Start what is missing; called often while this node leads, and cheap when idle."""
+    def reconcile(self) -> None:
+        """Assign what is missing; called often while this node leads, and cheap when idle."""
         state = self._ledger.state
-        if state.settings is None:
+        self._running.forget_old()
+        if state.settings is None or now_s() - self._leads_since_s < FIRST_STATEMENTS_S:
             return
+        open_slots = {slot for slot in self._running.slots if self._ledger.is_open(slot)}
         max_running = self._num_training_slots(state.settings.model)
-        for dispatch in plan_dispatches(state, self._running, self._history, max_running):
-            task = asyncio.create_task(self._generate(dispatch))
-            self._running[dispatch.slot] = task
+        history = self._ledger.history
+        for dispatch in plan_dispatches(state, open_slots, history, max_running):
+            self._assign(dispatch, state.settings)
 
-    async def stop(self) -> None:
-        """Cancel all generations; their slots stay open for the next leader."""
-        tasks = list(self._running.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    def _assign(self, dispatch: Dispatch, settings: RunSettings) -> None:
+        assignment = Assignment(
+            run=self._run,
+            model=settings.model,
+            slot=dispatch.slot,
+            prompt=dispatch.prompt,
+            min_weight_version=dispatch.min_weight_version,
+            max_staleness_versions=settings.max_staleness_versions,
+            training_room=self.training_room,
+        )
+        node = self._choose_executor()
+        self._running.slots[dispatch.slot] = _RunningSlot(node, now_s())
+        if node == self._context.node:
+            self._context.executor.assign(assignment)
+        else:
+            self._context.links.post(node, assignment)
+
+    def _choose_executor(self) -> str:
+        """Deal the generations to the live nodes in turn, this one included."""
+        links = self._context.links
+        nodes = [node for node in links.candidates(self._run) if links.is_reachable(node)]
+        if not nodes:
+            return self._context.node
+        self._next_executor += 1
+        return nodes[self._next_executor % len(nodes)]
 
     def _num_training_slots(self, model: str) -> int:
         return sum(
@@ -112,95 +163,19 @@
             and back_end.status is BackEndStatus.SERVING
         )
 
-    # -- one sample -------------------------------------------------------------------------
-
-    async def _generate(self, dispatch: Dispatch) -> None:
-        slot = dispatch.slot
-        try:
-            with log_fields(run=self._run, step=str(slot.step), sample=str(slot)):
-                result = await self._context.runner.run(self._plan(dispatch))
-                if isinstance(result, Success):
-                    await self._commit(dispatch, result.unwrap())
-                else:
-                    self._note_failure(dispatch, result.failure())
-                    await asyncio.sleep(RETRY_PAUSE_S)
-        finally:
-            self._running.pop(dispatch.slot, None)
-
-    def _plan(self, dispatch: Dispatch) -> GenerationPlan:
-        settings = self._ledger.state.settings
-        model = settings.model if settings is not None else ""
-        slot = dispatch.slot
-        request = GenerationRequest(
-            request_id=f"{self._run}/{slot}/{next(self._numbers)}",
-            model=model,
-            prompt=dispatch.prompt.text,
-            max_tokens=dispatch.prompt.max_tokens,
-            priority=Priority.TRAINING.value,
-            seed=slot.sample_index,
-        )
-        route = RouteRequest(
-            kind=BackEndKind.ENGINE,
-            pool=model,
-            zone=self._context.zone,
-            priority=Priority.TRAINING,
-            prefix_blocks=prefix_blocks(dispatch.prompt.text),
-            affinity_key=f"{self._run}/{slot.step}/{slot.prompt}",
-            min_weight_version=dispatch.min_weight_version,
-            training_room=self.training_room,
-        )
-        return GenerationPlan(
-            generation=request,
-            route=route,
-            deadline_s=now_s() + GENERATION_TIMEOUT_S,
-            stop_check=self._stop_if_stale,
-        )
-
-    def _stop_if_stale(self, spans: SpanBuilder) -> Problem | None:
-        """End a generation whose sample could not be accepted any more."""
-        state = self._ledger.state
-        if state.settings is None or spans.oldest_version is None:
-            return None
-        age = state.trainer_version - spans.oldest_version
-        if age <= state.settings.max_staleness_versions:
-            return None
-        return Problem(ResultCode.SAMPLE_STALE, f"{age} versions old while running")
-
-    async def _commit(self, dispatch: Dispatch, generated: GeneratedText) -> None:
-        sample = Sample(
-            slot=dispatch.slot,
-            text=generated.text,
-            num_tokens=generated.num_tokens,
-            spans=generated.spans,
-            finish_reason=generated.finish_reason,
-        )
-        self._history.note(dispatch.prompt.text, generated.num_tokens)
-        outcome = await self._propose(CommitSample(sample), COMMIT_TIMEOUT_S)
-        code = outcome.map(lambda found: ResultCode(found.code)).value_or(
-            ResultCode.OUTCOME_UNKNOWN
+    async def _hand_over(self, request: ReadSamples, max_samples: int) -> Result[None, Problem]:
+        command = codec.encode(HandOver(request.step, max_samples))
+        proposed = await self._context.groups.propose(
+            run_group(self._run), command, HAND_OVER_TIMEOUT_S
         )
-        is_committed = code is ResultCode.OK
-        kind = DecisionKind.COMMIT if is_committed else DecisionKind.DISCARD
-        self._context.decisions.record(kind, f"{self._run}/{dispatch.slot}", code.name)
-        self._context.metrics.samples.labels(outcome=code.name.lower()).inc()
-        use = "training" if is_committed else "discarded"
-        self._context.metrics.tokens.labels(use=use).inc(generated.num_tokens)
-        self._changed.set()
-
-    def _note_failure(self, dispatch: Dispatch, problem: Problem) -> None:
-        kind = DecisionKind.DISCARD
-        if problem.code is ResultCode.SAMPLE_STALE:
-            kind = DecisionKind.STOP_EARLY
-        self._context.decisions.record(kind, f"{self._run}/{dispatch.slot}", problem.code.name)
-        self._context.metrics.samples.labels(outcome=problem.code.name.lower()).inc()
-        logging.info("sample not generated: %d %s", problem.code, problem.code.name)
-
-    async def _propose(
-        self, command: LedgerCommand, timeout_s: float
-    ) -> Result[LedgerOutcome, Problem]:
-        group = run_group(self._run)
-        proposed = await self._context.groups.propose(group, codec.encode(command), timeout_s)
-        return proposed.bind(codec.decode)
+        outcome: Result[LedgerOutcome, Problem] = proposed.bind(codec.decode)
+        num_voided = outcome.map(lambda found: found.num_voided).value_or(0)
+        if num_voided:
+            subject = f"{self._run}/{request.step}"
+            detail = f"{num_voided} samples voided at hand-over"
+            self._context.decisions.record(DecisionKind.VOID_STALE, subject, detail)
+            logging.info("run %s step %d: %s", self._run, request.step, detail)
+        return outcome.map(lambda _: None)
 
     # -- trainer's reads --------------------------------------------------------------------
 
@@ -213,9 +188,9 @@
         if problem is not None:
             # A leader that was just elected, or was replaced without knowing it, may lag behind the
             # trainer. A committed no-op brings it up to date or shows that it does not lead.
-            barrier = await self._propose(HandOver(request.step, 0), HAND_OVER_TIMEOUT_S)
+            barrier = await self._hand_over(request, max_samples=0)
             if isinstance(barrier, Failure):
-                return barrier
+                return Failure(barrier.failure())
             problem = self._check_cursor(request)
         if problem is not None:
             return Failure(problem)
@@ -230,12 +205,12 @@
                 cursor = samples[-1].cursor if samples else request.cursor
                 return Success(Samples(tuple(samples), cursor, num_remaining))
             if step.commit_order:
-                handed = await self._hand_over(request)
+                handed = await self._hand_over(request, request.max_samples)
                 if isinstance(handed, Failure):
-                    return handed
+                    return Failure(handed.failure())
                 continue
-            self._changed.clear()
-            await self._wait_for_change(deadline_s)
+            # Samples often finish in groups; one hand-over serves those that come close together.
+            await asyncio.sleep(_POLL_PAUSE_S)
 
     def _check_cursor(self, request: ReadSamples) -> Problem | None:
         state = self._ledger.state
@@ -249,57 +224,37 @@
             return Problem(ResultCode.CURSOR_INVALID, detail, "cursor")
         return None
 
-    async def _hand_over(self, request: ReadSamples) -> Result[LedgerOutcome, Problem]:
-        command = HandOver(request.step, request.max_samples)
-        outcome = await self._propose(command, HAND_OVER_TIMEOUT_S)
-        num_voided = outcome.map(lambda found: found.num_voided).value_or(0)
-        if num_voided:
-            subject = f"{self._run}/{request.step}"
-            self._context.decisions.record(
-                DecisionKind.VOID_STALE, subject, f"{num_voided} samples voided at hand-over"
-            )
-            logging.info(
-                "run %s step %d: %d stale samples voided", self._run, request.step, num_voided
-            )
-        return outcome
-
-    async def _wait_for_change(self, deadline_s: float) -> None:
-        remaining_s = max(0.0, deadline_s - now_s())
-        try:
-            async with asyncio.timeout(min(remaining_s, 1.0)):
-                await self._changed.wait()
-        except TimeoutError:
-            return
-        # Samples often finish in groups; one hand-over serves those that come close together.
-        await asyncio.sleep(_POLL_PAUSE_S)
-
-    def status(self, node: str) -> Result[RunStatus, Problem]:
+    def status(self) -> Result[RunStatus, Problem]:
         """Return the run's status; fails with ``UNKNOWN_RUN``."""
         state = self._ledger.state
         if state.settings is None:
             return Failure(Problem(ResultCode.UNKNOWN_RUN, "the run was not opened", self._run))
-        whole = [number for number, step in state.steps.items() if step.is_whole]
-        shown = {number for number, step in state.steps.items() if not step.is_whole}
-        shown.update(whole[-1:])
-        steps = tuple(
-            StepStatus(
-                number,
-                state.steps[number].num_slots,
-                len(state.steps[number].commit_order),
-                state.steps[number].num_handed_over,
-            )
-            for number in sorted(shown)
-        )
         return Success(
             RunStatus(
                 self._run,
-                node,
+                self._context.node,
                 state.settings,
                 state.trainer_version,
                 state.last_cursor,
                 state.acknowledged,
                 state.num_voided,
                 state.num_duplicates,
-                steps,
+                self._shown_steps(),
+            )
+        )
+
+    def _shown_steps(self) -> tuple[StepStatus, ...]:
+        """Return the steps that are not whole, and the last whole one."""
+        steps = self._ledger.state.steps
+        whole = [number for number, step in steps.items() if step.is_whole]
+        shown = {number for number, step in steps.items() if not step.is_whole}
+        shown.update(whole[-1:])
+        return tuple(
+            StepStatus(
+                number,
+                steps[number].num_slots,
+                len(steps[number].commit_order),
+                steps[number].num_handed_over,
             )
+            for number in sorted(shown)
         )
--- /dev/null
+++ b/src/hollowrack/rollout/executor.py
@@ -0,0 +1,241 @@
+"""Runs the generations that run coordinators assign to this node, and commits their samples.
+
+Generations live apart from the ledger's leader: when the leader dies or hands over, they go on, and
+their samples are committed at the next one. Every node restates what it runs for a run, so that a
+new leader does not start it again; what nobody restates is started anew.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from absl import logging
+from returns.result import Result, Success
+
+from hollowrack.clock import now_s
+from hollowrack.messages import codec
+from hollowrack.messages.codec import message
+from hollowrack.observability.decisions import DecisionKind, DecisionLog
+from hollowrack.observability.logs import log_fields
+from hollowrack.observability.metrics import NodeMetrics
+from hollowrack.platform.engine import GenerationRequest
+from hollowrack.replication.client import GroupClient
+from hollowrack.replication.links import NodeLinks
+from hollowrack.replication.types import node_of
+from hollowrack.requests.generation import GenerationPlan, GenerationRunner
+from hollowrack.requests.types import GeneratedText
+from hollowrack.results import Problem, ResultCode
+from hollowrack.rollout.commands import CommitSample, LedgerOutcome
+from hollowrack.rollout.groups import run_group
+from hollowrack.rollout.spans import SpanBuilder
+from hollowrack.rollout.types import Prompt, Sample, Slot
+from hollowrack.routing.prefix import prefix_blocks
+from hollowrack.routing.types import BackEndKind, Priority, RouteRequest
+
+RESTATE_INTERVAL_S = 0.5
+RETRY_PAUSE_S = 0.2
+GENERATION_TIMEOUT_S = 600.0
+COMMIT_TIMEOUT_S = 10.0
+MAX_COMMIT_ATTEMPTS = 30
+
+
+@message("rollout.assignment")
+@dataclass(frozen=True)
+class Assignment:
+    """One generation that a coordinator wants run.
+
+    Attributes:
+        run: The run.
+        model: Its model.
+        slot: The slot to fill.
+        prompt: Its prompt.
+        min_weight_version: Lowest useful weight version.
+        max_staleness_versions: The run's staleness bound.
+        training_room: Share of an engine that training may take.
+    """
+
+    run: str
+    model: str
+    slot: Slot
+    prompt: Prompt
+    min_weight_version: int
+    max_staleness_versions: int
+    training_room: float
+
+
+@message("rollout.running")
+@dataclass(frozen=True)
+class RunningSlots:
+    """What a node runs for a run; sent to the ledger's members."""
+
+    run: str
+    node: str
+    slots: tuple[Slot, ...]
+
+
+@dataclass(frozen=True)
+class ExecutorContext:
+    """What an executor needs of its node.
+
+    Attributes:
+        node: The node's name.
+        zone: The node's zone.
+        runner: Runs generations.
+        groups: Commits to the ledgers.
+        links: Reaches the ledgers' members.
+        decisions: Where decisions are recorded.
+        metrics: The node's metrics.
+        trainer_version: Returns the version a run's trainer announced last, as gossip has it.
+        on_own_running: Takes this node's own statement.
+    """
+
+    node: str
+    zone: str
+    runner: GenerationRunner
+    groups: GroupClient
+    links: NodeLinks
+    decisions: DecisionLog
+    metrics: NodeMetrics
+    trainer_version: Callable[[str], int]
+    on_own_running: Callable[[RunningSlots], None]
+
+
+class RolloutExecutor:
+    """All generations of training that run on one node.
+
+    Args:
+        context: The node.
+    """
+
+    def __init__(self, context: ExecutorContext) -> None:
+        self._context = context
+        self._running: dict[tuple[str, Slot], asyncio.Task[None]] = {}
+        self._numbers = itertools.count(1)
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start restating what runs."""
+        self._task = asyncio.create_task(self._run_restating())
+
+    async def stop(self) -> None:
+        """Cancel everything; the slots stay open and are started elsewhere."""
+        tasks = [*self._running.values(), *([self._task] if self._task is not None else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def assign(self, assignment: Assignment) -> None:
+        """Start a generation, unless this node runs the slot already."""
+        key = (assignment.run, assignment.slot)
+        if key not in self._running:
+            self._running[key] = asyncio.create_task(self._execute(assignment))
+
+    async def _execute(self, assignment: Assignment) -> None:
+        slot = assignment.slot
+        try:
+            with log_fields(run=assignment.run, step=str(slot.step), sample=str(slot)):
+                result = await self._context.runner.run(self._plan(assignment))
+                if isinstance(result, Success):
+                    await self._commit(assignment, result.unwrap())
+                else:
+                    self._note_failure(assignment, result.failure())
+                    await asyncio.sleep(RETRY_PAUSE_S)
+        finally:
+            self._running.pop((assignment.run, slot), None)
+
+    def _plan(self, assignment: Assignment) -> GenerationPlan:
+        slot = assignment.slot
+        request_id = f"{assignment.run}/{slot}/{self._context.node}.{next(self._numbers)}"
+
+        def stop_if_stale(spans: SpanBuilder) -> Problem | None:
+            return self._stop_if_stale(assignment, spans)
+
+        return GenerationPlan(
+            generation=GenerationRequest(
+                request_id=request_id,
+                model=assignment.model,
+                prompt=assignment.prompt.text,
+                max_tokens=assignment.prompt.max_tokens,
+                priority=Priority.TRAINING.value,
+                seed=slot.sample_index,
+            ),
+            route=RouteRequest(
+                kind=BackEndKind.ENGINE,
+                pool=assignment.model,
+                zone=self._context.zone,
+                priority=Priority.TRAINING,
+                prefix_blocks=prefix_blocks(assignment.prompt.text),
+                affinity_key=f"{assignment.run}/{slot.step}/{slot.prompt}",
+                min_weight_version=assignment.min_weight_version,
+                training_room=assignment.training_room,
+            ),
+            deadline_s=now_s() + GENERATION_TIMEOUT_S,
+            stop_check=stop_if_stale,
+        )
+
+    def _stop_if_stale(self, assignment: Assignment, spans: SpanBuilder) -> Problem | None:
+        """End a generation whose sample could not be accepted any more."""
+        if spans.oldest_version is None:
+            return None
+        age = self._context.trainer_version(assignment.run) - spans.oldest_version
+        if age <= assignment.max_staleness_versions:
+            return None
+        return Problem(ResultCode.SAMPLE_STALE, f"{age} versions old while running")
+
+    async def _commit(self, assignment: Assignment, generated: GeneratedText) -> None:
+        sample = Sample(
+            slot=assignment.slot,
+            text=generated.text,
+            num_tokens=generated.num_tokens,
+            spans=generated.spans,
+            finish_reason=generated.finish_reason,
+        )
+        code = await self._propose(assignment.run, CommitSample(sample))
+        is_committed = code is ResultCode.OK
+        kind = DecisionKind.COMMIT if is_committed else DecisionKind.DISCARD
+        self._context.decisions.record(kind, f"{assignment.run}/{assignment.slot}", code.name)
+        self._context.metrics.samples.labels(outcome=code.name.lower()).inc()
+        use = "training" if is_committed else "discarded"
+        self._context.metrics.tokens.labels(use=use).inc(generated.num_tokens)
+
+    async def _propose(self, run: str, command: CommitSample) -> ResultCode:
+        """Commit, through changes of leader; a finished sample is worth waiting for."""
+        data = codec.encode(command)
+        code = ResultCode.OUTCOME_UNKNOWN
+        for _ in range(MAX_COMMIT_ATTEMPTS):
+            proposed = await self._context.groups.propose(run_group(run), data, COMMIT_TIMEOUT_S)
+            decoded: Result[LedgerOutcome, Problem] = proposed.bind(codec.decode)
+            if isinstance(decoded, Success):
+                return ResultCode(decoded.unwrap().code)
+            code = decoded.failure().code
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return code
+
+    def _note_failure(self, assignment: Assignment, problem: Problem) -> None:
+        kind = DecisionKind.DISCARD
+        if problem.code is ResultCode.SAMPLE_STALE:
+            kind = DecisionKind.STOP_EARLY
+        subject = f"{assignment.run}/{assignment.slot}"
+        self._context.decisions.record(kind, subject, problem.code.name)
+        self._context.metrics.samples.labels(outcome=problem.code.name.lower()).inc()
+        logging.info("sample not generated: %d %s", problem.code, problem.code.name)
+
+    async def _run_restating(self) -> None:
+        while True:
+            await asyncio.sleep(RESTATE_INTERVAL_S)
+            by_run: dict[str, list[Slot]] = {}
+            for run, slot in self._running:
+                by_run.setdefault(run, []).append(slot)
+            for run, slots in by_run.items():
+                await self._restate(RunningSlots(run, self._context.node, tuple(slots)))
+
+    async def _restate(self, running: RunningSlots) -> None:
+        found = (await self._context.groups.find(run_group(running.run))).value_or(None)
+        if found is None:
+            return
+        for member in found.members:
+            if node_of(member) == self._context.node:
+                self._context.on_own_running(running)
+            else:
+                self._context.links.post(node_of(member), running)
--- a/src/hollowrack/rollout/ledger.py
+++ b/src/hollowrack/rollout/ledger.py
@@ -25,6 +25,7 @@
     OpenRun,
     SubmitStep,
 )
+from hollowrack.rollout.lengths import LengthHistory
 from hollowrack.rollout.spans import check_spans
 from hollowrack.rollout.types import HandedSample, Prompt, RunSettings, Sample, Slot
 
@@ -116,6 +117,8 @@
 
     def __init__(self) -> None:
         self.state = LedgerState()
+        # Lengths seen by this replica: advice for scheduling, and no part of the agreed state.
+        self.history = LengthHistory()
         self._positions: dict[int, dict[Slot, int]] = {}
 
     # -- StateMachine -----------------------------------------------------------------------
@@ -202,8 +205,15 @@
         slot.status = SlotStatus.COMMITTED
         slot.sample = sample
         step.commit_order.append(position)
+        self._note_length(step, sample)
         return _OK
 
+    def _note_length(self, step: StepState, sample: Sample) -> None:
+        for prompt in step.prompts:
+            if prompt.prompt == sample.slot.prompt:
+                self.history.note(prompt.text, sample.num_tokens)
+                return
+
     def _duplicate(self, sample: Sample) -> LedgerOutcome:
         self.state.num_duplicates += 1
         return _refused(ResultCode.SLOT_TAKEN, str(sample.slot))
@@ -268,6 +278,14 @@
             return []
         return [slot for slot in state.slots if slot.status is SlotStatus.OPEN]
 
+    def is_open(self, slot: Slot) -> bool:
+        """Whether a slot needs a sample."""
+        step = self.state.steps.get(slot.step)
+        if step is None or step.is_whole:
+            return False
+        position = self._position(step, slot)
+        return position is not None and step.slots[position].status is SlotStatus.OPEN
+
     def _is_stale(self, sample: Sample, settings: RunSettings) -> bool:
         age = self.state.trainer_version - sample.oldest_version
         return age > settings.max_staleness_versions
--- a/src/hollowrack/rollout/scheduling.py
+++ b/src/hollowrack/rollout/scheduling.py
@@ -6,35 +6,13 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from hollowrack.rollout.ledger import LedgerState, SlotStatus
+from hollowrack.rollout.lengths import LengthHistory
 from hollowrack.rollout.types import Prompt, Slot
 
 
-@dataclass
-class LengthHistory:
-    """Running estimate of answer lengths per prompt text, in tokens."""
-
-    smoothing: float = 0.3
-    _estimates: dict[str, float] = field(default_factory=dict)
-    _overall: float | None = None
-
-    def note(self, prompt_text: str, num_tokens: int) -> None:
-        """Take in the length of a finished sample."""
-        known = self._estimates.get(prompt_text, float(num_tokens))
-        self._estimates[prompt_text] = known + self.smoothing * (num_tokens - known)
-        overall = self._overall if self._overall is not None else float(num_tokens)
-        self._overall = overall + self.smoothing * (num_tokens - overall)
-
-    def expected(self, prompt: Prompt) -> float:
-        """Expected length of an answer, in tokens."""
-        known = self._estimates.get(prompt.text)
-        if known is not None:
-            return known
-        return min(float(prompt.max_tokens), self._overall or float(prompt.max_tokens))
-
-
 @dataclass(frozen=True)
 class Dispatch:
     """One slot to be generated now.
--- a/src/hollowrack/rollout/service.py
+++ b/src/hollowrack/rollout/service.py
@@ -10,7 +10,8 @@
 from hollowrack.replication.links import NodeLinks
 from hollowrack.results import Problem, ProblemError, ResultCode, result_of, value_or_raise
 from hollowrack.rollout.commands import LedgerCommand, LedgerOutcome, OpenRun
-from hollowrack.rollout.coordinator import RolloutContext, RunCoordinator
+from hollowrack.rollout.coordinator import RolloutContext, RunCoordinator, RunningTable
+from hollowrack.rollout.executor import RunningSlots
 from hollowrack.rollout.groups import RUN_GROUP_PREFIX, run_group
 from hollowrack.rollout.ledger import SampleLedger
 from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples, RunStatus, Samples
@@ -20,7 +21,7 @@
 FORWARD_MARGIN_S = 5.0
 RECONCILE_INTERVAL_S = 0.02
 
-VersionListener = Callable[[str, int], None]
+VersionListener = Callable[[str, str, int], None]
 
 
 class RunService:
@@ -31,7 +32,7 @@
         links: How to reach other nodes.
         context: What coordinators need.
         training_room: Returns the share of an engine's slots training may take, by model.
-        on_version: Called with the model and the trainer's version while this node leads a run.
+        on_version: Called with run, model and trainer's version while this node leads a run.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self._training_room = training_room
         self._on_version = on_version
         self._coordinators: dict[str, RunCoordinator] = {}
+        self._running: dict[str, RunningTable] = {}
         self._task: asyncio.Task[None] | None = None
         self.is_stopping = asyncio.Event()
 
@@ -58,36 +60,42 @@
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Stop all coordinators; other nodes take the runs over."""
+        """Stop coordinating; other nodes take the runs over."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        for run in list(self._coordinators):
-            await self._coordinators.pop(run).stop()
+        self._coordinators = {}
 
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(RECONCILE_INTERVAL_S)
             for group, hosted in list(self._host.groups.items()):
                 if isinstance(hosted.state_machine, SampleLedger):
-                    await self._reconcile(group, hosted.state_machine)
+                    self._reconcile(group, hosted.state_machine)
 
-    async def _reconcile(self, group: str, ledger: SampleLedger) -> None:
+    def _reconcile(self, group: str, ledger: SampleLedger) -> None:
         run = group.removeprefix(RUN_GROUP_PREFIX)
         coordinator = self._coordinators.get(run)
         if not self._host.leads(group):
             if coordinator is not None:
                 del self._coordinators[run]
-                await coordinator.stop()
             return
         if coordinator is None:
-            coordinator = RunCoordinator(run, ledger, self._context)
+            coordinator = RunCoordinator(run, ledger, self._running_table(run), self._context)
             self._coordinators[run] = coordinator
         settings = ledger.state.settings
         if settings is not None:
             coordinator.training_room = self._training_room(settings.model)
-            self._on_version(settings.model, ledger.state.trainer_version)
-        await coordinator.reconcile()
+            self._on_version(run, settings.model, ledger.state.trainer_version)
+        coordinator.reconcile()
+
+    def note_running(self, running: RunningSlots) -> None:
+        """Take in what a node runs; every member of the ledger does, in case it leads next."""
+        if run_group(running.run) in self._host.groups:
+            self._running_table(running.run).note(running.node, running.slots)
+
+    def _running_table(self, run: str) -> RunningTable:
+        return self._running.setdefault(run, RunningTable())
 
     # -- commands ---------------------------------------------------------------------------
 
@@ -153,7 +161,7 @@
             raise ProblemError(Problem(ResultCode.NOT_LEADER, "", request.run))
         if isinstance(request, ReadSamples):
             return value_or_raise(await coordinator.read_samples(request))
-        return value_or_raise(coordinator.status(self._node))
+        return value_or_raise(coordinator.status())
 
 
 def _unknown_run(run: str, problem: Problem) -> Failure[Problem]:
--- a/tests/rollout/test_scheduling.py
+++ b/tests/rollout/test_scheduling.py
@@ -2,7 +2,8 @@
 
 from hollowrack.rollout.commands import AnnounceVersion, CommitSample, HandOver, OpenRun, SubmitStep
 from hollowrack.rollout.ledger import SampleLedger
-from hollowrack.rollout.scheduling import LengthHistory, current_step, plan_dispatches
+from hollowrack.rollout.lengths import LengthHistory
+from hollowrack.rollout.scheduling import current_step, plan_dispatches
 from hollowrack.rollout.types import Prompt, RunSettings, Sample, Slot, VersionSpan
 
 
