--- a/src/hollowrack/api/server.py
+++ b/src/hollowrack/api/server.py
@@ -8,11 +8,13 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from hollowrack.api.guarded_protocol import guarded_protocol
 from hollowrack.results import Problem, ProblemError, ResultCode
 from hollowrack.settings.model import split_address
 
 START_POLL_S = 0.01
 LISTEN_BACKLOG = 1024
+DEFAULT_READ_TIMEOUT_S = 30.0
 
 
 class _EmbeddedServer(uvicorn.Server):
@@ -32,16 +34,24 @@
         address: ``IP:PORT`` to listen on; port 0 takes a free one.
         place: The settings key, for errors.
         max_connections: Most connections at once; more are answered 503.
+        read_timeout_s: Longest time to read one request, in seconds.
     """
 
-    def __init__(self, app: ASGIApp, address: str, place: str, max_connections: int) -> None:
+    def __init__(
+        self,
+        app: ASGIApp,
+        address: str,
+        place: str,
+        max_connections: int,
+        read_timeout_s: float = DEFAULT_READ_TIMEOUT_S,
+    ) -> None:
         self._socket = _bind(address, place)
         host, port = self._socket.getsockname()[:2]
         self.address = f"{host}:{port}"
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http="httptools",
+            http=guarded_protocol(read_timeout_s),
             ws="none",
             lifespan="off",
             log_config=None,
--- a/src/hollowrack/membership/rumours.py
+++ b/src/hollowrack/membership/rumours.py
@@ -29,6 +29,10 @@
     def __len__(self) -> int:
         return len(self._pending)
 
+    def clear(self) -> None:
+        """Spread nothing of what was added so far."""
+        self._pending.clear()
+
     def add(self, subject: str, update: Update) -> None:
         """Spread an update."""
         self._pending[subject] = _Pending(update)
--- a/src/hollowrack/membership/swim.py
+++ b/src/hollowrack/membership/swim.py
@@ -119,6 +119,8 @@
         self._ring: list[str] | None = None
         for seed in seeds:
             self._merge_member(seed)
+        # What everybody starts from is no news; the full exchanges settle any difference.
+        self._member_rumours.clear()
         # Merging the seeds may have raised this node's generation above an earlier life's.
         self._member_rumours.add(own.node, self.own)
 
--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -152,18 +152,20 @@
             core.status,
             self.start_drain,
         )
-        max_connections = settings.limits.max_connections
+        limits = settings.limits
         self.callers_server = HttpServer(
             _application([*callers.routes(), *trainers.routes()]),
             settings.listeners.callers,
             "listeners.callers",
-            max_connections,
+            limits.max_connections,
+            limits.request_read_timeout_s,
         )
         self.operators_server = HttpServer(
             _application(operators.routes()),
             settings.listeners.operators,
             "listeners.operators",
-            max_connections,
+            limits.max_connections,
+            limits.request_read_timeout_s,
         )
 
 
--- a/src/hollowrack/rollout/coordinator.py
+++ b/src/hollowrack/rollout/coordinator.py
@@ -157,10 +157,8 @@
     def _num_training_slots(self, model: str) -> int:
         return sum(
             int(self.training_room * back_end.num_slots)
-            for back_end in self._context.fleet.snapshot(now_s())
-            if back_end.kind is BackEndKind.ENGINE
-            and back_end.pool == model
-            and back_end.status is BackEndStatus.SERVING
+            for back_end in self._context.fleet.snapshot(now_s(), model)
+            if back_end.kind is BackEndKind.ENGINE and back_end.status is BackEndStatus.SERVING
         )
 
     async def _hand_over(self, request: ReadSamples, max_samples: int) -> Result[None, Problem]:
--- a/src/hollowrack/routing/broker.py
+++ b/src/hollowrack/routing/broker.py
@@ -291,8 +291,8 @@
     def _zones_by_room(self, route: RouteRequest) -> list[str]:
         """Return the own zone and the zones with most room by the last reports."""
         room: dict[str, float] = {}
-        for back_end in self._parts.fleet.snapshot(now_s()):
-            if back_end.kind is not BackEndKind.ENGINE or back_end.pool != route.pool:
+        for back_end in self._parts.fleet.snapshot(now_s(), route.pool):
+            if back_end.kind is not BackEndKind.ENGINE:
                 continue
             if back_end.status is BackEndStatus.SERVING:
                 free = back_end.num_slots - back_end.estimated_live
--- a/src/hollowrack/routing/choice.py
+++ b/src/hollowrack/routing/choice.py
@@ -59,14 +59,14 @@
 
 
 def _is_eligible(request: RouteRequest, back_end: BackEnd) -> bool:
+    if request.only_zone and back_end.zone != request.only_zone:
+        return False
     if back_end.kind is not request.kind or back_end.pool != request.pool:
         return False
     if back_end.status is not BackEndStatus.SERVING or not back_end.is_circuit_closed:
         return False
     if back_end.address in request.excluded:
         return False
-    if request.only_zone and back_end.zone != request.only_zone:
-        return False
     if back_end.weight_version < request.min_weight_version:
         return False
     return request.priority is Priority.LIVE or _has_training_room(request, back_end)
--- a/src/hollowrack/routing/fleet.py
+++ b/src/hollowrack/routing/fleet.py
@@ -53,6 +53,8 @@
         others_live: Live requests beyond those, in each of the last reports.
         others_load: All requests beyond those, in each of the last reports.
         circuit: Direct evidence.
+        seen: The record as routing sees it, until something changes. A placement looks at every
+            back end and changes one.
     """
 
     machine: Machine
@@ -64,6 +66,7 @@
     others_live: deque[int] = field(default_factory=_recent)
     others_load: deque[int] = field(default_factory=_recent)
     circuit: Circuit = field(default_factory=Circuit)
+    seen: BackEnd | None = None
 
     @property
     def estimated_load(self) -> int:
@@ -97,6 +100,7 @@
         self.records: dict[str, BackEndRecord] = {}
         self.prefixes = PrefixIndex()
         self._mean_service_ms: dict[str, float] = {}
+        self._by_pool: dict[str, list[BackEndRecord]] = {}
 
     def apply_machine_list(self, machines: list[Machine]) -> None:
         """Take in the machine list; a machine that is gone from it counts as leaving."""
@@ -108,25 +112,32 @@
                 continue
             record.machine = machine
             record.is_leaving = record.is_leaving or machine.is_leaving
+            record.seen = None
         for address, record in list(self.records.items()):
             if address in listed:
                 continue
             record.is_leaving = True
+            record.seen = None
             if record.num_live + record.num_training == 0:
                 del self.records[address]
                 self.prefixes.forget(address)
+        self._by_pool = {}
+        for record in self.records.values():
+            self._by_pool.setdefault(record.machine.pool, []).append(record)
 
     def mark_leaving(self, address: str) -> None:
         """Mark a back end as leaving; no new work goes to it from now on."""
         record = self.records.get(address)
         if record is not None:
             record.is_leaving = True
+            record.seen = None
 
     def apply_engine_state(self, address: str, state: EngineState | None) -> None:
         """Take in an engine's control state; ``None`` if it did not answer."""
         record = self.records.get(address)
-        if record is not None:
+        if record is not None and record.engine != state:
             record.engine = state
+            record.seen = None
 
     def apply_load(self, address: str, load: EngineLoad) -> None:
         """Take in a load report."""
@@ -136,11 +147,13 @@
             num_own = record.num_live + record.num_training
             record.others_live.append(max(0, load.num_live - record.num_live))
             record.others_load.append(max(0, record.reported_load - num_own))
+            record.seen = None
 
     def note_sent(self, address: str, is_training: bool, now_s: float) -> None:
         """A request is about to be sent."""
         record = self.records[address]
         record.circuit.note_sent(now_s)
+        record.seen = None
         if is_training:
             record.num_training += 1
         else:
@@ -157,6 +170,7 @@
         record = self.records.get(address)
         if record is None:
             return
+        record.seen = None
         if is_training:
             record.num_training -= 1
         else:
@@ -165,23 +179,19 @@
     def pool_load(self, pool: str, zone: str | None = None) -> PoolLoad:
         """Return the slots of a pool's serving back ends, of one zone or all, and their load."""
         serving = [
-            record
-            for record in self.records.values()
-            if record.machine.pool == pool
-            and record.status is BackEndStatus.SERVING
-            and zone in (None, record.machine.zone)
+            back_end
+            for back_end in self.snapshot(0.0, pool)
+            if back_end.status is BackEndStatus.SERVING and zone in (None, back_end.zone)
         ]
-        num_slots = sum(
-            record.engine.num_slots if record.engine is not None else DEFAULT_SERVICE_SLOTS
-            for record in serving
-        )
-        return PoolLoad(num_slots, sum(record.estimated_live for record in serving))
+        num_slots = sum(back_end.num_slots for back_end in serving)
+        return PoolLoad(num_slots, sum(int(back_end.estimated_live) for back_end in serving))
 
     def note_evidence(self, address: str, outcome: PlacementOutcome, now_s: float) -> None:
         """Take in direct evidence about a back end."""
         record = self.records.get(address)
         if record is None:
             return
+        record.seen = None
         match outcome:
             case PlacementOutcome.SUCCESS:
                 record.circuit.note_success()
@@ -192,12 +202,18 @@
             case PlacementOutcome.ABANDONED:
                 record.circuit.note_abandoned(now_s)
 
-    def snapshot(self, now_s: float) -> list[BackEnd]:
-        """Return all back ends as they are seen at ``now_s``."""
-        return [
-            _back_end(record, now_s, self._mean_service_ms.get(record.machine.pool))
-            for record in self.records.values()
-        ]
+    def snapshot(self, now_s: float, pool: str | None = None) -> list[BackEnd]:
+        """Return the back ends of a pool, or all, as they are seen at ``now_s``."""
+        records = self.records.values() if pool is None else self._by_pool.get(pool, [])
+        return [record.seen or self._see(record, now_s) for record in records]
+
+    def _see(self, record: BackEndRecord, now_s: float) -> BackEnd:
+        mean_service_ms = self._mean_service_ms.get(record.machine.pool)
+        back_end = _back_end(record, now_s, mean_service_ms)
+        if back_end.is_circuit_closed:
+            # A circuit that is open closes by time alone, so it is looked at anew.
+            record.seen = back_end
+        return back_end
 
 
 def _back_end(record: BackEndRecord, now_s: float, mean_service_ms: float | None) -> BackEnd:
--- a/src/hollowrack/routing/local_placer.py
+++ b/src/hollowrack/routing/local_placer.py
@@ -73,7 +73,7 @@
 
     def _choose(self, request: PlacementRequest) -> Result[Placement, Problem]:
         parts = self._parts
-        back_ends = parts.fleet.snapshot(now_s())
+        back_ends = parts.fleet.snapshot(now_s(), request.route.pool)
         choice = parts.chooser(request.route, back_ends, parts.fleet.prefixes, parts.rng)
         if isinstance(choice, Failure):
             return choice
--- a/src/hollowrack_bench/bench_commands.py
+++ b/src/hollowrack_bench/bench_commands.py
@@ -10,6 +10,8 @@
 
 from hollowrack.cli.output import exit_with_problem, print_json
 from hollowrack.routing.choice import choose
+from hollowrack_bench.capacity import as_json, measure_all
+from hollowrack_bench.capacity_page import render_page
 from hollowrack_bench.replication_model import explore
 from hollowrack_bench.requests_bench import (
     FAULTS,
@@ -151,5 +153,20 @@
         click.echo(f"  {what:<24} {count}")
 
 
+@bench.command()
+@click.option(
+    "--write", type=click.Path(path_type=Path), help="Folder for capacity.json and CAPACITY.md."
+)
+def capacity(write: Path | None) -> None:
+    """Measure the slopes behind docs/CAPACITY.md; with --write the page is made anew."""
+    slopes = measure_all()
+    for slope in slopes:
+        click.echo(f"{slope.name:<30} {slope.slope:>14.3g} {slope.unit}, spread {slope.spread:.1%}")
+    if write is not None:
+        text = as_json(slopes)
+        (write / "capacity.json").write_text(text, encoding="utf-8")
+        (write / "CAPACITY.md").write_text(render_page(json.loads(text)), encoding="utf-8")
+
+
 def _text(value: Any) -> str:
     return f"{value:.3f}" if isinstance(value, float) else str(value)
--- /dev/null
+++ b/src/hollowrack_bench/capacity_page.py
@@ -0,0 +1,241 @@
+"""Renders ``docs/CAPACITY.md`` from the measured slopes."""
+
+from dataclasses import dataclass
+from typing import Any
+
+NUM_NODES = 360
+NUM_ENGINES = 600
+NUM_ZONES = 7
+REQUESTS_PER_S = 3100.0
+TOKENS_PER_S = 1_000_000.0
+UNSAFE_SHARE = 0.1
+SAMPLES_PER_STEP = 3 * 512
+STEP_S = 360.0
+STEPS_HELD = 3
+LEDGER_REPLICAS = 5
+CLAIM_REPLICAS = 5
+CLAIM_GROUPS = 8
+KEPT_CLAIMS = 65_536
+CPU_LIMIT = 0.04
+BYTES_LIMIT = 2000.0
+MEMORY_LIMIT = 64_000_000.0
+_PLACEMENT_BYTES = 400.0
+_MIB = 1_000_000.0
+
+
+@dataclass(frozen=True)
+class Row:
+    """One role at the target size."""
+
+    role: str
+    state: str
+    messages: str
+    cpu: str
+    memory: str
+    mechanism: str
+    source: str
+
+
+def render_page(slopes: dict[str, Any]) -> str:
+    """Return the whole page; the same slopes give the same text."""
+    return "\n".join(
+        [
+            _INTRODUCTION,
+            _table(_rows(slopes)),
+            "",
+            _limits(slopes),
+            _EVENTS,
+            "## Slopes",
+            "",
+            "| slope | value | unit | sizes | spread |",
+            "| --- | --- | --- | --- | --- |",
+            *(_slope_row(name, slope) for name, slope in slopes.items()),
+            "",
+            _GAPS,
+        ]
+    )
+
+
+def _value(slopes: dict[str, Any], name: str) -> float:
+    return float(slopes[name]["slope"])
+
+
+def _at(slopes: dict[str, Any], name: str, size: float) -> float:
+    return float(slopes[name]["intercept"]) + size * _value(slopes, name)
+
+
+def _rows(slopes: dict[str, Any]) -> list[Row]:
+    requests = REQUESTS_PER_S / NUM_NODES
+    tokens = TOKENS_PER_S / NUM_NODES
+    relay_cpu = requests * _value(slopes, "relay_cpu_per_request") + tokens * _value(
+        slopes, "relay_cpu_per_token"
+    )
+    placements = REQUESTS_PER_S / NUM_ZONES
+    placement_cpu = placements * _at(slopes, "placement_cpu_per_back_end", NUM_ENGINES)
+    unsafe = REQUESTS_PER_S * UNSAFE_SHARE / CLAIM_GROUPS
+    claim_cpu = unsafe * _value(slopes, "claims_cpu_per_request")
+    claim_memory = KEPT_CLAIMS * _value(slopes, "memory_per_claim")
+    samples = SAMPLES_PER_STEP / STEP_S / 3
+    ledger_cpu = samples * _value(slopes, "ledger_cpu_per_sample")
+    ledger_memory = 512 * STEPS_HELD * _value(slopes, "memory_per_slot")
+    gossip = _at(slopes, "membership_bytes_per_node_s", NUM_NODES)
+    gossip_cpu = _at(slopes, "membership_cpu_per_node_s", NUM_NODES)
+    gossip_memory = NUM_NODES * _value(slopes, "memory_per_known_node")
+    return [
+        Row(
+            "gateway (every node)",
+            "running requests, 4,096 kept answers",
+            f"{requests:.1f} requests, {tokens:,.0f} tokens a second",
+            f"{relay_cpu:.1%} of a core (data, not control)",
+            "16 MB of answers at most",
+            "`requests/gateway.py`, bounded by `limits.max_requests`",
+            "relay_cpu_per_request, relay_cpu_per_token",
+        ),
+        Row(
+            "placement broker (one a zone and pool)",
+            f"{NUM_ENGINES // NUM_ZONES} engines, placements in progress",
+            f"{placements:.0f} placements a second, "
+            f"{2 * placements * _PLACEMENT_BYTES / 1000:.0f} KB/s with their ends",
+            f"{placement_cpu:.0%} of a core",
+            "under 1 MB",
+            "`routing/broker.py`, rendezvous hash; local choice as fallback",
+            "placement_cpu_per_back_end",
+        ),
+        Row(
+            "claim replica (5 of each of 8 groups)",
+            f"{KEPT_CLAIMS:,} ended claims",
+            f"{unsafe:.0f} claims a second",
+            f"{claim_cpu:.1%} of a core",
+            f"{claim_memory / _MIB:.0f} MB",
+            "`requests/claims.py` on the replicated log",
+            "claims_cpu_per_request, memory_per_claim",
+        ),
+        Row(
+            "ledger replica (5 a run)",
+            f"{512 * STEPS_HELD:,} slots with samples of 2,000 bytes",
+            f"{samples:.1f} samples a second, "
+            f"{samples * _value(slopes, 'ledger_bytes_per_sample') / 1000:.1f} KB/s",
+            f"{ledger_cpu:.2%} of a core",
+            f"{ledger_memory / _MIB:.1f} MB",
+            "`rollout/ledger.py` on the replicated log",
+            "ledger_cpu_per_sample, ledger_bytes_per_sample, memory_per_slot",
+        ),
+        Row(
+            "membership (every node)",
+            f"{NUM_NODES} members, some facts",
+            f"{gossip:,.0f} bytes a second out",
+            f"{gossip_cpu:.1%} of a core",
+            f"{gossip_memory / _MIB:.1f} MB",
+            "`membership/swim.py`: ring of watched neighbours in the zone",
+            "membership_bytes_per_node_s, membership_cpu_per_node_s, memory_per_known_node",
+        ),
+        Row(
+            "bundle agent (every node)",
+            "the bundle in force",
+            "1,000 changes a day: one fact and one pull each",
+            "not measured",
+            "not measured",
+            "`bundle/agent.py`: two store watchers a zone, peers for the rest",
+            "none yet",
+        ),
+        Row(
+            "zone leader",
+            f"{NUM_ENGINES // NUM_ZONES} engines",
+            "one order an engine and weight version (every 6 minutes)",
+            "not measured",
+            "not measured",
+            "`engines/controller.py`, fenced by its ballot",
+            "none yet",
+        ),
+        Row(
+            "weight relay",
+            "-",
+            "-",
+            "-",
+            "-",
+            "not built: engines read the weight store themselves",
+            "none",
+        ),
+        Row(
+            "configuration store, as we load it",
+            "one key a bundle, group epoch and 8 claim groups",
+            f"{2 * NUM_ZONES} reads a second; one write a bundle or membership change",
+            "-",
+            "-",
+            "`platform/config_store.py`, create-only keys",
+            "counted from the code, not measured",
+        ),
+    ]
+
+
+def _table(rows: list[Row]) -> str:
+    header = "| role | state | messages | processor | memory | mechanism | slopes |\n"
+    header += "| --- | --- | --- | --- | --- | --- | --- |\n"
+    return header + "\n".join(
+        f"| {row.role} | {row.state} | {row.messages} | {row.cpu} | {row.memory} "
+        f"| {row.mechanism} | {row.source} |"
+        for row in rows
+    )
+
+
+def _limits(slopes: dict[str, Any]) -> str:
+    gossip = _at(slopes, "membership_bytes_per_node_s", NUM_NODES)
+    gossip_cpu = _at(slopes, "membership_cpu_per_node_s", NUM_NODES)
+    slope = _value(slopes, "membership_bytes_per_node_s")
+    memory = NUM_NODES * _value(slopes, "memory_per_known_node")
+    return (
+        "## Control against its limits, on a node without another role\n\n"
+        f"- Bytes: {gossip:,.0f} of {BYTES_LIMIT:,.0f} a second; {slope:+.2f} bytes a second for "
+        "each further node.\n"
+        f"- Processor: {gossip_cpu:.2%} of the allowed {CPU_LIMIT:.0%} of a core for membership "
+        "alone; timers and polling of engines come on top (see the gaps).\n"
+        f"- Memory: membership takes {memory / _MIB:.1f}"
+        f" of {MEMORY_LIMIT / _MIB:.0f} MB.\n"
+    )
+
+
+def _slope_row(name: str, slope: dict[str, Any]) -> str:
+    sizes = ", ".join(f"{size:.0f}" for size in slope["sizes"])
+    return f"| {name} | {slope['slope']:.3g} | {slope['unit']} | {sizes} | {slope['spread']:.1%} |"
+
+
+_INTRODUCTION = f"""# Capacity
+
+What each role costs at the size the design is made for: {NUM_NODES} nodes before {NUM_ENGINES}
+workers on 4,800 accelerators, {REQUESTS_PER_S:,.0f} requests and {TOKENS_PER_S:,.0f} generated
+tokens a second at the peak, three trainers with 512 samples a step, new weights every 6 minutes,
+three regions with {NUM_ZONES} zones, 1,000 configuration changes a day.
+
+Every figure is worked out from slopes that were measured on one machine with `hollowrack bench
+capacity --write docs`, which makes this page anew. Nothing of this size has been run; the largest
+membership that was run is 360 nodes of the protocol alone."""
+
+_EVENTS = """## Failures of a day and of a year
+
+- 12 machines failed, 170 restarted or replaced a day: each costs a membership change of the
+  groups that counted on the node (one create-only write and one activation a group) and one full
+  exchange. Planned stops are replaced before they go.
+- A zone lost: its engines go with it; ledgers and claims keep three of five replicas, since
+  replicas alternate between zones. Its members are not declared dead one by one.
+- Regions cut from each other: groups go on where a majority of their members is; the others
+  refuse unsafe requests as not run. Not measured at size.
+"""
+
+_GAPS = """## Gaps
+
+- **Polling.** Every node polls every engine four times a second. At 360 nodes and 600 engines
+  that is 864,000 calls a second: it does not fit. Mechanism: only the broker of a zone observes
+  its engines, and brokers exchange sums. To be built with the watched workers of the control
+  issue.
+- **Relay.** One million tokens a second over 360 nodes is data, not control; where the table
+  shows more than half a core, the streams of several tokens an event that engines can send are
+  needed.
+- **Broker.** One placement looks at every known back end. At 600 engines that must become an
+  index by zone; beyond about 100 engines a zone the broker must be split by shard.
+- **Claims.** Eight groups are a constant; at 310 unsafe requests a second their retention is
+  minutes. The number of groups must follow the bundle.
+- **Sample bodies** are in the log. At 16 KB a sample they should move to bulk files.
+- **Weights** are read from the store by each engine: 600 reads instead of one a region.
+- Orders, bundles, exchanges, the store's load, regions and the daily failures are not measured
+  yet.
+"""
