--- a/src/hollowrack/api/operators.py
+++ b/src/hollowrack/api/operators.py
@@ -41,6 +41,7 @@
         metrics: The node's metrics.
         status: Returns the node's status as JSON.
         drain: Starts a planned stop.
+        mark_back_end: Marks a back end as leaving for the whole fleet; returns whether it is known.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         metrics: NodeMetrics,
         status: Callable[[], dict[str, Any]],
         drain: Callable[[], None],
+        mark_back_end: Callable[[str], bool],
     ) -> None:
         self._agent = agent
         self._store = store
@@ -60,6 +62,7 @@
         self._metrics = metrics
         self._status = status
         self._drain = drain
+        self._mark_back_end = mark_back_end
 
     def routes(self) -> list[Route]:
         """Return the routes."""
@@ -68,6 +71,7 @@
             Route("/metrics", self._read_metrics, methods=["GET"]),
             Route("/v1/decisions", self._read_decisions, methods=["GET"]),
             Route("/v1/bundle", self._propose, methods=["POST"]),
+            Route("/v1/back-ends/{address}/leaving", self._mark_leaving, methods=["POST"]),
             Route("/v1/drain", self._start_drain, methods=["POST"]),
         ]
 
@@ -109,6 +113,13 @@
         self._agent.offer(signed)
         return JSONResponse({"code": int(ResultCode.OK), "revision": revision})
 
+    async def _mark_leaving(self, request: Request) -> Response:
+        address = request.path_params["address"]
+        if not self._mark_back_end(address):
+            detail = f"{address} is in no machine list that this node has read"
+            return problem_response(Problem(ResultCode.UNKNOWN_BACK_END, detail, "address"))
+        return JSONResponse({"code": int(ResultCode.OK)})
+
     async def _start_drain(self, request: Request) -> Response:
         del request
         self._drain()
--- a/src/hollowrack/cli/commands.py
+++ b/src/hollowrack/cli/commands.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from hollowrack.cli.bundle_commands import bundle
-from hollowrack.cli.fleet_commands import drain, explain, status
+from hollowrack.cli.fleet_commands import drain, explain, retire, status
 from hollowrack.cli.output import exit_with_problem
 from hollowrack.cli.settings_commands import keys, settings
 from hollowrack.node import Node
@@ -24,7 +24,7 @@
     """Rollout service between callers, trainers and model engines."""
 
 
-for command in (settings, keys, bundle, status, explain, drain):
+for command in (settings, keys, bundle, status, explain, retire, drain):
     hollowrack.add_command(command)
 
 
--- a/src/hollowrack/cli/fleet_commands.py
+++ b/src/hollowrack/cli/fleet_commands.py
@@ -64,6 +64,15 @@
         click.echo(f"{at}  {record['kind']:<12} {record['subject']}  {record['outcome']}  {inputs}")
 
 
+@click.command()
+@click.argument("address")
+@_operator
+def retire(address: str, operator: str) -> None:
+    """Mark a back end as leaving: no node gives it new work from now on."""
+    _call("POST", f"{operator}/v1/back-ends/{address}/leaving")
+    click.echo(f"{address} is marked as leaving")
+
+
 @click.command()
 @_operator
 def drain(operator: str) -> None:
--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -151,6 +151,7 @@
             core.metrics,
             core.status,
             self.start_drain,
+            core.mark_back_end_leaving,
         )
         limits = settings.limits
         self.callers_server = HttpServer(
--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -81,6 +81,7 @@
 PREPARE_CLAIMS_AFTER_S = 1.0
 WEIGHT_FACT_PREFIX = "weights/"
 LEAVING_FACT_PREFIX = "leaving/"
+LEAVING_MARK = 1
 RUN_FACT_PREFIX = "run/"
 # A broker's own bound is the room of its zone.
 MAX_BROKERED_REQUESTS = 1_000_000
@@ -282,6 +283,7 @@
         self.bundles.on_applied.append(self._on_bundle)
         self._build_groups(GroupDirectory(store))
         self.observer = FleetObserver(self.fleet, edges.read_machines, edges.make_engine_client)
+        self.fleet.is_marked = self._is_marked_leaving
         self.engines = EngineController(
             identity.zone,
             self.host,
@@ -426,12 +428,23 @@
         if fact.name.startswith(LEAVING_FACT_PREFIX):
             self.fleet.mark_leaving(fact.name.removeprefix(LEAVING_FACT_PREFIX))
 
+    def _is_marked_leaving(self, address: str) -> bool:
+        return LEAVING_FACT_PREFIX + address in self.membership.swim.facts
+
     def _on_bundle(self, bundle: Bundle) -> None:
         self.gateway.bundle = bundle
         self.admission.set_weights(bundle.tenants)
         self.broker.set_weights(bundle.tenants)
         self.metrics.bundle_revision.set(bundle.revision)
 
+    def mark_back_end_leaving(self, address: str) -> bool:
+        """Mark a back end as leaving for the whole fleet; returns whether this node knows it."""
+        if address not in self.fleet.records:
+            return False
+        # The mark stays: a back end that comes back does so under another address.
+        self.membership.raise_fact(LEAVING_FACT_PREFIX + address, LEAVING_MARK)
+        return True
+
     def status(self) -> dict[str, Any]:
         """Return the node's status for operators, as JSON."""
         members = self.membership.swim.members.values()
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -54,6 +54,7 @@
     IDENTIFIER_REUSED = 204
     UNKNOWN_REQUEST = 205
     CALLER_TOO_SLOW = 206
+    UNKNOWN_BACK_END = 207
 
     OVERLOADED = 300
     NO_BACK_END = 301
@@ -187,6 +188,9 @@
     ResultCode.CALLER_TOO_SLOW: CodeDescription(
         _U, _SAME, 408, "The caller sent or read too slowly.", "Use a better connection."
     ),
+    ResultCode.UNKNOWN_BACK_END: CodeDescription(
+        _N, _CHANGE, 404, "No such back end.", "Use an address that `hollowrack status` shows."
+    ),
     ResultCode.OVERLOADED: CodeDescription(
         _N, _YES, 429, "Refused early because of overload.", "Wait for Retry-After."
     ),
--- a/src/hollowrack/routing/fleet.py
+++ b/src/hollowrack/routing/fleet.py
@@ -1,6 +1,7 @@
 """This node's view of all back ends, kept from the machine list, reports and direct evidence."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from hollowrack.platform.engine import EngineLoad, EngineState
@@ -94,9 +95,16 @@
 
 
 class FleetView:
-    """All back ends as this node sees them."""
+    """All back ends as this node sees them.
+
+    Attributes:
+        records: What is known of each, by address.
+        prefixes: Which engine holds which prompt prefix.
+        is_marked: Whether an address was marked as leaving before this node heard of it.
+    """
 
     def __init__(self) -> None:
+        self.is_marked: Callable[[str], bool] = lambda address: False
         self.records: dict[str, BackEndRecord] = {}
         self.prefixes = PrefixIndex()
         self._mean_service_ms: dict[str, float] = {}
@@ -108,7 +116,8 @@
         for machine in machines:
             record = self.records.get(machine.address)
             if record is None:
-                self.records[machine.address] = BackEndRecord(machine, machine.is_leaving)
+                is_leaving = machine.is_leaving or self.is_marked(machine.address)
+                self.records[machine.address] = BackEndRecord(machine, is_leaving)
                 continue
             record.machine = machine
             record.is_leaving = record.is_leaving or machine.is_leaving
--- a/src/hollowrack_bench/hollow/platform.py
+++ b/src/hollowrack_bench/hollow/platform.py
@@ -119,6 +119,7 @@
         self.is_down = False
         self.core = EngineCore(config, f"{address}/1")
         self.num_tokens = 0
+        self.num_opened = 0
         self.accepted_tokens: list[int] = []
         self._queues: dict[str, asyncio.Queue[Token | None]] = {}
         self._task: asyncio.Task[None] | None = None
@@ -163,6 +164,7 @@
 
     def open_stream(self, sequence: Sequence) -> asyncio.Queue[Token | None]:
         """Queue a generation."""
+        self.num_opened += 1
         queue: asyncio.Queue[Token | None] = asyncio.Queue()
         self._queues[sequence.request_id] = queue
         self.core.add(sequence)
--- a/tests/api/test_bad_input.py
+++ b/tests/api/test_bad_input.py
@@ -147,6 +147,17 @@
         ):
             async with session.post(f"{url}/v1/bundle", json=body) as response:
                 assert (await response.json())["error"]["name"] == name
+        async with session.post(f"{url}/v1/back-ends/127.0.0.1:1/leaving") as response:
+            assert (await response.json())["error"]["name"] == "UNKNOWN_BACK_END"
+        address = fleet.engines[1].server.address
+        async with session.post(f"{url}/v1/back-ends/{address}/leaving") as response:
+            assert response.status == 200
+        await fleet.wait_until(
+            lambda: all(
+                other.core.fleet.records[address].is_leaving for other in fleet.nodes.values()
+            ),
+            "the mark did not reach every node",
+        )
         async with session.get(f"{url}/metrics") as response:
             assert "hollowrack_bundle_revision 1.0" in await response.text()
         async with session.get(f"{url}/v1/status") as response:
