Engines are polled closely only by nodes that decide about them

Cause: the demonstration was bound by one core, half of it six nodes polling four engines four times a second; an executor whose engines were full gave its slot back and waited up to a second to get it again.

--- a/src/hollowrack/admission/controller.py
+++ b/src/hollowrack/admission/controller.py
@@ -12,6 +12,7 @@
 from hollowrack.clock import now_s
 from hollowrack.results import Problem, ResultCode
 from hollowrack.routing.fleet import PoolLoad
+from hollowrack.tasks import cancel_all
 
 PUMP_INTERVAL_S = 0.02
 SERVICE_TIME_SMOOTHING = 0.1
@@ -107,9 +108,7 @@
 
     async def stop(self) -> None:
         """Stop; queued requests are refused as not run."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_all(self._task)
         for pool in self._pools.values():
             while len(pool.queue):
                 waiter = pool.queue.pop()
--- a/src/hollowrack/api/callers.py
+++ b/src/hollowrack/api/callers.py
@@ -30,6 +30,7 @@
 from hollowrack.requests.gateway import CompletionCall, Gateway, ServiceCall
 from hollowrack.requests.types import RecordedAnswer
 from hollowrack.results import Problem, ResultCode
+from hollowrack.tasks import cancel_all
 
 DEFAULT_TIMEOUT_S = 120.0
 MAX_TIMEOUT_S = 3600.0
@@ -248,8 +249,7 @@
         done, _ = await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
         watch.cancel()
         if work not in done:
-            work.cancel()
-            await asyncio.gather(work, return_exceptions=True)
+            await cancel_all(work)
             self._metrics.requests.labels(face="completions", code="CALLER_GONE").inc()
             return
         code = work.result()
--- a/src/hollowrack/api/server.py
+++ b/src/hollowrack/api/server.py
@@ -89,7 +89,7 @@
 def _bind(address: str, place: str) -> socket.socket:
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # The protocol is named because asyncio turns Nagle's algorithm off only for sockets that say TCP.
+    # asyncio turns Nagle's algorithm off only for sockets whose protocol says TCP.
     listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
--- a/src/hollowrack/bundle/agent.py
+++ b/src/hollowrack/bundle/agent.py
@@ -16,6 +16,7 @@
 from hollowrack.messages.codec import message
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.results import Problem, ProblemError, ResultCode
+from hollowrack.tasks import cancel_all
 
 BUNDLE_FACT = "bundle"
 STORE_INTERVAL_S = 1.0
@@ -82,9 +83,7 @@
 
     async def stop(self) -> None:
         """Stop."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(*self._tasks)
 
     def offer(self, signed: SignedBundle) -> Result[Bundle, Problem]:
         """Put a bundle in force if it is signed, valid and newer.
--- a/src/hollowrack/engines/controller.py
+++ b/src/hollowrack/engines/controller.py
@@ -17,6 +17,7 @@
 from hollowrack.replication.host import GroupHost
 from hollowrack.routing.fleet import BackEndRecord, FleetView
 from hollowrack.routing.types import BackEndKind
+from hollowrack.tasks import cancel_all
 
 ENGINE_GROUP_PREFIX = "engines:"
 RECONCILE_INTERVAL_S = 0.1
@@ -94,9 +95,7 @@
     async def stop(self) -> None:
         """Stop giving orders."""
         tasks = [*self._tasks, *self._orders.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(*tasks)
 
     async def _run_ensure(self) -> None:
         group = engine_group(self._zone)
--- a/src/hollowrack/membership/service.py
+++ b/src/hollowrack/membership/service.py
@@ -15,6 +15,7 @@
 from hollowrack.membership.swim import MembershipChange, Swim
 from hollowrack.membership.types import Fact, Member
 from hollowrack.results import Problem, ResultCode
+from hollowrack.tasks import cancel_all
 
 TICK_INTERVAL_S = 0.05
 EXCHANGE_TIMEOUT_S = 2.0
@@ -50,9 +51,7 @@
     async def stop(self) -> None:
         """Stop probing and give up all messages under way."""
         tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(*tasks)
 
     def leave(self) -> None:
         """Announce a planned stop to the fleet."""
--- a/src/hollowrack/messages/transport.py
+++ b/src/hollowrack/messages/transport.py
@@ -23,6 +23,7 @@
 
 from hollowrack.messages import codec
 from hollowrack.results import Problem, ProblemError, ResultCode, value_or_raise
+from hollowrack.tasks import cancel_all
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_S = 2.0
@@ -186,9 +187,7 @@
         for channel in list(self._channels):
             channel.close()
         tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(*tasks)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -303,8 +302,7 @@
         task = self._reader_task
         self._drop()
         if task is not None:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            await cancel_all(task)
 
     def _unreachable(self, reason: str) -> Failure[Problem]:
         host, port = self._address
--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -15,7 +15,12 @@
 from hollowrack.bundle.schema import Bundle
 from hollowrack.bundle.store import BundleStore
 from hollowrack.clock import now_s
-from hollowrack.engines.controller import EngineController, NoState, zone_of_group
+from hollowrack.engines.controller import (
+    EngineController,
+    NoState,
+    engine_group,
+    zone_of_group,
+)
 from hollowrack.membership.messages import Digest, Exchange, GossipMessage
 from hollowrack.membership.network import NodeNetwork
 from hollowrack.membership.service import MembershipService
@@ -25,7 +30,7 @@
 from hollowrack.observability.metrics import NodeMetrics
 from hollowrack.platform.config_store import ConfigStoreClient, StoreCall
 from hollowrack.platform.engine import MakeEngineClient
-from hollowrack.platform.machine_list import ReadMachines
+from hollowrack.platform.machine_list import Machine, ReadMachines
 from hollowrack.platform.service import ServiceClient
 from hollowrack.replication.client import GroupClient
 from hollowrack.replication.directory import GroupDirectory
@@ -74,6 +79,7 @@
 from hollowrack.routing.local_placer import LocalPlacer, PlacerParts
 from hollowrack.routing.observer import FleetObserver
 from hollowrack.settings.model import Limits
+from hollowrack.tasks import cancel_all
 
 DEFAULT_DRAIN_DEADLINE_S = 30.0
 LEAVE_SPREAD_S = 0.5
@@ -238,9 +244,7 @@
 
     async def close(self) -> None:
         """Stop everything at once: the second half of a planned stop, or all of a crash."""
-        if self._prepare_task is not None:
-            self._prepare_task.cancel()
-            await asyncio.gather(self._prepare_task, return_exceptions=True)
+        await cancel_all(self._prepare_task)
         await self._edges.network.close()
         await self.membership.stop()
         await self.runs.stop()
@@ -282,7 +286,9 @@
         )
         self.bundles.on_applied.append(self._on_bundle)
         self._build_groups(GroupDirectory(store))
-        self.observer = FleetObserver(self.fleet, edges.read_machines, edges.make_engine_client)
+        self.observer = FleetObserver(
+            self.fleet, edges.read_machines, edges.make_engine_client, self._decides_about
+        )
         self.fleet.is_marked = self._is_marked_leaving
         self.engines = EngineController(
             identity.zone,
@@ -428,6 +434,11 @@
         if fact.name.startswith(LEAVING_FACT_PREFIX):
             self.fleet.mark_leaving(fact.name.removeprefix(LEAVING_FACT_PREFIX))
 
+    def _decides_about(self, machine: Machine) -> bool:
+        """Whether this node places requests on an engine or gives it orders."""
+        is_broker = self.placer.broker_of(machine.pool, machine.zone) == self.identity.node
+        return is_broker or self.host.leads(engine_group(machine.zone))
+
     def _is_marked_leaving(self, address: str) -> bool:
         return LEAVING_FACT_PREFIX + address in self.membership.swim.facts
 
--- a/src/hollowrack/replication/host.py
+++ b/src/hollowrack/replication/host.py
@@ -24,6 +24,7 @@
     replica_id,
 )
 from hollowrack.results import Problem, ProblemError, ResultCode
+from hollowrack.tasks import cancel_all
 
 TICK_INTERVAL_S = 0.02
 PROPOSAL_TIMEOUT_S = 3.0
@@ -105,9 +106,7 @@
 
     async def close(self) -> None:
         """Stop the timers and drop the replicas."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_all(self._task)
         self.abandon()
 
     async def _run_timers(self) -> None:
--- a/src/hollowrack/replication/repair.py
+++ b/src/hollowrack/replication/repair.py
@@ -16,6 +16,7 @@
 from hollowrack.replication.replica import Replica, Role
 from hollowrack.replication.types import Membership, ReplicaId, node_of
 from hollowrack.results import ProblemError
+from hollowrack.tasks import cancel_all
 
 REPAIR_INTERVAL_S = 0.5
 JOIN_TIMEOUT_S = 1.5
@@ -56,9 +57,7 @@
 
     async def stop(self) -> None:
         """Stop the loop."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_all(self._task)
 
     async def wait_until_replaced(self, timeout_s: float) -> bool:
         """Wait until no group counts on this node; returns whether that came about in time."""
--- a/src/hollowrack/rollout/coordinator.py
+++ b/src/hollowrack/rollout/coordinator.py
@@ -33,6 +33,8 @@
 _POLL_PAUSE_S = 0.02
 # A slot that its node has not restated for this long is started again elsewhere.
 FORGOTTEN_AFTER_S = 4 * RESTATE_INTERVAL_S
+# A statement that is younger than this may have been made before an assignment arrived.
+ASSIGNMENT_TRAVEL_S = 0.2
 # A new leader hears from every executor within this time.
 FIRST_STATEMENTS_S = 1.5 * RESTATE_INTERVAL_S
 
@@ -82,7 +84,7 @@
         for slot in stated:
             self.slots[slot] = _RunningSlot(node, now_s())
         for slot, entry in list(self.slots.items()):
-            is_old = now_s() - entry.restated_s >= RESTATE_INTERVAL_S
+            is_old = now_s() - entry.restated_s >= ASSIGNMENT_TRAVEL_S
             if entry.node == node and slot not in names and is_old:
                 del self.slots[slot]
 
@@ -120,7 +122,7 @@
         """Assign what is missing; called often while this node leads, and cheap when idle."""
         state = self._ledger.state
         self._running.forget_old()
-        if state.settings is None or now_s() - self._leads_since_s < FIRST_STATEMENTS_S:
+        if state.settings is None or self._awaits_statements():
             return
         open_slots = {slot for slot in self._running.slots if self._ledger.is_open(slot)}
         max_running = self._num_training_slots(state.settings.model)
@@ -128,6 +130,11 @@
         for dispatch in plan_dispatches(state, open_slots, history, max_running):
             self._assign(dispatch, state.settings)
 
+    def _awaits_statements(self) -> bool:
+        """Whether other leaders' generations may still be under way unheard of."""
+        has_history = self._ledger.history.num_noted > 0
+        return has_history and now_s() - self._leads_since_s < FIRST_STATEMENTS_S
+
     def _assign(self, dispatch: Dispatch, settings: RunSettings) -> None:
         assignment = Assignment(
             run=self._run,
--- a/src/hollowrack/rollout/executor.py
+++ b/src/hollowrack/rollout/executor.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,16 +26,19 @@
 from hollowrack.replication.types import node_of
 from hollowrack.requests.generation import GenerationPlan, GenerationRunner
 from hollowrack.requests.types import GeneratedText
-from hollowrack.results import Problem, ResultCode
+from hollowrack.results import DESCRIPTIONS, Execution, Problem, ResultCode
 from hollowrack.rollout.commands import CommitSample, LedgerOutcome
 from hollowrack.rollout.groups import run_group
 from hollowrack.rollout.spans import SpanBuilder
 from hollowrack.rollout.types import Prompt, Sample, Slot
 from hollowrack.routing.prefix import prefix_blocks
 from hollowrack.routing.types import BackEndKind, Priority, RouteRequest
+from hollowrack.tasks import cancel_all
 
 RESTATE_INTERVAL_S = 0.5
-RETRY_PAUSE_S = 0.2
+RESTATE_MIN_PAUSE_S = 0.1
+RETRY_PAUSE_S = 0.1
+MAX_WAITS_FOR_ROOM = 100
 GENERATION_TIMEOUT_S = 600.0
 COMMIT_TIMEOUT_S = 10.0
 MAX_COMMIT_ATTEMPTS = 30
@@ -112,6 +116,7 @@
         self._context = context
         self._running: dict[tuple[str, Slot], asyncio.Task[None]] = {}
         self._numbers = itertools.count(1)
+        self._ended = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -121,9 +126,7 @@
     async def stop(self) -> None:
         """Cancel everything; the slots stay open and are started elsewhere."""
         tasks = [*self._running.values(), *([self._task] if self._task is not None else [])]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(*tasks)
 
     def assign(self, assignment: Assignment) -> None:
         """Start a generation, unless this node runs the slot already."""
@@ -135,14 +138,24 @@
         slot = assignment.slot
         try:
             with log_fields(run=assignment.run, step=str(slot.step), sample=str(slot)):
-                result = await self._context.runner.run(self._plan(assignment))
+                result = await self._generate(assignment)
                 if isinstance(result, Success):
                     await self._commit(assignment, result.unwrap())
                 else:
                     self._note_failure(assignment, result.failure())
-                    await asyncio.sleep(RETRY_PAUSE_S)
         finally:
             self._running.pop((assignment.run, slot), None)
+            self._ended.set()
+
+    async def _generate(self, assignment: Assignment) -> Result[GeneratedText, Problem]:
+        """Generate, waiting for room: an assignment is not given back because engines are full."""
+        result = await self._context.runner.run(self._plan(assignment))
+        for _ in range(MAX_WAITS_FOR_ROOM):
+            if isinstance(result, Success) or not _did_not_run(result.failure()):
+                break
+            await asyncio.sleep(RETRY_PAUSE_S)
+            result = await self._context.runner.run(self._plan(assignment))
+        return result
 
     def _plan(self, assignment: Assignment) -> GenerationPlan:
         slot = assignment.slot
@@ -222,11 +235,18 @@
         logging.info("sample not generated: %d %s", problem.code, problem.code.name)
 
     async def _run_restating(self) -> None:
+        runs: set[str] = set()
         while True:
-            await asyncio.sleep(RESTATE_INTERVAL_S)
-            by_run: dict[str, list[Slot]] = {}
+            await asyncio.sleep(RESTATE_MIN_PAUSE_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RESTATE_INTERVAL_S - RESTATE_MIN_PAUSE_S):
+                    await self._ended.wait()
+            self._ended.clear()
+            # A run whose last generation ended is restated once more, as empty.
+            by_run: dict[str, list[Slot]] = {run: [] for run in runs}
             for run, slot in self._running:
                 by_run.setdefault(run, []).append(slot)
+            runs = {run for run, _ in self._running}
             for run, slots in by_run.items():
                 await self._restate(RunningSlots(run, self._context.node, tuple(slots)))
 
@@ -239,3 +259,7 @@
                 self._context.on_own_running(running)
             else:
                 self._context.links.post(node_of(member), running)
+
+
+def _did_not_run(problem: Problem) -> bool:
+    return DESCRIPTIONS[problem.code].execution is Execution.NOT_RUN
--- a/src/hollowrack/rollout/service.py
+++ b/src/hollowrack/rollout/service.py
@@ -15,6 +15,7 @@
 from hollowrack.rollout.groups import RUN_GROUP_PREFIX, run_group
 from hollowrack.rollout.ledger import SampleLedger
 from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples, RunStatus, Samples
+from hollowrack.tasks import cancel_all
 
 COMMAND_TIMEOUT_S = 10.0
 FIND_LEADER_TIMEOUT_S = 3.0
@@ -61,9 +62,7 @@
 
     async def stop(self) -> None:
         """Stop coordinating; other nodes take the runs over."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_all(self._task)
         self._coordinators = {}
 
     async def _run(self) -> None:
--- a/src/hollowrack/routing/broker.py
+++ b/src/hollowrack/routing/broker.py
@@ -22,6 +22,7 @@
 from hollowrack.routing.local_placer import LocalPlacer, PlacerParts
 from hollowrack.routing.placement import Placement, PlacementOutcome, PlacementRequest
 from hollowrack.routing.types import BackEndKind, BackEndStatus, Priority, RouteRequest
+from hollowrack.tasks import cancel_all
 
 RESTATE_INTERVAL_S = 1.0
 PLACE_TIMEOUT_MARGIN_S = 0.5
@@ -108,9 +109,7 @@
 
     async def stop(self) -> None:
         """Stop; requests that wait for room are refused."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_all(self._task)
         for zone in self._zones.values():
             await zone.admission.stop()
 
@@ -213,9 +212,7 @@
 
     async def stop(self) -> None:
         """Stop restating."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_all(self._task)
 
     async def place(self, request: PlacementRequest) -> Result[Placement, Problem]:
         """Ask the own zone, then others with room, then wait at the own zone."""
@@ -244,7 +241,7 @@
         # Direct evidence counts here at once, too.
         self._parts.fleet.note_evidence(placement.address, outcome, now_s())
         done = PlacementDone(placement, outcome, service_s)
-        broker = self._broker_of(placement.pool, placement.zone)
+        broker = self.broker_of(placement.pool, placement.zone)
         if broker == self._parts.node:
             self._broker.answer_done(done)
         elif broker is not None:
@@ -274,7 +271,7 @@
         return placed
 
     async def _ask(self, zone: str, request: PlaceRequest) -> Result[Placement, Problem]:
-        broker = self._broker_of(request.request.route.pool, zone)
+        broker = self.broker_of(request.request.route.pool, zone)
         if broker is None:
             return Failure(Problem(ResultCode.PEER_UNREACHABLE, "no node to ask", zone))
         if broker == self._parts.node:
@@ -284,7 +281,8 @@
             timeout_s += request.request.timeout_s
         return await self._membership.request(broker, request, timeout_s)
 
-    def _broker_of(self, pool: str, zone: str) -> str | None:
+    def broker_of(self, pool: str, zone: str) -> str | None:
+        """Return the node that places requests on a zone's engines, as this node sees it."""
         candidates = self._membership.candidates(broker_key(pool, zone), zone)
         return candidates[0] if candidates else None
 
@@ -315,7 +313,7 @@
 
     def _restate(self, pool: str, zone: str, placements: tuple[Placement, ...]) -> None:
         held = HeldPlacements(self._parts.node, zone, placements)
-        broker = self._broker_of(pool, zone)
+        broker = self.broker_of(pool, zone)
         if broker == self._parts.node:
             self._broker.answer_held(held)
         elif broker is not None:
--- a/src/hollowrack/routing/observer.py
+++ b/src/hollowrack/routing/observer.py
@@ -1,16 +1,20 @@
 """Keeps a node's view of the back ends up to date: machine list, engine states, loads, caches."""
 
 import asyncio
+import itertools
+from collections.abc import Callable
 
 from returns.result import Success
 
 from hollowrack.platform.engine import MakeEngineClient
-from hollowrack.platform.machine_list import ReadMachines
+from hollowrack.platform.machine_list import Machine, ReadMachines
 from hollowrack.routing.fleet import FleetView
 from hollowrack.routing.types import BackEndKind
+from hollowrack.tasks import cancel_all
 
 MACHINE_LIST_INTERVAL_S = 0.5
 ENGINE_INTERVAL_S = 0.25
+OTHERS_EVERY_ROUNDS = 4
 
 
 class FleetObserver:
@@ -20,6 +24,7 @@
         fleet: The view to keep up to date.
         read_machines: Reads the machine list.
         make_client: Returns the client of an engine by its address.
+        is_close: Whether this node decides about an engine, and so must know it well.
     """
 
     def __init__(
@@ -27,10 +32,12 @@
         fleet: FleetView,
         read_machines: ReadMachines,
         make_client: MakeEngineClient,
+        is_close: Callable[[Machine], bool],
     ) -> None:
         self._fleet = fleet
         self._read_machines = read_machines
         self._make_client = make_client
+        self._is_close = is_close
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -42,9 +49,7 @@
 
     async def stop(self) -> None:
         """Stop polling."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(*self._tasks)
 
     async def _run_machine_list(self) -> None:
         while True:
@@ -55,15 +60,23 @@
             await asyncio.sleep(MACHINE_LIST_INTERVAL_S)
 
     async def _run_engines(self) -> None:
-        while True:
+        for number in itertools.count():
             addresses = [
                 address
-                for address, record in self._fleet.records.items()
-                if record.machine.kind == BackEndKind.ENGINE.value
+                for position, address in enumerate(list(self._fleet.records))
+                if self._is_due(address, number + position)
             ]
             await asyncio.gather(*(self._observe(address) for address in addresses))
             await asyncio.sleep(ENGINE_INTERVAL_S)
 
+    def _is_due(self, address: str, turn: int) -> bool:
+        """Whether an engine is polled in this round: close ones always, others in their turn."""
+        record = self._fleet.records[address]
+        if record.machine.kind != BackEndKind.ENGINE.value:
+            return False
+        is_new = record.engine is None
+        return is_new or turn % OTHERS_EVERY_ROUNDS == 0 or self._is_close(record.machine)
+
     async def _observe(self, address: str) -> None:
         client = self._make_client(address)
         state, load, events = await asyncio.gather(
--- a/src/hollowrack_bench/hollow/platform.py
+++ b/src/hollowrack_bench/hollow/platform.py
@@ -31,6 +31,7 @@
 )
 from hollowrack.requests.types import RecordedAnswer
 from hollowrack.results import Problem, ResultCode
+from hollowrack.tasks import cancel_all
 from hollowrack_bench.hollow.network import HollowWorld
 from hollowrack_standins.config_store import KeyValueCore, StoreFaults
 from hollowrack_standins.engine_core import EngineConfig, EngineCore, EngineStatus, Sequence, Token
@@ -131,9 +132,7 @@
 
     async def stop(self) -> None:
         """Stop stepping."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_all(self._task)
 
     def crash(self) -> None:
         """Break all streams and refuse connections until :meth:`restart`."""
--- a/src/hollowrack_bench/requests_bench.py
+++ b/src/hollowrack_bench/requests_bench.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from hollowrack.routing.choice import Chooser
+from hollowrack.tasks import cancel_all
 from hollowrack_bench.baselines import all_choosers
 from hollowrack_bench.hollow.callers import CallerReport, HollowCallers
 from hollowrack_bench.hollow.fleet import HollowConfig, HollowFleet
@@ -167,9 +168,7 @@
     callers = HollowCallers(fleet, trace, scenario.num_attempts, seed)
     report = await callers.run()
     duration_s = loop.time() - started_s
-    for task in side_tasks:
-        task.cancel()
-    await asyncio.gather(*side_tasks, return_exceptions=True)
+    await cancel_all(*side_tasks)
     surge_goodput_per_s = 0.0
     if scenario.surge is not None:
         start_s, end_s = scenario.surge
--- a/src/hollowrack_bench/rollout_bench.py
+++ b/src/hollowrack_bench/rollout_bench.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from hollowrack.tasks import cancel_all
 from hollowrack_bench.hollow.fleet import HollowConfig, HollowFleet
 from hollowrack_bench.hollow.trainer import (
     HollowTrainer,
@@ -130,8 +131,7 @@
     injecting = asyncio.create_task(faults.run()) if scenario.has_faults else None
     report = await trainer.run()
     if injecting is not None:
-        injecting.cancel()
-        await asyncio.gather(injecting, return_exceptions=True)
+        await cancel_all(injecting)
     generated = sum(engine.num_tokens for engine in fleet.engines.values())
     outcome = RolloutOutcome(
         seed,
--- a/src/hollowrack_standins/engine.py
+++ b/src/hollowrack_standins/engine.py
@@ -15,6 +15,7 @@
 from starlette.routing import Route
 from starlette.types import Receive, Scope, Send
 
+from hollowrack.tasks import cancel_all
 from hollowrack_standins.engine_core import (
     EngineConfig,
     EngineCore,
@@ -83,9 +84,7 @@
         self.core.faults = faults
 
     async def _end_loop(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_all(self._task)
         for queue in self._queues.values():
             queue.put_nowait(None)
 
