Engine groups have five replicas, as all others

Cause: the process test stalled in one of three clones run side by side: two of five nodes gone and the store down left groups of three without a majority, so nobody could order weights and samples of later steps found no engine.

Change: five replicas for the groups that order engines.

--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -93,7 +93,7 @@
 MAX_BROKERED_REQUESTS = 1_000_000
 NUM_LEDGER_REPLICAS = 5
 NUM_CLAIM_REPLICAS = 5
-NUM_CONTROL_REPLICAS = 3
+NUM_CONTROL_REPLICAS = 5
 
 
 @dataclass(frozen=True)
@@ -156,8 +156,8 @@
 def placement_of(group: str) -> GroupPlacement:
     """Return how a group wants to be placed.
 
-    What cannot be rebuilt (samples, claims) is kept five times and survives two losses at once. A
-    zone's engine group holds nothing but its leadership and stays near its engines.
+    Every group survives two losses at once. A zone's engine group stays near its engines, and is as
+    large as the others: without a leader no engine gets new weights, and training stops.
     """
     zone = zone_of_group(group)
     if zone is not None:
