One number of replicas for all groups

Cause: after the engine groups grew to five, three constants and two branches said the same five, beside a default of three that nothing used.

Change: the default is five; only the preferred zone differs by group. Behaviour is the same.

--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -91,9 +91,6 @@
 RUN_FACT_PREFIX = "run/"
 # A broker's own bound is the room of its zone.
 MAX_BROKERED_REQUESTS = 1_000_000
-NUM_LEDGER_REPLICAS = 5
-NUM_CLAIM_REPLICAS = 5
-NUM_CONTROL_REPLICAS = 5
 
 
 @dataclass(frozen=True)
@@ -159,12 +156,7 @@
     Every group survives two losses at once. A zone's engine group stays near its engines, and is as
     large as the others: without a leader no engine gets new weights, and training stops.
     """
-    zone = zone_of_group(group)
-    if zone is not None:
-        return GroupPlacement(NUM_CONTROL_REPLICAS, preferred_zone=zone)
-    if group.startswith(CLAIM_GROUP_PREFIX):
-        return GroupPlacement(NUM_CLAIM_REPLICAS)
-    return GroupPlacement(NUM_LEDGER_REPLICAS)
+    return GroupPlacement(preferred_zone=zone_of_group(group))
 
 
 class NodeCore:
--- a/src/hollowrack/replication/placement.py
+++ b/src/hollowrack/replication/placement.py
@@ -5,7 +5,7 @@
 from hollowrack.replication.links import NodeLinks
 from hollowrack.replication.types import ReplicaId, node_of, replica_id
 
-DEFAULT_NUM_REPLICAS = 3
+DEFAULT_NUM_REPLICAS = 5
 
 
 @dataclass(frozen=True)
