Tenants' shares count for pools and zones first used after the bundle

Cause: shares were set on the pools in use when a bundle came into force, and pools come to be with their first request, so a bundle's shares never counted for a pool used later. Found by reading the change.

Change: the admission controller and the broker keep the shares and give them to what they create.

Measured: the test fails before and passes after; demonstration, admission and routing tests as before.

--- a/src/hollowrack/admission/controller.py
+++ b/src/hollowrack/admission/controller.py
@@ -100,6 +100,7 @@
         self._num_nodes = num_nodes
         self._max_requests = max_requests
         self._pools: dict[str, _Pool] = {}
+        self._weights: Mapping[str, float] = {}
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -116,7 +117,8 @@
                     waiter.admitted.set_result(False)
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
-        """Set the tenants' shares."""
+        """Set the tenants' shares, for pools in use and those to come."""
+        self._weights = weights
         for pool in self._pools.values():
             pool.queue.weights = weights
 
@@ -138,7 +140,10 @@
 
         Fails with ``OVERLOADED`` and a time to come back, or ``DEADLINE_EXPIRED``; neither ran.
         """
-        pool = self._pools.setdefault(pool_name, _Pool())
+        pool = self._pools.get(pool_name)
+        if pool is None:
+            pool = _Pool(FairQueue(self._weights))
+            self._pools[pool_name] = pool
         if self._has_room(pool_name, pool) and not len(pool.queue):
             return Success(self._ticket(pool))
         expected_wait_s = self._expected_wait_s(pool_name, pool)
--- a/src/hollowrack/routing/broker.py
+++ b/src/hollowrack/routing/broker.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
@@ -100,6 +100,7 @@
         self._parts = parts
         self._make_admission = make_admission
         self._zones: dict[str, _Zone] = {}
+        self._weights: Mapping[str, float] = {}
         self._task: asyncio.Task[None] | None = None
         membership.on_change.append(self._on_change)
 
@@ -113,8 +114,9 @@
         for zone in self._zones.values():
             await zone.admission.stop()
 
-    def set_weights(self, weights: dict[str, float]) -> None:
-        """Set the tenants' shares."""
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Set the tenants' shares, for zones in use and those to come."""
+        self._weights = weights
         for zone in self._zones.values():
             zone.admission.set_weights(weights)
 
@@ -155,6 +157,7 @@
         zone = self._zones.get(name)
         if zone is None:
             admission = self._make_admission(name)
+            admission.set_weights(self._weights)
             admission.start()
             zone = _Zone(LocalPlacer(self._parts, admission), admission)
             self._zones[name] = zone
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -164,3 +164,14 @@
         await controller.stop()
 
     run_virtual(run())
+
+
+def test_weights_count_for_pools_that_are_first_used_later() -> None:
+    async def run() -> None:
+        controller = _controller(num_slots=1)
+        controller.set_weights({"big": 3.0})
+        await _fill(controller, 1)
+        assert controller._pools["m"].queue.weights == {"big": 3.0}
+        await controller.stop()
+
+    run_virtual(run())
