--- a/src/hollowrack/api/callers.py
+++ b/src/hollowrack/api/callers.py
@@ -24,9 +24,9 @@
     read_body,
     read_json,
 )
+from hollowrack.clients.engine import TokenChunk
 from hollowrack.clock import now_s
 from hollowrack.observability.metrics import NodeMetrics
-from hollowrack.platform.engine import TokenChunk
 from hollowrack.requests.gateway import CompletionCall, Gateway, ServiceCall
 from hollowrack.requests.types import RecordedAnswer
 from hollowrack.results import Problem, ResultCode
--- a/src/hollowrack/bundle/store.py
+++ b/src/hollowrack/bundle/store.py
@@ -3,8 +3,8 @@
 from returns.result import Failure, Result, Success
 
 from hollowrack.bundle.signing import SignedBundle
+from hollowrack.clients.config_store import ConfigStoreClient
 from hollowrack.messages import codec
-from hollowrack.platform.config_store import ConfigStoreClient
 from hollowrack.results import Problem, ResultCode
 
 _PREFIX = "hollowrack/bundles/"
--- a/src/hollowrack/platform/config_store.py
+++ b/src/hollowrack/clients/config_store.py
@@ -13,7 +13,7 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
-from hollowrack.platform.http import request_json
+from hollowrack.clients.http import request_json
 from hollowrack.results import Problem, ResultCode
 
 REQUEST_TIMEOUT_S = 2.0
--- a/src/hollowrack/platform/engine.py
+++ b/src/hollowrack/clients/engine.py
@@ -11,7 +11,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 from returns.result import Failure, Result, Success
 
-from hollowrack.platform.http import request_json, retry_after_s
+from hollowrack.clients.http import request_json, retry_after_s
 from hollowrack.results import Problem, ResultCode
 
 CONTROL_TIMEOUT_S = 5.0
--- a/src/hollowrack/platform/machine_list.py
+++ b/src/hollowrack/clients/machine_list.py
@@ -8,7 +8,7 @@
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
-from hollowrack.platform.http import request_json
+from hollowrack.clients.http import request_json
 from hollowrack.results import Problem, ResultCode
 
 REQUEST_TIMEOUT_S = 2.0
@@ -49,7 +49,7 @@
 async def read_machine_list(
     session: aiohttp.ClientSession, url: str
 ) -> Result[list[Machine], Problem]:
-    """Read the list; fails with the codes of :func:`~hollowrack.platform.http.request_json`."""
+    """Read the list; fails with the codes of :func:`~hollowrack.clients.http.request_json`."""
     answer = await request_json(session, "GET", url, REQUEST_TIMEOUT_S)
     return answer.bind(_decode)
 
--- a/src/hollowrack/engines/controller.py
+++ b/src/hollowrack/engines/controller.py
@@ -11,8 +11,8 @@
 from absl import logging
 from returns.result import Failure
 
+from hollowrack.clients.engine import MakeEngineClient
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
-from hollowrack.platform.engine import MakeEngineClient
 from hollowrack.replication.client import GroupClient
 from hollowrack.replication.host import GroupHost
 from hollowrack.routing.fleet import BackEndRecord, FleetView
--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -14,13 +14,13 @@
 from hollowrack.api.responses import internal_error_response
 from hollowrack.api.server import HttpServer
 from hollowrack.api.trainers import TrainersFace
+from hollowrack.clients.config_store import HttpStoreCall
+from hollowrack.clients.engine import EngineClient, HttpEngineClient
+from hollowrack.clients.machine_list import Machine, read_machine_list
+from hollowrack.clients.service import HttpServiceClient
 from hollowrack.membership.network import SocketNetwork
 from hollowrack.membership.types import Member
 from hollowrack.node_core import NodeCore, NodeEdges, NodeIdentity
-from hollowrack.platform.config_store import HttpStoreCall
-from hollowrack.platform.engine import EngineClient, HttpEngineClient
-from hollowrack.platform.machine_list import Machine, read_machine_list
-from hollowrack.platform.service import HttpServiceClient
 from hollowrack.replication.journal import JournalFolder
 from hollowrack.results import Problem, value_or_raise
 from hollowrack.settings.load import read_cluster_key
--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -14,6 +14,10 @@
 from hollowrack.bundle.agent import BundleAgent, FetchBundle
 from hollowrack.bundle.schema import Bundle
 from hollowrack.bundle.store import BundleStore
+from hollowrack.clients.config_store import ConfigStoreClient, StoreCall
+from hollowrack.clients.engine import MakeEngineClient
+from hollowrack.clients.machine_list import Machine, ReadMachines
+from hollowrack.clients.service import ServiceClient
 from hollowrack.clock import now_s
 from hollowrack.engines.controller import (
     EngineController,
@@ -28,10 +32,6 @@
 from hollowrack.messages.dispatch import Dispatcher
 from hollowrack.observability.decisions import DecisionLog
 from hollowrack.observability.metrics import NodeMetrics
-from hollowrack.platform.config_store import ConfigStoreClient, StoreCall
-from hollowrack.platform.engine import MakeEngineClient
-from hollowrack.platform.machine_list import Machine, ReadMachines
-from hollowrack.platform.service import ServiceClient
 from hollowrack.replication.client import GroupClient
 from hollowrack.replication.directory import GroupDirectory
 from hollowrack.replication.group_messages import (
--- a/src/hollowrack/replication/directory.py
+++ b/src/hollowrack/replication/directory.py
@@ -8,7 +8,7 @@
 import cbor2
 from returns.result import Failure, Result, Success
 
-from hollowrack.platform.config_store import ConfigStoreClient, StoredValue
+from hollowrack.clients.config_store import ConfigStoreClient, StoredValue
 from hollowrack.replication.types import Membership, ReplicaId
 from hollowrack.results import Problem, ResultCode
 
--- a/src/hollowrack/requests/forwarding.py
+++ b/src/hollowrack/requests/forwarding.py
@@ -2,14 +2,14 @@
 
 from returns.result import Failure, Result, Success
 
-from hollowrack.clock import now_s
-from hollowrack.platform.service import (
+from hollowrack.clients.service import (
     ServiceBrokenError,
     ServiceClient,
     ServiceRefusedError,
     ServiceRequest,
     ServiceUnreachableError,
 )
+from hollowrack.clock import now_s
 from hollowrack.requests.budget import RetryBudget
 from hollowrack.requests.lifecycle import (
     Admitted,
--- a/src/hollowrack/requests/gateway.py
+++ b/src/hollowrack/requests/gateway.py
@@ -10,10 +10,10 @@
 from returns.result import Failure, Result, Success
 
 from hollowrack.bundle.schema import Bundle
+from hollowrack.clients.engine import GenerationRequest
+from hollowrack.clients.service import ServiceRequest
 from hollowrack.clock import now_s
 from hollowrack.observability.logs import log_fields
-from hollowrack.platform.engine import GenerationRequest
-from hollowrack.platform.service import ServiceRequest
 from hollowrack.requests.claims import ClaimStatus
 from hollowrack.requests.forwarding import ServiceForwarder
 from hollowrack.requests.generation import ChunkSink, GenerationPlan, GenerationRunner
--- a/src/hollowrack/requests/generation.py
+++ b/src/hollowrack/requests/generation.py
@@ -9,9 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
-from hollowrack.clock import now_s
-from hollowrack.observability.decisions import DecisionKind, DecisionLog
-from hollowrack.platform.engine import (
+from hollowrack.clients.engine import (
     EngineRefusedError,
     EngineUnreachableError,
     GenerationRequest,
@@ -19,6 +17,8 @@
     StreamBrokenError,
     TokenChunk,
 )
+from hollowrack.clock import now_s
+from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.requests.budget import RetryBudget
 from hollowrack.requests.lifecycle import (
     Admitted,
--- a/src/hollowrack/rollout/executor.py
+++ b/src/hollowrack/rollout/executor.py
@@ -14,13 +14,13 @@
 from absl import logging
 from returns.result import Result, Success
 
+from hollowrack.clients.engine import GenerationRequest
 from hollowrack.clock import now_s
 from hollowrack.messages import codec
 from hollowrack.messages.codec import message
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.observability.logs import log_fields
 from hollowrack.observability.metrics import NodeMetrics
-from hollowrack.platform.engine import GenerationRequest
 from hollowrack.replication.client import GroupClient
 from hollowrack.replication.links import NodeLinks
 from hollowrack.replication.types import node_of
--- a/src/hollowrack/routing/fleet.py
+++ b/src/hollowrack/routing/fleet.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from hollowrack.platform.engine import EngineLoad, EngineState
-from hollowrack.platform.machine_list import Machine
+from hollowrack.clients.engine import EngineLoad, EngineState
+from hollowrack.clients.machine_list import Machine
 from hollowrack.routing.circuit import Circuit
 from hollowrack.routing.placement import PlacementOutcome
 from hollowrack.routing.prefix import PrefixIndex
--- a/src/hollowrack/routing/observer.py
+++ b/src/hollowrack/routing/observer.py
@@ -6,8 +6,8 @@
 
 from returns.result import Success
 
-from hollowrack.platform.engine import MakeEngineClient
-from hollowrack.platform.machine_list import Machine, ReadMachines
+from hollowrack.clients.engine import MakeEngineClient
+from hollowrack.clients.machine_list import Machine, ReadMachines
 from hollowrack.routing.fleet import FleetView
 from hollowrack.routing.types import BackEndKind
 from hollowrack.tasks import cancel_all
--- a/src/hollowrack/routing/prefix.py
+++ b/src/hollowrack/routing/prefix.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from hollowrack.platform.engine import CacheEvents
+from hollowrack.clients.engine import CacheEvents
 
 BLOCK_CHARACTERS = 64
 MAX_BLOCKS_PER_PROMPT = 64
--- a/src/hollowrack_bench/capacity.py
+++ b/src/hollowrack_bench/capacity.py
@@ -18,11 +18,11 @@
 import aiohttp
 import numpy
 
+from hollowrack.clients.engine import EngineState
+from hollowrack.clients.machine_list import Machine
 from hollowrack.membership.swim import Swim
 from hollowrack.membership.types import Member
 from hollowrack.messages import codec
-from hollowrack.platform.engine import EngineState
-from hollowrack.platform.machine_list import Machine
 from hollowrack.requests.claims import Claim, Finish, RequestClaims
 from hollowrack.requests.types import RecordedAnswer
 from hollowrack.rollout.commands import CommitSample, HandOver, OpenRun, SubmitStep
--- a/src/hollowrack_bench/hollow/fleet.py
+++ b/src/hollowrack_bench/hollow/fleet.py
@@ -10,10 +10,10 @@
 
 from hollowrack.bundle.schema import Bundle
 from hollowrack.bundle.signing import generate_key, public_key_hex, sign_bundle
+from hollowrack.clients.engine import EngineClient
+from hollowrack.clients.machine_list import Machine
 from hollowrack.membership.types import Member
 from hollowrack.node_core import NodeCore, NodeEdges, NodeIdentity
-from hollowrack.platform.engine import EngineClient
-from hollowrack.platform.machine_list import Machine
 from hollowrack.results import value_or_raise
 from hollowrack.routing.choice import Chooser, choose
 from hollowrack.settings.model import Limits
--- a/src/hollowrack_bench/hollow/platform.py
+++ b/src/hollowrack_bench/hollow/platform.py
@@ -11,8 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
-from hollowrack.clock import now_s
-from hollowrack.platform.engine import (
+from hollowrack.clients.engine import (
     CacheEvents,
     EngineLoad,
     EngineRefusedError,
@@ -22,13 +21,14 @@
     StreamBrokenError,
     TokenChunk,
 )
-from hollowrack.platform.machine_list import Machine
-from hollowrack.platform.service import (
+from hollowrack.clients.machine_list import Machine
+from hollowrack.clients.service import (
     ServiceBrokenError,
     ServiceRefusedError,
     ServiceRequest,
     ServiceUnreachableError,
 )
+from hollowrack.clock import now_s
 from hollowrack.requests.types import RecordedAnswer
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tasks import cancel_all
--- a/tests/bundle/test_bundle.py
+++ b/tests/bundle/test_bundle.py
@@ -10,7 +10,7 @@
 from hollowrack.bundle.schema import Bundle, parse_bundle
 from hollowrack.bundle.signing import generate_key, open_bundle, public_key_hex, sign_bundle
 from hollowrack.bundle.store import BundleStore
-from hollowrack.platform.config_store import ConfigStoreClient, HttpStoreCall
+from hollowrack.clients.config_store import ConfigStoreClient, HttpStoreCall
 from hollowrack.results import ResultCode
 from hollowrack_standins.config_store import ConfigStoreStandin
 
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from hollowrack.platform.engine import CacheEvents, EngineLoad, EngineState
-from hollowrack.platform.machine_list import Machine
+from hollowrack.clients.engine import CacheEvents, EngineLoad, EngineState
+from hollowrack.clients.machine_list import Machine
 from hollowrack.results import ResultCode
 from hollowrack.routing.choice import choose, eligible
 from hollowrack.routing.circuit import OPEN_FIRST_S, Circuit, CircuitStatus
--- a/tests/standins/test_config_store.py
+++ b/tests/standins/test_config_store.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pytest
 
-from hollowrack.platform.config_store import ConfigStoreClient, HttpStoreCall
+from hollowrack.clients.config_store import ConfigStoreClient, HttpStoreCall
 from hollowrack.results import ResultCode
 from hollowrack_standins.config_store import ConfigStoreStandin, KeyValueCore
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -7,7 +7,7 @@
 import aiohttp
 import pytest
 
-from hollowrack.platform.engine import (
+from hollowrack.clients.engine import (
     EngineRefusedError,
     EngineUnreachableError,
     GenerationRequest,
--- a/tests/standins/test_other_standins.py
+++ b/tests/standins/test_other_standins.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from hollowrack.platform.machine_list import read_machine_list
+from hollowrack.clients.machine_list import read_machine_list
 from hollowrack.results import ResultCode
 from hollowrack_standins.machine_list import ListedMachine, MachineListStandin
 from hollowrack_standins.service_worker import ServiceWorkerStandin
