Edge nodes look who leads once they know the sessions, so that the first leader is elected

Cause: the leader key's absence was only noticed as a change; at the first start there is none, so nobody led and no worker was given a weight version.

--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -138,6 +138,7 @@
         self._order_giver.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
+            asyncio.create_task(self._note_first_leader()),
             asyncio.create_task(self._follow_ends()),
             asyncio.create_task(self._complete_retirements()),
         ]
@@ -196,6 +197,11 @@
             else:
                 await changed.wait()
 
+    async def _note_first_leader(self) -> None:
+        """Before the first change there is none to hear of: look who leads, if anybody does."""
+        await self._sessions.is_loaded.wait()
+        self.leadership.note(self._sessions.items.get(LEADER_KEY))
+
     async def _follow_ends(self) -> None:
         """Follow the ends of jobs while this node owns some."""
         mirror: PrefixMirror | None = None
