A watch that falls silent is noticed by the prefix that always changes

Ruled out: the nodes' own pace (0.3 s) and the store's answers, which were on time. Change: workers write all the time, so a watch of their entries that hears nothing for 0.5 s shows a silent store; the node lists workers and operators' keys again.

--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -2,6 +2,10 @@
 
 Calls to the store are paced: after an answer the mirror waits before it watches again, so that
 changes in quick succession cost one call.
+
+A store may fall silent: its watches hear nothing although changes are made. A prefix that changes
+all the time shows this, so its mirror watches only briefly and takes an empty answer as silence: it
+lists again, and has the mirrors of quieter prefixes do the same.
 """
 
 import asyncio
@@ -17,6 +21,7 @@
     HistoryGone,
     Listing,
     StoredItem,
+    Unavailable,
 )
 from hollowrack.tasks import cancel_all
 
@@ -36,6 +41,8 @@
         on_change: Called with each key that was written, or removed (``None``).
         pace_s: Least time between two calls, in seconds.
         rng: Source of the retry jitter.
+        watch_wait_s: Longest wait of one watch, in seconds.
+        on_silence: Called when a watch heard nothing; ``None`` if the prefix may be quiet.
     """
 
     def __init__(
@@ -45,6 +52,8 @@
         on_change: OnChange,
         pace_s: float,
         rng: random.Random,
+        watch_wait_s: float = WATCH_WAIT_S,
+        on_silence: Callable[[], None] | None = None,
     ) -> None:
         self.items: dict[str, StoredItem] = {}
         self.is_loaded = asyncio.Event()
@@ -54,6 +63,10 @@
         self._on_change = on_change
         self._pace_s = pace_s
         self._rng = rng
+        self._watch_wait_s = watch_wait_s
+        self._on_silence = on_silence
+        self._must_list = False
+        self._watching: asyncio.Task[Changes | HistoryGone | Unavailable] | None = None
         self._task: asyncio.Task[None] | None = None
         self._is_failing = False
 
@@ -65,6 +78,12 @@
         """Stop following the store."""
         await cancel_all(self._task)
 
+    def recheck(self) -> None:
+        """List again now: what the watch has heard may not be all."""
+        self._must_list = True
+        if self._watching is not None:
+            self._watching.cancel()
+
     async def _run(self) -> None:
         revision: int | None = None
         while True:
@@ -77,9 +96,11 @@
 
     async def _step(self, revision: int | None) -> int | None:
         """List or watch once; returns the store revision reached, or ``None`` after a failure."""
-        if revision is None:
+        if revision is None or self._must_list:
+            return await self._list()
+        changes = await self._watch(revision)
+        if changes is None:
             return await self._list()
-        changes = await self._store.watch(self._prefix, revision, WATCH_WAIT_S)
         if isinstance(changes, HistoryGone):
             logging.info("history of %s is gone: listing again", self._prefix)
             return await self._list()
@@ -89,13 +110,32 @@
         self._note_heard()
         for key, item in changes.items:
             self._apply(key, item)
+        if not changes.items and self._on_silence is not None:
+            self._on_silence()
+            return await self._list()
         return max(revision, changes.revision)
 
+    async def _watch(self, revision: int) -> Changes | HistoryGone | Unavailable | None:
+        """Watch once; ``None`` if a recheck came in between."""
+        watch = self._store.watch(self._prefix, revision, self._watch_wait_s)
+        self._watching = asyncio.create_task(watch)
+        try:
+            return await self._watching
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                self._watching.cancel()
+                raise
+            return None
+        finally:
+            self._watching = None
+
     async def _list(self) -> int | None:
         listed = await self._store.list_prefix(self._prefix)
         if not isinstance(listed, Listing):
             self._note_failure(listed)
             return None
+        self._must_list = False
         self._note_heard()
         self._replace(listed)
         return listed.revision
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -19,6 +19,7 @@
 
 OPERATOR_PACE_S = 0.3
 WORKER_PACE_S = 0.9
+WORKER_SILENCE_S = 0.5
 MAX_CONNECTIONS = 3000
 READ_TIMEOUT_S = 40.0
 IDLE_TIMEOUT_S = 60.0
@@ -58,7 +59,9 @@
             EdgeConnections(store, workers, workers, announced_version, self._complete_retirement),
             self._rng,
         )
-        self._feed = PlatformFeed(store, self.node, OPERATOR_PACE_S, WORKER_PACE_S, self._rng)
+        self._feed = PlatformFeed(
+            store, self.node, OPERATOR_PACE_S, WORKER_PACE_S, WORKER_SILENCE_S, self._rng
+        )
         streams = StreamForwarder(
             self.node.routes, self.node.workers, workers, self.node.queue, announced_version
         )
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -45,6 +45,8 @@
         listener: Takes them in.
         operator_pace_s: Least time between two looks at operators' keys, in seconds.
         worker_pace_s: Least time between two looks at workers' entries, in seconds.
+        worker_silence_s: Workers write all the time: a watch that hears nothing for this long, in
+            seconds, cannot be trusted.
         rng: Source of the retry jitter.
     """
 
@@ -54,6 +56,7 @@
         listener: FeedListener,
         operator_pace_s: float,
         worker_pace_s: float,
+        worker_silence_s: float,
         rng: random.Random,
     ) -> None:
         self._store = store
@@ -62,7 +65,13 @@
             store, names.OPERATOR_PREFIX, self._on_operator_key, operator_pace_s, rng
         )
         self.workers = PrefixMirror(
-            store, names.WORKERS_PREFIX, self._on_worker_key, worker_pace_s, rng
+            store,
+            names.WORKERS_PREFIX,
+            self._on_worker_key,
+            worker_pace_s,
+            rng,
+            worker_silence_s,
+            self.operators.recheck,
         )
 
     def start(self) -> None:
