The operators' watch is renewed every 0.6 s and vouches for the others

Change: the watch of op/ waits 0.6 s at most; a dropped history, a late answer or a failure there has all other mirrors list again. Store calls are counted by kind and logged.

--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -3,9 +3,10 @@
 Calls to the store are paced: after an answer the mirror waits before it watches again, so that
 changes in quick succession cost one call.
 
-A store may fall silent: its watches hear nothing although changes are made. A prefix that changes
-all the time shows this, so its mirror watches only briefly and takes an empty answer as silence: it
-lists again, and has the mirrors of quieter prefixes do the same.
+A watch may miss changes without a sign: the store drops its history while the watch hears nothing,
+or the watch waits on a connection whose other end is gone. Only a new watch shows this. One mirror,
+the sentinel, therefore watches briefly and again and again; after a dropped history, a late answer
+or a failure it has the mirrors of other prefixes list again.
 """
 
 import asyncio
@@ -28,6 +29,7 @@
 WATCH_WAIT_S = 20.0
 MIN_RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 0.8
+LATE_ANSWER_S = 0.5
 
 OnChange = Callable[[str, StoredItem | None], None]
 
@@ -42,7 +44,7 @@
         pace_s: Least time between two calls, in seconds.
         rng: Source of the retry jitter.
         watch_wait_s: Longest wait of one watch, in seconds.
-        on_silence: Called when a watch heard nothing; ``None`` if the prefix may be quiet.
+        on_doubt: Called when other watches may have missed changes; for the sentinel.
     """
 
     def __init__(
@@ -53,7 +55,7 @@
         pace_s: float,
         rng: random.Random,
         watch_wait_s: float = WATCH_WAIT_S,
-        on_silence: Callable[[], None] | None = None,
+        on_doubt: Callable[[], None] | None = None,
     ) -> None:
         self.items: dict[str, StoredItem] = {}
         self.is_loaded = asyncio.Event()
@@ -64,7 +66,8 @@
         self._pace_s = pace_s
         self._rng = rng
         self._watch_wait_s = watch_wait_s
-        self._on_silence = on_silence
+        self._on_doubt = on_doubt
+        self._is_in_doubt = False
         self._must_list = False
         self._watching: asyncio.Task[Changes | HistoryGone | Unavailable] | None = None
         self._task: asyncio.Task[None] | None = None
@@ -98,11 +101,15 @@
         """List or watch once; returns the store revision reached, or ``None`` after a failure."""
         if revision is None or self._must_list:
             return await self._list()
+        sent_s = now_s()
         changes = await self._watch(revision)
         if changes is None:
             return await self._list()
+        if now_s() - sent_s > self._watch_wait_s + LATE_ANSWER_S:
+            self._is_in_doubt = True
         if isinstance(changes, HistoryGone):
             logging.info("history of %s is gone: listing again", self._prefix)
+            self._is_in_doubt = True
             return await self._list()
         if not isinstance(changes, Changes):
             self._note_failure(changes)
@@ -110,9 +117,6 @@
         self._note_heard()
         for key, item in changes.items:
             self._apply(key, item)
-        if not changes.items and self._on_silence is not None:
-            self._on_silence()
-            return await self._list()
         return max(revision, changes.revision)
 
     async def _watch(self, revision: int) -> Changes | HistoryGone | Unavailable | None:
@@ -145,8 +149,12 @@
         if self._is_failing:
             logging.info("coordination store answers again for %s", self._prefix)
         self._is_failing = False
+        if self._is_in_doubt and self._on_doubt is not None:
+            self._on_doubt()
+        self._is_in_doubt = False
 
     def _note_failure(self, failure: object) -> None:
+        self._is_in_doubt = True
         if not self._is_failing:
             logging.warning("coordination store fails for %s: %s", self._prefix, failure)
         self._is_failing = True
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -119,6 +119,7 @@
             connections.orders,
         )
         self._rng = rng
+        self._ends: PrefixMirror | None = None
         self._retirements: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -153,6 +154,8 @@
         started_s = now_s()
         await self.jobs.drain(TURN_AWAY_S)
         await cancel_all(*self._tasks)
+        if self._ends is not None:
+            await self._ends.stop()
         await self._sessions.stop()
         await self.session.stop()
         await asyncio.sleep(max(0.0, started_s + TURN_AWAY_S - now_s()))
@@ -179,6 +182,12 @@
         """Note that a machine is to be emptied."""
         self._retirements.add(node)
 
+    def store_doubted(self) -> None:
+        """Look again at all that is watched."""
+        self._sessions.recheck()
+        if self._ends is not None:
+            self._ends.recheck()
+
     # -- loops ------------------------------------------------------------------------------
 
     async def _keep_registered(self) -> None:
@@ -204,17 +213,16 @@
 
     async def _follow_ends(self) -> None:
         """Follow the ends of jobs while this node owns some."""
-        mirror: PrefixMirror | None = None
         while True:
             await asyncio.sleep(WATCH_ENDS_PAUSE_S)
-            if self.jobs.num_running and mirror is None:
-                mirror = PrefixMirror(
+            if self.jobs.num_running and self._ends is None:
+                self._ends = PrefixMirror(
                     self._store, ENDS_PREFIX, self._on_end_key, ENDS_PACE_S, self._rng
                 )
-                mirror.start()
-            elif not self.jobs.num_running and mirror is not None:
-                await mirror.stop()
-                mirror = None
+                self._ends.start()
+            elif not self.jobs.num_running and self._ends is not None:
+                await self._ends.stop()
+                self._ends = None
 
     async def _complete_retirements(self) -> None:
         """Nothing lasts on any machine's disk, so a machine to be emptied is empty."""
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -16,15 +16,18 @@
 from hollowrack.platform.settings import MS_PER_S, ProcessSettings, read_process_settings
 from hollowrack.platform.store_client import PlatformStore
 from hollowrack.platform.worker_client import PlatformWorkers, announced_version
+from hollowrack.tasks import cancel_all
 
 OPERATOR_PACE_S = 0.3
 WORKER_PACE_S = 0.9
-WORKER_SILENCE_S = 0.5
+# Changes missed by a watch must be noticed well inside the two seconds they have.
+OPERATOR_WAIT_S = 0.6
 MAX_CONNECTIONS = 3000
 READ_TIMEOUT_S = 40.0
 IDLE_TIMEOUT_S = 60.0
 GRACEFUL_STOP_S = 3.5
 KEPT_CONNECTION_S = 4.0
+REPORT_INTERVAL_S = 10.0
 NO_CONNECTION_LIMIT = 0
 
 
@@ -60,7 +63,7 @@
             self._rng,
         )
         self._feed = PlatformFeed(
-            store, self.node, OPERATOR_PACE_S, WORKER_PACE_S, WORKER_SILENCE_S, self._rng
+            store, self.node, OPERATOR_PACE_S, WORKER_PACE_S, OPERATOR_WAIT_S, self._rng
         )
         streams = StreamForwarder(
             self.node.routes, self.node.workers, workers, self.node.queue, announced_version
@@ -77,6 +80,8 @@
         self._readiness = HttpServer(
             ReadinessApp(self.node), settings.listen.readiness, "listen.readiness", MAX_CONNECTIONS
         )
+        self._store = store
+        self._report_task = asyncio.create_task(self._report_calls())
         self.node.start()
         self._feed.start()
         await self._frontend.start()
@@ -90,6 +95,7 @@
 
     async def _stop(self) -> None:
         await self.node.stop()
+        await cancel_all(self._report_task)
         await self._feed.stop()
         await self._frontend.stop()
         await self._readiness.stop()
@@ -98,6 +104,12 @@
         logging.info("stopped")
         self.stopped.set()
 
+    async def _report_calls(self) -> None:
+        """Log now and then what was asked of the store: its calls are paid for."""
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            logging.info("store calls so far: %s", dict(self._store.num_calls))
+
     def reload(self) -> None:
         """Read the settings again; none of those in use changes while a process lives."""
         logging.info("settings read again: %s", type(read_process_settings()).__name__)
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -36,6 +36,9 @@
     def retirement_asked(self, node: str) -> None:
         """An operator asks that a machine be emptied."""
 
+    def store_doubted(self) -> None:
+        """Watches of the store may have missed changes."""
+
 
 class PlatformFeed:
     """Decodes changes in the store and hands them to a listener.
@@ -45,8 +48,7 @@
         listener: Takes them in.
         operator_pace_s: Least time between two looks at operators' keys, in seconds.
         worker_pace_s: Least time between two looks at workers' entries, in seconds.
-        worker_silence_s: Workers write all the time: a watch that hears nothing for this long, in
-            seconds, cannot be trusted.
+        operator_wait_s: Longest wait of one watch of operators' keys, in seconds.
         rng: Source of the retry jitter.
     """
 
@@ -56,22 +58,22 @@
         listener: FeedListener,
         operator_pace_s: float,
         worker_pace_s: float,
-        worker_silence_s: float,
+        operator_wait_s: float,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._listener = listener
         self.operators = PrefixMirror(
-            store, names.OPERATOR_PREFIX, self._on_operator_key, operator_pace_s, rng
-        )
-        self.workers = PrefixMirror(
             store,
-            names.WORKERS_PREFIX,
-            self._on_worker_key,
-            worker_pace_s,
+            names.OPERATOR_PREFIX,
+            self._on_operator_key,
+            operator_pace_s,
             rng,
-            worker_silence_s,
-            self.operators.recheck,
+            operator_wait_s,
+            self._on_doubt,
+        )
+        self.workers = PrefixMirror(
+            store, names.WORKERS_PREFIX, self._on_worker_key, worker_pace_s, rng
         )
 
     def start(self) -> None:
@@ -90,6 +92,10 @@
         outcome = await self._store.transact([], [Put(key, value)])
         return isinstance(outcome, Committed)
 
+    def _on_doubt(self) -> None:
+        self.workers.recheck()
+        self._listener.store_doubted()
+
     def _on_operator_key(self, key: str, item: StoredItem | None) -> None:
         if item is None:
             return
--- a/src/hollowrack/platform/store_client.py
+++ b/src/hollowrack/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections import Counter
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any
@@ -44,11 +45,11 @@
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
         self._base = f"http://{address}"
-        self.num_calls = 0
+        self.num_calls: Counter[str] = Counter()
 
     async def get(self, key: str) -> StoredItem | Unavailable | None:
         """Read one key."""
-        answer = await self._call("GET", names.KV_KEY_PATH, {"key": key})
+        answer = await self._call("get", "GET", names.KV_KEY_PATH, {"key": key})
         if isinstance(answer, NotDone | Unknown):
             return answer
         status, body = answer
@@ -64,7 +65,7 @@
         revision: int | None = None
         query = {"path-prefix": prefix}
         while True:
-            answer = await self._call("GET", names.KV_RANGE_PATH, query)
+            answer = await self._call(f"list {_family(prefix)}", "GET", names.KV_RANGE_PATH, query)
             if isinstance(answer, NotDone | Unknown):
                 return answer
             status, body = answer
@@ -87,7 +88,9 @@
             "after-revision": str(after_revision),
             "wait-ms": str(int(wait_s * MS_PER_S)),
         }
-        answer = await self._call("GET", names.KV_WATCH_PATH, query, wait_s + WATCH_GRACE_S)
+        answer = await self._call(
+            f"watch {_family(prefix)}", "GET", names.KV_WATCH_PATH, query, wait_s + WATCH_GRACE_S
+        )
         if isinstance(answer, NotDone | Unknown):
             return answer
         status, body = answer
@@ -114,7 +117,7 @@
             "put": [_put(put) for put in puts],
             "remove": list(removes),
         }
-        answer = await self._call("POST", names.KV_TXN_PATH, body=request)
+        answer = await self._call("transact", "POST", names.KV_TXN_PATH, body=request)
         if isinstance(answer, NotDone | Unknown):
             return answer
         status, body = answer
@@ -129,7 +132,7 @@
     async def grant_lease(self, ttl_s: float) -> GrantedLease | Unavailable:
         """Open a lease."""
         request = {"ttl-ms": int(ttl_s * MS_PER_S)}
-        answer = await self._call("POST", names.KV_LEASE_PATH, body=request)
+        answer = await self._call("grant", "POST", names.KV_LEASE_PATH, body=request)
         if isinstance(answer, NotDone | Unknown):
             return answer
         status, body = answer
@@ -139,7 +142,7 @@
 
     async def renew_lease(self, lease: int) -> GrantedLease | LeaseGone | Unavailable:
         """Renew a lease."""
-        answer = await self._call("POST", f"{names.KV_KEEP_PATH}{lease}")
+        answer = await self._call("renew", "POST", f"{names.KV_KEEP_PATH}{lease}")
         if isinstance(answer, NotDone | Unknown):
             return answer
         status, body = answer
@@ -151,18 +154,19 @@
 
     async def end_lease(self, lease: int) -> None:
         """End a lease."""
-        await self._call("DELETE", f"{names.KV_LEASE_END_PATH}{lease}")
+        await self._call("end lease", "DELETE", f"{names.KV_LEASE_END_PATH}{lease}")
 
     async def _call(
         self,
+        kind: str,
         method: str,
         path: str,
         query: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
         body: object = None,
     ) -> tuple[int, Any] | Unavailable:
-        """Send one call; the answer's status and decoded body."""
-        self.num_calls += 1
+        """Send one call, counted under a kind; the answer's status and decoded body."""
+        self.num_calls[kind] += 1
         url = URL(self._base + path)
         if query:
             url = url.with_query(query)
@@ -182,6 +186,11 @@
             return Unknown(type(error).__name__)
 
 
+def _family(prefix: str) -> str:
+    """The first parts of a prefix, without what names one job."""
+    return "/".join(prefix.split("/")[:2])
+
+
 def _put(put: Put) -> dict[str, object]:
     entry: dict[str, object] = {"key": put.key, "value": base64.b64encode(put.value).decode()}
     if put.lease:
