--- a/src/hollowrack/coordination/session.py
+++ b/src/hollowrack/coordination/session.py
@@ -51,6 +51,10 @@
         if lease is not None:
             await self._store.end_lease(lease)
 
+    async def abandon(self) -> None:
+        """Stop renewing and leave the lease to its own end; for tests."""
+        await cancel_all(self._task)
+
     async def _run(self) -> None:
         while True:
             if self.lease is None:
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -160,6 +160,18 @@
         await self.session.stop()
         await asyncio.sleep(max(0.0, started_s + TURN_AWAY_S - now_s()))
 
+    async def abandon(self) -> None:
+        """End at once, as a crash would; for tests."""
+        await self._order_giver.stop()
+        await self._takeover.stop()
+        await self.leadership.stop()
+        await self.jobs.drain(0.0)
+        await cancel_all(*self._tasks)
+        if self._ends is not None:
+            await self._ends.stop()
+        await self._sessions.stop()
+        await self.session.abandon()
+
     # -- listener of the feed ---------------------------------------------------------------
 
     def configuration_changed(self, configuration: RoutingConfiguration) -> None:
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -1,6 +1,7 @@
 """One generation as a sequence of numbered events, continued at other workers when one fails."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -117,8 +118,9 @@
         while True:
             worker = await self._acquire(self._avoided)
             try:
-                async for event in self._events_of(worker):
-                    yield event
+                async with contextlib.aclosing(self._events_of(worker)) as events:
+                    async for event in events:
+                        yield event
                 self._workers.note_success(worker)
                 return
             except NotRunError as error:
@@ -149,8 +151,9 @@
                 raise NotRunError(NotRunReason.BUSY)
             if self.head is None:
                 self.head = answer
-            async for event in self._whole_events(answer):
-                yield event
+            async with contextlib.aclosing(self._whole_events(answer)) as events:
+                async for event in events:
+                    yield event
         finally:
             if answer is not None:
                 answer.abort()
--- /dev/null
+++ b/src/hollowrack_standins/back_ends.py
@@ -0,0 +1,150 @@
+"""Workers in memory, on the loop's clock, that count what they run; for tests on virtual time."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from hollowrack.forwarding.back_end import (
+    BackEndCall,
+    BrokenAnswerError,
+    Headers,
+    NotRunError,
+    NotRunReason,
+)
+from hollowrack.forwarding.types import Worker
+
+SILENCE_S = 1_000_000.0
+
+
+@dataclass
+class WorkerBehaviour:
+    """How one worker behaves.
+
+    Attributes:
+        refusal: Refuses everything, for this reason.
+        is_silent: Takes requests and never answers.
+        breaks_after_events: Breaks streams off after this many events; ``None`` for never.
+        num_broken: The next plain answers are lost after the request ran.
+        num_errors: The next requests run and are answered 500.
+        status: Status of the other answers.
+        work_s: Time of a plain request or an event, in seconds.
+        weight_version: Version that makes its events.
+    """
+
+    refusal: NotRunReason | None = None
+    is_silent: bool = False
+    breaks_after_events: int | None = None
+    num_broken: int = 0
+    num_errors: int = 0
+    status: int = 200
+    work_s: float = 0.02
+    weight_version: int = 1
+
+
+@dataclass
+class BackEndsStandin:
+    """All workers; see :class:`hollowrack.forwarding.back_end.BackEndClient`.
+
+    Attributes:
+        behaviours: By worker identity; workers not named behave well.
+        num_events: Length of every stream.
+        executions: How often each request began to run.
+        ran_at: Workers that began to run each request, in order.
+        running: Requests at work now, by worker identity.
+    """
+
+    behaviours: dict[str, WorkerBehaviour] = field(default_factory=dict)
+    num_events: int = 4
+    executions: Counter[str] = field(default_factory=Counter)
+    ran_at: dict[str, list[str]] = field(default_factory=dict)
+    running: Counter[str] = field(default_factory=Counter)
+    time_handed_s: list[float] = field(default_factory=list)
+
+    async def open(
+        self,
+        worker: Worker,
+        call: BackEndCall,
+        time_left_s: float,
+        after_event: int | None = None,
+        is_repeatable: bool = True,
+    ) -> "AnswerStandin":
+        """Send a request."""
+        del is_repeatable
+        behaviour = self.behaviours.setdefault(worker.id, WorkerBehaviour())
+        await asyncio.sleep(0.001)
+        if behaviour.refusal is not None:
+            raise NotRunError(behaviour.refusal)
+        self.executions[call.request_id] += 1
+        self.ran_at.setdefault(call.request_id, []).append(worker.id)
+        self.time_handed_s.append(time_left_s)
+        self.running[worker.id] += 1
+        try:
+            return await self._answer(worker, call, behaviour, after_event)
+        except BaseException:
+            self.running[worker.id] -= 1
+            raise
+
+    async def _answer(
+        self,
+        worker: Worker,
+        call: BackEndCall,
+        behaviour: WorkerBehaviour,
+        after_event: int | None,
+    ) -> "AnswerStandin":
+        if behaviour.is_silent:
+            await asyncio.sleep(SILENCE_S)
+        await asyncio.sleep(behaviour.work_s)
+        if behaviour.num_broken:
+            behaviour.num_broken -= 1
+            raise BrokenAnswerError("reset")
+        status = behaviour.status
+        if behaviour.num_errors:
+            behaviour.num_errors -= 1
+            status = 500
+        return AnswerStandin(self, worker, call, behaviour, status, after_event or 0)
+
+
+class AnswerStandin:
+    """An answer; see :class:`hollowrack.forwarding.back_end.OpenAnswer`."""
+
+    def __init__(
+        self,
+        back_ends: BackEndsStandin,
+        worker: Worker,
+        call: BackEndCall,
+        behaviour: WorkerBehaviour,
+        status: int,
+        after_event: int,
+    ) -> None:
+        self._back_ends = back_ends
+        self._worker = worker
+        self._call = call
+        self._behaviour = behaviour
+        self._after_event = after_event
+        self._is_over = False
+        self.status = status
+        self.headers: Headers = (("Content-Type", "text/plain"),)
+        self.signature: str | None = f"{worker.id}/{call.request_id}"
+        self.weight_version: int | None = behaviour.weight_version
+
+    async def read(self) -> bytes:
+        """Read the whole body."""
+        return f"{self._call.request_id} by {self._worker.id}".encode()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Iterate over the events of the request that are still missing."""
+        for number in range(self._after_event + 1, self._back_ends.num_events + 1):
+            await asyncio.sleep(self._behaviour.work_s)
+            breaks_after = self._behaviour.breaks_after_events
+            if breaks_after is not None and number > breaks_after:
+                yield b"id: "
+                raise BrokenAnswerError("reset")
+            data = f"{self._call.request_id}.{number}"
+            yield f"id: {number}\ndata: {data}\n\n".encode()
+
+    def abort(self) -> None:
+        """The caller needs the answer no longer."""
+        if not self._is_over:
+            self._is_over = True
+            self._back_ends.running[self._worker.id] -= 1
--- /dev/null
+++ b/tests/coordination/test_leadership.py
@@ -0,0 +1,127 @@
+"""Leaders: one at a time, apart in time, whatever is lost, late or paused."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import pytest
+
+from hollowrack.clock import now_s
+from hollowrack.coordination.leadership import Leadership
+from hollowrack.coordination.mirror import PrefixMirror
+from hollowrack.coordination.session import SESSION_TTL_S, Session
+from hollowrack.coordination.store import StoredItem
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
+
+KEY = "s/leader"
+HANDOVER_S = 3.0
+
+
+@dataclass
+class Candidate:
+    """A node as far as leadership goes."""
+
+    session: Session
+    leadership: Leadership
+    mirror: PrefixMirror
+    faults: StoreFaults
+
+    @classmethod
+    def start(cls, core: CoordinationStoreCore, name: str) -> "Candidate":
+        faults = StoreFaults()
+        store = core.view(faults)
+        session = Session(store)
+        rng = random.Random(name)
+        leadership = Leadership(store, session, KEY, name, HANDOVER_S, rng)
+
+        def note(key: str, item: StoredItem | None) -> None:
+            if key == KEY:
+                leadership.note(item)
+
+        mirror = PrefixMirror(store, "s/", note, 0.2, rng)
+        session.start()
+        mirror.start()
+        leadership.start()
+        leadership.note(None)
+        return cls(session, leadership, mirror, faults)
+
+    async def stop(self) -> None:
+        await self.leadership.stop()
+        await self.mirror.stop()
+        await self.session.stop()
+
+
+async def leaders(candidates: list[Candidate]) -> list[Candidate]:
+    return [candidate for candidate in candidates if candidate.leadership.is_leader]
+
+
+def test_one_of_many_leads_and_acts_only_after_the_handover() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        candidates = [Candidate.start(core, f"n{index}") for index in range(5)]
+        await asyncio.sleep(1.5)
+        assert len(await leaders(candidates)) == 1
+        assert not any(candidate.leadership.may_act for candidate in candidates)
+        await asyncio.sleep(HANDOVER_S)
+        assert sum(candidate.leadership.may_act for candidate in candidates) == 1
+        for candidate in candidates:
+            await candidate.stop()
+
+    run_virtual(main())
+
+
+def test_a_lost_answer_of_the_campaign_still_makes_a_leader() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        candidate = Candidate.start(core, "n1")
+        await asyncio.sleep(0.005)
+        candidate.faults.num_lost_answers = 1
+        await asyncio.sleep(6.0)
+        assert candidate.leadership.is_leader
+        await candidate.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("fault", ["refuses", "is_silent"])
+def test_a_leader_cut_from_the_store_stops_before_another_acts(fault: str) -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        candidates = [Candidate.start(core, f"n{index}") for index in range(3)]
+        await asyncio.sleep(HANDOVER_S + 2.0)
+        (old,) = await leaders(candidates)
+        setattr(old.faults, fault, True)
+        last_old_s = first_new_s = None
+        for _ in range(1000):
+            await asyncio.sleep(0.01)
+            acting = [candidate for candidate in candidates if candidate.leadership.may_act]
+            assert len(acting) <= 1
+            if acting == [old]:
+                last_old_s = now_s()
+            elif acting and first_new_s is None:
+                first_new_s = now_s()
+        assert last_old_s is not None and first_new_s is not None
+        assert first_new_s - last_old_s >= HANDOVER_S
+        for candidate in candidates:
+            await candidate.stop()
+
+    run_virtual(main())
+
+
+def test_tokens_rise_from_leader_to_leader() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        candidates = [Candidate.start(core, f"n{index}") for index in range(3)]
+        tokens = []
+        for _ in range(3):
+            await asyncio.sleep(SESSION_TTL_S + 2.0)
+            (leader,) = await leaders(candidates)
+            token = leader.leadership.fencing_token
+            assert token is not None
+            tokens.append(token)
+            await leader.stop()
+            candidates.remove(leader)
+        assert tokens == sorted(set(tokens))
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/coordination/test_mirror.py
@@ -0,0 +1,140 @@
+"""Mirrors under a store that falls silent, drops its history or cannot be reached."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from hollowrack.coordination.mirror import PrefixMirror
+from hollowrack.coordination.store import Put
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.coordination_store import (
+    CoordinationStoreCore,
+    CoordinationStoreStandin,
+    StoreFaults,
+)
+
+PREFIX = "k/"
+SENTINEL_WAIT_S = 0.6
+
+
+def make_mirror(
+    store: CoordinationStoreStandin,
+    wait_s: float = 20.0,
+    on_doubt: Callable[[], None] | None = None,
+    prefix: str = PREFIX,
+) -> PrefixMirror:
+    return PrefixMirror(
+        store, prefix, lambda key, item: None, 0.3, random.Random(1), wait_s, on_doubt
+    )
+
+
+def value(mirror: PrefixMirror, key: str) -> bytes | None:
+    item = mirror.items.get(key)
+    return None if item is None else item.value
+
+
+def test_changes_and_removals_arrive() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("k/a", b"1"), Put("other", b"1")], [])
+        mirror = make_mirror(core.view())
+        mirror.start()
+        await mirror.is_loaded.wait()
+        assert set(mirror.items) == {"k/a"}
+        core.transact([], [Put("k/b", b"2")], ["k/a"])
+        await asyncio.sleep(1.0)
+        assert set(mirror.items) == {"k/b"}
+        await mirror.stop()
+
+    run_virtual(main())
+
+
+def test_a_change_missed_by_a_silent_watch_is_found_within_the_bound() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("k/a", b"1")], [])
+        mirror = make_mirror(core.view(), SENTINEL_WAIT_S)
+        mirror.start()
+        await asyncio.sleep(5.0)
+        core.write_silently([Put("k/a", b"2")])
+        await asyncio.sleep(1.2)
+        assert value(mirror, "k/a") == b"2"
+        await mirror.stop()
+
+    run_virtual(main())
+
+
+def test_the_sentinel_has_quiet_mirrors_list_again_after_a_dropped_history() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("k/a", b"1"), Put("q/a", b"1")], [])
+        quiet = make_mirror(core.view(), prefix="q/")
+        sentinel = make_mirror(core.view(), SENTINEL_WAIT_S, quiet.recheck)
+        quiet.start()
+        sentinel.start()
+        await asyncio.sleep(5.0)
+        core.write_silently([Put("q/a", b"2")])
+        await asyncio.sleep(1.5)
+        assert value(quiet, "q/a") == b"2"
+        await sentinel.stop()
+        await quiet.stop()
+
+    run_virtual(main())
+
+
+def test_the_sentinel_has_quiet_mirrors_list_again_after_an_outage() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        faults = StoreFaults()
+        quiet = make_mirror(core.view(faults), prefix="q/")
+        sentinel = make_mirror(core.view(faults), SENTINEL_WAIT_S, quiet.recheck)
+        quiet.start()
+        sentinel.start()
+        await asyncio.sleep(2.0)
+        faults.is_silent = True
+        await asyncio.sleep(3.0)
+        core.write_silently([Put("q/a", b"2")])
+        faults.is_silent = False
+        await asyncio.sleep(3.0)
+        assert value(quiet, "q/a") == b"2"
+        await sentinel.stop()
+        await quiet.stop()
+
+    run_virtual(main())
+
+
+def test_an_outage_leaves_what_is_known_in_place() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("k/a", b"1")], [])
+        faults = StoreFaults()
+        mirror = make_mirror(core.view(faults), SENTINEL_WAIT_S)
+        mirror.start()
+        await asyncio.sleep(1.0)
+        faults.refuses = True
+        await asyncio.sleep(30.0)
+        assert value(mirror, "k/a") == b"1"
+        core.transact([], [Put("k/a", b"2")], [])
+        faults.refuses = False
+        await asyncio.sleep(2.0)
+        assert value(mirror, "k/a") == b"2"
+        await mirror.stop()
+
+    run_virtual(main())
+
+
+def test_the_pace_bounds_the_calls_of_a_storm() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        mirror = make_mirror(core.view())
+        mirror.start()
+        await mirror.is_loaded.wait()
+        for number in range(200):
+            core.transact([], [Put("k/a", str(number).encode())], [])
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
+        assert value(mirror, "k/a") == b"199"
+        assert core.num_calls < 50
+        await mirror.stop()
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/forwarding/test_resumable_run.py
@@ -0,0 +1,146 @@
+"""Generations whose workers break off, refuse, fall silent or fail."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from hollowrack.forwarding.back_end import BackEndCall, NotRunReason
+from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.resumable_run import (
+    ResumableRun,
+    RunEnd,
+    RunEndedError,
+    RunLimits,
+    VersionedEvent,
+)
+from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.back_ends import BackEndsStandin, WorkerBehaviour
+from tests.forwarding.helpers import make_directory, make_worker
+
+WHOLE = [f"q1.{number}" for number in range(1, 5)]
+
+
+def make_run(
+    back_ends: BackEndsStandin, directory: WorkerDirectory, min_version: int = 0
+) -> ResumableRun:
+    queue = DispatchQueue(directory)
+
+    async def acquire(avoided: frozenset[str]) -> Worker:
+        return await queue.acquire("svc", (0,), lambda _: True, avoided)
+
+    call = BackEndCall("q1", "POST", "/a/x", (), b"")
+    return ResumableRun(
+        call,
+        back_ends,
+        directory,
+        acquire,
+        lambda _: None,
+        lambda version: version is None or version >= min_version,
+        RunLimits(3, 1.0, 0.5, 30.0),
+    )
+
+
+async def events_of(run: ResumableRun) -> list[VersionedEvent]:
+    return [event async for event in run.events()]
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        WorkerBehaviour(breaks_after_events=0),
+        WorkerBehaviour(breaks_after_events=2),
+        WorkerBehaviour(refusal=NotRunReason.BUSY),
+        WorkerBehaviour(refusal=NotRunReason.UNREACHABLE),
+        WorkerBehaviour(refusal=NotRunReason.REPLACED),
+        WorkerBehaviour(num_broken=50),
+        WorkerBehaviour(is_silent=True),
+        WorkerBehaviour(work_s=5.0),
+        WorkerBehaviour(num_errors=2),
+        WorkerBehaviour(status=504),
+    ],
+    ids=lambda fault: str(fault)[16:60],
+)
+def test_the_text_is_whole_once_a_good_worker_takes_over(fault: WorkerBehaviour) -> None:
+    async def main() -> None:
+        back_ends = BackEndsStandin({"w0": fault, "w1": WorkerBehaviour(weight_version=2)})
+        directory = make_directory(make_worker("w0"))
+        run = asyncio.create_task(events_of(make_run(back_ends, directory)))
+        await asyncio.sleep(0.2)
+        directory.put(make_worker("w1"))
+        events = await run
+        assert [event.event.data for event in events] == WHOLE
+        taken = 2 if fault.breaks_after_events == 2 else 0
+        assert [event.weight_version for event in events] == [1] * taken + [2] * (4 - taken)
+        assert sum(back_ends.running.values()) == 0
+        assert all(directory.num_in_flight(worker) == 0 for worker in directory.all())
+
+    run_virtual(main())
+
+
+def test_a_version_that_is_too_old_is_not_used() -> None:
+    async def main() -> None:
+        back_ends = BackEndsStandin({"w1": WorkerBehaviour(weight_version=7)})
+        directory = make_directory(make_worker("w0"), make_worker("w1"))
+        events = await events_of(make_run(back_ends, directory, min_version=5))
+        assert {event.weight_version for event in events} == {7}
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("fault", "end", "num_runs"),
+    [
+        (WorkerBehaviour(status=422), RunEnd.REJECTED, 1),
+        (WorkerBehaviour(num_errors=99), RunEnd.FAILED_TOO_OFTEN, 3),
+    ],
+)
+def test_runs_that_cannot_be_done_end(fault: WorkerBehaviour, end: RunEnd, num_runs: int) -> None:
+    async def main() -> None:
+        back_ends = BackEndsStandin({"w0": fault})
+        directory = make_directory(make_worker("w0"))
+        with pytest.raises(RunEndedError) as raised:
+            await events_of(make_run(back_ends, directory))
+        assert raised.value.end is end
+        assert back_ends.executions["q1"] == num_runs
+
+    run_virtual(main())
+
+
+def test_leaving_a_run_frees_its_worker_at_once() -> None:
+    async def main() -> None:
+        back_ends = BackEndsStandin()
+        directory = make_directory(make_worker("w0"))
+        run = make_run(back_ends, directory)
+        async with contextlib.aclosing(run.events()) as events:
+            async for _ in events:
+                break
+        await asyncio.sleep(0)
+        assert back_ends.running["w0"] == 0
+        assert directory.num_in_flight(directory.all()[0]) == 0
+
+    run_virtual(main())
+
+
+def test_places_are_given_in_the_order_of_rank_and_only_to_those_that_wait() -> None:
+    async def main() -> None:
+        directory = make_directory(make_worker("w0", capacity=1))
+        queue = DispatchQueue(directory)
+        order: list[int] = []
+
+        async def work(rank: int) -> None:
+            worker = await queue.acquire("svc", (rank,), lambda _: True, frozenset())
+            order.append(rank)
+            await asyncio.sleep(0.1)
+            directory.end(worker)
+
+        tasks = [asyncio.create_task(work(rank)) for rank in (3, 1, 2, 0)]
+        await asyncio.sleep(0.05)
+        tasks[1].cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert order == [0, 2, 3]
+        assert directory.num_in_flight(directory.all()[0]) == 0
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/forwarding/test_route_table.py
@@ -0,0 +1,53 @@
+"""Routes: longest prefix, weights, versions that only rise."""
+
+from collections import Counter
+
+import pytest
+
+from hollowrack.forwarding.route_table import RouteTable
+from hollowrack.forwarding.types import RoutingConfiguration, Target
+from tests.forwarding.helpers import HOST, make_route, make_table
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        (HOST, "/a/x", "/a/"),
+        (HOST, "/a/b/x", "/a/b/"),
+        (HOST.upper(), "/a/x", "/a/"),
+        (f"{HOST}:80", "/a/x", "/a/"),
+        (HOST, "/ab/x", None),
+        (HOST, "/a", None),
+        (HOST, "", None),
+        ("other.example", "/a/x", None),
+        ("", "/a/x", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_counts(host: str, path: str, expected: str | None) -> None:
+    table = make_table(make_route(prefix="/a/"), make_route(prefix="/a/b/"))
+    route = table.lookup(host, path)
+    assert (route.prefix if route else None) == expected
+
+
+def test_an_older_configuration_is_never_put_in_force() -> None:
+    table = make_table(make_route(prefix="/a/"), version=5)
+    older = RoutingConfiguration(4, (make_route(prefix="/b/"),), {})
+    assert not table.apply(older)
+    assert not table.apply(RoutingConfiguration(5, (), {}))
+    assert table.lookup(HOST, "/a/x") is not None
+    assert table.apply(RoutingConfiguration(6, (), {}))
+    assert table.lookup(HOST, "/a/x") is None
+
+
+def test_services_get_their_weights_of_any_run_of_requests() -> None:
+    route = make_route(targets=(Target("svc", 90.0), Target("score", 10.0), Target("none", 0.0)))
+    table = make_table(route)
+    chosen = Counter(table.choose_service(route) for _ in range(100))
+    assert chosen == {"svc": 90, "score": 10}
+
+
+def test_before_the_first_configuration_there_is_none() -> None:
+    table = RouteTable()
+    assert table.version is None
+    assert table.lookup(HOST, "/a/x") is None
+    assert table.services() == ()
--- /dev/null
+++ b/tests/jobs/helpers.py
@@ -0,0 +1,124 @@
+"""A small fleet of job services on one store and one set of workers, on virtual time."""
+
+import random
+
+from hollowrack.edge_node import EdgeConnections, EdgeNode
+from hollowrack.forwarding.types import (
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    Service,
+    Target,
+    Worker,
+)
+from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
+from hollowrack.weights.order_giver import OrderOutcome, VersionOrder, WorkerReport
+from hollowrack_standins.back_ends import BackEndsStandin
+from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
+
+HOST = "h.example"
+MODEL = "m"
+
+
+class NoOrders:
+    """Workers that take no orders."""
+
+    async def report(self, worker: Worker) -> WorkerReport | None:
+        del worker
+        return None
+
+    async def give(self, order: VersionOrder) -> OrderOutcome:
+        del order
+        return OrderOutcome.REFUSED
+
+
+def configuration(version: int = 1) -> RoutingConfiguration:
+    generate = Route(
+        "generate",
+        HOST,
+        "/m/",
+        RouteKind.JOB,
+        (Target("engines", 1.0),),
+        3,
+        10.0,
+        0.4,
+        1,
+        queue_ttl_s=30.0,
+    )
+    score = Route("score", HOST, "/s/", RouteKind.SAFE, (Target("scorers", 1.0),), 3, 2.0, 0.2, 2)
+    services = {
+        "engines": Service("engines", 100, (MODEL,)),
+        "scorers": Service("scorers", 100),
+    }
+    return RoutingConfiguration(version, (generate, score), services)
+
+
+def make_job(name: str = "j1", num_items: int = 6, min_version: int = 0) -> Job:
+    items = tuple(
+        JobItem(
+            f"{name}.i{index}",
+            "/m/x",
+            (),
+            b"prompt",
+            f"g{index // 2}",
+            ScorerCall(f"{name}.s{index}", HOST, "/s/x", b"score"),
+        )
+        for index in range(num_items)
+    )
+    return Job(name, HOST, "/m/", items, MODEL, min_version, num_items // 2)
+
+
+class Fleet:
+    """Edge nodes before the same store and workers."""
+
+    def __init__(self, num_nodes: int = 3) -> None:
+        self.core = CoordinationStoreCore()
+        self.back_ends = BackEndsStandin()
+        self.faults: dict[str, StoreFaults] = {}
+        self.nodes: dict[str, EdgeNode] = {}
+        for index in range(num_nodes):
+            self.start(f"n{index}")
+
+    def start(self, name: str) -> EdgeNode:
+        """Start a node, or start it again."""
+        faults = self.faults[name] = StoreFaults()
+        connections = EdgeConnections(
+            self.core.view(faults), self.back_ends, NoOrders(), lambda _: None, self._retire
+        )
+        node = EdgeNode(name, "z1", 3.0, connections, random.Random(f"{name}{len(self.faults)}"))
+        node.configuration_changed(configuration())
+        for index in range(2):
+            worker = Worker(f"e{index}", "engines", "127.0.0.1:1", "z1", 4, False, {MODEL: 1})
+            node.worker_changed(worker)
+            node.worker_changed(Worker(f"s{index}", "scorers", "127.0.0.1:1", "z1", 4))
+        node.start()
+        self.nodes[name] = node
+        return node
+
+    async def kill(self, name: str) -> None:
+        """End a node at once: nothing more of it reaches the store."""
+        self.faults[name].is_silent = True
+        node = self.nodes.pop(name)
+        await node.abandon()
+
+    async def stop(self) -> None:
+        """End all nodes."""
+        for name in list(self.nodes):
+            await self.kill(name)
+
+    async def _retire(self, machine: str) -> bool:
+        del machine
+        return True
+
+
+def check_whole(job: Job, results: list[ItemResult], num_events: int = 4) -> None:
+    """Every item is listed once, complete and scored, with the whole text."""
+    assert sorted(result.item_id for result in results) == sorted(item.id for item in job.items)
+    for result in results:
+        assert result.is_complete
+        assert result.text == "\n".join(
+            f"{result.item_id}.{number}" for number in range(1, num_events + 1)
+        )
+        assert result.versions
+        assert result.score is not None
+        assert result.score.endswith(result.item_id.replace(".i", ".s"))
--- /dev/null
+++ b/tests/jobs/test_job_service.py
@@ -0,0 +1,264 @@
+"""Jobs on a small fleet: accepted, run, read, ended and taken over under faults."""
+
+import asyncio
+
+import pytest
+
+from hollowrack.jobs.job_service import ResultPage
+from hollowrack.jobs.types import ItemResult
+from hollowrack.results import DESCRIPTIONS, Execution, Problem, ResultCode
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.back_ends import WorkerBehaviour
+from tests.jobs.helpers import Fleet, check_whole, make_job
+
+
+async def read_all(fleet: Fleet, name: str, job_id: str, num_items: int) -> list[ItemResult]:
+    """Read a job's results as a trainer does, page by page."""
+    results: list[ItemResult] = []
+    async with asyncio.timeout(60.0):
+        while len(results) < num_items:
+            page = await fleet.nodes[name].jobs.read(job_id, len(results), 1.0)
+            if isinstance(page, ResultPage):
+                results.extend(page.results)
+            else:
+                assert page.code is ResultCode.JOB_UNSURE
+                await asyncio.sleep(0.3)
+    return results
+
+
+def test_every_node_reads_the_same_results() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        readings = [await read_all(fleet, name, job.id, len(job.items)) for name in fleet.nodes]
+        check_whole(job, readings[0])
+        assert readings[0] == readings[1] == readings[2]
+        assert await fleet.nodes["n2"].jobs.submit(job) is None
+        await asyncio.sleep(2.0)
+        assert max(fleet.back_ends.executions.values()) == 1
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("fault", "value"), [("num_lost_answers", 1), ("num_late_writes", 1), ("num_late_writes", 3)]
+)
+def test_a_lost_answer_of_the_store_does_not_lose_the_job(fault: str, value: int) -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        setattr(fleet.faults["n0"], fault, value)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        check_whole(job, await read_all(fleet, "n1", job.id, len(job.items)))
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_store_that_refuses_writes_has_the_job_refused_and_nothing_runs() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.faults["n0"].refuses = True
+        problem = await fleet.nodes["n0"].jobs.submit(make_job())
+        assert isinstance(problem, Problem)
+        assert DESCRIPTIONS[problem.code].execution is Execution.NOT_RUN
+        assert problem.retry_after_s is not None
+        fleet.faults["n0"].refuses = False
+        await asyncio.sleep(10.0)
+        assert not fleet.back_ends.executions
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_store_that_never_answers_leaves_the_outcome_open() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.faults["n0"].is_silent = True
+        problem = await fleet.nodes["n0"].jobs.submit(make_job())
+        assert isinstance(problem, Problem)
+        assert DESCRIPTIONS[problem.code].execution is not Execution.NOT_RUN
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 0.2, 0.5])
+def test_a_job_outlives_its_owner(delay_s: float) -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 40
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        await asyncio.sleep(delay_s)
+        await fleet.kill("n0")
+        results = await read_all(fleet, "n1", job.id, len(job.items))
+        check_whole(job, results, num_events=40)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_job_outlives_all_nodes() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 40
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        for name in list(fleet.nodes):
+            await fleet.kill(name)
+        await asyncio.sleep(0.5)
+        for name in ("n0", "n1", "n2"):
+            fleet.start(name)
+        check_whole(job, await read_all(fleet, "n1", job.id, len(job.items)), num_events=40)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_an_owner_whose_session_was_lost_and_a_new_owner_agree() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 300
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        fleet.faults["n0"].is_silent = True
+        await asyncio.sleep(5.5)
+        fleet.faults["n0"].is_silent = False
+        results = await read_all(fleet, "n1", job.id, len(job.items))
+        check_whole(job, results, num_events=300)
+        assert await read_all(fleet, "n0", job.id, len(job.items)) == results
+        await asyncio.sleep(3.0)
+        assert all(node.jobs.num_running == 0 for node in fleet.nodes.values())
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("ender", ["n0", "n1"])
+def test_an_ended_job_stops_running_within_a_second(ender: str) -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 1000
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        await asyncio.sleep(1.0)
+        assert sum(fleet.back_ends.running.values()) > 0
+        assert await fleet.nodes[ender].jobs.end(job.id) is None
+        assert await fleet.nodes["n2"].jobs.end(job.id) is None
+        await asyncio.sleep(1.0)
+        assert sum(fleet.back_ends.running.values()) == 0
+        assert fleet.nodes["n0"].jobs.num_running == 0
+        page = await fleet.nodes["n1"].jobs.read(job.id, 0, 0.0)
+        assert isinstance(page, ResultPage)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_what_is_unknown_for_sure_is_404_and_what_cannot_be_asked_is_not() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        jobs = fleet.nodes["n0"].jobs
+        expected = {False: ResultCode.UNKNOWN_JOB, True: ResultCode.JOB_UNSURE}
+        for refuses, code in expected.items():
+            fleet.faults["n0"].refuses = refuses
+            for outcome in (
+                await jobs.read("none", 0, 0.0),
+                await jobs.item("none", "i"),
+                await jobs.end("none"),
+            ):
+                assert isinstance(outcome, Problem)
+                assert outcome.code is code
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_bodies_are_given_by_every_node_before_and_after_listing() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        job = make_job()
+        await fleet.nodes["n0"].jobs.submit(job)
+        for wait_s in (0.0, 5.0):
+            await asyncio.sleep(wait_s)
+            for node in fleet.nodes.values():
+                assert await node.jobs.item(job.id, "j1.i3") == job.items[3]
+                unknown = await node.jobs.item(job.id, "j1.i99")
+                assert isinstance(unknown, Problem)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_items_that_fail_for_good_are_listed_as_given_up() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.behaviours["e0"] = WorkerBehaviour(status=422)
+        fleet.back_ends.behaviours["e1"] = WorkerBehaviour(status=422)
+        job = make_job()
+        await fleet.nodes["n0"].jobs.submit(job)
+        results = await read_all(fleet, "n1", job.id, len(job.items))
+        assert not any(result.is_complete for result in results)
+        assert max(fleet.back_ends.executions.values()) == 1
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_scorer_that_fails_is_asked_as_often_as_its_route_allows() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.behaviours["s0"] = WorkerBehaviour(num_errors=10_000)
+        fleet.back_ends.behaviours["s1"] = WorkerBehaviour(num_errors=10_000)
+        job = make_job(num_items=2)
+        await fleet.nodes["n0"].jobs.submit(job)
+        results = await read_all(fleet, "n1", job.id, len(job.items))
+        assert not any(result.is_complete for result in results)
+        assert fleet.back_ends.executions["j1.s0"] == 3
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_workers_with_too_old_weights_get_no_items() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        job = make_job(min_version=2)
+        await fleet.nodes["n0"].jobs.submit(job)
+        await asyncio.sleep(5.0)
+        assert not fleet.back_ends.executions
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_planned_stop_hands_its_jobs_over() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 400
+        job = make_job()
+        await fleet.nodes["n0"].jobs.submit(job)
+        node = fleet.nodes.pop("n0")
+        await node.stop()
+        results = await read_all(fleet, "n1", job.id, len(job.items))
+        check_whole(job, results, num_events=400)
+        await fleet.stop()
+
+    run_virtual(main())
