--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -104,6 +104,16 @@
         logging.info("stopped")
         self.stopped.set()
 
+    async def kill(self) -> None:
+        """End at once, as a crash would; for tests."""
+        await cancel_all(self._report_task)
+        await self.node.abandon()
+        await self._feed.stop()
+        await self._frontend.abort()
+        await self._readiness.abort()
+        for session in self._sessions:
+            await session.close()
+
     async def _report_calls(self) -> None:
         """Log now and then what was asked of the store: its calls are paid for."""
         while True:
--- /dev/null
+++ b/tests/platform/test_bad_input.py
@@ -0,0 +1,188 @@
+"""Malformed requests, jobs, settings and store content: numbered errors, nothing lost."""
+
+import base64
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+from hollowrack.platform.configuration import decode_configuration, decode_worker
+from hollowrack.platform.job_format import decode_job
+from hollowrack.platform.settings import read_process_settings
+from hollowrack.results import ResultCode
+from tests.platform.helpers import CONFIGURATION, System, job_body, run_system
+
+
+def changed_job(**changes: Any) -> bytes:
+    return json.dumps(job_body("j1") | changes).encode()
+
+
+def with_item(**changes: Any) -> bytes:
+    body = job_body("j1")
+    body["requests"][1] |= changes
+    return json.dumps(body).encode()
+
+
+BAD_JOBS = {
+    "not JSON": b"{",
+    "not an object": b"[1]",
+    "empty": b"",
+    "not UTF-8": b"\xff\xfe",
+    "no items": changed_job(requests=[]),
+    "items missing": b"{}",
+    "items no list": changed_job(requests=5),
+    "item no object": changed_job(requests=[5]),
+    "two of one name": with_item(id="j1.i0"),
+    "no path": changed_job(requests=[{"id": "a"}]),
+    "body no base64": with_item(body="%%%"),
+    "headers no object": with_item(headers=[1]),
+    "scorer without path": with_item(scorer={"id": "s"}),
+    "version no number": changed_job(**{"min-version": "x"}),
+}
+
+
+@pytest.mark.parametrize("name", sorted(BAD_JOBS))
+def test_a_malformed_job_is_refused_with_its_place(name: str) -> None:
+    decoded = decode_job("j1", "h.example", "/jobs/j1", BAD_JOBS[name])
+    assert isinstance(decoded, Failure)
+    assert decoded.failure().code is ResultCode.BAD_REQUEST
+    assert decoded.failure().place
+
+
+def test_a_good_job_is_read_whole() -> None:
+    decoded = decode_job("j1", "h.example", "/jobs/j1", changed_job())
+    job = decoded.unwrap()
+    assert [item.id for item in job.items] == [f"j1.i{index}" for index in range(6)]
+    assert job.items[0].body == b"prompt 0"
+    assert job.items[0].scorer is not None
+    assert job.min_version == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "body", "status", "code"),
+    [
+        ("/none/x", "POST", b"", 404, ResultCode.UNKNOWN_ROUTE),
+        ("/plain", "POST", b"", 404, ResultCode.UNKNOWN_ROUTE),
+        ("/plain/x", "POST", b"x" * 100_001, 413, ResultCode.BODY_TOO_LARGE),
+        ("/jobs/x", "POST", b"{", 400, ResultCode.BAD_REQUEST),
+        ("/jobs/x", "POST", changed_job(requests=[]), 400, ResultCode.BAD_REQUEST),
+        ("/api/lots/none", "GET", b"", 404, ResultCode.UNKNOWN_JOB),
+        ("/api/lots/none", "DELETE", b"", 404, ResultCode.UNKNOWN_JOB),
+        ("/api/lots/none?after-revision=x", "GET", b"", 400, ResultCode.BAD_REQUEST),
+        ("/api/lots/none?after-revision=-1", "GET", b"", 400, ResultCode.BAD_REQUEST),
+        ("/api/items/none?id=a", "GET", b"", 404, ResultCode.UNKNOWN_JOB),
+        ("/api/items/none", "GET", b"", 404, ResultCode.UNKNOWN_JOB),
+    ],
+)
+def test_bad_requests_get_numbered_answers(
+    path: str, method: str, body: bytes, status: int, code: ResultCode
+) -> None:
+    async def scenario(system: System) -> None:
+        answer = await system.send(path, method, body)
+        assert answer.status == status
+        error = answer.json()["error"]
+        assert error["code"] == int(code)
+        assert error["remedy"]
+        assert not system.ledger.executions
+        assert (await system.send("/plain/x", request_id="after")).status == 200
+
+    run_system(scenario)
+
+
+@pytest.mark.parametrize("fault", ["status 503", "status 429", "status 500", "nonsense"])
+def test_a_store_that_fails_leaves_plain_requests_served(fault: str) -> None:
+    async def scenario(system: System) -> None:
+        if fault == "nonsense":
+            system.store.faults.answers_nonsense = True
+        else:
+            system.store.faults.status = int(fault.removeprefix("status "))
+        assert (await system.send("/plain/x", request_id="during")).status == 200
+        answer = await system.send("/api/lots/j9", "GET")
+        assert answer.status == 503
+        assert answer.json()["error"]["code"] == ResultCode.JOB_UNSURE
+        system.store.faults.status = None
+        system.store.faults.answers_nonsense = False
+        assert (await system.send("/plain/x", request_id="after")).status == 200
+
+    run_system(scenario)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"[]", b"{}", b"\xff", b'{"version": "x"}', b'{"version": 4, "routes": [{}]}'],
+)
+def test_a_malformed_configuration_is_reported_and_not_put_in_force(value: bytes) -> None:
+    decoded = decode_configuration(value)
+    assert isinstance(decoded, Failure)
+    assert decoded.failure().place == "op/config"
+
+
+def test_a_good_configuration_is_read() -> None:
+    configuration = decode_configuration(json.dumps(CONFIGURATION).encode()).unwrap()
+    assert configuration.version == 3
+    assert [route.prefix for route in configuration.routes] == [
+        "/plain/",
+        "/once/",
+        "/stream/",
+        "/jobs/",
+    ]
+    assert configuration.routes[0].timeout_s == 3.0
+    assert configuration.routes[3].timeout_s is None
+    assert configuration.services["llm"].models == ("m",)
+
+
+def test_split_routes_keep_their_weights() -> None:
+    parts = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    route = {"hostname": "h", "path-prefix": "/", "route-type": "safe", "backends": parts}
+    configuration = decode_configuration(json.dumps({"version": 1, "routes": [route]}).encode())
+    targets = configuration.unwrap().routes[0].targets
+    assert [(target.service, target.weight) for target in targets] == [("a", 90.0), ("b", 10.0)]
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"service": "s"}'])
+def test_a_malformed_worker_is_reported(value: bytes) -> None:
+    assert isinstance(decode_worker("servers/i-1", value), Failure)
+
+
+@pytest.mark.parametrize(
+    ("content", "code", "place"),
+    [
+        (None, ResultCode.SETTINGS_UNREADABLE, "node.json"),
+        ("{", ResultCode.SETTINGS_UNREADABLE, "node.json"),
+        ("[]", ResultCode.SETTINGS_INVALID, "node.json"),
+        ("{}", ResultCode.SETTINGS_INVALID, "node-name"),
+        ('{"node-name": "n", "zone": "z"}', ResultCode.SETTINGS_INVALID, "platform"),
+        (
+            '{"node-name": "n", "zone": "z", "platform": {"address": "a"}, "listen": 5}',
+            ResultCode.SETTINGS_INVALID,
+            "listen",
+        ),
+    ],
+)
+def test_bad_settings_name_their_place(
+    tmp_path: Path, content: str | None, code: ResultCode, place: str
+) -> None:
+    path = tmp_path / "node.json"
+    if content is not None:
+        path.write_text(content)
+    checked = read_process_settings(path)
+    assert isinstance(checked, Failure)
+    assert checked.failure().code is code
+    assert checked.failure().place == place
+
+
+def test_unknown_settings_are_left_alone(tmp_path: Path) -> None:
+    path = tmp_path / "node.json"
+    content = {"node-name": "n", "zone": "z", "platform": {"address": "a:1"}, "new": {"a": 1}}
+    path.write_text(json.dumps(content))
+    assert isinstance(read_process_settings(path), Success)
+
+
+def test_bodies_are_decoded_strictly() -> None:
+    body = job_body("j1")
+    body["requests"][0]["body"] = base64.b64encode(b"\x00\xff").decode()
+    assert (
+        decode_job("j1", "h", "/", json.dumps(body).encode()).unwrap().items[0].body == b"\x00\xff"
+    )
