A restarted node takes back its leadership and its jobs at once

Change: a process that finds the leader key or an unfinished job in the name of an earlier process of its own node takes it over at once; sessions last 2.0 s in place of 2.5 s.

--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -3,6 +3,9 @@
 The revision at which the key was created is the leader's fencing token. A leader acts only while
 its session is valid by its own steady clock, and a new one waits a handover time before it acts, so
 that orders of two leaders are apart in time even where receivers do not check fencing tokens.
+
+A process that finds the key in the name of an earlier process of its own node takes it over at
+once: a node runs one process at a time, so that earlier one has ended.
 """
 
 import asyncio
@@ -11,7 +14,7 @@
 from absl import logging
 
 from hollowrack.clock import now_s
-from hollowrack.coordination.session import Session
+from hollowrack.coordination.session import Session, node_of_owner
 from hollowrack.coordination.store import (
     ABSENT_REVISION,
     Committed,
@@ -27,6 +30,7 @@
 CAMPAIGN_JITTER_S = 0.3
 # An action decided now must reach its receiver before the session can have ended.
 ACTION_MARGIN_S = 0.5
+NO_HANDOVER_S = 0.0
 
 
 class Leadership:
@@ -36,7 +40,7 @@
         store: The coordination store.
         session: This node's session.
         key: The leader key.
-        node: This node's name and incarnation.
+        owner: This node's name and incarnation.
         handover_s: How long a new leader waits before it acts, in seconds.
         rng: Source of the jitter.
     """
@@ -46,7 +50,7 @@
         store: CoordinationStore,
         session: Session,
         key: str,
-        node: str,
+        owner: str,
         handover_s: float,
         rng: random.Random,
     ) -> None:
@@ -54,7 +58,9 @@
         self.fencing_token: int | None = None
         self._store = store
         self._session = session
-        self._node = node
+        self._owner = owner
+        self._free_revision = ABSENT_REVISION
+        self._wait_s = handover_s
         self._handover_s = handover_s
         self._rng = rng
         self._lease: int | None = None
@@ -91,12 +97,23 @@
         self.fencing_token = None
 
     def note(self, item: StoredItem | None) -> None:
-        """Take in what the leader key holds, as seen by a mirror."""
+        """Take in what the leader key holds, as seen by a mirror or a failed write."""
         if item is None:
-            self._is_free.set()
-        elif item.value.decode() != self._node:
+            self._free_from(ABSENT_REVISION, self._handover_s)
+            return
+        holder = item.value.decode()
+        if holder == self._owner:
+            return
+        self.fencing_token = None
+        if node_of_owner(holder) == node_of_owner(self._owner):
+            self._free_from(item.revision, NO_HANDOVER_S)
+        else:
             self._is_free.clear()
-            self.fencing_token = None
+
+    def _free_from(self, revision: int, wait_s: float) -> None:
+        self._free_revision = revision
+        self._wait_s = wait_s
+        self._is_free.set()
 
     async def _run(self) -> None:
         while True:
@@ -111,21 +128,27 @@
         if lease is None:
             return
         outcome = await self._store.transact(
-            [Condition(self.key, ABSENT_REVISION)], [Put(self.key, self._node.encode(), lease)]
+            [Condition(self.key, self._free_revision)],
+            [Put(self.key, self._owner.encode(), lease)],
         )
         if isinstance(outcome, Committed):
             self._win(lease, outcome.revision)
         elif isinstance(outcome, Conflict):
-            # A lost answer of an earlier attempt shows here as a key that already names this node.
-            for item in outcome.current:
-                if item.value.decode() == self._node and item.lease == lease:
-                    self._win(lease, item.revision)
-                    return
-                self._is_free.clear()
+            self._note_conflict(lease, outcome)
+
+    def _note_conflict(self, lease: int, outcome: Conflict) -> None:
+        if not outcome.current:
+            self.note(None)
+        for item in outcome.current:
+            # A lost answer of an earlier attempt shows as a key that already names this process.
+            if item.value.decode() == self._owner and item.lease == lease:
+                self._win(lease, item.revision)
+            else:
+                self.note(item)
 
     def _win(self, lease: int, revision: int) -> None:
         self._is_free.clear()
         self._lease = lease
         self.fencing_token = revision
-        self._acts_from_s = now_s() + self._handover_s
+        self._acts_from_s = now_s() + self._wait_s
         logging.info("leader from now on, fencing token %d", revision)
--- a/src/hollowrack/coordination/session.py
+++ b/src/hollowrack/coordination/session.py
@@ -16,10 +16,22 @@
 )
 from hollowrack.tasks import cancel_all
 
-SESSION_TTL_S = 2.5
-RENEWAL_INTERVAL_S = 0.7
+SESSION_TTL_S = 2.0
+RENEWAL_INTERVAL_S = 0.5
 GRANT_RETRY_S = 0.4
 
+_OWNER_SEPARATOR = "#"
+
+
+def owner_name(node: str, incarnation: str) -> str:
+    """Return the name of one process of a node."""
+    return f"{node}{_OWNER_SEPARATOR}{incarnation}"
+
+
+def node_of_owner(owner: str) -> str:
+    """Return the node whose process an owner is."""
+    return owner.rsplit(_OWNER_SEPARATOR, 1)[0]
+
 
 class Session:
     """Holds one lease at a time.
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -15,7 +15,7 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.mirror import PrefixMirror
-from hollowrack.coordination.session import Session
+from hollowrack.coordination.session import Session, owner_name
 from hollowrack.coordination.store import Committed, CoordinationStore, Put, StoredItem
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
@@ -83,7 +83,7 @@
         rng: random.Random,
     ) -> None:
         self.name = name
-        self.owner = f"{name}#{uuid.UUID(int=rng.getrandbits(128)).hex}"
+        self.owner = owner_name(name, uuid.UUID(int=rng.getrandbits(128)).hex)
         self.is_stopping = False
         store = connections.store
         self._store = store
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -1,4 +1,4 @@
-"""The leader takes over jobs whose owner is gone."""
+"""Jobs whose owner is gone: its node's next process takes them back, or the leader does."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,6 +7,7 @@
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
+from hollowrack.coordination.session import node_of_owner
 from hollowrack.coordination.store import NotDone, Unknown
 from hollowrack.jobs.job_log import JobLog, OpenJob, StoredJob
 from hollowrack.jobs.job_service import JobService
@@ -53,6 +54,7 @@
         await cancel_all(self._task)
 
     async def _run(self) -> None:
+        await self._take_back()
         was_leader = False
         while True:
             await asyncio.sleep(LOOK_S)
@@ -65,6 +67,18 @@
                 self._scan_due_s = now_s() + IDLE_SCAN_S
                 await self._scan()
 
+    async def _take_back(self) -> None:
+        """Take over what an earlier process of this node owned: that process has ended."""
+        node = node_of_owner(self._log.owner)
+        while True:
+            open_jobs = await self._log.open_jobs()
+            if not isinstance(open_jobs, NotDone | Unknown):
+                break
+            await asyncio.sleep(LOOK_S)
+        for job in open_jobs:
+            if node_of_owner(job.owner) == node and job.owner != self._log.owner:
+                await self._take_over(job)
+
     def _note_owners(self) -> None:
         live = self._live_owners()
         if self._seen_owners - live:
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -125,3 +125,23 @@
         assert tokens == sorted(set(tokens))
 
     run_virtual(main())
+
+
+def test_a_leader_that_starts_again_leads_at_once() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        first = Candidate.start(core, "n1#a")
+        await asyncio.sleep(HANDOVER_S + 2.0)
+        assert first.leadership.may_act
+        first.faults.is_silent = True
+        await first.leadership.stop()
+        await first.session.abandon()
+        second = Candidate.start(core, "n1#b")
+        other = Candidate.start(core, "n2#a")
+        await asyncio.sleep(1.2)
+        assert second.leadership.may_act
+        assert not other.leadership.is_leader
+        for candidate in (first, second, other):
+            await candidate.stop()
+
+    run_virtual(main())
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -124,6 +124,23 @@
     run_virtual(main())
 
 
+def test_a_node_that_starts_again_takes_its_jobs_back_before_its_session_runs_out() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 40
+        job = make_job()
+        assert await fleet.nodes["n1"].jobs.submit(job) is None
+        await fleet.kill("n1")
+        node = fleet.start("n1")
+        await asyncio.sleep(0.2)
+        assert node.jobs.owns(job.id)
+        check_whole(job, await read_all(fleet, "n2", job.id, len(job.items)), num_events=40)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_an_owner_whose_session_was_lost_and_a_new_owner_agree() -> None:
     async def main() -> None:
         fleet = Fleet()
