Loads planned by what fits, stragglers' causes removed: longest first, slow workers left, no waits

Change: every worker holds every model where the loads fit, following every second version; workers that serve nothing are loaded first and at once, the others 0.8 s after naming and half at a time; the node that led last leads again without waiting; longest expected items first; pace by worker as a median, a run leaves one that is 2.5 times slower than the best; patience follows recent waits. Ruled out: memory of engines (no preemption without priorities), the portal's capacity.

--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -5,7 +5,8 @@
 that orders of two leaders are apart in time even where receivers do not check fencing tokens.
 
 A process that finds the key in the name of an earlier process of its own node takes it over at
-once: a node runs one process at a time, so that earlier one has ended.
+once: a node runs one process at a time, so that earlier one has ended. A second key, without a
+lease, says who led last: its node need not wait, as nobody else can have acted in between.
 """
 
 import asyncio
@@ -31,6 +32,9 @@
 # An action decided now must reach its receiver before the session can have ended.
 ACTION_MARGIN_S = 0.5
 NO_HANDOVER_S = 0.0
+# The node that led last goes first, if it is there.
+YIELD_S = 0.4
+LAST_SUFFIX = "-last"
 
 
 class Leadership:
@@ -55,10 +59,12 @@
         rng: random.Random,
     ) -> None:
         self.key = key
+        self.last_key = f"{key}{LAST_SUFFIX}"
         self.fencing_token: int | None = None
         self._store = store
         self._session = session
         self._owner = owner
+        self._last: StoredItem | None = None
         self._free_revision = ABSENT_REVISION
         self._wait_s = handover_s
         self._handover_s = handover_s
@@ -110,6 +116,16 @@
         else:
             self._is_free.clear()
 
+    def note_last(self, item: StoredItem | None) -> None:
+        """Take in what the key of the last leader holds."""
+        self._last = item
+
+    @property
+    def _led_last(self) -> bool:
+        if self._last is None:
+            return False
+        return node_of_owner(self._last.value.decode()) == node_of_owner(self._owner)
+
     def _free_from(self, revision: int, wait_s: float) -> None:
         self._free_revision = revision
         self._wait_s = wait_s
@@ -118,7 +134,8 @@
     async def _run(self) -> None:
         while True:
             await self._is_free.wait()
-            await asyncio.sleep(self._rng.uniform(0, CAMPAIGN_JITTER_S))
+            if not self._led_last:
+                await asyncio.sleep(YIELD_S + self._rng.uniform(0, CAMPAIGN_JITTER_S))
             if self._is_free.is_set() and self._session.is_valid:
                 await self._campaign()
             await asyncio.sleep(CAMPAIGN_PAUSE_S)
@@ -127,28 +144,30 @@
         lease = self._session.lease
         if lease is None:
             return
+        last_revision = ABSENT_REVISION if self._last is None else self._last.revision
+        wait_s = NO_HANDOVER_S if self._led_last else self._wait_s
         outcome = await self._store.transact(
-            [Condition(self.key, self._free_revision)],
-            [Put(self.key, self._owner.encode(), lease)],
+            [Condition(self.key, self._free_revision), Condition(self.last_key, last_revision)],
+            [Put(self.key, self._owner.encode(), lease), Put(self.last_key, self._owner.encode())],
         )
         if isinstance(outcome, Committed):
-            self._win(lease, outcome.revision)
+            self._win(lease, outcome.revision, wait_s)
         elif isinstance(outcome, Conflict):
             self._note_conflict(lease, outcome)
 
     def _note_conflict(self, lease: int, outcome: Conflict) -> None:
-        if not outcome.current:
-            self.note(None)
-        for item in outcome.current:
-            # A lost answer of an earlier attempt shows as a key that already names this process.
-            if item.value.decode() == self._owner and item.lease == lease:
-                self._win(lease, item.revision)
-            else:
-                self.note(item)
-
-    def _win(self, lease: int, revision: int) -> None:
+        current = {item.key: item for item in outcome.current}
+        self.note_last(current.get(self.last_key))
+        item = current.get(self.key)
+        # A lost answer of an earlier attempt shows as a key that already names this process.
+        if item is not None and item.value.decode() == self._owner and item.lease == lease:
+            self._win(lease, item.revision, self._handover_s)
+        else:
+            self.note(item)
+
+    def _win(self, lease: int, revision: int, wait_s: float) -> None:
         self._is_free.clear()
         self._lease = lease
         self.fencing_token = revision
-        self._acts_from_s = now_s() + self._wait_s
+        self._acts_from_s = now_s() + wait_s
         logging.info("leader from now on, fencing token %d", revision)
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -254,6 +254,9 @@
         if key == LEADER_KEY:
             self.leadership.note(item)
             return
+        if key == self.leadership.last_key:
+            self.leadership.note_last(item)
+            return
         owner = key.removeprefix(OWNERS_PREFIX)
         owners = self._live_owners | {owner} if item is not None else self._live_owners - {owner}
         self._live_owners = owners
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -126,6 +126,7 @@
             )
         self._workers.begin(worker)
         attempts.begin(worker)
+        sent_s = now_s()
         try:
             async with asyncio.timeout(patience_s):
                 answer = await self._exchange(worker, attempts, end_s)
@@ -141,12 +142,14 @@
             return None
         except TimeoutError:
             self._workers.note_failure(worker)
+            self._workers.note_pace(worker, now_s() - sent_s)
             logging.info("request %s: worker %s is silent", attempts.request_id, worker.id)
             return None
         finally:
             self._workers.end(worker)
         if answer.status < FIRST_SERVER_ERROR:
             self._workers.note_success(worker)
+            self._workers.note_pace(worker, now_s() - sent_s)
             return answer
         attempts.failed_answer = answer
         return None
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import (
     BackEndCall,
     BackEndClient,
@@ -17,6 +18,7 @@
     OpenAnswer,
 )
 from hollowrack.forwarding.event_stream import EventStreamError, EventStreamParser, StreamEvent
+from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 
@@ -24,6 +26,13 @@
 HTTP_UNPROCESSABLE = 422
 FIRST_SERVER_ERROR = 500
 MIN_PAUSE_S = 0.02
+# A run leaves a worker that is much slower than others, but not again and again.
+MIN_EVENTS_BEFORE_MOVE = 6
+MAX_MOVES = 2
+
+
+class _SlowWorkerError(Exception):
+    """The run is better off elsewhere."""
 
 
 class RunEnd(Enum):
@@ -55,13 +64,13 @@
 
     Attributes:
         max_failures: Most answers that say the run failed.
-        first_event_s: Longest wait for the head of an answer, in seconds.
+        patience: Longest wait for the head of an answer.
         silence_s: Longest pause inside an answer, in seconds.
         time_left_s: Time handed to a worker, in seconds.
     """
 
     max_failures: int
-    first_event_s: float
+    patience: FirstEventPatience
     silence_s: float
     time_left_s: float
 
@@ -98,6 +107,8 @@
         after_event: int | None = None,
     ) -> None:
         self.head: OpenAnswer | None = None
+        self.num_attempts = 0
+        self.waited_for_places_s = 0.0
         self._call = call
         self._back_ends = back_ends
         self._workers = workers
@@ -107,6 +118,7 @@
         self._limits = limits
         self._last_number = after_event
         self._num_failures = 0
+        self._num_moves = 0
         self._avoided: frozenset[str] = frozenset()
 
     async def events(self) -> AsyncGenerator[VersionedEvent]:
@@ -116,7 +128,10 @@
             RunEndedError: If the run cannot be finished.
         """
         while True:
+            began_waiting_s = now_s()
             worker = await self._acquire(self._avoided)
+            self.waited_for_places_s += now_s() - began_waiting_s
+            self.num_attempts += 1
             try:
                 async with contextlib.aclosing(self._events_of(worker)) as events:
                     async for event in events:
@@ -125,6 +140,14 @@
                 return
             except NotRunError as error:
                 self._note_not_run(worker, error.reason)
+            except _SlowWorkerError:
+                self._num_moves += 1
+                logging.info(
+                    "run %s: leaves slow worker %s after event %s",
+                    self._call.request_id,
+                    worker.id,
+                    self._last_number,
+                )
             except (BrokenAnswerError, EventStreamError, TimeoutError) as error:
                 self._workers.note_failure(worker)
                 logging.info(
@@ -142,16 +165,18 @@
     async def _events_of(self, worker: Worker) -> AsyncGenerator[VersionedEvent]:
         answer: OpenAnswer | None = None
         try:
-            async with asyncio.timeout(self._limits.first_event_s):
+            sent_s = now_s()
+            async with asyncio.timeout(self._limits.patience.value_s):
                 answer = await self._back_ends.open(
                     worker, self._call, self._limits.time_left_s, self._last_number
                 )
+            self._limits.patience.note(now_s() - sent_s)
             self._check_status(answer)
             if not self._accepts_version(answer.weight_version):
                 raise NotRunError(NotRunReason.BUSY)
             if self.head is None:
                 self.head = answer
-            async with contextlib.aclosing(self._whole_events(answer)) as events:
+            async with contextlib.aclosing(self._whole_events(worker, answer)) as events:
                 async for event in events:
                     yield event
         finally:
@@ -169,8 +194,12 @@
                 raise RunEndedError(RunEnd.FAILED_TOO_OFTEN)
         raise BrokenAnswerError(f"status {answer.status}")
 
-    async def _whole_events(self, answer: OpenAnswer) -> AsyncGenerator[VersionedEvent]:
+    async def _whole_events(
+        self, worker: Worker, answer: OpenAnswer
+    ) -> AsyncGenerator[VersionedEvent]:
         parser = EventStreamParser()
+        num_events = 0
+        last_s = now_s()
         version = answer.weight_version
         chunks = answer.chunks()
         while True:
@@ -179,16 +208,26 @@
                     chunk = await anext(chunks)
             except StopAsyncIteration:
                 break
-            for event in parser.feed(chunk):
+            whole = parser.feed(chunk)
+            if whole:
+                self._workers.note_pace(worker, (now_s() - last_s) / len(whole))
+                last_s = now_s()
+                num_events += len(whole)
+            for event in whole:
                 if self._last_number is not None and event.number != self._last_number + 1:
                     raise EventStreamError(f"event {event.number} is out of order")
                 announced = self._read_version(event)
                 version = announced if announced is not None else version
                 self._last_number = event.number
                 yield VersionedEvent(event, version)
+            if num_events >= MIN_EVENTS_BEFORE_MOVE and self._should_move(worker):
+                raise _SlowWorkerError
         if parser.has_partial_event:
             raise BrokenAnswerError("the answer ends inside an event")
 
+    def _should_move(self, worker: Worker) -> bool:
+        return self._num_moves < MAX_MOVES and self._workers.is_much_slower(worker)
+
     def _note_not_run(self, worker: Worker, reason: NotRunReason) -> None:
         if reason is NotRunReason.BUSY:
             self._workers.note_busy(worker)
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -21,13 +21,15 @@
     ForwardRequest,
     end_of_request_s,
 )
+from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.resumable_run import ResumableRun, RunEndedError, RunLimits
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.results import Problem, ResultCode
 
-FIRST_EVENT_TIMEOUT_S = 2.5
+MIN_FIRST_EVENT_S = 0.8
+MAX_FIRST_EVENT_S = 2.5
 SILENCE_TIMEOUT_S = 1.5
 
 
@@ -66,6 +68,7 @@
         self._back_ends = back_ends
         self._queue = queue
         self._read_version = read_version
+        self._patience = FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
 
     def forward(
         self, request: ForwardRequest, after_event: int | None
@@ -87,7 +90,7 @@
 
         limits = RunLimits(
             request.route.max_attempts,
-            FIRST_EVENT_TIMEOUT_S,
+            self._patience,
             SILENCE_TIMEOUT_S,
             end_s - now_s(),
         )
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -1,17 +1,29 @@
 """The workers this node knows, what it has in flight at each, and direct evidence about them."""
 
+import math
 import random
+from collections import deque
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from statistics import median
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.types import Worker
 
-BUSY_PAUSE_S = 0.08
+BUSY_PAUSE_S = 0.06
+MAX_BUSY_PAUSE_S = 0.24
 UNREACHABLE_PAUSE_S = 0.5
 MAX_UNREACHABLE_PAUSE_S = 4.0
 FAILURE_PAUSE_S = 0.15
 REMOTE_ZONE_PENALTY = 0.06
+NUM_PACES_KEPT = 64
+NUM_PACES_BETWEEN_MEDIANS = 8
+# What is known of a worker's pace fades, so that a slow one is tried again.
+PACE_FADE_S = 6.0
+MIN_SLOWNESS = 1.3
+MUCH_SLOWER = 2.5
+MIN_PACE_S = 0.001
+MAX_SLOWNESS = 10.0
 FAILURE_DECAY = 0.5
 FAILURE_WEIGHT = 2.0
 
@@ -23,7 +35,12 @@
     num_in_flight: int = 0
     paused_until_s: float = -float("inf")
     num_failures_in_a_row: int = 0
+    num_refusals_in_a_row: int = 0
     failure_score: float = 0.0
+    paces_s: deque[float] = field(default_factory=lambda: deque(maxlen=NUM_PACES_KEPT))
+    num_paces: int = 0
+    pace_s: float | None = None
+    pace_noted_s: float = 0.0
 
 
 Eligible = Callable[[Worker], bool]
@@ -99,6 +116,8 @@
         ]
         ready = [worker for worker in candidates if not self._is_paused(worker)]
         if only_with_room:
+            if any(not self.is_much_slower(worker) for worker in candidates):
+                ready = [worker for worker in ready if not self.is_much_slower(worker)]
             candidates = [worker for worker in ready if self._load(worker) < 1.0]
         elif ready:
             candidates = ready
@@ -122,11 +141,31 @@
         """A worker answered well."""
         evidence = self._of(worker)
         evidence.num_failures_in_a_row = 0
+        evidence.num_refusals_in_a_row = 0
         evidence.failure_score *= FAILURE_DECAY
 
+    def note_pace(self, worker: Worker, seconds: float) -> None:
+        """A worker took this long for one unit of its work: a request, or an event of a stream."""
+        evidence = self._of(worker)
+        evidence.paces_s.append(seconds)
+        evidence.pace_noted_s = now_s()
+        evidence.num_paces += 1
+        if evidence.num_paces % NUM_PACES_BETWEEN_MEDIANS == 0:
+            # The median, as a worker that loads weights holds all its runs up for a moment.
+            evidence.pace_s = median(evidence.paces_s)
+
+    def is_much_slower(self, worker: Worker) -> bool:
+        """Whether a worker has lately been much slower than the best of its service."""
+        return self._slowness(worker) >= MUCH_SLOWER
+
     def note_busy(self, worker: Worker) -> None:
         """A worker refused for lack of room."""
-        self._pause(worker, BUSY_PAUSE_S)
+        if self._is_paused(worker):
+            return  # One of many requests that were refused together.
+        evidence = self._of(worker)
+        pause_s = min(MAX_BUSY_PAUSE_S, BUSY_PAUSE_S * 2**evidence.num_refusals_in_a_row)
+        evidence.num_refusals_in_a_row += 1
+        self._pause(worker, pause_s)
 
     def note_failure(self, worker: Worker) -> None:
         """A worker broke an answer off or gave none."""
@@ -164,9 +203,22 @@
     def _load(self, worker: Worker) -> float:
         return self._of(worker).num_in_flight / max(1, worker.capacity)
 
+    def _slowness(self, worker: Worker) -> float:
+        """A worker's pace as a multiple of the best of its service; 1 if nothing is known."""
+        evidence = self._of(worker)
+        if evidence.pace_s is None:
+            return 1.0
+        paces = [self._of(other).pace_s for other in self.serving(worker.service)]
+        best_s = min((pace_s for pace_s in paces if pace_s is not None), default=evidence.pace_s)
+        ratio = min(MAX_SLOWNESS, evidence.pace_s / max(best_s, MIN_PACE_S))
+        fading = math.exp(-(now_s() - evidence.pace_noted_s) / PACE_FADE_S)
+        slowness = 1.0 + (ratio - 1.0) * fading
+        return slowness if slowness >= MIN_SLOWNESS else 1.0
+
     def _cost(self, worker: Worker) -> tuple[float, float]:
         evidence = self._of(worker)
-        cost = self._load(worker) + FAILURE_WEIGHT * evidence.failure_score
+        load = (evidence.num_in_flight + 1) / max(1, worker.capacity)
+        cost = load * self._slowness(worker) + FAILURE_WEIGHT * evidence.failure_score
         if worker.zone != self._zone:
             cost += REMOTE_ZONE_PENALTY
         return (cost, self._rng.random())
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from absl import logging
 
@@ -11,6 +11,7 @@
 from hollowrack.forwarding.dispatch_queue import DispatchQueue, Rank
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import Forwarder, ForwardRequest, WholeAnswer
+from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.resumable_run import (
     ResumableRun,
     RunEndedError,
@@ -22,7 +23,8 @@
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
 
-FIRST_EVENT_TIMEOUT_S = 2.5
+MIN_FIRST_EVENT_S = 0.8
+MAX_FIRST_EVENT_S = 2.5
 SILENCE_TIMEOUT_S = 1.5
 RUN_TIME_S = 30.0
 MIN_SCORER_PATIENCE_S = 0.6
@@ -44,6 +46,7 @@
         forwarder: Forwards scorer calls.
         queue: Hands out places at workers.
         read_version: Reads the weight version that an event announces.
+        patience: Longest wait for the first event of a generation.
     """
 
     routes: RouteTable
@@ -52,6 +55,9 @@
     forwarder: Forwarder
     queue: DispatchQueue
     read_version: Callable[[StreamEvent], int | None]
+    patience: FirstEventPatience = field(
+        default_factory=lambda: FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
+    )
 
 
 class ItemRunner:
@@ -120,9 +126,8 @@
             self._item.target,
             (("Host", self._job.host), *self._item.headers),
             self._item.body,
-            route.priority,
         )
-        limits = RunLimits(route.max_attempts, FIRST_EVENT_TIMEOUT_S, SILENCE_TIMEOUT_S, RUN_TIME_S)
+        limits = RunLimits(route.max_attempts, services.patience, SILENCE_TIMEOUT_S, RUN_TIME_S)
         run = ResumableRun(
             call,
             services.back_ends,
@@ -132,7 +137,18 @@
             self._accepts,
             limits,
         )
-        return [event async for event in run.events()]
+        started_s = now_s()
+        events = [event async for event in run.events()]
+        logging.info(
+            "item %s of job %s: %d events by %d attempts in %.2f s, %.2f s of it waiting",
+            self._item.id,
+            self._job.id,
+            len(events),
+            run.num_attempts,
+            now_s() - started_s,
+            run.waited_for_places_s,
+        )
+        return events
 
     def _has_weights(self, worker: Worker) -> bool:
         if not self._job.model:
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -82,12 +82,11 @@
         route = self._services.routes.lookup(self.job.host, self.job.target)
         priority = route.priority if route is not None else 0
         give_up_s = _give_up_time_s(route)
-        group_numbers: dict[str, int] = {}
         for item in self.job.items:
-            group_number = group_numbers.setdefault(item.group, len(group_numbers))
             if item.id in listed:
                 continue
-            rank = (priority, self._sequence, group_number)
+            # The longest first: what starts last should not be what takes longest.
+            rank = (self._sequence, priority, -item.expected_tokens)
             runner = ItemRunner(self._services, self.job, item, rank, give_up_s)
             self._item_tasks[item.id] = asyncio.create_task(self._run_item(item, runner))
 
--- a/src/hollowrack/jobs/types.py
+++ b/src/hollowrack/jobs/types.py
@@ -35,6 +35,7 @@
         body: The body.
         group: Items of one group share their prompt; empty if it belongs to none.
         scorer: How its text is scored; ``None`` if it is not.
+        expected_tokens: How many tokens will probably come out; 0 if nobody can tell.
     """
 
     id: str
@@ -43,6 +44,7 @@
     body: bytes
     group: str = ""
     scorer: ScorerCall | None = None
+    expected_tokens: int = 0
 
 
 @message("job.job")
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -19,7 +19,7 @@
 from hollowrack.tasks import cancel_all
 
 OPERATOR_PACE_S = 0.3
-WORKER_PACE_S = 0.9
+WORKER_PACE_S = 0.5
 # Changes missed by a watch must be noticed well inside the two seconds they have.
 OPERATOR_WAIT_S = 0.6
 MAX_CONNECTIONS = 3000
--- a/src/hollowrack/platform/job_format.py
+++ b/src/hollowrack/platform/job_format.py
@@ -71,9 +71,17 @@
         base64.b64decode(entry.get("body") or "", validate=True),
         str(entry.get("group") or ""),
         _scorer(scorer) if scorer else None,
+        _expected_tokens(headers),
     )
 
 
+def _expected_tokens(headers: tuple[tuple[str, str], ...]) -> int:
+    for name, value in headers:
+        if name.lower() == names.LENGTH_HINT.lower() and value.isdigit():
+            return int(value)
+    return 0
+
+
 def _scorer(entry: dict[str, Any]) -> ScorerCall:
     return ScorerCall(
         str(entry["id"]),
--- a/src/hollowrack/platform/names.py
+++ b/src/hollowrack/platform/names.py
@@ -9,6 +9,7 @@
 RETRY_AFTER = "Retry-After"
 WAIT_MS = "Wait-Ms"
 REQUEST_PRIORITY = "Request-Priority"
+LENGTH_HINT = "Length-Hint"
 WEIGHT_VERSIONS = "Weight-Versions"
 WEIGHT_VERSIONS_FIELD = "weight-versions"
 
--- a/src/hollowrack/weights/order_giver.py
+++ b/src/hollowrack/weights/order_giver.py
@@ -13,16 +13,18 @@
 
 from absl import logging
 
+from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.forwarding.types import Service, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.tasks import cancel_all
-from hollowrack.weights.plan import VersionMove, assign_models, next_moves
+from hollowrack.weights.plan import VersionMove, next_moves, plan_loads
 
 LOOK_S = 0.1
+LOAD_DELAY_S = 0.8
 LOAD_TIME_S = 0.9
-REPORT_POLL_S = 0.25
-MAX_REPORT_POLLS = 40
+REPORT_POLL_S = 0.1
+MAX_REPORT_POLLS = 100
 FAILURE_PAUSE_S = 0.4
 
 
@@ -106,6 +108,8 @@
         self._client = client
         self._confirmed: dict[tuple[str, str], int] = {}
         self._moves: dict[str, asyncio.Task[None]] = {}
+        self._loading: dict[str, str] = {}
+        self._ripe_from_s: dict[tuple[str, int], float] = {}
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -123,19 +127,37 @@
                 self._start_moves()
 
     def _start_moves(self) -> None:
-        named: dict[str, int] = {}
-        assigned: dict[str, tuple[Worker, ...]] = {}
+        held = self._held_versions()
+        ripe = {model for model in self._named_versions if self._is_ripe(model)}
         for service in self._services():
-            models = [model for model in service.models if model in self._named_versions]
-            assigned |= assign_models(service.models, self._workers.serving(service.name))
-            named |= {model: self._named_versions[model] for model in models}
-        for move in next_moves(named, assigned, self._held_versions(), self._moves):
-            task = asyncio.create_task(self._carry_out(move))
-            self._moves[move.worker.id] = task
-            task.add_done_callback(partial(self._forget, move.worker.id))
+            workers = self._workers.serving(service.name)
+            plan = plan_loads(service.models, workers, held)
+            named = {
+                model: self._named_versions[model]
+                for model in service.models
+                if model in self._named_versions
+            }
+            for move in next_moves(named, ripe, plan, held, self._loading):
+                self._start_move(move)
+
+    def _start_move(self, move: VersionMove) -> None:
+        task = asyncio.create_task(self._carry_out(move))
+        self._moves[move.worker.id] = task
+        self._loading[move.worker.id] = move.model
+        task.add_done_callback(partial(self._forget, move.worker.id))
+
+    def _is_ripe(self, model: str) -> bool:
+        """Whether the newest version was named some time ago.
+
+        A step is asked for as its version is named, and its items may still use the version before:
+        loads wait until those items are at the workers.
+        """
+        key = (model, self._named_versions[model])
+        return now_s() >= self._ripe_from_s.setdefault(key, now_s() + LOAD_DELAY_S)
 
     def _forget(self, worker_id: str, _: asyncio.Task[None]) -> None:
         self._moves.pop(worker_id, None)
+        self._loading.pop(worker_id, None)
 
     def _held_versions(self) -> dict[tuple[str, str], int]:
         held = dict(self._confirmed)
--- a/src/hollowrack/weights/plan.py
+++ b/src/hollowrack/weights/plan.py
@@ -1,13 +1,22 @@
 """Which worker holds which model, and which of them to move next: pure decisions."""
 
+from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
+from math import ceil
 
 from hollowrack.forwarding.types import Worker
 
 # Each model is kept current on at least this many workers, so that one may fail.
 MIN_WORKERS_PER_MODEL = 2
 MAX_CONCURRENT_LOADS = 2
+# Loads that fit between two versions: two at a time, about a second each, versions 4 s apart.
+MAX_LOADS_PER_VERSION = 8
+# A version serves two steps, so half of the workers may skip each version.
+NUM_STEPS_SERVED = 2
+
+# Version by worker identity and model.
+HeldVersions = Mapping[tuple[str, str], int]
 
 
 @dataclass(frozen=True)
@@ -19,72 +28,141 @@
     version: int
 
 
-def assign_models(
-    models: Sequence[str], workers: Sequence[Worker]
-) -> dict[str, tuple[Worker, ...]]:
-    """Assign each model the workers that are kept current for it.
+@dataclass(frozen=True)
+class LoadPlan:
+    """Where models are kept, and on how many of these workers the newest version is wanted.
+
+    Attributes:
+        holders: Workers that are kept useful for each model.
+        skips_versions: Whether only half of them follow each version.
+    """
+
+    holders: Mapping[str, tuple[Worker, ...]]
+    skips_versions: bool
+
+    def num_wanted(self, model: str) -> int:
+        """How many holders of a model should hold its newest version."""
+        num_holders = len(self.holders.get(model, ()))
+        return ceil(num_holders / NUM_STEPS_SERVED) if self.skips_versions else num_holders
+
+
+def plan_loads(
+    models: Sequence[str], workers: Sequence[Worker], held_versions: HeldVersions
+) -> LoadPlan:
+    """Plan which workers hold which models.
 
-    With one model every worker holds it. With several, each model has a share of the workers of
-    its own, as loads take time and every worker can load one model at a time.
+    Every worker holds every model if the loads fit between two versions, for each version or for
+    every second one. Otherwise each model has as many workers of its own as fit. A model stays
+    where its newest versions are, so that the loss of a worker moves little.
     """
-    ordered = sorted(workers, key=lambda worker: worker.id)
     names = sorted(models)
-    if not ordered or not names:
-        return dict.fromkeys(names, ())
+    num_pairs = len(names) * len(workers)
+    if num_pairs <= MAX_LOADS_PER_VERSION:
+        return LoadPlan({name: tuple(workers) for name in names}, skips_versions=False)
+    share = MAX_LOADS_PER_VERSION * NUM_STEPS_SERVED // len(names)
+    share = min(len(workers), max(MIN_WORKERS_PER_MODEL, share))
     if len(names) == 1:
-        return {names[0]: tuple(ordered)}
-    share = max(MIN_WORKERS_PER_MODEL, len(ordered) // len(names))
-    share = min(share, len(ordered))
-    assigned: dict[str, tuple[Worker, ...]] = {}
-    next_place = 0
+        share = len(workers)
+    return LoadPlan(_assign(names, workers, held_versions, share), skips_versions=True)
+
+
+def _assign(
+    names: Sequence[str], workers: Sequence[Worker], held_versions: HeldVersions, share: int
+) -> dict[str, tuple[Worker, ...]]:
+    max_models = ceil(share * len(names) / len(workers))
+    num_models: Counter[str] = Counter()
+    assigned: dict[str, list[Worker]] = {}
+    # Those that hold a model already are counted for all models before any gap is filled.
+    for name in names:
+        assigned[name] = _incumbents(name, workers, held_versions)[:share]
+        num_models.update(worker.id for worker in assigned[name])
     for name in names:
-        places = [(next_place + offset) % len(ordered) for offset in range(share)]
-        assigned[name] = tuple(ordered[place] for place in places)
-        next_place = (next_place + share) % len(ordered)
-    return assigned
+        others = [worker for worker in workers if worker not in assigned[name]]
+        while len(assigned[name]) < share:
+            best = min(
+                others,
+                key=lambda worker: (
+                    num_models[worker.id] >= max_models,
+                    num_models[worker.id],
+                    worker.id,
+                ),
+            )
+            others.remove(best)
+            assigned[name].append(best)
+            num_models[best.id] += 1
+    return {name: tuple(holders) for name, holders in assigned.items()}
+
+
+def _incumbents(model: str, workers: Sequence[Worker], held_versions: HeldVersions) -> list[Worker]:
+    """Workers that were kept current for a model, newest version first; none at the beginning."""
+    versions = {worker.id: held_versions.get((worker.id, model), 0) for worker in workers}
+    newest = max(versions.values())
+    if newest == min(versions.values()):
+        return []
+    current = [worker for worker in workers if versions[worker.id] > newest - NUM_STEPS_SERVED]
+    return sorted(current, key=lambda worker: (-versions[worker.id], worker.id))
 
 
 def next_moves(
     named_versions: Mapping[str, int],
-    assigned: Mapping[str, Sequence[Worker]],
-    held_versions: Mapping[tuple[str, str], int],
-    loading: Collection[str],
+    ripe_models: Collection[str],
+    plan: LoadPlan,
+    held_versions: HeldVersions,
+    loading: Mapping[str, str],
     max_concurrent: int = MAX_CONCURRENT_LOADS,
 ) -> list[VersionMove]:
-    """Return the moves to start now, the models that are furthest behind first.
+    """Return the moves to start now.
+
+    A worker that holds the version before the named one may still serve the step in progress, and
+    it refuses new runs while it loads. Such workers are moved only once the model is ripe, half of
+    them at a time. Workers that are further behind serve nothing: they are moved first, at once.
 
     Args:
         named_versions: Newest version named of each model.
-        assigned: Workers kept current for each model.
-        held_versions: Version by worker identity and model, as far as known.
-        loading: Identities of workers that are carrying out an order.
+        ripe_models: Models whose current workers may be moved on.
+        plan: Where models are kept.
+        held_versions: Versions as far as known.
+        loading: The model that each worker is loading, by worker identity.
         max_concurrent: Most workers loading at a time.
     """
-    behind = [
-        (num_current(model, version, assigned, held_versions), model, worker)
-        for model, version in sorted(named_versions.items())
-        for worker in assigned.get(model, ())
-        if held_versions.get((worker.id, model), 0) < version
-    ]
-    behind.sort(key=lambda entry: (entry[0], entry[1], entry[2].id))
     moves: list[VersionMove] = []
     taken = set(loading)
-    for _, model, worker in behind:
+    loaded_by_model = Counter(loading.values())
+    for is_useful, model, worker in _behind(named_versions, plan.holders, held_versions):
         if len(taken) >= max_concurrent:
             break
-        if worker.id not in taken:
-            taken.add(worker.id)
-            moves.append(VersionMove(worker, model, named_versions[model]))
+        num_holders = len(plan.holders[model])
+        num_ahead = loaded_by_model[model] + sum(
+            held_versions.get((holder.id, model), 0) >= named_versions[model]
+            for holder in plan.holders[model]
+        )
+        may_move = not is_useful or (
+            model in ripe_models
+            and loaded_by_model[model] < max(1, num_holders // 2)
+            and num_ahead < plan.num_wanted(model)
+        )
+        if worker.id in taken or not may_move:
+            continue
+        taken.add(worker.id)
+        loaded_by_model[model] += 1
+        moves.append(VersionMove(worker, model, named_versions[model]))
     return moves
 
 
-def num_current(
-    model: str,
-    version: int,
-    assigned: Mapping[str, Sequence[Worker]],
-    held_versions: Mapping[tuple[str, str], int],
-) -> int:
-    """How many of a model's workers hold a version already."""
-    return sum(
-        held_versions.get((worker.id, model), 0) >= version for worker in assigned.get(model, ())
-    )
+def _behind(
+    named_versions: Mapping[str, int],
+    holders: Mapping[str, tuple[Worker, ...]],
+    held_versions: HeldVersions,
+) -> list[tuple[bool, str, Worker]]:
+    """Workers behind, as (still useful, model, worker): useless ones and bare models first."""
+    entries: list[tuple[tuple[bool, int, str, str], tuple[bool, str, Worker]]] = []
+    for model, version in named_versions.items():
+        versions = [held_versions.get((worker.id, model), 0) for worker in holders.get(model, ())]
+        num_useful = sum(held >= version - 1 for held in versions)
+        for worker, held in zip(holders.get(model, ()), versions, strict=True):
+            if held < version:
+                is_useful = held >= version - 1
+                order = (is_useful, num_useful, model, worker.id)
+                entries.append((order, (is_useful, model, worker)))
+    entries.sort(key=lambda entry: entry[0])
+    return [entry for _, entry in entries]
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -22,6 +22,7 @@
 class Candidate:
     """A node as far as leadership goes."""
 
+    name: str
     session: Session
     leadership: Leadership
     mirror: PrefixMirror
@@ -38,13 +39,20 @@
         def note(key: str, item: StoredItem | None) -> None:
             if key == KEY:
                 leadership.note(item)
+            elif key == leadership.last_key:
+                leadership.note_last(item)
 
         mirror = PrefixMirror(store, "s/", note, 0.2, rng)
         session.start()
         mirror.start()
         leadership.start()
-        leadership.note(None)
-        return cls(session, leadership, mirror, faults)
+        asyncio.create_task(cls._note_first(mirror, leadership))  # noqa: RUF006 (ends by itself)
+        return cls(name, session, leadership, mirror, faults)
+
+    @staticmethod
+    async def _note_first(mirror: PrefixMirror, leadership: Leadership) -> None:
+        await mirror.is_loaded.wait()
+        leadership.note(mirror.items.get(KEY))
 
     async def stop(self) -> None:
         await self.leadership.stop()
@@ -145,3 +153,45 @@
             await candidate.stop()
 
     run_virtual(main())
+
+
+def test_the_node_that_led_last_leads_again_without_waiting_when_all_start_again() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        first = [Candidate.start(core, f"n{index}#a") for index in range(4)]
+        await asyncio.sleep(HANDOVER_S + 2.0)
+        (old,) = await leaders(first)
+        name = old.name.removesuffix("#a")
+        for candidate in first:
+            candidate.faults.is_silent = True
+            await candidate.leadership.stop()
+            await candidate.session.abandon()
+        await asyncio.sleep(SESSION_TTL_S + 1.0)
+        second = [Candidate.start(core, f"n{index}#b") for index in range(4)]
+        await asyncio.sleep(1.0)
+        (new,) = await leaders(second)
+        assert new.name == f"{name}#b"
+        assert new.leadership.may_act
+        for candidate in (*first, *second):
+            await candidate.stop()
+
+    run_virtual(main())
+
+
+def test_a_node_that_led_before_another_waits_like_any_other() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        first = Candidate.start(core, "n1#a")
+        await asyncio.sleep(HANDOVER_S + 2.0)
+        await first.stop()
+        second = Candidate.start(core, "n2#a")
+        await asyncio.sleep(HANDOVER_S + 2.0)
+        assert second.leadership.may_act
+        await second.stop()
+        again = Candidate.start(core, "n1#b")
+        await asyncio.sleep(HANDOVER_S - 0.5)
+        assert again.leadership.is_leader
+        assert not again.leadership.may_act
+        await again.stop()
+
+    run_virtual(main())
--- a/tests/forwarding/test_resumable_run.py
+++ b/tests/forwarding/test_resumable_run.py
@@ -7,6 +7,7 @@
 
 from hollowrack.forwarding.back_end import BackEndCall, NotRunReason
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.resumable_run import (
     ResumableRun,
     RunEnd,
@@ -39,7 +40,7 @@
         acquire,
         lambda _: None,
         lambda version: version is None or version >= min_version,
-        RunLimits(3, 1.0, 0.5, 30.0),
+        RunLimits(3, FirstEventPatience(0.5, 1.0), 0.5, 30.0),
     )
 
 
@@ -144,3 +145,49 @@
         assert directory.num_in_flight(directory.all()[0]) == 0
 
     run_virtual(main())
+
+
+def test_patience_follows_the_longest_of_the_latest_waits() -> None:
+    patience = FirstEventPatience(0.5, 3.0)
+    assert patience.value_s == 3.0
+    for _ in range(20):
+        patience.note(0.01)
+    assert patience.value_s == 0.5
+    patience.note(0.4)
+    assert patience.value_s == 1.0
+    patience.note(9.0)
+    assert patience.value_s == 3.0
+
+
+def test_a_long_run_leaves_a_worker_that_turned_slow() -> None:
+    async def main() -> None:
+        slow = WorkerBehaviour(work_s=0.2)
+        back_ends = BackEndsStandin({"w0": slow, "w1": WorkerBehaviour(work_s=0.02)})
+        back_ends.num_events = 100
+        directory = make_directory(make_worker("w0"))
+        run = asyncio.create_task(events_of(make_run(back_ends, directory)))
+        await asyncio.sleep(1.0)
+        directory.put(make_worker("w1"))
+        for _ in range(8):
+            directory.note_pace(make_worker("w1"), 0.02)
+        events = await run
+        assert [event.event.data for event in events] == [f"q1.{n}" for n in range(1, 101)]
+        assert back_ends.ran_at["q1"] == ["w0", "w1"]
+        assert sum(back_ends.running.values()) == 0
+
+    run_virtual(main())
+
+
+def test_a_slow_worker_is_avoided_and_tried_again_later() -> None:
+    async def main() -> None:
+        directory = make_directory(make_worker("w0"), make_worker("w1"))
+        for _ in range(20):
+            directory.note_pace(make_worker("w0"), 0.2)
+            directory.note_pace(make_worker("w1"), 0.02)
+        chosen = {getattr(directory.choose("svc"), "id", None) for _ in range(20)}
+        assert chosen == {"w1"}
+        await asyncio.sleep(60.0)
+        chosen = {getattr(directory.choose("svc"), "id", None) for _ in range(50)}
+        assert chosen == {"w0", "w1"}
+
+    run_virtual(main())
--- a/tests/weights/test_order_giver.py
+++ b/tests/weights/test_order_giver.py
@@ -38,8 +38,10 @@
     num_lost: int = 0
     late_s: list[float] = field(default_factory=list)
     most_busy: int = 0
+    num_reports: int = 0
 
     async def report(self, worker: Worker) -> WorkerReport | None:
+        self.num_reports += 1
         await asyncio.sleep(0.002)
         version = self.versions.setdefault(worker.id, 1)
         num_orders = self.num_orders.setdefault(worker.id, 0)
@@ -154,7 +156,8 @@
 def test_leadership_lost_between_report_and_order_stops_the_order() -> None:
     async def scenario(scene: Scene) -> None:
         scene.named[MODEL] = 2
-        await asyncio.sleep(0.101)
+        while not scene.workers.num_reports:  # noqa: ASYNC110 (no event)
+            await asyncio.sleep(0.0005)
         scene.leadership.fencing_token = None
         scene.leadership.may_act = False
         await asyncio.sleep(5.0)
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -5,68 +5,129 @@
 from hypothesis import strategies as st
 
 from hollowrack.forwarding.types import Worker
-from hollowrack.weights.plan import MAX_CONCURRENT_LOADS, assign_models, next_moves
+from hollowrack.weights.plan import (
+    MAX_CONCURRENT_LOADS,
+    MAX_LOADS_PER_VERSION,
+    LoadPlan,
+    next_moves,
+    plan_loads,
+)
 
 
 def make_workers(count: int) -> list[Worker]:
     return [Worker(f"w{index}", "svc", "127.0.0.1:1", "z", 8) for index in range(count)]
 
 
-def test_one_model_is_held_by_every_worker() -> None:
-    workers = make_workers(4)
-    assert assign_models(["m"], workers) == {"m": tuple(workers)}
+def full_plan(count: int, models: str = "m") -> LoadPlan:
+    workers = tuple(make_workers(count))
+    return LoadPlan(dict.fromkeys(models, workers), skips_versions=False)
+
+
+@pytest.mark.parametrize(
+    ("num_workers", "num_models", "num_holders", "skips"),
+    [
+        (4, 1, 4, False),
+        (8, 1, 8, False),
+        (12, 1, 12, True),
+        (2, 3, 2, False),
+        (5, 3, 5, True),
+        (9, 3, 5, True),
+        (5, 8, 2, True),
+        (1, 9, 1, True),
+        (0, 3, 0, False),
+    ],
+)
+def test_as_many_workers_hold_a_model_as_loads_fit(
+    num_workers: int, num_models: int, num_holders: int, skips: bool
+) -> None:
+    models = [f"m{index}" for index in range(num_models)]
+    plan = plan_loads(models, make_workers(num_workers), {})
+    assert plan.skips_versions is skips
+    assert {len(holders) for holders in plan.holders.values()} == {num_holders}
 
 
 @given(st.integers(0, 12), st.integers(0, 5))
-def test_every_model_has_workers_and_shares_are_even(num_workers: int, num_models: int) -> None:
+def test_shares_are_even_and_name_each_worker_once(num_workers: int, num_models: int) -> None:
     models = [f"m{index}" for index in range(num_models)]
-    assigned = assign_models(models, make_workers(num_workers))
-    assert set(assigned) == set(models)
-    sizes = {len(workers) for workers in assigned.values()}
-    assert len(sizes) <= 1
-    for workers in assigned.values():
-        assert len({worker.id for worker in workers}) == len(workers)
-        assert len(workers) >= min(2, num_workers)
+    plan = plan_loads(models, make_workers(num_workers), {})
+    assert set(plan.holders) == set(models)
+    assert len({len(holders) for holders in plan.holders.values()}) <= 1
+    for holders in plan.holders.values():
+        assert len({worker.id for worker in holders}) == len(holders)
+        assert len(holders) >= min(2, num_workers)
 
 
 @pytest.mark.parametrize(
     ("held", "loading", "expected"),
     [
-        ({}, set(), {"w0", "w1"}),
-        ({("w0", "m"): 5}, set(), {"w1", "w2"}),
-        ({("w0", "m"): 4}, {"w1"}, {"w0"}),
-        ({}, {"w0", "w1"}, set()),
-        ({("w0", "m"): 5, ("w1", "m"): 6, ("w2", "m"): 5}, set(), set()),
+        ({}, {}, {"w0", "w1"}),
+        ({("w0", "m"): 5}, {}, {"w1", "w2"}),
+        ({("w0", "m"): 4}, {"w1": "m"}, {"w2"}),
+        ({}, {"w0": "m", "w1": "m"}, set()),
+        ({}, {"w0": "other"}, {"w1"}),
+        ({(f"w{n}", "m"): 5 + n % 2 for n in range(4)}, {}, set()),
     ],
 )
 def test_workers_behind_are_moved_two_at_a_time(
-    held: dict[tuple[str, str], int], loading: set[str], expected: set[str]
+    held: dict[tuple[str, str], int], loading: dict[str, str], expected: set[str]
 ) -> None:
-    workers = make_workers(3)
-    moves = next_moves({"m": 5}, {"m": workers}, held, loading)
+    moves = next_moves({"m": 5}, {"m"}, full_plan(4), held, loading)
     assert {move.worker.id for move in moves} == expected
     assert all(move.version == 5 for move in moves)
 
 
-@given(
-    st.integers(1, 8),
-    st.lists(st.integers(1, 9), min_size=1, max_size=4),
-    st.randoms(use_true_random=False),
-)
-def test_repeated_moves_bring_every_worker_up(
-    num_workers: int, named: list[int], rng: object
+def test_half_of_a_models_useful_workers_stay_open_to_new_runs() -> None:
+    workers = make_workers(4)
+    plan = LoadPlan({"a": tuple(workers[:2]), "b": tuple(workers[2:])}, skips_versions=False)
+    named = {"a": 3, "b": 3}
+    held = {(worker.id, model): 2 for model, holders in plan.holders.items() for worker in holders}
+    moves = next_moves(named, {"a", "b"}, plan, held, {})
+    assert {(move.worker.id, move.model) for move in moves} == {("w0", "a"), ("w2", "b")}
+    moves = next_moves(named, {"a", "b"}, plan, held | {("w2", "b"): 3}, {"w0": "a"})
+    assert {(move.worker.id, move.model) for move in moves} == {("w3", "b")}
+
+
+def test_useful_workers_wait_until_their_model_is_ripe_and_useless_ones_do_not() -> None:
+    plan = full_plan(2, "a")
+    held = {("w0", "a"): 2, ("w1", "a"): 2}
+    assert next_moves({"a": 3}, set(), plan, held, {}) == []
+    moves = next_moves({"a": 4}, set(), plan, held, {})
+    assert {move.worker.id for move in moves} == {"w0", "w1"}
+
+
+def test_models_stay_where_they_are_when_a_worker_goes() -> None:
+    workers = make_workers(9)
+    models = ["a", "b", "c"]
+    before = plan_loads(models, workers, {}).holders
+    held = {(worker.id, model): 7 for model, holders in before.items() for worker in holders}
+    for gone in workers:
+        left = [worker for worker in workers if worker is not gone]
+        after = plan_loads(models, left, held).holders
+        for model in models:
+            stayed = {worker.id for worker in before[model]} - {gone.id}
+            assert stayed <= {worker.id for worker in after[model]}
+
+
+@given(st.integers(1, 9), st.integers(1, 4))
+def test_versions_named_one_after_the_other_find_workers_for_every_step(
+    num_workers: int, num_models: int
 ) -> None:
-    del rng
-    models = {f"m{index}": version for index, version in enumerate(named)}
+    models = [f"m{index}" for index in range(num_models)]
     workers = make_workers(num_workers)
-    assigned = assign_models(list(models), workers)
-    held: dict[tuple[str, str], int] = {}
-    for _ in range(200):
-        moves = next_moves(models, assigned, held, ())
-        assert len(moves) <= MAX_CONCURRENT_LOADS
-        assert len({move.worker.id for move in moves}) == len(moves)
-        if not moves:
-            break
-        held |= {(move.worker.id, move.model): move.version for move in moves}
-    for model, version in models.items():
-        assert all(held[(worker.id, model)] == version for worker in assigned[model])
+    held = {(worker.id, model): 1 for worker in workers for model in models}
+    for version in range(2, 9):
+        named = dict.fromkeys(models, version)
+        plan = plan_loads(models, workers, held)
+        for model, holders in plan.holders.items():
+            useful = [w for w in holders if held[(w.id, model)] >= version - 1]
+            assert len(useful) >= len(holders) // 2, "a step begins with half of the workers"
+        num_loads = 0
+        while moves := next_moves(named, set(models), plan, held, {}):
+            assert len(moves) <= MAX_CONCURRENT_LOADS
+            assert len({move.worker.id for move in moves}) == len(moves)
+            num_loads += len(moves)
+            held |= {(move.worker.id, move.model): version for move in moves}
+        if num_models <= 2:
+            assert num_loads <= MAX_LOADS_PER_VERSION + num_models
+        for model, holders in plan.holders.items():
+            assert all(held[(worker.id, model)] >= version - 1 for worker in holders)
