--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 
 from absl import logging
@@ -30,6 +31,7 @@
 MIN_RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 0.8
 LATE_ANSWER_S = 0.5
+MAX_HISTORY = 512
 
 OnChange = Callable[[str, StoredItem | None], None]
 
@@ -60,6 +62,10 @@
         self.items: dict[str, StoredItem] = {}
         self.is_loaded = asyncio.Event()
         self.last_heard_s = -float("inf")
+        self.reached_revision = 0
+        self._history: deque[tuple[int, str, StoredItem | None]] = deque(maxlen=MAX_HISTORY)
+        self._history_from = 0
+        self._changed = asyncio.Event()
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
@@ -81,6 +87,21 @@
         """Stop following the store."""
         await cancel_all(self._task)
 
+    def changes_after(self, revision: int) -> list[tuple[str, StoredItem | None]] | None:
+        """Return the changes behind a store revision; ``None`` if they are no longer kept."""
+        if revision < self._history_from:
+            return None
+        return [(key, item) for at, key, item in self._history if at > revision]
+
+    async def wait_for_change(self, wait_s: float) -> None:
+        """Wait until something changes, at most ``wait_s`` seconds."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(wait_s):
+                await changed.wait()
+        except TimeoutError:
+            return
+
     def recheck(self) -> None:
         """List again now: what the watch has heard may not be all."""
         self._must_list = True
@@ -115,9 +136,12 @@
             self._note_failure(changes)
             return None
         self._note_heard()
+        reached = max(revision, changes.revision)
         for key, item in changes.items:
             self._apply(key, item)
-        return max(revision, changes.revision)
+            self._remember(reached if item is None else item.revision, key, item)
+        self._reach(reached, bool(changes.items))
+        return reached
 
     async def _watch(self, revision: int) -> Changes | HistoryGone | Unavailable | None:
         """Watch once; ``None`` if a recheck came in between."""
@@ -142,8 +166,22 @@
         self._must_list = False
         self._note_heard()
         self._replace(listed)
+        self._history.clear()
+        self._history_from = listed.revision
+        self._reach(listed.revision, True)
         return listed.revision
 
+    def _remember(self, revision: int, key: str, item: StoredItem | None) -> None:
+        if len(self._history) == MAX_HISTORY:
+            self._history_from = self._history[0][0]
+        self._history.append((revision, key, item))
+
+    def _reach(self, revision: int, has_changed: bool) -> None:
+        self.reached_revision = revision
+        if has_changed:
+            self._changed.set()
+            self._changed = asyncio.Event()
+
     def _note_heard(self) -> None:
         self.last_heard_s = now_s()
         if self._is_failing:
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -53,6 +53,7 @@
         back_ends: Sends requests to workers.
         orders: Talks to workers about their weights.
         read_version: Reads the weight version that an event announces.
+        address: Where other nodes reach this one; empty if they do not.
         complete_retirement: Tells the operators that a machine is empty.
     """
 
@@ -61,6 +62,7 @@
     orders: OrderClient
     read_version: Callable[[StreamEvent], int | None]
     complete_retirement: Callable[[str], Awaitable[bool]]
+    address: str = ""
 
 
 class EdgeNode:
@@ -104,11 +106,14 @@
         )
         log = JobLog(store, self.owner)
         self.jobs = JobService(log, JobReader(store, log), self.services)
-        self._live_owners: set[str] = set()
+        self._address = connections.address
+        self._live_owners: dict[str, str] = {}
         self._sessions = PrefixMirror(
             store, SESSIONS_PREFIX, self._on_session_key, SESSIONS_PACE_S, rng
         )
-        self._takeover = JobTakeover(log, self.jobs, self.leadership, lambda: self._live_owners)
+        self._takeover = JobTakeover(
+            log, self.jobs, self.leadership, lambda: set(self._live_owners)
+        )
         self._named_versions: dict[str, int] = {}
         self._order_giver = OrderGiver(
             name,
@@ -172,6 +177,13 @@
         await self._sessions.stop()
         await self.session.abandon()
 
+    def leader_address(self) -> str | None:
+        """Where the leader is reached; ``None`` if this node leads or the leader is not known."""
+        leader = self._sessions.items.get(LEADER_KEY)
+        if leader is None or leader.value.decode() == self.owner:
+            return None
+        return self._live_owners.get(leader.value.decode()) or None
+
     # -- listener of the feed ---------------------------------------------------------------
 
     def configuration_changed(self, configuration: RoutingConfiguration) -> None:
@@ -210,7 +222,7 @@
             changed = self.session.changed
             lease = self.session.lease
             if lease is not None and lease != registered_lease:
-                outcome = await self._store.transact([], [Put(key, b"", lease)])
+                outcome = await self._store.transact([], [Put(key, self._address.encode(), lease)])
                 if isinstance(outcome, Committed):
                     registered_lease = lease
                     continue
@@ -258,8 +270,10 @@
             self.leadership.note_last(item)
             return
         owner = key.removeprefix(OWNERS_PREFIX)
-        owners = self._live_owners | {owner} if item is not None else self._live_owners - {owner}
-        self._live_owners = owners
+        if item is None:
+            self._live_owners.pop(owner, None)
+        else:
+            self._live_owners[owner] = item.value.decode()
 
     def _on_end_key(self, key: str, item: StoredItem | None) -> None:
         if item is not None:
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -7,10 +7,15 @@
 
 import aiohttp
 from absl import logging
+from starlette.applications import Starlette
 
 from hollowrack.api.server import HttpServer
+from hollowrack.coordination.feed_http import HttpFeedClient, feed_routes
+from hollowrack.coordination.sharing import MirrorFeed, SharedStore
+from hollowrack.coordination.store import Committed, Put
 from hollowrack.edge_node import EdgeConnections, EdgeNode
 from hollowrack.forwarding.stream_forwarder import StreamForwarder
+from hollowrack.platform.configuration import retirement_status
 from hollowrack.platform.feed import PlatformFeed
 from hollowrack.platform.ingress import IngressApp, ReadinessApp
 from hollowrack.platform.settings import MS_PER_S, ProcessSettings, read_process_settings
@@ -18,10 +23,11 @@
 from hollowrack.platform.worker_client import PlatformWorkers, announced_version
 from hollowrack.tasks import cancel_all
 
-OPERATOR_PACE_S = 0.3
-WORKER_PACE_S = 0.5
+# Only the leader's watches reach the store, so that they may be close.
+OPERATOR_PACE_S = 0.15
+WORKER_PACE_S = 0.25
 # Changes missed by a watch must be noticed well inside the two seconds they have.
-OPERATOR_WAIT_S = 0.6
+OPERATOR_WAIT_S = 0.5
 MAX_CONNECTIONS = 3000
 READ_TIMEOUT_S = 40.0
 IDLE_TIMEOUT_S = 60.0
@@ -52,19 +58,28 @@
             ProblemError: ``ADDRESS_UNAVAILABLE``.
         """
         settings = self._settings
-        self._sessions = [_session(), _session(), _session(force_close=True)]
+        self._sessions = [_session(), _session(), _session(force_close=True), _session()]
         store = PlatformStore(self._sessions[0], settings.platform.address)
         workers = PlatformWorkers(self._sessions[1], self._sessions[2])
         self.node = EdgeNode(
             settings.node_name,
             settings.zone,
             settings.bounds.lease_ms / MS_PER_S,
-            EdgeConnections(store, workers, workers, announced_version, self._complete_retirement),
+            EdgeConnections(
+                store,
+                workers,
+                workers,
+                announced_version,
+                self._complete_retirement,
+                settings.listen.control_plane,
+            ),
             self._rng,
         )
+        shared = SharedStore(store, HttpFeedClient(self._sessions[3]), self.node.leader_address)
         self._feed = PlatformFeed(
-            store, self.node, OPERATOR_PACE_S, WORKER_PACE_S, OPERATOR_WAIT_S, self._rng
+            shared, self.node, OPERATOR_PACE_S, WORKER_PACE_S, OPERATOR_WAIT_S, self._rng
         )
+        feed = MirrorFeed(self._feed.mirrors(), self._feed.operators)
         streams = StreamForwarder(
             self.node.routes, self.node.workers, workers, self.node.queue, announced_version
         )
@@ -82,12 +97,25 @@
         )
         self._store = store
         self._report_task = asyncio.create_task(self._report_calls())
+        self._peers: HttpServer | None = None
+        if settings.listen.control_plane:
+            self._peers = HttpServer(
+                Starlette(routes=feed_routes(feed)),
+                settings.listen.control_plane,
+                "listen.control-plane",
+                MAX_CONNECTIONS,
+            )
+            await self._peers.start()
         self.node.start()
         self._feed.start()
         await self._frontend.start()
         await self._readiness.start()
         logging.info("edge node %s started", settings.node_name)
 
+    def num_store_calls(self, kind: str) -> int:
+        """Return how many calls of a kind this process has made to the store."""
+        return self._store.num_calls[kind]
+
     def start_stop(self) -> None:
         """Start a planned stop in the background."""
         if self._stop_task is None:
@@ -99,6 +127,8 @@
         await self._feed.stop()
         await self._frontend.stop()
         await self._readiness.stop()
+        if self._peers is not None:
+            await self._peers.abort()
         for session in self._sessions:
             await session.close()
         logging.info("stopped")
@@ -111,6 +141,8 @@
         await self._feed.stop()
         await self._frontend.abort()
         await self._readiness.abort()
+        if self._peers is not None:
+            await self._peers.abort()
         for session in self._sessions:
             await session.close()
 
@@ -125,7 +157,9 @@
         logging.info("settings read again: %s", type(read_process_settings()).__name__)
 
     async def _complete_retirement(self, machine: str) -> bool:
-        return await self._feed.complete_retirement(machine)
+        key, value = retirement_status(machine)
+        outcome = await self._store.transact([], [Put(key, value)])
+        return isinstance(outcome, Committed)
 
 
 def _session(force_close: bool = False) -> aiohttp.ClientSession:
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -7,14 +7,13 @@
 from returns.result import Failure
 
 from hollowrack.coordination.mirror import PrefixMirror
-from hollowrack.coordination.store import Committed, CoordinationStore, Put, StoredItem
+from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.platform import names
 from hollowrack.platform.configuration import (
     decode_configuration,
     decode_named_version,
     decode_worker,
-    retirement_status,
 )
 
 
@@ -44,7 +43,7 @@
     """Decodes changes in the store and hands them to a listener.
 
     Args:
-        store: The platform's store.
+        store: Answers watches of the platform's store.
         listener: Takes them in.
         operator_pace_s: Least time between two looks at operators' keys, in seconds.
         worker_pace_s: Least time between two looks at workers' entries, in seconds.
@@ -61,7 +60,6 @@
         operator_wait_s: float,
         rng: random.Random,
     ) -> None:
-        self._store = store
         self._listener = listener
         self.operators = PrefixMirror(
             store,
@@ -86,11 +84,9 @@
         await self.operators.stop()
         await self.workers.stop()
 
-    async def complete_retirement(self, node: str) -> bool:
-        """Tell the operators that a machine is empty; returns whether that is certain."""
-        key, value = retirement_status(node)
-        outcome = await self._store.transact([], [Put(key, value)])
-        return isinstance(outcome, Committed)
+    def mirrors(self) -> dict[str, PrefixMirror]:
+        """Return the mirrors by prefix."""
+        return {names.OPERATOR_PREFIX: self.operators, names.WORKERS_PREFIX: self.workers}
 
     def _on_doubt(self) -> None:
         self.workers.recheck()
--- a/src/hollowrack/weights/plan.py
+++ b/src/hollowrack/weights/plan.py
@@ -12,6 +12,8 @@
 MAX_CONCURRENT_LOADS = 2
 # Loads that fit between two versions: two at a time, about a second each, versions 4 s apart.
 MAX_LOADS_PER_VERSION = 8
+# Where models share workers, most loads beyond one a worker and version are paid for.
+NUM_LOADS_WHEN_SHARED = 6
 # A version serves two steps, so half of the workers may skip each version.
 NUM_STEPS_SERVED = 2
 
@@ -59,7 +61,7 @@
     num_pairs = len(names) * len(workers)
     if num_pairs <= MAX_LOADS_PER_VERSION:
         return LoadPlan({name: tuple(workers) for name in names}, skips_versions=False)
-    share = MAX_LOADS_PER_VERSION * NUM_STEPS_SERVED // len(names)
+    share = NUM_LOADS_WHEN_SHARED * NUM_STEPS_SERVED // len(names)
     share = min(len(workers), max(MIN_WORKERS_PER_MODEL, share))
     if len(names) == 1:
         share = len(workers)
--- /dev/null
+++ b/tests/coordination/test_sharing.py
@@ -0,0 +1,166 @@
+"""Followers that watch the leader's mirrors, while leader, store and links fail."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from hollowrack.clock import now_s
+from hollowrack.coordination.mirror import PrefixMirror
+from hollowrack.coordination.sharing import (
+    MirrorFeed,
+    SharedChanges,
+    SharedStore,
+    WatchRequest,
+)
+from hollowrack.coordination.store import Put
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
+
+NUM_FOLLOWERS = 8
+BOUND_S = 2.0
+WATCH_WAIT_S = 0.5
+PACE_S = 0.15
+
+
+@dataclass
+class Link:
+    """Followers' way to the leader."""
+
+    feed: MirrorFeed
+    is_cut: bool = False
+    is_frozen: bool = False
+
+    async def watch(self, address: str, request: WatchRequest) -> SharedChanges | None:
+        assert address == "leader"
+        await asyncio.sleep(0.001)
+        if self.is_cut:
+            return None
+        if self.is_frozen:
+            await asyncio.sleep(request.wait_s + 0.35)
+            return None
+        answer = await self.feed.watch(request)
+        return None if self.is_cut or self.is_frozen else answer
+
+
+@dataclass
+class Node:
+    """The mirrors of one node."""
+
+    operators: PrefixMirror
+    workers: PrefixMirror
+    faults: StoreFaults
+
+    def value(self, key: str) -> bytes | None:
+        item = (self.operators.items | self.workers.items).get(key)
+        return None if item is None else item.value
+
+    async def stop(self) -> None:
+        await self.operators.stop()
+        await self.workers.stop()
+
+
+def make_node(core: CoordinationStoreCore, name: str, link: Link | None = None) -> Node:
+    faults = StoreFaults()
+    store = core.view(faults)
+    shared = store if link is None else SharedStore(store, link, lambda: "leader")
+    rng = random.Random(name)
+    workers = PrefixMirror(shared, "w/", lambda key, item: None, PACE_S, rng)
+    operators = PrefixMirror(
+        shared, "o/", lambda key, item: None, PACE_S, rng, WATCH_WAIT_S, workers.recheck
+    )
+    operators.start()
+    workers.start()
+    return Node(operators, workers, faults)
+
+
+@dataclass
+class Fleet:
+    """A leader and its followers."""
+
+    core: CoordinationStoreCore = field(default_factory=CoordinationStoreCore)
+
+    def __post_init__(self) -> None:
+        self.core.transact([], [Put("o/a", b"0"), Put("w/a", b"0")], [])
+        self.leader = make_node(self.core, "leader")
+        mirrors = {"o/": self.leader.operators, "w/": self.leader.workers}
+        self.link = Link(MirrorFeed(mirrors, self.leader.operators))
+        self.followers = [
+            make_node(self.core, f"f{index}", self.link) for index in range(NUM_FOLLOWERS)
+        ]
+
+    async def check_within_bound(self, key: str, value: bytes) -> None:
+        end_s = now_s() + BOUND_S
+        while any(node.value(key) != value for node in self.followers):
+            assert now_s() < end_s
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        for node in (self.leader, *self.followers):
+            await node.stop()
+
+
+def test_followers_hear_of_changes_and_hardly_ask_the_store() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(2.0)
+        num_calls = fleet.core.num_calls
+        for number in range(20):
+            value = str(number).encode()
+            fleet.core.transact([], [Put("o/a", value), Put("w/a", value)], [])
+            await fleet.check_within_bound("o/a", value)
+            await fleet.check_within_bound("w/a", value)
+            await asyncio.sleep(1.0)
+        fleet.core.transact([], [], ["w/a"])
+        await asyncio.sleep(1.0)
+        assert all(node.value("w/a") is None for node in fleet.followers)
+        # The leader alone makes three to four calls a second.
+        assert fleet.core.num_calls - num_calls < 120
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("prefix", ["o", "w"])
+@pytest.mark.parametrize(
+    "fault", ["leader cut from store", "leader silent", "link cut", "leader frozen", "compaction"]
+)
+@pytest.mark.parametrize("delay_s", [0.0, 0.3, 1.0, 3.0])
+def test_followers_in_touch_keep_the_bound(prefix: str, fault: str, delay_s: float) -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(5.0)
+        if fault == "leader cut from store":
+            fleet.leader.faults.refuses = True
+        elif fault == "leader silent":
+            fleet.leader.faults.is_silent = True
+        elif fault == "link cut":
+            fleet.link.is_cut = True
+        elif fault == "leader frozen":
+            fleet.link.is_frozen = True
+        await asyncio.sleep(delay_s)
+        put = Put(f"{prefix}/a", b"new")
+        if fault == "compaction":
+            fleet.core.write_silently([put])
+        else:
+            fleet.core.transact([], [put], [])
+        await fleet.check_within_bound(f"{prefix}/a", b"new")
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_followers_that_the_store_refuses_learn_from_the_leader() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(2.0)
+        for node in fleet.followers:
+            node.faults.refuses = True
+        await asyncio.sleep(2.0)
+        fleet.core.transact([], [Put("o/a", b"new"), Put("w/a", b"new")], [])
+        await fleet.check_within_bound("o/a", b"new")
+        await fleet.check_within_bound("w/a", b"new")
+        await fleet.stop()
+
+    run_virtual(main())
--- a/tests/platform/helpers.py
+++ b/tests/platform/helpers.py
@@ -158,7 +158,11 @@
             {
                 "node-name": name,
                 "zone": "z1",
-                "listen": {"frontend": frontend, "readiness": readiness, "control-plane": ""},
+                "listen": {
+                    "frontend": frontend,
+                    "readiness": readiness,
+                    "control-plane": free_address(),
+                },
                 "bounds": {"lease-ms": 300},
                 "platform": {"address": self.store.server.address},
             }
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -8,7 +8,7 @@
 import pytest
 
 from hollowrack_standins.users_platform import WorkerSwitches
-from tests.platform.helpers import System, job_body, run_system, until
+from tests.platform.helpers import CONFIGURATION, System, job_body, run_system, until
 
 GOOD = WorkerSwitches()
 
@@ -172,3 +172,18 @@
         system.edges.clear()
 
     run_system(scenario)
+
+
+def test_followers_hear_of_configurations_from_the_leader() -> None:
+    async def scenario(system: System) -> None:
+        nodes = [edge.node for edge in system.edges.values()]
+        await until(lambda: sum(node.leader_address() is not None for node in nodes) == 2)
+        follower = next(edge for edge in system.edges.values() if edge.node.leader_address())
+        await asyncio.sleep(0.7)
+        before = follower.num_store_calls("watch op/")
+        system.store.put("op/config", CONFIGURATION | {"version": 9})
+        await until(lambda: all(node.routes.version == 9 for node in nodes))
+        await asyncio.sleep(1.5)
+        assert follower.num_store_calls("watch op/") == before
+
+    run_system(scenario, num_edges=3)
