Planned stops: the leader resigns at once, young processes lead, jobs are handed to peers

Jobs that met a stopping node were refused again and again until the entry turned away. Change: resign on SIGTERM; processes campaign sooner the younger they are; a node that stops, or that the store refuses, hands jobs to a peer before it refuses them.

--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -28,12 +28,14 @@
 from hollowrack.tasks import cancel_all
 
 CAMPAIGN_PAUSE_S = 0.3
-CAMPAIGN_JITTER_S = 0.3
+CAMPAIGN_JITTER_S = 0.1
 # An action decided now must reach its receiver before the session can have ended.
 ACTION_MARGIN_S = 0.5
 NO_HANDOVER_S = 0.0
 # The node that led last goes first, if it is there.
-YIELD_S = 0.4
+MIN_YIELD_S = 0.15
+MAX_AGE_YIELD_S = 0.45
+OLD_AGE_S = 20.0
 LAST_SUFFIX = "-last"
 
 
@@ -71,6 +73,7 @@
         self._rng = rng
         self._lease: int | None = None
         self._acts_from_s = float("inf")
+        self._started_s = 0.0
         self._is_free = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -95,13 +98,21 @@
 
     def start(self) -> None:
         """Start campaigning."""
+        self._started_s = now_s()
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Stop campaigning and give the key up; the session's end removes it."""
+        """Stop campaigning; the session's end removes the key."""
         await cancel_all(self._task)
         self.fencing_token = None
 
+    async def resign(self) -> None:
+        """Stop campaigning and give the key up at once, for a planned stop."""
+        token = self.fencing_token
+        await self.stop()
+        if token is not None:
+            await self._store.transact([Condition(self.key, token)], [], [self.key])
+
     def note(self, item: StoredItem | None) -> None:
         """Take in what the leader key holds, as seen by a mirror or a failed write."""
         if item is None:
@@ -135,11 +146,20 @@
         while True:
             await self._is_free.wait()
             if not self._led_last:
-                await asyncio.sleep(YIELD_S + self._rng.uniform(0, CAMPAIGN_JITTER_S))
+                await asyncio.sleep(self._yield_s() + self._rng.uniform(0, CAMPAIGN_JITTER_S))
             if self._is_free.is_set() and self._session.is_valid:
                 await self._campaign()
             await asyncio.sleep(CAMPAIGN_PAUSE_S)
 
+    def _yield_s(self) -> float:
+        """How long to let others go first, in seconds.
+
+        Young processes go first: while machines are stopped and started in turn, those that have
+        just started are not the next to be stopped.
+        """
+        age_s = now_s() - self._started_s
+        return MIN_YIELD_S + MAX_AGE_YIELD_S * min(1.0, age_s / OLD_AGE_S)
+
     async def _campaign(self) -> None:
         lease = self._session.lease
         if lease is None:
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -28,6 +28,7 @@
 from hollowrack.jobs.job_log import ENDS_PREFIX, JobLog, job_id_of
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_service import JobService
+from hollowrack.jobs.peers import PeerJobs
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.tasks import cancel_all
 from hollowrack.weights.order_giver import OrderClient, OrderGiver
@@ -53,6 +54,7 @@
         back_ends: Sends requests to workers.
         orders: Talks to workers about their weights.
         read_version: Reads the weight version that an event announces.
+        peer_jobs: Hands jobs to other nodes.
         address: Where other nodes reach this one; empty if they do not.
         complete_retirement: Tells the operators that a machine is empty.
     """
@@ -62,6 +64,7 @@
     orders: OrderClient
     read_version: Callable[[StreamEvent], int | None]
     complete_retirement: Callable[[str], Awaitable[bool]]
+    peer_jobs: PeerJobs
     address: str = ""
 
 
@@ -105,7 +108,9 @@
             connections.read_version,
         )
         log = JobLog(store, self.owner)
-        self.jobs = JobService(log, JobReader(store, log), self.services)
+        self.jobs = JobService(
+            log, JobReader(store, log), self.services, connections.peer_jobs, self.peer_addresses
+        )
         self._address = connections.address
         self._live_owners: dict[str, str] = {}
         self._sessions = PrefixMirror(
@@ -155,7 +160,7 @@
         logging.info("stopping: %d jobs here", self.jobs.num_running)
         await self._order_giver.stop()
         await self._takeover.stop()
-        await self.leadership.stop()
+        await self.leadership.resign()
         started_s = now_s()
         await self.jobs.drain(TURN_AWAY_S)
         await cancel_all(*self._tasks)
@@ -184,6 +189,18 @@
             return None
         return self._live_owners.get(leader.value.decode()) or None
 
+    def peer_addresses(self) -> list[str]:
+        """Where other nodes are reached: the leader first, the others in any order."""
+        others = {
+            address
+            for owner, address in self._live_owners.items()
+            if address and address != self._address and owner != self.owner
+        }
+        leader = self.leader_address()
+        rest = sorted(others - {leader})
+        self._rng.shuffle(rest)
+        return [leader, *rest] if leader is not None else rest
+
     # -- listener of the feed ---------------------------------------------------------------
 
     def configuration_changed(self, configuration: RoutingConfiguration) -> None:
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,18 +14,22 @@
 from hollowrack.jobs.job_log import MAX_JOB_ID_LENGTH, CreateOutcome, JobLog, StoredJob
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_runner import JobRunner
+from hollowrack.jobs.peers import PeerJobs
 from hollowrack.jobs.types import ItemResult, Job, JobItem
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tasks import cancel_all
 
 CREATE_PAUSE_S = 0.25
 # Refused writes are tried for this long; then the caller is told when to come back.
-CREATE_PATIENCE_S = 1.5
+CREATE_PATIENCE_S = 0.6
 CREATE_RETRY_AFTER_S = 2.5
 # A write without an answer may have been done: only its outcome can answer the caller.
 RESOLVE_PATIENCE_S = 8.0
 END_PATIENCE_S = 3.0
 READ_RETRY_AFTER_S = 0.3
+MAX_PEERS_ASKED = 3
+# Problems after which nothing of the job is stored, and another node may do better.
+_WORTH_HANDING_ON = frozenset({ResultCode.STOPPING, ResultCode.JOB_NOT_STORED})
 
 
 @dataclass(frozen=True)
@@ -47,9 +52,20 @@
         log: Durable state of jobs.
         reader: Reads jobs of other owners.
         services: What running items takes.
+        peers: Hands jobs to other nodes.
+        peer_addresses: Returns where other nodes are reached, the preferred ones first.
     """
 
-    def __init__(self, log: JobLog, reader: JobReader, services: ItemServices) -> None:
+    def __init__(
+        self,
+        log: JobLog,
+        reader: JobReader,
+        services: ItemServices,
+        peers: PeerJobs,
+        peer_addresses: Callable[[], list[str]],
+    ) -> None:
+        self._peers = peers
+        self._peer_addresses = peer_addresses
         self._log = log
         self._reader = reader
         self._services = services
@@ -70,13 +86,27 @@
     # -- accepting --------------------------------------------------------------------------
 
     async def submit(self, job: Job) -> Problem | None:
-        """Accept a job; ``None`` once it is stored for good."""
+        """Accept a job, here or at another node; ``None`` once it is stored for good."""
+        problem = await self.submit_here(job)
+        if problem is None or problem.code not in _WORTH_HANDING_ON:
+            return problem
+        for address in self._peer_addresses()[:MAX_PEERS_ASKED]:
+            handed = await self._peers.submit(address, job)
+            if handed is None:
+                logging.info("job %s: handed to the node at %s", job.id, address)
+                return None
+            if handed.code not in _WORTH_HANDING_ON:
+                return handed
+        return problem
+
+    async def submit_here(self, job: Job) -> Problem | None:
+        """Accept a job on this node; ``None`` once it is stored for good."""
         if not 0 < len(job.id) <= MAX_JOB_ID_LENGTH:
             return Problem(ResultCode.BAD_REQUEST, "the identifier is empty or too long", "id")
         if job.id in self._runners:
             return None
         if self._is_stopping:
-            return Problem(ResultCode.STOPPING, "this node is stopping", job.id, 0.1)
+            return Problem(ResultCode.STOPPING, "this node is stopping", job.id, 0.5)
         store_task = asyncio.create_task(self._store_new(job))
         self._keep(store_task)
         # The caller may leave; an attempt whose outcome is open goes on without it.
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -15,6 +15,7 @@
 from hollowrack.coordination.store import Committed, Put
 from hollowrack.edge_node import EdgeConnections, EdgeNode
 from hollowrack.forwarding.stream_forwarder import StreamForwarder
+from hollowrack.jobs.peers import HttpPeerJobs, submit_routes
 from hollowrack.platform.configuration import retirement_status
 from hollowrack.platform.feed import PlatformFeed
 from hollowrack.platform.ingress import IngressApp, ReadinessApp
@@ -71,6 +72,7 @@
                 workers,
                 announced_version,
                 self._complete_retirement,
+                HttpPeerJobs(self._sessions[3]),
                 settings.listen.control_plane,
             ),
             self._rng,
@@ -100,7 +102,7 @@
         self._peers: HttpServer | None = None
         if settings.listen.control_plane:
             self._peers = HttpServer(
-                Starlette(routes=feed_routes(feed)),
+                Starlette(routes=[*feed_routes(feed), *submit_routes(self.node.jobs.submit_here)]),
                 settings.listen.control_plane,
                 "listen.control-plane",
                 MAX_CONNECTIONS,
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -195,3 +195,23 @@
         await again.stop()
 
     run_virtual(main())
+
+
+def test_a_leader_that_resigns_is_followed_by_the_youngest_at_once() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        old = [Candidate.start(core, f"n{index}#a") for index in range(4)]
+        await asyncio.sleep(30.0)
+        young = Candidate.start(core, "n9#a")
+        await asyncio.sleep(1.0)
+        (leader,) = await leaders(old)
+        await leader.leadership.resign()
+        await asyncio.sleep(0.9)
+        assert young.leadership.is_leader
+        assert not young.leadership.may_act
+        await asyncio.sleep(HANDOVER_S)
+        assert young.leadership.may_act
+        for candidate in (*old, young):
+            await candidate.stop()
+
+    run_virtual(main())
