--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -27,7 +27,8 @@
 )
 from hollowrack.tasks import cancel_all
 
-WATCH_WAIT_S = 20.0
+# Shorter than the history that the store keeps, so that a quiet watch can go on from its revision.
+WATCH_WAIT_S = 15.0
 MIN_RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 0.8
 LATE_ANSWER_S = 0.5
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -132,18 +132,18 @@
                 answer = await self._exchange(worker, attempts, end_s)
         except NotRunError as error:
             self._note_not_run(worker, error.reason)
-            attempts.did_not_run(worker)
+            attempts.did_not_run(worker, error.reason)
             if error.reason is NotRunReason.BUSY:
                 await asyncio.sleep(REFUSAL_PAUSE_S)
             return None
         except BrokenAnswerError as error:
             self._workers.note_failure(worker)
-            logging.info("request %s: worker %s: %s", attempts.request_id, worker.id, error)
+            attempts.failed(worker, str(error))
             return None
         except TimeoutError:
             self._workers.note_failure(worker)
             self._workers.note_pace(worker, now_s() - sent_s)
-            logging.info("request %s: worker %s is silent", attempts.request_id, worker.id)
+            attempts.failed(worker, "silent")
             return None
         finally:
             self._workers.end(worker)
@@ -152,6 +152,7 @@
             self._workers.note_pace(worker, now_s() - sent_s)
             return answer
         attempts.failed_answer = answer
+        attempts.failed(worker, f"status {answer.status}")
         return None
 
     async def _exchange(self, worker: Worker, attempts: "_Attempts", end_s: float) -> WholeAnswer:
@@ -188,6 +189,7 @@
         self.ran_at: set[str] = set()
         self.failed_answer: WholeAnswer | None = None
         self._num_refusals = 0
+        self._history: list[str] = []
 
     def num_left(self) -> int:
         """How many more workers may run the request."""
@@ -203,8 +205,14 @@
         self.tried.add(worker.id)
         self.ran_at.add(worker.id)
 
-    def did_not_run(self, worker: Worker) -> None:
+    def failed(self, worker: Worker, reason: str) -> None:
+        """A worker may have run the request, and gave no good answer."""
+        self._history.append(f"{worker.id}: {reason}")
+        logging.info("request %s: worker %s: %s", self.request_id, worker.id, reason)
+
+    def did_not_run(self, worker: Worker, reason: NotRunReason) -> None:
         """A worker certainly did not run the request."""
+        self._history.append(f"{worker.id}: {reason.value}")
         self.ran_at.discard(worker.id)
         self._num_refusals += 1
 
@@ -213,15 +221,25 @@
         if self.failed_answer is not None:
             return self.failed_answer
         if self.ran_at:
-            return Problem(ResultCode.OUTCOME_UNKNOWN, "no whole answer came", self.request_id)
-        return Problem(
-            ResultCode.NO_BACK_END, "no worker took the request", self.request_id, RETRY_AFTER_S
-        )
+            detail = f"no whole answer came ({self._told()})"
+            return Problem(ResultCode.OUTCOME_UNKNOWN, detail, self.request_id)
+        detail = f"no worker took the request ({self._told()})"
+        return Problem(ResultCode.NO_BACK_END, detail, self.request_id, RETRY_AFTER_S)
 
     def out_of_time(self) -> ForwardOutcome:
         """The final answer when the time is up."""
         if self.failed_answer is not None:
             return self.failed_answer
         if self.ran_at:
-            return Problem(ResultCode.OUTCOME_UNKNOWN, "the time is up", self.request_id)
-        return Problem(ResultCode.NO_BACK_END, "the time is up", self.request_id, RETRY_AFTER_S)
+            detail = f"the time is up ({self._told()})"
+            return Problem(ResultCode.OUTCOME_UNKNOWN, detail, self.request_id)
+        detail = f"the time is up ({self._told()})"
+        return Problem(ResultCode.NO_BACK_END, detail, self.request_id, RETRY_AFTER_S)
+
+    def _told(self) -> str:
+        """What became of the attempts, for the log."""
+        at_work = sorted(
+            worker for worker in self.ran_at if not any(worker in entry for entry in self._history)
+        )
+        entries = [*self._history, *(f"{worker}: no answer yet" for worker in at_work)]
+        return "; ".join(entries) or "no worker is known"
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -154,7 +154,7 @@
                     "run %s: worker %s: %s after event %s",
                     self._call.request_id,
                     worker.id,
-                    error or "silent",
+                    str(error) or "silent",
                     self._last_number,
                 )
             finally:
