Watches begin anew when their source changes; workers' and sessions' watches wait briefly

Ruled out: orders (given on time), leadership. Change: when watches are answered by another source, those that still wait begin anew; watches of workers wait 1 s, of sessions 5 s.

--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -109,6 +109,11 @@
         if self._watching is not None:
             self._watching.cancel()
 
+    def rewatch(self) -> None:
+        """Begin the present watch anew, from the same revision."""
+        if self._watching is not None:
+            self._watching.cancel()
+
     async def _run(self) -> None:
         revision: int | None = None
         while True:
@@ -126,7 +131,7 @@
         sent_s = now_s()
         changes = await self._watch(revision)
         if changes is None:
-            return await self._list()
+            return await self._list() if self._must_list else revision
         if now_s() - sent_s > self._watch_wait_s + LATE_ANSWER_S:
             self._is_in_doubt = True
         if isinstance(changes, HistoryGone):
@@ -145,7 +150,7 @@
         return reached
 
     async def _watch(self, revision: int) -> Changes | HistoryGone | Unavailable | None:
-        """Watch once; ``None`` if a recheck came in between."""
+        """Watch once; ``None`` if the watch is to begin anew."""
         watch = self._store.watch(self._prefix, revision, self._watch_wait_s)
         self._watching = asyncio.create_task(watch)
         try:
--- a/src/hollowrack/coordination/sharing.py
+++ b/src/hollowrack/coordination/sharing.py
@@ -135,6 +135,9 @@
         store: The store.
         client: Sends watches to other nodes.
         leader_address: Returns the leader's address; ``None`` if this node leads or nobody does.
+
+    Attributes:
+        on_source_change: Called when watches are answered by another source than before.
     """
 
     def __init__(
@@ -147,6 +150,8 @@
         self._client = client
         self._leader_address = leader_address
         self._trusted_from_s: dict[str, float] = {}
+        self._source: str | None = None
+        self.on_source_change: Callable[[], None] | None = None
 
     async def watch(
         self, prefix: str, after_revision: int, wait_s: float
@@ -159,12 +164,21 @@
             if answer is not None and answer.is_history_gone:
                 return HistoryGone()
             if answer is not None and not answer.is_stale:
+                self._note_source(address)
                 return _changes(answer, after_revision)
             self._trusted_from_s[address] = now_s() + DISTRUST_S
             reason = "no answer" if answer is None else "its mirror is old"
             logging.info("watch of %s: not by the leader at %s: %s", prefix, address, reason)
+        self._note_source(None)
         return await self._store.watch(prefix, after_revision, wait_s)
 
+    def _note_source(self, source: str | None) -> None:
+        """Have watches that still wait elsewhere begin anew: nothing vouches for them there."""
+        if source != self._source:
+            self._source = source
+            if self.on_source_change is not None:
+                self.on_source_change()
+
     async def get(self, key: str) -> StoredItem | Unavailable | None:
         """Read one key from the store."""
         return await self._store.get(key)
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -37,6 +37,7 @@
 LEADER_KEY = SESSIONS_PREFIX + "leader"
 OWNERS_PREFIX = SESSIONS_PREFIX + "nodes/"
 SESSIONS_PACE_S = 0.2
+SESSIONS_WAIT_S = 5.0
 ENDS_PACE_S = 0.5
 REGISTER_PAUSE_S = 0.2
 WATCH_ENDS_PAUSE_S = 0.2
@@ -114,7 +115,7 @@
         self._address = connections.address
         self._live_owners: dict[str, str] = {}
         self._sessions = PrefixMirror(
-            store, SESSIONS_PREFIX, self._on_session_key, SESSIONS_PACE_S, rng
+            store, SESSIONS_PREFIX, self._on_session_key, SESSIONS_PACE_S, rng, SESSIONS_WAIT_S
         )
         self._takeover = JobTakeover(
             log, self.jobs, self.leadership, lambda: set(self._live_owners)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -29,6 +29,7 @@
 WORKER_PACE_S = 0.25
 # Changes missed by a watch must be noticed well inside the two seconds they have.
 OPERATOR_WAIT_S = 0.5
+WORKER_WAIT_S = 1.0
 MAX_CONNECTIONS = 3000
 READ_TIMEOUT_S = 40.0
 IDLE_TIMEOUT_S = 60.0
@@ -79,8 +80,15 @@
         )
         shared = SharedStore(store, HttpFeedClient(self._sessions[3]), self.node.leader_address)
         self._feed = PlatformFeed(
-            shared, self.node, OPERATOR_PACE_S, WORKER_PACE_S, OPERATOR_WAIT_S, self._rng
+            shared,
+            self.node,
+            OPERATOR_PACE_S,
+            WORKER_PACE_S,
+            OPERATOR_WAIT_S,
+            WORKER_WAIT_S,
+            self._rng,
         )
+        shared.on_source_change = self._feed.rewatch_workers
         feed = MirrorFeed(self._feed.mirrors(), self._feed.operators)
         streams = StreamForwarder(
             self.node.routes, self.node.workers, workers, self.node.queue, announced_version
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -48,6 +48,7 @@
         operator_pace_s: Least time between two looks at operators' keys, in seconds.
         worker_pace_s: Least time between two looks at workers' entries, in seconds.
         operator_wait_s: Longest wait of one watch of operators' keys, in seconds.
+        worker_wait_s: Longest wait of one watch of workers' entries, in seconds.
         rng: Source of the retry jitter.
     """
 
@@ -58,6 +59,7 @@
         operator_pace_s: float,
         worker_pace_s: float,
         operator_wait_s: float,
+        worker_wait_s: float,
         rng: random.Random,
     ) -> None:
         self._listener = listener
@@ -71,7 +73,7 @@
             self._on_doubt,
         )
         self.workers = PrefixMirror(
-            store, names.WORKERS_PREFIX, self._on_worker_key, worker_pace_s, rng
+            store, names.WORKERS_PREFIX, self._on_worker_key, worker_pace_s, rng, worker_wait_s
         )
 
     def start(self) -> None:
@@ -84,6 +86,10 @@
         await self.operators.stop()
         await self.workers.stop()
 
+    def rewatch_workers(self) -> None:
+        """Begin the watch of workers' entries anew."""
+        self.workers.rewatch()
+
     def mirrors(self) -> dict[str, PrefixMirror]:
         """Return the mirrors by prefix."""
         return {names.OPERATOR_PREFIX: self.operators, names.WORKERS_PREFIX: self.workers}
--- a/tests/coordination/test_sharing.py
+++ b/tests/coordination/test_sharing.py
@@ -14,9 +14,13 @@
     SharedStore,
     WatchRequest,
 )
-from hollowrack.coordination.store import Put
+from hollowrack.coordination.store import Changes, HistoryGone, Put, Unavailable
 from hollowrack_bench.virtual_time import run_virtual
-from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
+from hollowrack_standins.coordination_store import (
+    CoordinationStoreCore,
+    CoordinationStoreStandin,
+    StoreFaults,
+)
 
 NUM_FOLLOWERS = 8
 BOUND_S = 2.0
@@ -164,3 +168,43 @@
         await fleet.stop()
 
     run_virtual(main())
+
+
+class HungWorkerWatch(CoordinationStoreStandin):
+    """A view of the store on which watches of workers wait on a dead connection."""
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Changes | HistoryGone | Unavailable:
+        if prefix == "w/":
+            await asyncio.sleep(3600.0)
+        return await super().watch(prefix, after_revision, wait_s)
+
+
+def test_a_watch_that_began_at_the_store_does_not_stay_there_once_a_leader_answers() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("o/a", b"0"), Put("w/a", b"0")], [])
+        leader = make_node(core, "leader")
+        mirrors = {"o/": leader.operators, "w/": leader.workers}
+        link = Link(MirrorFeed(mirrors, leader.operators))
+        addresses: list[str | None] = [None]
+        shared = SharedStore(HungWorkerWatch(core, StoreFaults()), link, lambda: addresses[0])
+        rng = random.Random(1)
+        workers = PrefixMirror(shared, "w/", lambda key, item: None, PACE_S, rng)
+        operators = PrefixMirror(
+            shared, "o/", lambda key, item: None, PACE_S, rng, WATCH_WAIT_S, workers.recheck
+        )
+        shared.on_source_change = workers.rewatch
+        operators.start()
+        workers.start()
+        await asyncio.sleep(1.0)
+        core.transact([], [Put("w/a", b"missed")], [])
+        addresses[0] = "leader"
+        await asyncio.sleep(BOUND_S)
+        assert workers.items["w/a"].value == b"missed"
+        for mirror in (operators, workers):
+            await mirror.stop()
+        await leader.stop()
+
+    run_virtual(main())
