A planned stop keeps to the settings' grace; evidence of refusals noted in one place

Cause: the times of a stop were constants made for a grace of 8 s, and the reading of a refusal stood in three files.

--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -42,8 +42,9 @@
 REGISTER_PAUSE_S = 0.2
 WATCH_ENDS_PAUSE_S = 0.2
 RETIREMENT_PAUSE_S = 0.3
-# Requests in progress at a planned stop have this long; callers have turned away by then.
-TURN_AWAY_S = 3.5
+# At a planned stop callers need this long to turn away, if there is as much time.
+MAX_TURN_AWAY_S = 3.5
+TURN_AWAY_SHARE = 0.45
 
 
 @dataclass(frozen=True)
@@ -155,21 +156,26 @@
             asyncio.create_task(self._complete_retirements()),
         ]
 
-    async def stop(self) -> None:
-        """Planned stop: be not ready, let work finish for a while, hand the rest over."""
+    async def stop(self, grace_s: float) -> None:
+        """Planned stop: be not ready, let work finish for a while, hand the rest over.
+
+        Args:
+            grace_s: Time until the process is killed, in seconds; less than half of it is used.
+        """
         self.is_stopping = True
+        turn_away_s = min(MAX_TURN_AWAY_S, TURN_AWAY_SHARE * grace_s)
         logging.info("stopping: %d jobs here", self.jobs.num_running)
         await self._order_giver.stop()
         await self._takeover.stop()
         await self.leadership.resign()
         started_s = now_s()
-        await self.jobs.drain(TURN_AWAY_S)
+        await self.jobs.drain(turn_away_s)
         await cancel_all(*self._tasks)
         if self._ends is not None:
             await self._ends.stop()
         await self._sessions.stop()
         await self.session.stop()
-        await asyncio.sleep(max(0.0, started_s + TURN_AWAY_S - now_s()))
+        await asyncio.sleep(max(0.0, started_s + turn_away_s - now_s()))
 
     async def abandon(self) -> None:
         """End at once, as a crash would; for tests."""
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -131,7 +131,7 @@
             async with asyncio.timeout(patience_s):
                 answer = await self._exchange(worker, attempts, end_s)
         except NotRunError as error:
-            self._note_not_run(worker, error.reason)
+            self._workers.note_not_run(worker, error.reason)
             attempts.did_not_run(worker, error.reason)
             if error.reason is NotRunReason.BUSY:
                 await asyncio.sleep(REFUSAL_PAUSE_S)
@@ -170,14 +170,6 @@
             if opened is not None:
                 opened.abort()
 
-    def _note_not_run(self, worker: Worker, reason: NotRunReason) -> None:
-        if reason is NotRunReason.BUSY:
-            self._workers.note_busy(worker)
-        elif reason is NotRunReason.UNREACHABLE:
-            self._workers.note_unreachable(worker)
-        else:
-            self._workers.note_replaced(worker)
-
 
 class _Attempts:
     """What has become of one request so far."""
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -139,7 +139,7 @@
                 self._workers.note_success(worker)
                 return
             except NotRunError as error:
-                self._note_not_run(worker, error.reason)
+                self._workers.note_not_run(worker, error.reason)
             except _SlowWorkerError:
                 self._num_moves += 1
                 logging.info(
@@ -227,11 +227,3 @@
 
     def _should_move(self, worker: Worker) -> bool:
         return self._num_moves < MAX_MOVES and self._workers.is_much_slower(worker)
-
-    def _note_not_run(self, worker: Worker, reason: NotRunReason) -> None:
-        if reason is NotRunReason.BUSY:
-            self._workers.note_busy(worker)
-        elif reason is NotRunReason.UNREACHABLE:
-            self._workers.note_unreachable(worker)
-        else:
-            self._workers.note_replaced(worker)
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -10,7 +10,6 @@
     BrokenAnswerError,
     Headers,
     NotRunError,
-    NotRunReason,
     OpenAnswer,
 )
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
@@ -136,10 +135,7 @@
                 return
             except NotRunError as error:
                 refused.add(worker.id)
-                if error.reason is NotRunReason.REPLACED:
-                    self._workers.note_replaced(worker)
-                else:
-                    self._workers.note_busy(worker)
+                self._workers.note_not_run(worker, error.reason)
             finally:
                 self._workers.end(worker)
         detail = "no worker took the request"
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -8,6 +8,7 @@
 from statistics import median
 
 from hollowrack.clock import now_s
+from hollowrack.forwarding.back_end import NotRunReason
 from hollowrack.forwarding.types import Worker
 
 BUSY_PAUSE_S = 0.06
@@ -182,6 +183,15 @@
         pause_s = UNREACHABLE_PAUSE_S * 2 ** min(evidence.num_failures_in_a_row - 1, 5)
         self._pause(worker, min(pause_s, MAX_UNREACHABLE_PAUSE_S))
 
+    def note_not_run(self, worker: Worker, reason: NotRunReason) -> None:
+        """A worker certainly did not run a request."""
+        if reason is NotRunReason.BUSY:
+            self.note_busy(worker)
+        elif reason is NotRunReason.UNREACHABLE:
+            self.note_unreachable(worker)
+        else:
+            self.note_replaced(worker)
+
     def note_replaced(self, worker: Worker) -> None:
         """Another incarnation answers at a worker's address: this one is gone."""
         self.remove(worker.id)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -33,7 +33,8 @@
 MAX_CONNECTIONS = 3000
 READ_TIMEOUT_S = 40.0
 IDLE_TIMEOUT_S = 60.0
-GRACEFUL_STOP_S = 3.5
+MAX_GRACEFUL_STOP_S = 3.5
+GRACEFUL_STOP_SHARE = 0.4
 KEPT_CONNECTION_S = 4.0
 REPORT_INTERVAL_S = 10.0
 NO_CONNECTION_LIMIT = 0
@@ -100,7 +101,7 @@
             MAX_CONNECTIONS,
             READ_TIMEOUT_S,
             IDLE_TIMEOUT_S,
-            GRACEFUL_STOP_S,
+            min(MAX_GRACEFUL_STOP_S, GRACEFUL_STOP_SHARE * settings.bounds.grace_s),
         )
         self._readiness = HttpServer(
             ReadinessApp(self.node), settings.listen.readiness, "listen.readiness", MAX_CONNECTIONS
@@ -132,7 +133,7 @@
             self._stop_task = asyncio.create_task(self._stop())
 
     async def _stop(self) -> None:
-        await self.node.stop()
+        await self.node.stop(self._settings.bounds.grace_s)
         await cancel_all(self._report_task)
         await self._feed.stop()
         await self._frontend.stop()
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -275,7 +275,7 @@
         job = make_job()
         await fleet.nodes["n0"].jobs.submit(job)
         node = fleet.nodes.pop("n0")
-        await node.stop()
+        await node.stop(8.0)
         results = await read_all(fleet, "n1", job.id, len(job.items))
         check_whole(job, results, num_events=400)
         await fleet.stop()
@@ -290,7 +290,7 @@
         await asyncio.sleep(1.0)
         node = fleet.nodes["n0"]
         if cause == "stopping":
-            stop = asyncio.create_task(node.stop())
+            stop = asyncio.create_task(node.stop(8.0))
             await asyncio.sleep(0.1)
         else:
             fleet.faults["n0"].refuses = True
@@ -303,3 +303,18 @@
         await fleet.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("grace_s", [1.0, 8.0, 60.0])
+def test_a_planned_stop_keeps_to_its_grace(grace_s: float) -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 10_000
+        await fleet.nodes["n0"].jobs.submit(make_job())
+        started_s = asyncio.get_running_loop().time()
+        await fleet.nodes.pop("n0").stop(grace_s)
+        assert asyncio.get_running_loop().time() - started_s <= 0.5 * grace_s
+        await fleet.stop()
+
+    run_virtual(main())
