--- a/src/hollowrack_bench/program.py
+++ b/src/hollowrack_bench/program.py
@@ -11,6 +11,7 @@
 from hollowrack.results import Problem, ResultCode
 from hollowrack_bench.bench_commands import bench
 from hollowrack_bench.demo import run_demo
+from hollowrack_bench.platform_demo import PlatformDemo
 from hollowrack_bench.standin_commands import standin
 
 
@@ -27,6 +28,17 @@
     click.echo("\nAll promises held.")
 
 
+@hollowrack.command("platform-demo")
+def platform_demo() -> None:
+    """Run edge processes against stand-ins of the users' platform and check the results."""
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    outcome = asyncio.run(PlatformDemo().run())
+    print_table(outcome.rows)
+    if outcome.broken:
+        exit_with_problem(Problem(ResultCode.DEMO_PROMISE_BROKEN, "; ".join(outcome.broken[:5])))
+    click.echo("\nAll results whole.")
+
+
 hollowrack.add_command(standin)
 hollowrack.add_command(bench)
 
