--- a/src/hollowrack_bench/capacity_page.py
+++ b/src/hollowrack_bench/capacity_page.py
@@ -52,6 +52,7 @@
             *(_slope_row(name, slope) for name, slope in slopes.items()),
             "",
             _GAPS,
+            _USERS_PLATFORM,
         ]
     )
 
@@ -239,3 +240,18 @@
 - Orders, bundles, exchanges, the store's load, regions and the daily failures are not measured
   yet.
 """
+
+_USERS_PLATFORM = """## On the users' platform
+
+Not measured as slopes yet; worked out from the counts of their bench's days (10 to 12 machines).
+
+- **Leader, watches of the store**: mirrors of all workers and routes; 3 calls a second whatever
+  the size. Fits.
+- **Leader, followers' watches**: 359 followers, 1.5 to 3 answers a second each, about 800 a second.
+  Does not fit; observers by zone that watch the leader are the mechanism to build.
+- **Node, session**: one lease, 2 renewals a second; 720 a second of the store's 2,000 reads. Fits
+  barely; nodes that own nothing can do with longer leases.
+- **Job owner**: a step of 512 samples takes 10 to 20 writes. Fits.
+- **Order giver**: two loads at a time take 300 s for 600 workers. Does not fit; the number of
+  concurrent loads must follow the fleet.
+"""
