--- a/src/hollowrack/coordination/sharing.py
+++ b/src/hollowrack/coordination/sharing.py
@@ -137,7 +137,7 @@
         leader_address: Returns the leader's address; ``None`` if this node leads or nobody does.
 
     Attributes:
-        on_source_change: Called when watches are answered by another source than before.
+        source_listeners: Called when watches are answered by another source than before.
     """
 
     def __init__(
@@ -151,7 +151,7 @@
         self._leader_address = leader_address
         self._trusted_from_s: dict[str, float] = {}
         self._source: str | None = None
-        self.on_source_change: Callable[[], None] | None = None
+        self.source_listeners: list[Callable[[], None]] = []
 
     async def watch(
         self, prefix: str, after_revision: int, wait_s: float
@@ -176,8 +176,8 @@
         """Have watches that still wait elsewhere begin anew: nothing vouches for them there."""
         if source != self._source:
             self._source = source
-            if self.on_source_change is not None:
-                self.on_source_change()
+            for listener in self.source_listeners:
+                listener()
 
     async def get(self, key: str) -> StoredItem | Unavailable | None:
         """Read one key from the store."""
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -16,6 +16,7 @@
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.session import Session, owner_name
+from hollowrack.coordination.sharing import FeedClient, SharedStore
 from hollowrack.coordination.store import Committed, CoordinationStore, Put, StoredItem
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
@@ -59,6 +60,7 @@
         peer_jobs: Hands jobs to other nodes.
         address: Where other nodes reach this one; empty if they do not.
         complete_retirement: Tells the operators that a machine is empty.
+        feed: Sends watches to the leader; ``None`` if all watches go to the store.
     """
 
     store: CoordinationStore
@@ -68,6 +70,7 @@
     complete_retirement: Callable[[str], Awaitable[bool]]
     peer_jobs: PeerJobs
     address: str = ""
+    feed: FeedClient | None = None
 
 
 class EdgeNode:
@@ -115,8 +118,18 @@
         )
         self._address = connections.address
         self._live_owners: dict[str, str] = {}
+        self.watched_store: CoordinationStore = store
+        if connections.feed is not None:
+            shared = SharedStore(store, connections.feed, self.leader_address)
+            shared.source_listeners.append(self._rewatch_sessions)
+            self.watched_store = shared
         self._sessions = PrefixMirror(
-            store, SESSIONS_PREFIX, self._on_session_key, SESSIONS_PACE_S, rng, SESSIONS_WAIT_S
+            self.watched_store,
+            SESSIONS_PREFIX,
+            self._on_session_key,
+            SESSIONS_PACE_S,
+            rng,
+            SESSIONS_WAIT_S,
         )
         self._takeover = JobTakeover(
             log, self.jobs, self.leadership, lambda: set(self._live_owners)
@@ -196,6 +209,13 @@
             return None
         return self._live_owners.get(leader.value.decode()) or None
 
+    def shared_mirrors(self) -> dict[str, PrefixMirror]:
+        """Return the mirrors from which this node answers others while it leads, by prefix."""
+        return {SESSIONS_PREFIX: self._sessions}
+
+    def _rewatch_sessions(self) -> None:
+        self._sessions.rewatch()
+
     def peer_addresses(self) -> list[str]:
         """Where other nodes are reached: the leader first, the others in any order."""
         others = {
--- a/src/hollowrack/engines/controller.py
+++ b/src/hollowrack/engines/controller.py
@@ -1,7 +1,8 @@
 """Brings the engines of a zone to the weight versions they should run.
 
-The leader of the zone's replicated group gives the orders, and each order carries the leader's
-ballot as a fencing token, so that an engine refuses a leader that was replaced without knowing it.
+The leader of the zone's replicated group gives the orders, from whichever zone it runs in, and each
+order carries the leader's ballot as a fencing token, so that an engine refuses a leader that was
+replaced without knowing it.
 An engine whose swap failed is ordered again until it reports one consistent version.
 """
 
@@ -12,9 +13,11 @@
 from returns.result import Failure
 
 from hollowrack.clients.engine import MakeEngineClient
+from hollowrack.clock import now_s
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.replication.client import GroupClient
 from hollowrack.replication.host import GroupHost
+from hollowrack.replication.placement import DEFAULT_NUM_REPLICAS
 from hollowrack.routing.fleet import BackEndRecord, FleetView
 from hollowrack.routing.types import BackEndKind
 from hollowrack.tasks import cancel_all
@@ -23,6 +26,9 @@
 RECONCILE_INTERVAL_S = 0.1
 ENSURE_INTERVAL_S = 1.0
 FAILED_ORDER_PAUSE_S = 1.0
+# A group founded by a node that has found no others yet is lost with that node.
+DISCOVERY_POLL_S = 0.1
+SETTLED_AFTER_S = 1.5
 
 
 def zone_of_group(group: str) -> str | None:
@@ -53,16 +59,17 @@
 
 
 class EngineController:
-    """Orders the engines of one zone while this node leads the zone's group.
+    """Orders the engines of each zone whose group this node leads.
 
     Args:
-        zone: The zone.
-        host: Runs the zone's group, if this node is a member.
+        zone: This node's zone, whose group it creates if nobody has.
+        host: Runs the groups that this node is a member of.
         groups: Creates the zone's group.
         fleet: The node's view of the back ends.
         make_client: Returns the client of an engine by its address.
         target_version: Returns the weight version a model should run, or ``None``.
         decisions: Where decisions are recorded.
+        num_nodes: Returns how many live nodes this node knows, itself included.
     """
 
     def __init__(
@@ -74,8 +81,10 @@
         make_client: MakeEngineClient,
         target_version: Callable[[str], int | None],
         decisions: DecisionLog,
+        num_nodes: Callable[[], int],
     ) -> None:
         self._zone = zone
+        self._num_nodes = num_nodes
         self._host = host
         self._groups = groups
         self._fleet = fleet
@@ -99,24 +108,37 @@
 
     async def _run_ensure(self) -> None:
         group = engine_group(self._zone)
+        await self._until_nodes_are_found()
         while True:
             await self._groups.ensure(group)
             await asyncio.sleep(ENSURE_INTERVAL_S)
 
+    async def _until_nodes_are_found(self) -> None:
+        """Wait until enough nodes for a group are known, or no new one has been found lately."""
+        num_known = self._num_nodes()
+        last_found_s = now_s()
+        while num_known < DEFAULT_NUM_REPLICAS and now_s() - last_found_s < SETTLED_AFTER_S:
+            await asyncio.sleep(DISCOVERY_POLL_S)
+            if self._num_nodes() != num_known:
+                num_known = self._num_nodes()
+                last_found_s = now_s()
+
     async def _run_reconcile(self) -> None:
-        group = engine_group(self._zone)
         while True:
             await asyncio.sleep(RECONCILE_INTERVAL_S)
-            if not self._host.leads(group):
-                continue
-            token = self._host.groups[group].replica.promised.fencing_token
-            for address, record in self._fleet.records.items():
-                if address not in self._orders:
-                    self._order_if_needed(address, record, token)
+            for group in list(self._host.groups):
+                zone = zone_of_group(group)
+                if zone is not None and self._host.leads(group):
+                    self._order_zone(zone, self._host.groups[group].replica.promised.fencing_token)
+
+    def _order_zone(self, zone: str, token: int) -> None:
+        for address, record in self._fleet.records.items():
+            if record.machine.zone == zone and address not in self._orders:
+                self._order_if_needed(address, record, token)
 
     def _order_if_needed(self, address: str, record: BackEndRecord, token: int) -> None:
         machine = record.machine
-        if machine.kind != BackEndKind.ENGINE.value or machine.zone != self._zone:
+        if machine.kind != BackEndKind.ENGINE.value:
             return
         if record.engine is None or record.is_leaving:
             return
--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -290,6 +290,7 @@
             edges.make_engine_client,
             self._target_version,
             self.decisions,
+            self._num_nodes,
         )
 
     def _build_groups(self, directory: GroupDirectory) -> None:
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -76,12 +76,12 @@
                 self._complete_retirement,
                 HttpPeerJobs(self._sessions[3]),
                 settings.listen.control_plane,
+                HttpFeedClient(self._sessions[3]),
             ),
             self._rng,
         )
-        shared = SharedStore(store, HttpFeedClient(self._sessions[3]), self.node.leader_address)
         self._feed = PlatformFeed(
-            shared,
+            self.node.watched_store,
             self.node,
             OPERATOR_PACE_S,
             WORKER_PACE_S,
@@ -89,8 +89,10 @@
             WORKER_WAIT_S,
             self._rng,
         )
-        shared.on_source_change = self._feed.rewatch_workers
-        feed = MirrorFeed(self._feed.mirrors(), self._feed.operators)
+        if isinstance(self.node.watched_store, SharedStore):
+            self.node.watched_store.source_listeners.append(self._feed.rewatch_workers)
+        mirrors = {**self._feed.mirrors(), **self.node.shared_mirrors()}
+        feed = MirrorFeed(mirrors, self._feed.operators)
         streams = StreamForwarder(
             self.node.routes, self.node.workers, workers, self.node.queue, announced_version
         )
--- a/src/hollowrack/weights/order_giver.py
+++ b/src/hollowrack/weights/order_giver.py
@@ -18,7 +18,12 @@
 from hollowrack.forwarding.types import Service, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.tasks import cancel_all
-from hollowrack.weights.plan import VersionMove, next_moves, plan_loads
+from hollowrack.weights.plan import (
+    VersionMove,
+    max_concurrent_loads,
+    next_moves,
+    plan_loads,
+)
 
 LOOK_S = 0.1
 LOAD_DELAY_S = 0.8
@@ -137,7 +142,8 @@
                 for model in service.models
                 if model in self._named_versions
             }
-            for move in next_moves(named, ripe, plan, held, self._loading):
+            max_concurrent = max_concurrent_loads(len(workers))
+            for move in next_moves(named, ripe, plan, held, self._loading, max_concurrent):
                 self._start_move(move)
 
     def _start_move(self, move: VersionMove) -> None:
--- a/src/hollowrack/weights/plan.py
+++ b/src/hollowrack/weights/plan.py
@@ -9,11 +9,15 @@
 
 # Each model is kept current on at least this many workers, so that one may fail.
 MIN_WORKERS_PER_MODEL = 2
-MAX_CONCURRENT_LOADS = 2
-# Loads that fit between two versions: two at a time, about a second each, versions 4 s apart.
-MAX_LOADS_PER_VERSION = 8
-# Where models share workers, most loads beyond one a worker and version are paid for.
-NUM_LOADS_WHEN_SHARED = 6
+MIN_CONCURRENT_LOADS = 2
+# Loads slow each other down beyond a number that grows with the workers: about two in five.
+CONCURRENT_LOADS_SHARE = 0.4
+# Loads that one place for a load does between two versions: a second each, versions 4 s apart.
+NUM_LOADS_IN_TURN = 4
+# Where models share workers, this share of the loads that fit: some fail and are done again.
+SHARED_LOADS_SHARE = 0.75
+# For each so many holders of a model one more may stay that is not planned.
+INCUMBENTS_PER_SPARE = 6
 # A version serves two steps, so half of the workers may skip each version.
 NUM_STEPS_SERVED = 2
 
@@ -48,6 +52,17 @@
         return ceil(num_holders / NUM_STEPS_SERVED) if self.skips_versions else num_holders
 
 
+def max_concurrent_loads(num_workers: int) -> int:
+    """Return how many workers of a service may load at a time."""
+    return max(MIN_CONCURRENT_LOADS, round(CONCURRENT_LOADS_SHARE * num_workers))
+
+
+def max_loads_per_version(num_workers: int) -> int:
+    """Return how many loads fit between two versions, over all models."""
+    num_places = max(MIN_CONCURRENT_LOADS, CONCURRENT_LOADS_SHARE * num_workers)
+    return int(NUM_LOADS_IN_TURN * num_places)
+
+
 def plan_loads(
     models: Sequence[str], workers: Sequence[Worker], held_versions: HeldVersions
 ) -> LoadPlan:
@@ -59,9 +74,10 @@
     """
     names = sorted(models)
     num_pairs = len(names) * len(workers)
-    if num_pairs <= MAX_LOADS_PER_VERSION:
+    max_loads = max_loads_per_version(len(workers))
+    if num_pairs <= max_loads:
         return LoadPlan({name: tuple(workers) for name in names}, skips_versions=False)
-    share = NUM_LOADS_WHEN_SHARED * NUM_STEPS_SERVED // len(names)
+    share = int(SHARED_LOADS_SHARE * max_loads) * NUM_STEPS_SERVED // len(names)
     share = min(len(workers), max(MIN_WORKERS_PER_MODEL, share))
     if len(names) == 1:
         share = len(workers)
@@ -76,7 +92,9 @@
     assigned: dict[str, list[Worker]] = {}
     # Those that hold a model already are counted for all models before any gap is filled.
     for name in names:
-        assigned[name] = _incumbents(name, workers, held_versions)[:share]
+        incumbents = _incumbents(name, workers, held_versions)
+        # A few more than planned, so that the loss of a worker does not move models elsewhere.
+        assigned[name] = incumbents[: share + share // INCUMBENTS_PER_SPARE]
         num_models.update(worker.id for worker in assigned[name])
     for name in names:
         others = [worker for worker in workers if worker not in assigned[name]]
@@ -111,7 +129,7 @@
     plan: LoadPlan,
     held_versions: HeldVersions,
     loading: Mapping[str, str],
-    max_concurrent: int = MAX_CONCURRENT_LOADS,
+    max_concurrent: int = MIN_CONCURRENT_LOADS,
 ) -> list[VersionMove]:
     """Return the moves to start now.
 
--- a/src/hollowrack_standins/coordination_store.py
+++ b/src/hollowrack_standins/coordination_store.py
@@ -59,6 +59,7 @@
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
         self.num_calls = 0
+        self.num_watches = 0
         self._history: list[tuple[int, str, StoredItem | None]] = []
         self._forgotten_revision = 0
         self._lease_ends_s: dict[int, float] = {}
@@ -193,6 +194,7 @@
         self, prefix: str, after_revision: int, wait_s: float
     ) -> Changes | HistoryGone | Unavailable:
         """Wait for changes below a prefix."""
+        self._core.num_watches += 1
         failure = await self._begin()
         if failure is not None:
             return failure
--- /dev/null
+++ b/tests/coordination/test_shared_sessions.py
@@ -0,0 +1,115 @@
+"""Nodes that hear of each other through the leader, while leaders die silently."""
+
+import asyncio
+import random
+
+from hollowrack.coordination.mirror import PrefixMirror
+from hollowrack.coordination.sharing import MirrorFeed, SharedChanges, WatchRequest
+from hollowrack.edge_node import EdgeConnections, EdgeNode
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.back_ends import BackEndsStandin
+from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
+from tests.jobs.helpers import Fleet as PeerFleet
+from tests.jobs.helpers import NoOrders
+
+SENTINEL_WAIT_S = 0.5
+PACE_S = 0.15
+HANDOVER_S = 3.0
+LEADER_FOUND_S = 4.5
+
+
+class SharingNode:
+    """An edge node with what answers other nodes' watches."""
+
+    def __init__(self, name: str, fleet: "SharingFleet") -> None:
+        self.faults = StoreFaults()
+        store = fleet.core.view(self.faults)
+        rng = random.Random(name)
+        peers = PeerFleet(0)
+        connections = EdgeConnections(
+            store, BackEndsStandin(), NoOrders(), lambda _: None, _retire, peers, name, fleet
+        )
+        self.node = EdgeNode(name, "z1", HANDOVER_S, connections, rng)
+        self.sentinel = PrefixMirror(
+            self.node.watched_store,
+            "op/",
+            lambda key, item: None,
+            PACE_S,
+            rng,
+            SENTINEL_WAIT_S,
+            self.node.store_doubted,
+        )
+        mirrors = {"op/": self.sentinel, **self.node.shared_mirrors()}
+        self.feed = MirrorFeed(mirrors, self.sentinel)
+        self.sentinel.start()
+        self.node.start()
+
+    async def kill(self) -> None:
+        self.faults.is_silent = True
+        await self.sentinel.stop()
+        await self.node.abandon()
+
+
+class SharingFleet:
+    """Edge nodes that ask the leader; the dead do not refuse, they are silent."""
+
+    def __init__(self, num_nodes: int) -> None:
+        self.core = CoordinationStoreCore()
+        self.nodes: dict[str, SharingNode] = {}
+        for index in range(num_nodes):
+            name = f"n{index}"
+            self.nodes[name] = SharingNode(name, self)
+
+    async def watch(self, address: str, request: WatchRequest) -> SharedChanges | None:
+        await asyncio.sleep(0.001)
+        if address not in self.nodes:
+            await asyncio.sleep(request.wait_s + 0.35)
+            return None
+        return await self.nodes[address].feed.watch(request)
+
+    def leaders(self) -> list[str]:
+        return [name for name, node in self.nodes.items() if node.node.leadership.is_leader]
+
+    def known_peers(self) -> set[int]:
+        return {len(node.node.peer_addresses()) for node in self.nodes.values()}
+
+    async def kill(self, name: str) -> None:
+        await self.nodes.pop(name).kill()
+
+    async def stop(self) -> None:
+        for name in list(self.nodes):
+            await self.kill(name)
+
+
+async def _retire(machine: str) -> bool:
+    return bool(machine)
+
+
+def test_a_leader_that_falls_silent_is_followed_and_forgotten_by_all() -> None:
+    async def main() -> None:
+        fleet = SharingFleet(8)
+        await asyncio.sleep(3.0)
+        for num_left in (7, 6, 5):
+            (leader,) = fleet.leaders()
+            await fleet.kill(leader)
+            await asyncio.sleep(LEADER_FOUND_S)
+            assert len(fleet.leaders()) == 1
+            assert fleet.known_peers() == {num_left - 1}
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_watching_the_sessions_costs_the_store_little_more_with_many_nodes() -> None:
+    async def num_calls(num_nodes: int) -> int:
+        fleet = SharingFleet(num_nodes)
+        await asyncio.sleep(5.0)
+        before = fleet.core.num_watches
+        await asyncio.sleep(30.0)
+        after = fleet.core.num_watches
+        await fleet.stop()
+        return after - before
+
+    few = run_virtual(num_calls(4))
+    many = run_virtual(num_calls(24))
+    assert many <= few + 5
