--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -6,7 +6,8 @@
 A watch may miss changes without a sign: the store drops its history while the watch hears nothing,
 or the watch waits on a connection whose other end is gone. Only a new watch shows this. One mirror,
 the sentinel, therefore watches briefly and again and again; after a dropped history, a late answer
-or a failure it has the mirrors of other prefixes list again.
+or a failure it has the mirrors of other prefixes list again. While the store fails, mirrors ask it
+less and less often, the sentinel still within the time that changes have.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 
 from absl import logging
 
+from hollowrack.backoff import Backoff
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import (
     Changes,
@@ -29,8 +31,11 @@
 
 # Shorter than the history that the store keeps, so that a quiet watch can go on from its revision.
 WATCH_WAIT_S = 15.0
-MIN_RETRY_PAUSE_S = 0.2
-MAX_RETRY_PAUSE_S = 0.8
+FIRST_RETRY_PAUSE_S = 0.4
+# A store that answers again must be found well inside the time that changes have.
+MAX_RETRY_PAUSE_S = 1.2
+# A mirror that its sentinel wakes need not look for itself.
+MAX_RESTING_PAUSE_S = 4.0
 LATE_ANSWER_S = 0.5
 MAX_HISTORY = 512
 
@@ -48,6 +53,7 @@
         rng: Source of the retry jitter.
         watch_wait_s: Longest wait of one watch, in seconds.
         on_doubt: Called when other watches may have missed changes; for the sentinel.
+        rests_on_sentinel: Whether a sentinel has this mirror list again after failures.
     """
 
     def __init__(
@@ -59,6 +65,7 @@
         rng: random.Random,
         watch_wait_s: float = WATCH_WAIT_S,
         on_doubt: Callable[[], None] | None = None,
+        rests_on_sentinel: bool = False,
     ) -> None:
         self.items: dict[str, StoredItem] = {}
         self.is_loaded = asyncio.Event()
@@ -71,9 +78,11 @@
         self._prefix = prefix
         self._on_change = on_change
         self._pace_s = pace_s
-        self._rng = rng
         self._watch_wait_s = watch_wait_s
         self._on_doubt = on_doubt
+        max_pause_s = MAX_RESTING_PAUSE_S if rests_on_sentinel else MAX_RETRY_PAUSE_S
+        self._backoff = Backoff(FIRST_RETRY_PAUSE_S, max_pause_s, rng)
+        self._must_wake = asyncio.Event()
         self._is_in_doubt = False
         self._must_list = False
         self._watching: asyncio.Task[Changes | HistoryGone | Unavailable] | None = None
@@ -106,11 +115,13 @@
     def recheck(self) -> None:
         """List again now: what the watch has heard may not be all."""
         self._must_list = True
+        self._must_wake.set()
         if self._watching is not None:
             self._watching.cancel()
 
     def rewatch(self) -> None:
         """Begin the present watch anew, from the same revision."""
+        self._must_wake.set()
         if self._watching is not None:
             self._watching.cancel()
 
@@ -119,11 +130,21 @@
         while True:
             reached = await self._step(revision)
             if reached is None:
-                await asyncio.sleep(self._rng.uniform(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S))
+                await self._pause_after_failure()
             else:
+                self._backoff.reset()
                 revision = reached
                 await asyncio.sleep(self._pace_s)
 
+    async def _pause_after_failure(self) -> None:
+        """Pause before the next attempt, unless there is a sign that it may succeed."""
+        self._must_wake.clear()
+        try:
+            async with asyncio.timeout(self._backoff.next_pause_s()):
+                await self._must_wake.wait()
+        except TimeoutError:
+            return
+
     async def _step(self, revision: int | None) -> int | None:
         """List or watch once; returns the store revision reached, or ``None`` after a failure."""
         if revision is None or self._must_list:
--- a/src/hollowrack/coordination/session.py
+++ b/src/hollowrack/coordination/session.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import random
 
 from absl import logging
 
+from hollowrack.backoff import Backoff
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import (
     CoordinationStore,
@@ -18,7 +20,8 @@
 
 SESSION_TTL_S = 2.0
 RENEWAL_INTERVAL_S = 0.5
-GRANT_RETRY_S = 0.4
+FIRST_GRANT_RETRY_S = 0.4
+MAX_GRANT_RETRY_S = 1.6
 
 _OWNER_SEPARATOR = "#"
 
@@ -38,13 +41,15 @@
 
     Args:
         store: The coordination store.
+        rng: Source of the retry jitter.
     """
 
-    def __init__(self, store: CoordinationStore) -> None:
+    def __init__(self, store: CoordinationStore, rng: random.Random) -> None:
         self.lease: int | None = None
         self.valid_until_s = -float("inf")
         self.changed = asyncio.Event()
         self._store = store
+        self._backoff = Backoff(FIRST_GRANT_RETRY_S, MAX_GRANT_RETRY_S, rng)
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -79,10 +84,11 @@
         sent_s = now_s()
         granted = await self._store.grant_lease(SESSION_TTL_S)
         if isinstance(granted, GrantedLease):
+            self._backoff.reset()
             self._set(granted.lease, sent_s + granted.ttl_s)
             logging.info("session lease %d", granted.lease)
         else:
-            await asyncio.sleep(GRANT_RETRY_S)
+            await asyncio.sleep(self._backoff.next_pause_s())
 
     async def _renew(self, lease: int) -> None:
         sent_s = now_s()
--- a/src/hollowrack/coordination/sharing.py
+++ b/src/hollowrack/coordination/sharing.py
@@ -2,8 +2,9 @@
 
 Calls to the store are paid for and limited, and all nodes want the same changes. The leader's
 mirrors keep a short history under the store's own revisions, so a follower's watch reads the same
-whether the store or the leader answers it. A leader whose mirror has not heard the store lately
-does not answer, and a follower that gets no answer asks the store.
+whether the store or the leader answers it. A node that has not heard the store itself lately does
+not answer, whatever other nodes have told it: two nodes that take each other for the leader would
+vouch for each other for ever. A follower that gets no answer asks the store.
 """
 
 from collections.abc import Callable, Sequence
@@ -86,12 +87,14 @@
 
     Args:
         mirrors: Mirrors by prefix.
-        sentinel: The mirror whose age stands for all.
+        heard_store_s: Returns when the store itself answered this node last, on the loop's clock.
     """
 
-    def __init__(self, mirrors: dict[str, PrefixMirror], sentinel: PrefixMirror) -> None:
+    def __init__(
+        self, mirrors: dict[str, PrefixMirror], heard_store_s: Callable[[], float]
+    ) -> None:
         self._mirrors = mirrors
-        self._sentinel = sentinel
+        self._heard_store_s = heard_store_s
 
     async def watch(self, request: WatchRequest) -> SharedChanges:
         """Answer a watch as soon as there is a change, or when its time is up."""
@@ -112,7 +115,7 @@
         )
 
     def _is_fresh(self) -> bool:
-        return now_s() - self._sentinel.last_heard_s <= MAX_MIRROR_AGE_S
+        return now_s() - self._heard_store_s() <= MAX_MIRROR_AGE_S
 
 
 def _shared(key: str, item: StoredItem | None) -> SharedChange:
@@ -137,6 +140,7 @@
         leader_address: Returns the leader's address; ``None`` if this node leads or nobody does.
 
     Attributes:
+        heard_store_s: When the store itself answered a watch last, on the loop's clock.
         source_listeners: Called when watches are answered by another source than before.
     """
 
@@ -151,6 +155,7 @@
         self._leader_address = leader_address
         self._trusted_from_s: dict[str, float] = {}
         self._source: str | None = None
+        self.heard_store_s = -float("inf")
         self.source_listeners: list[Callable[[], None]] = []
 
     async def watch(
@@ -160,17 +165,20 @@
         address = self._leader_address()
         if address is not None and now_s() >= self._trusted_from_s.get(address, 0.0):
             request = WatchRequest(prefix, after_revision, wait_s)
-            answer = await self._client.watch(address, request)
-            if answer is not None and answer.is_history_gone:
+            shared = await self._client.watch(address, request)
+            if shared is not None and shared.is_history_gone:
                 return HistoryGone()
-            if answer is not None and not answer.is_stale:
+            if shared is not None and not shared.is_stale:
                 self._note_source(address)
-                return _changes(answer, after_revision)
+                return _changes(shared, after_revision)
             self._trusted_from_s[address] = now_s() + DISTRUST_S
-            reason = "no answer" if answer is None else "its mirror is old"
+            reason = "no answer" if shared is None else "its mirror is old"
             logging.info("watch of %s: not by the leader at %s: %s", prefix, address, reason)
         self._note_source(None)
-        return await self._store.watch(prefix, after_revision, wait_s)
+        answer = await self._store.watch(prefix, after_revision, wait_s)
+        if isinstance(answer, Changes):
+            self.heard_store_s = now_s()
+        return answer
 
     def _note_source(self, source: str | None) -> None:
         """Have watches that still wait elsewhere begin anew: nothing vouches for them there."""
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -60,7 +60,7 @@
         peer_jobs: Hands jobs to other nodes.
         address: Where other nodes reach this one; empty if they do not.
         complete_retirement: Tells the operators that a machine is empty.
-        feed: Sends watches to the leader; ``None`` if all watches go to the store.
+        feed: Sends watches to the leader.
     """
 
     store: CoordinationStore
@@ -69,8 +69,8 @@
     read_version: Callable[[StreamEvent], int | None]
     complete_retirement: Callable[[str], Awaitable[bool]]
     peer_jobs: PeerJobs
+    feed: FeedClient
     address: str = ""
-    feed: FeedClient | None = None
 
 
 class EdgeNode:
@@ -102,7 +102,7 @@
         self.workers = WorkerDirectory(zone, rng)
         self.forwarder = Forwarder(self.routes, self.workers, connections.back_ends)
         self.queue = DispatchQueue(self.workers)
-        self.session = Session(store)
+        self.session = Session(store, rng)
         self.leadership = Leadership(store, self.session, LEADER_KEY, self.owner, handover_s, rng)
         self.services = ItemServices(
             self.routes,
@@ -118,18 +118,16 @@
         )
         self._address = connections.address
         self._live_owners: dict[str, str] = {}
-        self.watched_store: CoordinationStore = store
-        if connections.feed is not None:
-            shared = SharedStore(store, connections.feed, self.leader_address)
-            shared.source_listeners.append(self._rewatch_sessions)
-            self.watched_store = shared
+        self.shared_store = SharedStore(store, connections.feed, self.leader_address)
+        self.shared_store.source_listeners.append(self._rewatch_sessions)
         self._sessions = PrefixMirror(
-            self.watched_store,
+            self.shared_store,
             SESSIONS_PREFIX,
             self._on_session_key,
             SESSIONS_PACE_S,
             rng,
             SESSIONS_WAIT_S,
+            rests_on_sentinel=True,
         )
         self._takeover = JobTakeover(
             log, self.jobs, self.leadership, lambda: set(self._live_owners)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -11,7 +11,7 @@
 
 from hollowrack.api.server import HttpServer
 from hollowrack.coordination.feed_http import HttpFeedClient, feed_routes
-from hollowrack.coordination.sharing import MirrorFeed, SharedStore
+from hollowrack.coordination.sharing import MirrorFeed
 from hollowrack.coordination.store import Committed, Put
 from hollowrack.edge_node import EdgeConnections, EdgeNode
 from hollowrack.forwarding.stream_forwarder import StreamForwarder
@@ -75,13 +75,13 @@
                 announced_version,
                 self._complete_retirement,
                 HttpPeerJobs(self._sessions[3]),
-                settings.listen.control_plane,
                 HttpFeedClient(self._sessions[3]),
+                settings.listen.control_plane,
             ),
             self._rng,
         )
         self._feed = PlatformFeed(
-            self.node.watched_store,
+            self.node.shared_store,
             self.node,
             OPERATOR_PACE_S,
             WORKER_PACE_S,
@@ -89,10 +89,10 @@
             WORKER_WAIT_S,
             self._rng,
         )
-        if isinstance(self.node.watched_store, SharedStore):
-            self.node.watched_store.source_listeners.append(self._feed.rewatch_workers)
+        shared = self.node.shared_store
+        shared.source_listeners.append(self._feed.rewatch_workers)
         mirrors = {**self._feed.mirrors(), **self.node.shared_mirrors()}
-        feed = MirrorFeed(mirrors, self._feed.operators)
+        feed = MirrorFeed(mirrors, lambda: shared.heard_store_s)
         streams = StreamForwarder(
             self.node.routes, self.node.workers, workers, self.node.queue, announced_version
         )
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -73,7 +73,13 @@
             self._on_doubt,
         )
         self.workers = PrefixMirror(
-            store, names.WORKERS_PREFIX, self._on_worker_key, worker_pace_s, rng, worker_wait_s
+            store,
+            names.WORKERS_PREFIX,
+            self._on_worker_key,
+            worker_pace_s,
+            rng,
+            worker_wait_s,
+            rests_on_sentinel=True,
         )
 
     def start(self) -> None:
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -32,7 +32,7 @@
     def start(cls, core: CoordinationStoreCore, name: str) -> "Candidate":
         faults = StoreFaults()
         store = core.view(faults)
-        session = Session(store)
+        session = Session(store, random.Random(1))
         rng = random.Random(name)
         leadership = Leadership(store, session, KEY, name, HANDOVER_S, rng)
 
--- a/tests/coordination/test_shared_sessions.py
+++ b/tests/coordination/test_shared_sessions.py
@@ -2,9 +2,16 @@
 
 import asyncio
 import random
+from functools import partial
 
 from hollowrack.coordination.mirror import PrefixMirror
-from hollowrack.coordination.sharing import MirrorFeed, SharedChanges, WatchRequest
+from hollowrack.coordination.sharing import (
+    MirrorFeed,
+    SharedChanges,
+    SharedStore,
+    WatchRequest,
+)
+from hollowrack.coordination.store import Put
 from hollowrack.edge_node import EdgeConnections, EdgeNode
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.back_ends import BackEndsStandin
@@ -27,11 +34,11 @@
         rng = random.Random(name)
         peers = PeerFleet(0)
         connections = EdgeConnections(
-            store, BackEndsStandin(), NoOrders(), lambda _: None, _retire, peers, name, fleet
+            store, BackEndsStandin(), NoOrders(), lambda _: None, _retire, peers, fleet, name
         )
         self.node = EdgeNode(name, "z1", HANDOVER_S, connections, rng)
         self.sentinel = PrefixMirror(
-            self.node.watched_store,
+            self.node.shared_store,
             "op/",
             lambda key, item: None,
             PACE_S,
@@ -40,7 +47,7 @@
             self.node.store_doubted,
         )
         mirrors = {"op/": self.sentinel, **self.node.shared_mirrors()}
-        self.feed = MirrorFeed(mirrors, self.sentinel)
+        self.feed = MirrorFeed(mirrors, lambda: self.node.shared_store.heard_store_s)
         self.sentinel.start()
         self.node.start()
 
@@ -113,3 +120,33 @@
     few = run_virtual(num_calls(4))
     many = run_virtual(num_calls(24))
     assert many <= few + 5
+
+
+def test_two_nodes_that_take_each_other_for_the_leader_do_not_vouch_for_each_other() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        mirrors: dict[str, PrefixMirror] = {}
+        feeds: dict[str, MirrorFeed] = {}
+
+        class Link:
+            async def watch(self, address: str, request: WatchRequest) -> SharedChanges | None:
+                await asyncio.sleep(0.001)
+                return await feeds[address].watch(request)
+
+        for name, believed_leader in (("a", "b"), ("b", "a")):
+            shared = SharedStore(core.view(), Link(), partial(str, believed_leader))
+            rng = random.Random(name)
+            mirror = PrefixMirror(
+                shared, "op/", lambda key, item: None, PACE_S, rng, SENTINEL_WAIT_S
+            )
+            mirrors[name] = mirror
+            feeds[name] = MirrorFeed({"op/": mirror}, partial(getattr, shared, "heard_store_s"))
+            mirror.start()
+        await asyncio.sleep(5.0)
+        core.transact([], [Put("op/config", b"2")], [])
+        await asyncio.sleep(2.0)
+        for mirror in mirrors.values():
+            assert mirror.items["op/config"].value == b"2"
+            await mirror.stop()
+
+    run_virtual(main())
--- a/tests/coordination/test_sharing.py
+++ b/tests/coordination/test_sharing.py
@@ -89,7 +89,7 @@
         self.core.transact([], [Put("o/a", b"0"), Put("w/a", b"0")], [])
         self.leader = make_node(self.core, "leader")
         mirrors = {"o/": self.leader.operators, "w/": self.leader.workers}
-        self.link = Link(MirrorFeed(mirrors, self.leader.operators))
+        self.link = Link(MirrorFeed(mirrors, lambda: self.leader.operators.last_heard_s))
         self.followers = [
             make_node(self.core, f"f{index}", self.link) for index in range(NUM_FOLLOWERS)
         ]
@@ -187,7 +187,7 @@
         core.transact([], [Put("o/a", b"0"), Put("w/a", b"0")], [])
         leader = make_node(core, "leader")
         mirrors = {"o/": leader.operators, "w/": leader.workers}
-        link = Link(MirrorFeed(mirrors, leader.operators))
+        link = Link(MirrorFeed(mirrors, lambda: leader.operators.last_heard_s))
         addresses: list[str | None] = [None]
         shared = SharedStore(HungWorkerWatch(core, StoreFaults()), link, lambda: addresses[0])
         rng = random.Random(1)
--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -2,6 +2,7 @@
 
 import random
 
+from hollowrack.coordination.sharing import SharedChanges, WatchRequest
 from hollowrack.edge_node import EdgeConnections, EdgeNode
 from hollowrack.forwarding.types import (
     Route,
@@ -33,6 +34,14 @@
         return OrderOutcome.REFUSED
 
 
+class NoFeed:
+    """A way to the leader that is always cut."""
+
+    async def watch(self, address: str, request: WatchRequest) -> SharedChanges | None:
+        del address, request
+        return None
+
+
 def configuration(version: int = 1) -> RoutingConfiguration:
     generate = Route(
         "generate",
@@ -90,6 +99,7 @@
             lambda _: None,
             self._retire,
             self,
+            NoFeed(),
             name,
         )
         node = EdgeNode(name, "z1", 3.0, connections, random.Random(f"{name}{len(self.faults)}"))
