--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -5,7 +5,6 @@
 import random
 import signal
 
-import aiohttp
 from absl import logging
 from starlette.applications import Starlette
 
@@ -18,10 +17,15 @@
 from hollowrack.jobs.peers import HttpPeerJobs, submit_routes
 from hollowrack.platform.configuration import retirement_status
 from hollowrack.platform.feed import PlatformFeed
+from hollowrack.platform.http_session import client_session
 from hollowrack.platform.ingress import IngressApp, ReadinessApp
 from hollowrack.platform.settings import MS_PER_S, ProcessSettings, read_process_settings
 from hollowrack.platform.store_client import PlatformStore
-from hollowrack.platform.worker_client import PlatformWorkers, announced_version
+from hollowrack.platform.worker_client import (
+    PlatformWorkers,
+    announced_version,
+    worker_session,
+)
 from hollowrack.tasks import cancel_all
 
 # Only the leader's watches reach the store, so that they may be close.
@@ -35,9 +39,7 @@
 IDLE_TIMEOUT_S = 60.0
 MAX_GRACEFUL_STOP_S = 3.5
 GRACEFUL_STOP_SHARE = 0.4
-KEPT_CONNECTION_S = 4.0
 REPORT_INTERVAL_S = 10.0
-NO_CONNECTION_LIMIT = 0
 
 
 class EdgeProcess:
@@ -61,7 +63,12 @@
             ProblemError: ``ADDRESS_UNAVAILABLE``.
         """
         settings = self._settings
-        self._sessions = [_session(), _session(), _session(force_close=True), _session()]
+        self._sessions = [
+            client_session(),
+            worker_session(),
+            worker_session(force_close=True),
+            client_session(),
+        ]
         store = PlatformStore(self._sessions[0], settings.platform.address)
         workers = PlatformWorkers(self._sessions[1], self._sessions[2])
         self.node = EdgeNode(
@@ -175,18 +182,6 @@
         return isinstance(outcome, Committed)
 
 
-def _session(force_close: bool = False) -> aiohttp.ClientSession:
-    if force_close:
-        connector = aiohttp.TCPConnector(limit=NO_CONNECTION_LIMIT, force_close=True)
-    else:
-        connector = aiohttp.TCPConnector(
-            limit=NO_CONNECTION_LIMIT, keepalive_timeout=KEPT_CONNECTION_S
-        )
-    return aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
-    )
-
-
 async def serve_edge(settings: ProcessSettings) -> None:
     """Run the process until SIGTERM."""
     process = EdgeProcess(settings)
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -1,5 +1,6 @@
 """Calls of the platform's workers: requests, reports and orders."""
 
+import asyncio
 import contextlib
 import json
 from collections.abc import AsyncIterator, Iterable
@@ -7,6 +8,7 @@
 from typing import Any
 
 import aiohttp
+from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -21,6 +23,7 @@
 from hollowrack.forwarding.types import Worker
 from hollowrack.platform import names
 from hollowrack.platform.configuration import model_versions
+from hollowrack.platform.http_session import client_session
 from hollowrack.weights.order_giver import OrderOutcome, VersionOrder, WorkerReport
 
 CONNECT_TIMEOUT_S = 0.5
@@ -61,10 +64,52 @@
     return int(value) if value.isdigit() else None
 
 
+class _TrackedResponse(aiohttp.ClientResponse):
+    """A response that knows how its connection ended.
+
+    The client library takes an answer without a length for whole however its connection ends.
+    """
+
+    _ended: asyncio.Future[None] | None = None
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """Begin to read the answer; called by the client library."""
+        if connection.protocol is not None:
+            self._ended = connection.protocol.closed
+        if self._ended is not None:
+            self._ended.add_done_callback(_retrieve_error)
+        return await super().start(connection)
+
+    def check_end(self) -> None:
+        """Check an answer that was read to its end.
+
+        Raises:
+            BrokenAnswerError: If it states no length and its connection broke.
+        """
+        if self.content_length is not None or "Transfer-Encoding" in self.headers:
+            return
+        if self._ended is None or (self._ended.done() and self._ended.exception() is not None):
+            raise BrokenAnswerError("the answer has no length and its connection broke")
+
+
+def _retrieve_error(ended: asyncio.Future[None]) -> None:
+    if not ended.cancelled():
+        ended.exception()
+
+
+def worker_session(force_close: bool = False) -> aiohttp.ClientSession:
+    """Return an HTTP session for workers.
+
+    Args:
+        force_close: Whether every request has a connection of its own.
+    """
+    return client_session(force_close, _TrackedResponse)
+
+
 class WorkerAnswer:
     """An answer whose head has arrived; see :class:`OpenAnswer`."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: _TrackedResponse) -> None:
         self._response = response
         self.status = response.status
         self.headers: Headers = tuple(
@@ -79,9 +124,11 @@
     async def read(self) -> bytes:
         """Read the whole body."""
         try:
-            return await self._response.read()
+            body = await self._response.read()
         except (aiohttp.ClientError, OSError) as error:
             raise BrokenAnswerError(f"the answer ends early: {type(error).__name__}") from error
+        self._response.check_end()
+        return body
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the body as it arrives."""
@@ -90,6 +137,7 @@
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise BrokenAnswerError(f"the answer ends early: {type(error).__name__}") from error
+        self._response.check_end()
 
     def abort(self) -> None:
         """Close the connection, unless the answer was read whole."""
@@ -100,8 +148,8 @@
     """Sends requests, reports and orders to workers.
 
     Args:
-        session: HTTP session for repeatable requests.
-        fresh_session: HTTP session that never reuses a connection, for the others.
+        session: HTTP session for repeatable requests, from :func:`worker_session`.
+        fresh_session: Another that never reuses a connection, for the others.
     """
 
     def __init__(
@@ -139,6 +187,8 @@
         except BaseException:
             response.close()
             raise
+        if not isinstance(response, _TrackedResponse):
+            raise TypeError("the session is not one for workers")
         return WorkerAnswer(response)
 
     async def report(self, worker: Worker) -> WorkerReport | None:
