--- a/src/hollowrack/jobs/job_log.py
+++ b/src/hollowrack/jobs/job_log.py
@@ -202,7 +202,10 @@
     by_position = {int(item.key.rpartition("/")[2]): item for item in batches}
     results: list[ItemResult] = []
     while len(results) in by_position:
-        results.extend(decode_batch(by_position[len(results)].value))
+        batch = decode_batch(by_position[len(results)].value)
+        if not batch:
+            break
+        results.extend(batch)
     return results
 
 
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -17,6 +17,9 @@
 GATHER_S = 0.2
 RETRY_PAUSE_S = 0.25
 MAX_BATCH_BYTES = 500_000
+# Writes of an earlier owner may be done as late as this after the job was taken over.
+LATE_WRITES_S = 8.0
+LATE_WRITES_LOOK_S = 0.6
 
 
 class JobRunner:
@@ -29,6 +32,7 @@
         services: What running items takes.
         sequence: Number of the job on this node; earlier jobs go first.
         on_done: Called once the job needs nothing more from this node.
+        is_taken_over: Whether another process owned the job before.
     """
 
     def __init__(
@@ -39,6 +43,7 @@
         services: ItemServices,
         sequence: int,
         on_done: Callable[["JobRunner"], None],
+        is_taken_over: bool = False,
     ) -> None:
         self.job = job
         self.results = results
@@ -50,6 +55,10 @@
         self._finished: list[ItemResult] = []
         self._has_finished = asyncio.Event()
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
+        self._listing = asyncio.Lock()
+        self._follow_task: asyncio.Task[None] | None = None
+        if is_taken_over:
+            self._follow_task = asyncio.create_task(self._follow_late_writes())
         self.task = asyncio.create_task(self._run())
 
     @property
@@ -59,7 +68,7 @@
 
     async def stop(self) -> None:
         """Cancel whatever still runs; nothing more is listed."""
-        await cancel_all(self.task, *self._item_tasks.values())
+        await cancel_all(self.task, self._follow_task, *self._item_tasks.values())
         self._notify()
 
     async def _run(self) -> None:
@@ -68,15 +77,35 @@
             while not self.is_listed_whole:
                 await self._has_finished.wait()
                 await asyncio.sleep(GATHER_S)
-                if not await self._list_finished():
-                    return
+                async with self._listing:
+                    if not self._finished:
+                        self._has_finished.clear()
+                    elif not await self._list_finished():
+                        return
         except Exception:
             logging.exception("job %s stopped by a fault of the program", self.job.id)
         finally:
             for task in self._item_tasks.values():
                 task.cancel()
+            if self._follow_task is not None:
+                self._follow_task.cancel()
             self._on_done(self)
 
+    async def _follow_late_writes(self) -> None:
+        """List what an earlier owner's last writes have listed since the job was read.
+
+        Other nodes read such results from the store; this one must not know fewer.
+        """
+        end_s = now_s() + LATE_WRITES_S
+        while now_s() < end_s:
+            await asyncio.sleep(LATE_WRITES_LOOK_S)
+            listed = await self._log.read_results(self.job.id)
+            if isinstance(listed, list) and len(listed) > len(self.results):
+                async with self._listing:
+                    await self._catch_up()
+                # The job may be whole now, though no item has finished here.
+                self._has_finished.set()
+
     def _start_items(self) -> None:
         listed = {result.item_id for result in self.results}
         route = self._services.routes.lookup(self.job.host, self.job.target)
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -139,12 +139,24 @@
             stored = await self._log.load(job.id)
             self.own(job, stored.results if isinstance(stored, StoredJob) else [])
 
-    def own(self, job: Job, results: list[ItemResult]) -> None:
-        """Run a job on this node."""
+    def own(self, job: Job, results: list[ItemResult], is_taken_over: bool = False) -> None:
+        """Run a job on this node.
+
+        Args:
+            job: The job.
+            results: Its results listed so far.
+            is_taken_over: Whether another process owned it before.
+        """
         if self._is_stopping or job.id in self._runners:
             return
         runner = JobRunner(
-            job, results, self._log, self._services, next(self._sequence), self._on_done
+            job,
+            results,
+            self._log,
+            self._services,
+            next(self._sequence),
+            self._on_done,
+            is_taken_over,
         )
         self._runners[job.id] = runner
         logging.info("job %s: owned, %d items, %d listed", job.id, len(job.items), len(results))
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -108,6 +108,6 @@
         stored = await self._log.load(job.job_id)
         if isinstance(stored, StoredJob):
             logging.info("job %s: taken over from %s", job.job_id, job.owner)
-            self._jobs.own(stored.job, stored.results)
+            self._jobs.own(stored.job, stored.results, is_taken_over=True)
         else:
             self._scan_due_s = min(self._scan_due_s, now_s() + GRACE_S)
--- a/tests/jobs/test_job_log.py
+++ b/tests/jobs/test_job_log.py
@@ -5,9 +5,10 @@
 
 import pytest
 
-from hollowrack.coordination.store import NotDone, Unknown
-from hollowrack.jobs.job_log import AppendOutcome, CreateOutcome, JobLog, StoredJob
-from hollowrack.jobs.types import ItemResult, Job, JobItem
+from hollowrack.coordination.store import NotDone, StoredItem, Unknown
+from hollowrack.jobs.job_log import AppendOutcome, CreateOutcome, JobLog, StoredJob, chain
+from hollowrack.jobs.types import ItemResult, Job, JobItem, ResultBatch
+from hollowrack.messages import codec
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.coordination_store import (
     CoordinationStoreCore,
@@ -145,3 +146,8 @@
         assert await reader.owner_of(job.id) is None
 
     run_virtual(main())
+
+
+def test_a_stored_batch_without_results_ends_the_chain() -> None:
+    empty = StoredItem("k/00000000", codec.encode(ResultBatch(())), 1)
+    assert chain([empty]) == []
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hollowrack.jobs.job_log import AppendOutcome, JobLog
 from hollowrack.jobs.job_service import ResultPage
 from hollowrack.jobs.types import ItemResult
 from hollowrack.results import DESCRIPTIONS, Execution, Problem, ResultCode
@@ -11,6 +12,8 @@
 from hollowrack_standins.back_ends import WorkerBehaviour
 from tests.jobs.helpers import Fleet, check_whole, make_job
 
+SETTLE_S = 1.0
+
 
 async def read_all(fleet: Fleet, name: str, job_id: str, num_items: int) -> list[ItemResult]:
     """Read a job's results as a trainer does, page by page."""
@@ -108,6 +111,34 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("num_late", [1, 6])
+def test_a_new_owner_soon_knows_what_the_last_writes_of_the_old_one_listed(num_late: int) -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        for worker in ("e0", "e1"):
+            fleet.back_ends.behaviours[worker] = WorkerBehaviour(work_s=1.2)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        await fleet.kill("n0")
+        await asyncio.sleep(4.0)
+        (owner,) = [node for node in fleet.nodes.values() if node.jobs.owns(job.id)]
+        late = [ItemResult(item.id, True, "late") for item in job.items[:num_late]]
+        late_writer = JobLog(fleet.core.view(), "n0#gone")
+        is_last = num_late == len(job.items)
+        assert await late_writer.append(job.id, 0, late, is_last) is AppendOutcome.APPENDED
+        await asyncio.sleep(SETTLE_S)
+        page = await owner.jobs.read(job.id, 0, 0.0)
+        assert isinstance(page, ResultPage)
+        assert page.results[:num_late] == late
+        results = await read_all(fleet, "n1", job.id, len(job.items))
+        assert results[:num_late] == late
+        assert len({result.item_id for result in results}) == len(job.items)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_a_job_outlives_all_nodes() -> None:
     async def main() -> None:
         fleet = Fleet()
