Jobs of one model have one owner, wherever they are accepted

Change: rendezvous hashing over the largest live machines; the node asked accepts the job itself when the owner to be does not answer.

--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -30,7 +30,10 @@
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_service import JobService
 from hollowrack.jobs.peers import PeerJobs
+from hollowrack.jobs.placement import NodeEntry, preferred_owner
 from hollowrack.jobs.takeover import JobTakeover
+from hollowrack.jobs.types import Job
+from hollowrack.messages import codec
 from hollowrack.tasks import cancel_all
 from hollowrack.weights.order_giver import OrderClient, OrderGiver
 
@@ -59,6 +62,7 @@
         read_version: Reads the weight version that an event announces.
         peer_jobs: Hands jobs to other nodes.
         address: Where other nodes reach this one; empty if they do not.
+        num_cores: Processor time this node has, in cores.
         complete_retirement: Tells the operators that a machine is empty.
         feed: Sends watches to the leader.
     """
@@ -71,6 +75,7 @@
     peer_jobs: PeerJobs
     feed: FeedClient
     address: str = ""
+    num_cores: float = 1.0
 
 
 class EdgeNode:
@@ -114,10 +119,16 @@
         )
         log = JobLog(store, self.owner)
         self.jobs = JobService(
-            log, JobReader(store, log), self.services, connections.peer_jobs, self.peer_addresses
+            log,
+            JobReader(store, log),
+            self.services,
+            connections.peer_jobs,
+            self.peer_addresses,
+            self.preferred_owner_address,
         )
         self._address = connections.address
-        self._live_owners: dict[str, str] = {}
+        self._num_cores = connections.num_cores
+        self._live_owners: dict[str, NodeEntry] = {}
         self.shared_store = SharedStore(store, connections.feed, self.leader_address)
         self.shared_store.source_listeners.append(self._rewatch_sessions)
         self._sessions = PrefixMirror(
@@ -205,7 +216,15 @@
         leader = self._sessions.items.get(LEADER_KEY)
         if leader is None or leader.value.decode() == self.owner:
             return None
-        return self._live_owners.get(leader.value.decode()) or None
+        entry = self._live_owners.get(leader.value.decode())
+        return entry.address or None if entry is not None else None
+
+    def preferred_owner_address(self, job: Job) -> str | None:
+        """Where the node that should own a job is reached; ``None`` if it is this one."""
+        owner = preferred_owner(job, self._live_owners)
+        if owner is None or owner == self.owner:
+            return None
+        return self._live_owners[owner].address
 
     def shared_mirrors(self) -> dict[str, PrefixMirror]:
         """Return the mirrors from which this node answers others while it leads, by prefix."""
@@ -217,9 +236,9 @@
     def peer_addresses(self) -> list[str]:
         """Where other nodes are reached: the leader first, the others in any order."""
         others = {
-            address
-            for owner, address in self._live_owners.items()
-            if address and address != self._address and owner != self.owner
+            entry.address
+            for owner, entry in self._live_owners.items()
+            if entry.address and entry.address != self._address and owner != self.owner
         }
         leader = self.leader_address()
         rest = sorted(others - {leader})
@@ -264,7 +283,8 @@
             changed = self.session.changed
             lease = self.session.lease
             if lease is not None and lease != registered_lease:
-                outcome = await self._store.transact([], [Put(key, self._address.encode(), lease)])
+                entry = codec.encode(NodeEntry(self._address, self._num_cores))
+                outcome = await self._store.transact([], [Put(key, entry, lease)])
                 if isinstance(outcome, Committed):
                     registered_lease = lease
                     continue
@@ -315,7 +335,9 @@
         if item is None:
             self._live_owners.pop(owner, None)
         else:
-            self._live_owners[owner] = item.value.decode()
+            decoded = codec.decode(item.value)
+            entry = decoded.value_or(None)
+            self._live_owners[owner] = entry if isinstance(entry, NodeEntry) else NodeEntry("")
 
     def _on_end_key(self, key: str, item: StoredItem | None) -> None:
         if item is not None:
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -28,6 +28,9 @@
 END_PATIENCE_S = 3.0
 READ_RETRY_AFTER_S = 0.3
 MAX_PEERS_ASKED = 3
+# The node that should own a job answers soon, or another one owns it.
+HANDOFF_TIMEOUT_S = 1.0
+PEER_TIMEOUT_S = 3.0
 # Problems after which nothing of the job is stored, and another node may do better.
 _WORTH_HANDING_ON = frozenset({ResultCode.STOPPING, ResultCode.JOB_NOT_STORED})
 
@@ -54,6 +57,8 @@
         services: What running items takes.
         peers: Hands jobs to other nodes.
         peer_addresses: Returns where other nodes are reached, the preferred ones first.
+        preferred_owner: Returns where the node that should own a job is reached; ``None`` if it is
+            this one.
     """
 
     def __init__(
@@ -63,7 +68,9 @@
         services: ItemServices,
         peers: PeerJobs,
         peer_addresses: Callable[[], list[str]],
+        preferred_owner: Callable[[Job], str | None],
     ) -> None:
+        self.preferred_owner = preferred_owner
         self._peers = peers
         self._peer_addresses = peer_addresses
         self._log = log
@@ -87,18 +94,33 @@
 
     async def submit(self, job: Job) -> Problem | None:
         """Accept a job, here or at another node; ``None`` once it is stored for good."""
+        preferred = None if self.owns(job.id) else self.preferred_owner(job)
+        may_be_stored = False
+        if preferred is not None:
+            handed = await self._hand_on(preferred, job, HANDOFF_TIMEOUT_S)
+            if handed is None:
+                return None
+            may_be_stored = handed.code not in _WORTH_HANDING_ON
         problem = await self.submit_here(job)
         if problem is None or problem.code not in _WORTH_HANDING_ON:
             return problem
-        for address in self._peer_addresses()[:MAX_PEERS_ASKED]:
-            handed = await self._peers.submit(address, job)
+        others = [address for address in self._peer_addresses() if address != preferred]
+        for address in others[:MAX_PEERS_ASKED]:
+            handed = await self._hand_on(address, job, PEER_TIMEOUT_S)
             if handed is None:
-                logging.info("job %s: handed to the node at %s", job.id, address)
                 return None
             if handed.code not in _WORTH_HANDING_ON:
                 return handed
+        if may_be_stored:
+            return Problem(ResultCode.OUTCOME_UNKNOWN, "a node may have stored the job", job.id)
         return problem
 
+    async def _hand_on(self, address: str, job: Job, timeout_s: float) -> Problem | None:
+        handed = await self._peers.submit(address, job, timeout_s)
+        if handed is None:
+            logging.info("job %s: handed to the node at %s", job.id, address)
+        return handed
+
     async def submit_here(self, job: Job) -> Problem | None:
         """Accept a job on this node; ``None`` once it is stored for good."""
         if not 0 < len(job.id) <= MAX_JOB_ID_LENGTH:
--- a/src/hollowrack/jobs/peers.py
+++ b/src/hollowrack/jobs/peers.py
@@ -16,7 +16,6 @@
 from hollowrack.results import DESCRIPTIONS, Problem, ResultCode
 
 SUBMIT_PATH = "/jobs"
-SUBMIT_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 0.3
 
 
@@ -37,7 +36,7 @@
 class PeerJobs(Protocol):
     """Hands jobs to other nodes."""
 
-    async def submit(self, address: str, job: Job) -> Problem | None:
+    async def submit(self, address: str, job: Job, timeout_s: float) -> Problem | None:
         """Hand a job over; ``None`` once it is stored for good.
 
         Fails with ``JOB_NOT_STORED`` if nothing was done, and with ``OUTCOME_UNKNOWN`` if the job
@@ -55,9 +54,9 @@
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
 
-    async def submit(self, address: str, job: Job) -> Problem | None:
+    async def submit(self, address: str, job: Job, timeout_s: float) -> Problem | None:
         """Hand a job over."""
-        timeout = aiohttp.ClientTimeout(total=SUBMIT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         url = f"http://{address}{SUBMIT_PATH}"
         try:
             async with self._session.post(url, data=codec.encode(job), timeout=timeout) as response:
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -84,6 +84,7 @@
                 HttpPeerJobs(self._sessions[3]),
                 HttpFeedClient(self._sessions[3]),
                 settings.listen.control_plane,
+                settings.limits.cpu_shares * settings.limits.cores,
             ),
             self._rng,
         )
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -34,6 +34,13 @@
     drain_ms: float = Field(default=2000.0, alias="drain-ms")
 
 
+class Limits(_Section):
+    """What the machine has."""
+
+    cpu_shares: float = Field(default=1.0, alias="cpu-shares")
+    cores: float = 1.0
+
+
 class StoreSettings(_Section):
     """Where the platform's store is."""
 
@@ -48,6 +55,7 @@
     role: str = ""
     listen: Listen = Listen()
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     platform: StoreSettings
     metrics: str | None = None
 
--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -1,5 +1,6 @@
 """A small fleet of job services on one store and one set of workers, on virtual time."""
 
+import asyncio
 import random
 
 from hollowrack.coordination.sharing import SharedChanges, WatchRequest
@@ -79,9 +80,16 @@
 
 
 class Fleet:
-    """Edge nodes before the same store and workers."""
+    """Edge nodes before the same store and workers.
 
-    def __init__(self, num_nodes: int = 3) -> None:
+    Args:
+        num_nodes: How many.
+        hands_on: Whether jobs go to the node that should own them; otherwise to the one asked.
+    """
+
+    def __init__(self, num_nodes: int = 3, hands_on: bool = False) -> None:
+        self.hands_on = hands_on
+        self.num_lost_handoffs = 0
         self.core = CoordinationStoreCore()
         self.back_ends = BackEndsStandin()
         self.faults: dict[str, StoreFaults] = {}
@@ -103,6 +111,8 @@
             name,
         )
         node = EdgeNode(name, "z1", 3.0, connections, random.Random(f"{name}{len(self.faults)}"))
+        if not self.hands_on:
+            node.jobs.preferred_owner = lambda job: None
         node.configuration_changed(configuration())
         for index in range(2):
             worker = Worker(f"e{index}", "engines", "127.0.0.1:1", "z1", 4, False, {MODEL: 1})
@@ -112,11 +122,20 @@
         self.nodes[name] = node
         return node
 
-    async def submit(self, address: str, job: Job) -> Problem | None:
+    async def submit(self, address: str, job: Job, timeout_s: float) -> Problem | None:
         """Hand a job to another node, whose address is its name."""
         if address not in self.nodes:
             return Problem(ResultCode.JOB_NOT_STORED, "no node", address)
-        return await self.nodes[address].jobs.submit_here(job)
+        problem = await self.nodes[address].jobs.submit_here(job)
+        if self.num_lost_handoffs:
+            self.num_lost_handoffs -= 1
+            await asyncio.sleep(timeout_s)
+            return Problem(ResultCode.OUTCOME_UNKNOWN, "no answer", address)
+        return problem
+
+    def owners_of(self, job: Job) -> list[str]:
+        """Return the nodes that run a job."""
+        return [name for name, node in self.nodes.items() if node.jobs.owns(job.id)]
 
     async def kill(self, name: str) -> None:
         """End a node at once: nothing more of it reaches the store."""
