--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -17,7 +17,7 @@
 from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.session import Session, owner_name
 from hollowrack.coordination.sharing import FeedClient, SharedStore
-from hollowrack.coordination.store import Committed, CoordinationStore, Put, StoredItem
+from hollowrack.coordination.store import Committed, CoordinationStore, Put
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.event_stream import StreamEvent
@@ -26,25 +26,20 @@
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.item_runner import ItemServices
-from hollowrack.jobs.job_log import ENDS_PREFIX, JobLog, job_id_of
+from hollowrack.jobs.job_log import JobLog
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_service import JobService
+from hollowrack.jobs.live_state import LEADER_KEY, LIVE_PREFIX, OWNERS_PREFIX, LiveState
 from hollowrack.jobs.peers import PeerJobs
-from hollowrack.jobs.placement import NodeEntry, preferred_owner
+from hollowrack.jobs.placement import NodeEntry
 from hollowrack.jobs.takeover import JobTakeover
-from hollowrack.jobs.types import Job
 from hollowrack.messages import codec
 from hollowrack.tasks import cancel_all
 from hollowrack.weights.order_giver import OrderClient, OrderGiver
 
-SESSIONS_PREFIX = "hollowrack/sessions/"
-LEADER_KEY = SESSIONS_PREFIX + "leader"
-OWNERS_PREFIX = SESSIONS_PREFIX + "nodes/"
-SESSIONS_PACE_S = 0.2
-SESSIONS_WAIT_S = 5.0
-ENDS_PACE_S = 0.5
+LIVE_PACE_S = 0.2
+LIVE_WAIT_S = 5.0
 REGISTER_PAUSE_S = 0.2
-WATCH_ENDS_PAUSE_S = 0.2
 RETIREMENT_PAUSE_S = 0.3
 # At a planned stop callers need this long to turn away, if there is as much time.
 MAX_TURN_AWAY_S = 3.5
@@ -118,30 +113,31 @@
             connections.read_version,
         )
         log = JobLog(store, self.owner)
+        self.live = LiveState(self.owner, self.leadership, self._on_job_ended)
         self.jobs = JobService(
             log,
             JobReader(store, log),
             self.services,
             connections.peer_jobs,
             self.peer_addresses,
-            self.preferred_owner_address,
+            self.live,
+            self.session,
         )
         self._address = connections.address
         self._num_cores = connections.num_cores
-        self._live_owners: dict[str, NodeEntry] = {}
-        self.shared_store = SharedStore(store, connections.feed, self.leader_address)
-        self.shared_store.source_listeners.append(self._rewatch_sessions)
-        self._sessions = PrefixMirror(
+        self.shared_store = SharedStore(store, connections.feed, self.live.leader_address)
+        self.shared_store.source_listeners.append(self._rewatch_live)
+        self._live_mirror = PrefixMirror(
             self.shared_store,
-            SESSIONS_PREFIX,
-            self._on_session_key,
-            SESSIONS_PACE_S,
+            LIVE_PREFIX,
+            self.live.take,
+            LIVE_PACE_S,
             rng,
-            SESSIONS_WAIT_S,
+            LIVE_WAIT_S,
             rests_on_sentinel=True,
         )
         self._takeover = JobTakeover(
-            log, self.jobs, self.leadership, lambda: set(self._live_owners)
+            log, self.jobs, self.leadership, self.live, self._live_mirror.is_loaded
         )
         self._named_versions: dict[str, int] = {}
         self._order_giver = OrderGiver(
@@ -153,7 +149,6 @@
             connections.orders,
         )
         self._rng = rng
-        self._ends: PrefixMirror | None = None
         self._retirements: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -167,14 +162,13 @@
     def start(self) -> None:
         """Start all parts."""
         self.session.start()
-        self._sessions.start()
+        self._live_mirror.start()
         self.leadership.start()
         self._takeover.start()
         self._order_giver.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._note_first_leader()),
-            asyncio.create_task(self._follow_ends()),
             asyncio.create_task(self._complete_retirements()),
         ]
 
@@ -193,9 +187,7 @@
         started_s = now_s()
         await self.jobs.drain(turn_away_s)
         await cancel_all(*self._tasks)
-        if self._ends is not None:
-            await self._ends.stop()
-        await self._sessions.stop()
+        await self._live_mirror.stop()
         await self.session.stop()
         await asyncio.sleep(max(0.0, started_s + turn_away_s - now_s()))
 
@@ -206,45 +198,20 @@
         await self.leadership.stop()
         await self.jobs.drain(0.0)
         await cancel_all(*self._tasks)
-        if self._ends is not None:
-            await self._ends.stop()
-        await self._sessions.stop()
+        await self._live_mirror.stop()
         await self.session.abandon()
 
-    def leader_address(self) -> str | None:
-        """Where the leader is reached; ``None`` if this node leads or the leader is not known."""
-        leader = self._sessions.items.get(LEADER_KEY)
-        if leader is None or leader.value.decode() == self.owner:
-            return None
-        entry = self._live_owners.get(leader.value.decode())
-        return entry.address or None if entry is not None else None
-
-    def preferred_owner_address(self, job: Job) -> str | None:
-        """Where the node that should own a job is reached; ``None`` if it is this one."""
-        owner = preferred_owner(job, self._live_owners)
-        if owner is None or owner == self.owner:
-            return None
-        return self._live_owners[owner].address
-
-    def shared_mirrors(self) -> dict[str, PrefixMirror]:
-        """Return the mirrors from which this node answers others while it leads, by prefix."""
-        return {SESSIONS_PREFIX: self._sessions}
-
-    def _rewatch_sessions(self) -> None:
-        self._sessions.rewatch()
-
     def peer_addresses(self) -> list[str]:
         """Where other nodes are reached: the leader first, the others in any order."""
-        others = {
-            entry.address
-            for owner, entry in self._live_owners.items()
-            if entry.address and entry.address != self._address and owner != self.owner
-        }
-        leader = self.leader_address()
-        rest = sorted(others - {leader})
+        leader = self.live.leader_address()
+        rest = [address for address in self.live.peer_addresses() if address != leader]
         self._rng.shuffle(rest)
         return [leader, *rest] if leader is not None else rest
 
+    def shared_mirrors(self) -> dict[str, PrefixMirror]:
+        """Return the mirrors from which this node answers others while it leads, by prefix."""
+        return {LIVE_PREFIX: self._live_mirror}
+
     # -- listener of the feed ---------------------------------------------------------------
 
     def configuration_changed(self, configuration: RoutingConfiguration) -> None:
@@ -269,9 +236,7 @@
 
     def store_doubted(self) -> None:
         """Look again at all that is watched."""
-        self._sessions.recheck()
-        if self._ends is not None:
-            self._ends.recheck()
+        self._live_mirror.recheck()
 
     # -- loops ------------------------------------------------------------------------------
 
@@ -294,21 +259,8 @@
 
     async def _note_first_leader(self) -> None:
         """Before the first change there is none to hear of: look who leads, if anybody does."""
-        await self._sessions.is_loaded.wait()
-        self.leadership.note(self._sessions.items.get(LEADER_KEY))
-
-    async def _follow_ends(self) -> None:
-        """Follow the ends of jobs while this node owns some."""
-        while True:
-            await asyncio.sleep(WATCH_ENDS_PAUSE_S)
-            if self.jobs.num_running and self._ends is None:
-                self._ends = PrefixMirror(
-                    self._store, ENDS_PREFIX, self._on_end_key, ENDS_PACE_S, self._rng
-                )
-                self._ends.start()
-            elif not self.jobs.num_running and self._ends is not None:
-                await self._ends.stop()
-                self._ends = None
+        await self._live_mirror.is_loaded.wait()
+        self.leadership.note(self._live_mirror.items.get(LEADER_KEY))
 
     async def _complete_retirements(self) -> None:
         """Nothing lasts on any machine's disk, so a machine to be emptied is empty."""
@@ -324,21 +276,8 @@
 
     # -- mirrors ----------------------------------------------------------------------------
 
-    def _on_session_key(self, key: str, item: StoredItem | None) -> None:
-        if key == LEADER_KEY:
-            self.leadership.note(item)
-            return
-        if key == self.leadership.last_key:
-            self.leadership.note_last(item)
-            return
-        owner = key.removeprefix(OWNERS_PREFIX)
-        if item is None:
-            self._live_owners.pop(owner, None)
-        else:
-            decoded = codec.decode(item.value)
-            entry = decoded.value_or(None)
-            self._live_owners[owner] = entry if isinstance(entry, NodeEntry) else NodeEntry("")
-
-    def _on_end_key(self, key: str, item: StoredItem | None) -> None:
-        if item is not None:
-            self.jobs.note_ended(job_id_of(key, ENDS_PREFIX))
+    def _rewatch_live(self) -> None:
+        self._live_mirror.rewatch()
+
+    def _on_job_ended(self, job_id: str) -> None:
+        self.jobs.note_ended(job_id)
--- a/src/hollowrack/jobs/job_log.py
+++ b/src/hollowrack/jobs/job_log.py
@@ -29,8 +29,8 @@
 from hollowrack.results import Problem, ProblemError, ResultCode, value_or_raise
 
 JOBS_PREFIX = "hollowrack/jobs/"
-OPEN_PREFIX = "hollowrack/open/"
-ENDS_PREFIX = "hollowrack/ends/"
+OPEN_PREFIX = "hollowrack/live/open/"
+ENDS_PREFIX = "hollowrack/live/ends/"
 MAX_JOB_ID_LENGTH = 120
 MAX_PART_BYTES = 600_000
 MAX_PARTS = 28
@@ -178,16 +178,6 @@
             return item.value.decode()
         return item
 
-    async def open_jobs(self) -> list[OpenJob] | Unavailable:
-        """Read the list of unfinished jobs."""
-        listing = await self._store.list_prefix(OPEN_PREFIX)
-        if not isinstance(listing, Listing):
-            return listing
-        return [
-            OpenJob(job_id_of(item.key, OPEN_PREFIX), item.value.decode(), item.revision)
-            for item in listing.items
-        ]
-
     async def claim(self, job: OpenJob) -> bool:
         """Take over an unfinished job; returns whether this node owns it now for sure."""
         key = _open_key(job.job_id)
--- a/src/hollowrack/jobs/job_reader.py
+++ b/src/hollowrack/jobs/job_reader.py
@@ -46,6 +46,10 @@
         """Keep a job that this node has owned."""
         self._put(job.id, _CachedJob(job, list(results), revision))
 
+    def knows(self, job_id: str) -> bool:
+        """Whether the job itself is in the cache."""
+        return job_id in self._cache
+
     def note_ended(self, job_id: str) -> None:
         """A job was ended: nothing more needs to be waited for."""
         cached = self._cache.get(job_id)
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -9,12 +9,14 @@
 from absl import logging
 
 from hollowrack.clock import now_s
-from hollowrack.coordination.store import NotDone, Unknown
+from hollowrack.coordination.session import Session
+from hollowrack.coordination.store import NotDone, Unavailable, Unknown
 from hollowrack.jobs.item_runner import ItemServices
 from hollowrack.jobs.job_log import MAX_JOB_ID_LENGTH, CreateOutcome, JobLog, StoredJob
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_runner import JobRunner
-from hollowrack.jobs.peers import PeerJobs
+from hollowrack.jobs.live_state import LiveState
+from hollowrack.jobs.peers import JobPage, PeerJobs, ReadJob
 from hollowrack.jobs.types import ItemResult, Job, JobItem
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tasks import cancel_all
@@ -57,8 +59,8 @@
         services: What running items takes.
         peers: Hands jobs to other nodes.
         peer_addresses: Returns where other nodes are reached, the preferred ones first.
-        preferred_owner: Returns where the node that should own a job is reached; ``None`` if it is
-            this one.
+        live: The live processes and the open jobs, as this node sees them.
+        session: Proves that this process may still own what it owned.
     """
 
     def __init__(
@@ -68,9 +70,12 @@
         services: ItemServices,
         peers: PeerJobs,
         peer_addresses: Callable[[], list[str]],
-        preferred_owner: Callable[[Job], str | None],
+        live: LiveState,
+        session: Session,
     ) -> None:
-        self.preferred_owner = preferred_owner
+        self.hands_on = True
+        self._live = live
+        self._session = session
         self._peers = peers
         self._peer_addresses = peer_addresses
         self._log = log
@@ -94,7 +99,9 @@
 
     async def submit(self, job: Job) -> Problem | None:
         """Accept a job, here or at another node; ``None`` once it is stored for good."""
-        preferred = None if self.owns(job.id) else self.preferred_owner(job)
+        preferred = None
+        if self.hands_on and not self.owns(job.id):
+            preferred = self._live.preferred_owner_address(job)
         may_be_stored = False
         if preferred is not None:
             handed = await self._hand_on(preferred, job, HANDOFF_TIMEOUT_S)
@@ -197,6 +204,9 @@
             if len(runner.results) <= after:
                 await _wait_for(runner.changed, wait_s)
             return ResultPage(len(runner.job.items), runner.results[after:])
+        page = await self._read_at_owner(ReadJob(job_id, after, wait_s))
+        if page is not None:
+            return ResultPage(page.num_items, list(page.results))
         found = await self._reader.results(job_id, after, wait_s)
         if found is None:
             return _unknown_job(job_id)
@@ -205,10 +215,39 @@
         job, results = found
         return ResultPage(len(job.items), results[after:])
 
+    async def _read_at_owner(self, request: ReadJob) -> JobPage | None:
+        address = self._live.owner_address(request.job_id)
+        return None if address is None else await self._peers.read(address, request)
+
+    async def answer_peer(self, request: ReadJob) -> JobPage:
+        """Answer another node, if this one owns the job for sure."""
+        runner = self._runners.get(request.job_id)
+        if runner is None:
+            return JobPage(is_owner=False)
+        if len(runner.results) <= request.after:
+            await _wait_for(runner.changed, request.wait_s)
+        # A process whose session may be over may have lost the job to another one.
+        if not self._session.is_valid:
+            return JobPage(is_owner=False)
+        results = tuple(runner.results[request.after :])
+        job = runner.job if request.with_job else None
+        return JobPage(True, len(runner.job.items), results, job)
+
+    async def _find_job(self, job_id: str) -> Job | Unavailable | None:
+        """Find a job here, at its owner or in the store; ``None`` if there certainly is none."""
+        runner = self._runners.get(job_id)
+        if runner is not None:
+            return runner.job
+        if not self._reader.knows(job_id):
+            page = await self._read_at_owner(ReadJob(job_id, 0, 0.0, with_job=True))
+            if page is not None and page.job is not None:
+                self._reader.remember(page.job, list(page.results))
+                return page.job
+        return await self._reader.job(job_id)
+
     async def item(self, job_id: str, item_id: str) -> JobItem | Problem:
         """Return an item of a job."""
-        runner = self._runners.get(job_id)
-        job = runner.job if runner is not None else await self._reader.job(job_id)
+        job = await self._find_job(job_id)
         if job is None:
             return _unknown_job(job_id)
         if isinstance(job, NotDone | Unknown):
@@ -222,8 +261,8 @@
 
     async def end(self, job_id: str) -> Problem | None:
         """End a job; ``None`` once that is stored for good."""
-        if job_id not in self._runners:
-            job = await self._reader.job(job_id)
+        if job_id not in self._runners and job_id not in self._live.open_jobs:
+            job = await self._find_job(job_id)
             if job is None:
                 return _unknown_job(job_id)
             if isinstance(job, NotDone | Unknown):
--- /dev/null
+++ b/src/hollowrack/jobs/live_state.py
@@ -0,0 +1,94 @@
+"""What all nodes keep in view: who lives, who leads, which jobs are open and which were ended.
+
+All of it lies below one prefix of the coordination store, so that one mirror a node follows it.
+"""
+
+from collections.abc import Callable
+
+from hollowrack.coordination.leadership import Leadership
+from hollowrack.coordination.store import StoredItem
+from hollowrack.jobs.job_log import ENDS_PREFIX, OPEN_PREFIX, OpenJob, job_id_of
+from hollowrack.jobs.placement import NodeEntry, preferred_owner
+from hollowrack.jobs.types import Job
+from hollowrack.messages import codec
+
+LIVE_PREFIX = "hollowrack/live/"
+LEADER_KEY = LIVE_PREFIX + "leader"
+OWNERS_PREFIX = LIVE_PREFIX + "nodes/"
+
+
+class LiveState:
+    """The view of one node; fed by a mirror of :data:`LIVE_PREFIX`.
+
+    Args:
+        owner: Name and incarnation of this node.
+        leadership: Hears of the leader keys.
+        on_ended: Called with each job that was ended.
+
+    Attributes:
+        nodes: What live processes say of themselves, by owner name.
+        open_jobs: Unfinished jobs by identifier.
+    """
+
+    def __init__(self, owner: str, leadership: Leadership, on_ended: Callable[[str], None]) -> None:
+        self.nodes: dict[str, NodeEntry] = {}
+        self.open_jobs: dict[str, OpenJob] = {}
+        self._owner = owner
+        self._leadership = leadership
+        self._on_ended = on_ended
+        self._leader: str | None = None
+
+    def take(self, key: str, item: StoredItem | None) -> None:
+        """Take in a key that was written, or removed (``None``)."""
+        if key == LEADER_KEY:
+            self._leader = None if item is None else item.value.decode()
+            self._leadership.note(item)
+        elif key == self._leadership.last_key:
+            self._leadership.note_last(item)
+        elif key.startswith(OWNERS_PREFIX):
+            self._take_node(key.removeprefix(OWNERS_PREFIX), item)
+        elif key.startswith(OPEN_PREFIX):
+            self._take_open_job(job_id_of(key, OPEN_PREFIX), item)
+        elif key.startswith(ENDS_PREFIX) and item is not None:
+            self._on_ended(job_id_of(key, ENDS_PREFIX))
+
+    def _take_node(self, owner: str, item: StoredItem | None) -> None:
+        if item is None:
+            self.nodes.pop(owner, None)
+            return
+        entry = codec.decode(item.value).value_or(None)
+        self.nodes[owner] = entry if isinstance(entry, NodeEntry) else NodeEntry("")
+
+    def _take_open_job(self, job_id: str, item: StoredItem | None) -> None:
+        if item is None:
+            self.open_jobs.pop(job_id, None)
+        else:
+            self.open_jobs[job_id] = OpenJob(job_id, item.value.decode(), item.revision)
+
+    def leader_address(self) -> str | None:
+        """Where the leader is reached; ``None`` if this node leads or the leader is not known."""
+        return None if self._leader is None else self._address_of(self._leader)
+
+    def preferred_owner_address(self, job: Job) -> str | None:
+        """Where the node that should own a job is reached; ``None`` if it is this one."""
+        owner = preferred_owner(job, self.nodes)
+        return None if owner is None else self._address_of(owner)
+
+    def owner_address(self, job_id: str) -> str | None:
+        """Where the owner of an unfinished job is reached; ``None`` if not known or this node."""
+        job = self.open_jobs.get(job_id)
+        return None if job is None else self._address_of(job.owner)
+
+    def peer_addresses(self) -> list[str]:
+        """Where the other nodes are reached, in no particular order."""
+        others = {entry.address for owner, entry in self.nodes.items() if owner != self._owner}
+        return sorted(others - {"", self._own_address()})
+
+    def _address_of(self, owner: str) -> str | None:
+        if owner == self._owner or owner not in self.nodes:
+            return None
+        return self.nodes[owner].address or None
+
+    def _own_address(self) -> str:
+        entry = self.nodes.get(self._owner)
+        return "" if entry is None else entry.address
--- a/src/hollowrack/jobs/peers.py
+++ b/src/hollowrack/jobs/peers.py
@@ -1,7 +1,7 @@
-"""Jobs handed to another node, by a node that stops or that the store does not serve."""
+"""What nodes ask each other about jobs: to own one, to read one from its owner."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import aiohttp
@@ -10,12 +10,15 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from hollowrack.jobs.types import Job
+from hollowrack.jobs.types import ItemResult, Job
 from hollowrack.messages import codec
 from hollowrack.messages.codec import message
 from hollowrack.results import DESCRIPTIONS, Problem, ResultCode
 
 SUBMIT_PATH = "/jobs"
+READ_PATH = "/jobs/read"
+READ_GRACE_S = 0.4
+MAX_READ_WAIT_S = 5.0
 CONNECT_TIMEOUT_S = 0.3
 
 
@@ -33,8 +36,47 @@
     detail: str = ""
 
 
+@message("job.read")
+@dataclass(frozen=True)
+class ReadJob:
+    """Asks a job's owner for results from a position on.
+
+    Attributes:
+        job_id: The job.
+        after: The position.
+        wait_s: Longest wait for a result, in seconds.
+        with_job: Whether the job itself is asked for as well.
+    """
+
+    job_id: str
+    after: int
+    wait_s: float
+    with_job: bool = False
+
+
+@message("job.page")
+@dataclass(frozen=True)
+class JobPage:
+    """An owner's answer.
+
+    Attributes:
+        is_owner: Whether the node owns the job for sure; otherwise nothing else is told.
+        num_items: Items of the job.
+        results: Results from the position on.
+        job: The job, if it was asked for.
+    """
+
+    is_owner: bool
+    num_items: int = 0
+    results: tuple[ItemResult, ...] = ()
+    job: Job | None = None
+
+
 class PeerJobs(Protocol):
-    """Hands jobs to other nodes."""
+    """Hands jobs to other nodes and reads them there."""
+
+    async def read(self, address: str, request: ReadJob) -> JobPage | None:
+        """Read a job at its owner; ``None`` if that node does not own it or does not answer."""
 
     async def submit(self, address: str, job: Job, timeout_s: float) -> Problem | None:
         """Hand a job over; ``None`` once it is stored for good.
@@ -69,17 +111,35 @@
             return _problem(decoded.unwrap(), address)
         return Problem(ResultCode.OUTCOME_UNKNOWN, "a node answered nonsense", address)
 
+    async def read(self, address: str, request: ReadJob) -> JobPage | None:
+        """Read a job at its owner."""
+        total_s = request.wait_s + READ_GRACE_S
+        timeout = aiohttp.ClientTimeout(total=total_s, sock_connect=CONNECT_TIMEOUT_S)
+        url = f"http://{address}{READ_PATH}"
+        try:
+            async with self._session.post(
+                url, data=codec.encode(request), timeout=timeout
+            ) as response:
+                page = codec.decode(await response.read()).value_or(None)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        return page if isinstance(page, JobPage) and page.is_owner else None
+
 
 def _problem(answer: SubmitAnswer, address: str) -> Problem | None:
     code = ResultCode(answer.code)
     return None if code is ResultCode.OK else Problem(code, answer.detail, address)
 
 
-def submit_routes(submit: Callable[[Job], Awaitable[Problem | None]]) -> list[Route]:
-    """Return the routes that take jobs from other nodes.
+def peer_routes(
+    submit: Callable[[Job], Awaitable[Problem | None]],
+    read: Callable[[ReadJob], Awaitable[JobPage]],
+) -> list[Route]:
+    """Return the routes that answer other nodes about jobs.
 
     Args:
         submit: Stores a job on this node, without handing it on.
+        read: Reads a job that this node owns.
     """
 
     async def take(request: Request) -> Response:
@@ -93,4 +153,16 @@
             answer = SubmitAnswer(int(problem.code), problem.detail)
         return Response(codec.encode(answer), media_type="application/cbor")
 
-    return [Route(SUBMIT_PATH, take, methods=["POST"])]
+    async def read_page(request: Request) -> Response:
+        asked = codec.decode(await request.body()).value_or(None)
+        if not isinstance(asked, ReadJob):
+            status = DESCRIPTIONS[ResultCode.MESSAGE_INVALID].http_status
+            return Response(f"[{int(ResultCode.MESSAGE_INVALID)}] no read", status_code=status)
+        wait_s = min(MAX_READ_WAIT_S, max(0.0, asked.wait_s))
+        page = await read(replace(asked, wait_s=wait_s))
+        return Response(codec.encode(page), media_type="application/cbor")
+
+    return [
+        Route(SUBMIT_PATH, take, methods=["POST"]),
+        Route(READ_PATH, read_page, methods=["POST"]),
+    ]
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -1,16 +1,15 @@
 """Jobs whose owner is gone: its node's next process takes them back, or the leader does."""
 
 import asyncio
-from collections.abc import Callable
 
 from absl import logging
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.session import node_of_owner
-from hollowrack.coordination.store import NotDone, Unknown
 from hollowrack.jobs.job_log import JobLog, OpenJob, StoredJob
 from hollowrack.jobs.job_service import JobService
+from hollowrack.jobs.live_state import LiveState
 from hollowrack.tasks import cancel_all
 
 # An owner whose session is seen to be gone for this long is taken to be gone itself.
@@ -26,7 +25,8 @@
         log: Durable state of jobs.
         jobs: This node's jobs.
         leadership: Whether this node leads.
-        live_owners: Returns the owners that hold a session.
+        live: The live processes and the open jobs, as this node sees them.
+        is_live_loaded: Set once that view has been read.
     """
 
     def __init__(
@@ -34,12 +34,14 @@
         log: JobLog,
         jobs: JobService,
         leadership: Leadership,
-        live_owners: Callable[[], set[str]],
+        live: LiveState,
+        is_live_loaded: asyncio.Event,
     ) -> None:
         self._log = log
         self._jobs = jobs
         self._leadership = leadership
-        self._live_owners = live_owners
+        self._live = live
+        self._is_live_loaded = is_live_loaded
         self._seen_owners: set[str] = set()
         self._gone_since_s: dict[str, float] = {}
         self._scan_due_s = 0.0
@@ -70,35 +72,28 @@
     async def _take_back(self) -> None:
         """Take over what an earlier process of this node owned: that process has ended."""
         node = node_of_owner(self._log.owner)
-        while True:
-            open_jobs = await self._log.open_jobs()
-            if not isinstance(open_jobs, NotDone | Unknown):
-                break
-            await asyncio.sleep(LOOK_S)
-        for job in open_jobs:
+        await self._is_live_loaded.wait()
+        for job in list(self._live.open_jobs.values()):
             if node_of_owner(job.owner) == node and job.owner != self._log.owner:
                 await self._take_over(job)
 
     def _note_owners(self) -> None:
-        live = self._live_owners()
+        live = set(self._live.nodes)
         if self._seen_owners - live:
             self._scan_due_s = min(self._scan_due_s, now_s() + GRACE_S)
         self._seen_owners = live
 
     async def _scan(self) -> None:
-        open_jobs = await self._log.open_jobs()
-        if isinstance(open_jobs, NotDone | Unknown):
-            self._scan_due_s = now_s() + GRACE_S
-            return
-        live = self._live_owners()
-        for job in open_jobs:
-            if job.owner == self._log.owner and not self._jobs.owns(job.job_id):
-                # Claimed or created before, but its content could not be read then.
-                await self._load(job)
-            elif job.owner not in live and job.owner != self._log.owner:
+        live = set(self._live.nodes)
+        for job in list(self._live.open_jobs.values()):
+            # A job of this very process was claimed or created before, and not read then.
+            is_mine = job.owner == self._log.owner
+            is_orphan = not self._jobs.owns(job.job_id) if is_mine else job.owner not in live
+            if is_orphan:
                 await self._take_over(job)
 
     async def _take_over(self, job: OpenJob) -> None:
+        # The view may lag behind the store: only the claim proves that the job is open.
         if await self._log.claim(job):
             await self._load(job)
         else:
@@ -106,6 +101,8 @@
 
     async def _load(self, job: OpenJob) -> None:
         stored = await self._log.load(job.job_id)
+        if job.job_id not in self._live.open_jobs:
+            return  # Ended meanwhile.
         if isinstance(stored, StoredJob):
             logging.info("job %s: taken over from %s", job.job_id, job.owner)
             self._jobs.own(stored.job, stored.results, is_taken_over=True)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -14,7 +14,7 @@
 from hollowrack.coordination.store import Committed, Put
 from hollowrack.edge_node import EdgeConnections, EdgeNode
 from hollowrack.forwarding.stream_forwarder import StreamForwarder
-from hollowrack.jobs.peers import HttpPeerJobs, submit_routes
+from hollowrack.jobs.peers import HttpPeerJobs, peer_routes
 from hollowrack.platform.configuration import retirement_status
 from hollowrack.platform.feed import PlatformFeed
 from hollowrack.platform.http_session import client_session
@@ -120,8 +120,11 @@
         self._report_task = asyncio.create_task(self._report_calls())
         self._peers: HttpServer | None = None
         if settings.listen.control_plane:
+            jobs = self.node.jobs
             self._peers = HttpServer(
-                Starlette(routes=[*feed_routes(feed), *submit_routes(self.node.jobs.submit_here)]),
+                Starlette(
+                    routes=[*feed_routes(feed), *peer_routes(jobs.submit_here, jobs.answer_peer)]
+                ),
                 settings.listen.control_plane,
                 "listen.control-plane",
                 MAX_CONNECTIONS,
--- a/src/hollowrack_standins/coordination_store.py
+++ b/src/hollowrack_standins/coordination_store.py
@@ -29,6 +29,8 @@
     WriteOutcome,
 )
 
+# Where jobs are kept.
+JOBS_PREFIX = "hollowrack/jobs/"
 LATENCY_S = 0.002
 CALL_TIMEOUT_S = 1.0
 
@@ -60,6 +62,7 @@
         self.revision = 0
         self.num_calls = 0
         self.num_watches = 0
+        self.num_job_reads = 0
         self._history: list[tuple[int, str, StoredItem | None]] = []
         self._forgotten_revision = 0
         self._lease_ends_s: dict[int, float] = {}
@@ -184,6 +187,7 @@
 
     async def list_prefix(self, prefix: str) -> Listing | Unavailable:
         """Read all keys below a prefix."""
+        self._count_job_read(prefix)
         failure = await self._begin()
         if failure is not None:
             return failure
@@ -195,6 +199,7 @@
     ) -> Changes | HistoryGone | Unavailable:
         """Wait for changes below a prefix."""
         self._core.num_watches += 1
+        self._count_job_read(prefix)
         failure = await self._begin()
         if failure is not None:
             return failure
@@ -239,6 +244,9 @@
         if await self._begin() is None:
             self._core.end(lease)
 
+    def _count_job_read(self, prefix: str) -> None:
+        self._core.num_job_reads += prefix.startswith(JOBS_PREFIX)
+
     async def _begin(self) -> Unavailable | None:
         self._core.num_calls += 1
         await asyncio.sleep(LATENCY_S)
--- /dev/null
+++ b/tests/jobs/test_peer_reads.py
@@ -0,0 +1,77 @@
+"""Jobs read at nodes that do not own them: the owner is asked first, the store if it must be."""
+
+import asyncio
+
+from hollowrack.jobs.job_log import AppendOutcome, JobLog
+from hollowrack.jobs.job_service import ResultPage
+from hollowrack.jobs.peers import ReadJob
+from hollowrack.jobs.types import ItemResult, JobItem
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.back_ends import WorkerBehaviour
+from tests.jobs.helpers import Fleet, check_whole, make_job
+from tests.jobs.test_job_service import read_all
+
+NUM_NODES = 6
+
+
+def test_a_running_job_is_read_everywhere_without_the_store() -> None:
+    async def main() -> None:
+        fleet = Fleet(NUM_NODES)
+        fleet.back_ends.num_events = 200
+        await asyncio.sleep(1.0)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        await asyncio.sleep(1.0)
+        watches = fleet.core.num_job_reads
+        for node in fleet.nodes.values():
+            assert isinstance(await node.jobs.read(job.id, 0, 0.1), ResultPage)
+            item = await node.jobs.item(job.id, job.items[0].id)
+            assert isinstance(item, JobItem)
+            assert item.body == job.items[0].body
+        assert fleet.core.num_job_reads == watches
+        for name in fleet.nodes:
+            results = await read_all(fleet, name, job.id, len(job.items))
+            check_whole(job, results, num_events=200)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_an_owner_whose_session_may_be_over_does_not_answer_for_the_job() -> None:
+    async def main() -> None:
+        fleet = Fleet(NUM_NODES)
+        for worker in ("e0", "e1"):
+            fleet.back_ends.behaviours[worker] = WorkerBehaviour(work_s=5.0)
+        await asyncio.sleep(1.0)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        fleet.faults["n0"].is_silent = True
+        await asyncio.sleep(2.5)
+        page = await fleet.nodes["n0"].jobs.answer_peer(ReadJob(job.id, 0, 0.0))
+        assert not page.is_owner
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_what_one_node_has_read_every_other_node_reads_after_a_take_over() -> None:
+    async def main() -> None:
+        fleet = Fleet(NUM_NODES)
+        for worker in ("e0", "e1"):
+            fleet.back_ends.behaviours[worker] = WorkerBehaviour(work_s=2.0)
+        await asyncio.sleep(1.0)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        listed = [ItemResult(job.items[0].id, True, "listed")]
+        writer = JobLog(fleet.core.view(), "n0#same")
+        assert await writer.append(job.id, 0, listed, False) is AppendOutcome.APPENDED
+        await fleet.kill("n0")
+        for _ in range(12):
+            await asyncio.sleep(0.5)
+            for node in fleet.nodes.values():
+                page = await node.jobs.read(job.id, 0, 0.0)
+                if isinstance(page, ResultPage):
+                    assert page.results[:1] == listed
+        await fleet.stop()
+
+    run_virtual(main())
