--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -32,6 +32,7 @@
 from hollowrack.jobs.live_state import LEADER_KEY, LIVE_PREFIX, OWNERS_PREFIX, LiveState
 from hollowrack.jobs.peers import PeerJobs
 from hollowrack.jobs.placement import NodeEntry
+from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
 from hollowrack.tasks import cancel_all
@@ -41,6 +42,7 @@
 LIVE_WAIT_S = 5.0
 REGISTER_PAUSE_S = 0.2
 RETIREMENT_PAUSE_S = 0.3
+DEFAULT_KEEP_ENDED_S = 300.0
 # At a planned stop callers need this long to turn away, if there is as much time.
 MAX_TURN_AWAY_S = 3.5
 TURN_AWAY_SHARE = 0.45
@@ -58,6 +60,7 @@
         peer_jobs: Hands jobs to other nodes.
         address: Where other nodes reach this one; empty if they do not.
         num_cores: Processor time this node has, in cores.
+        keep_ended_s: How long an ended job is kept, in seconds.
         complete_retirement: Tells the operators that a machine is empty.
         feed: Sends watches to the leader.
     """
@@ -71,6 +74,7 @@
     feed: FeedClient
     address: str = ""
     num_cores: float = 1.0
+    keep_ended_s: float = DEFAULT_KEEP_ENDED_S
 
 
 class EdgeNode:
@@ -139,6 +143,7 @@
         self._takeover = JobTakeover(
             log, self.jobs, self.leadership, self.live, self._live_mirror.is_loaded
         )
+        self._retention = JobRetention(log, self.live, self.leadership, connections.keep_ended_s)
         self._named_versions: dict[str, int] = {}
         self._order_giver = OrderGiver(
             name,
@@ -165,6 +170,7 @@
         self._live_mirror.start()
         self.leadership.start()
         self._takeover.start()
+        self._retention.start()
         self._order_giver.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
@@ -183,6 +189,7 @@
         logging.info("stopping: %d jobs here", self.jobs.num_running)
         await self._order_giver.stop()
         await self._takeover.stop()
+        await self._retention.stop()
         await self.leadership.resign()
         started_s = now_s()
         await self.jobs.drain(turn_away_s)
@@ -195,6 +202,7 @@
         """End at once, as a crash would; for tests."""
         await self._order_giver.stop()
         await self._takeover.stop()
+        await self._retention.stop()
         await self.leadership.stop()
         await self.jobs.drain(0.0)
         await cancel_all(*self._tasks)
--- a/src/hollowrack/jobs/job_log.py
+++ b/src/hollowrack/jobs/job_log.py
@@ -34,6 +34,7 @@
 MAX_JOB_ID_LENGTH = 120
 MAX_PART_BYTES = 600_000
 MAX_PARTS = 28
+MAX_REMOVES = 30
 _ENDED = b"ended"
 
 Expected = TypeVar("Expected")
@@ -171,6 +172,20 @@
             return item
         return item is not None
 
+    async def remove(self, job_id: str) -> bool:
+        """Remove an ended job with all that belongs to it; returns whether that is certain."""
+        listing = await self._store.list_prefix(f"{JOBS_PREFIX}{quote(job_id, safe='')}/")
+        if not isinstance(listing, Listing):
+            return False
+        # Its end goes last: while that is there, the removal is taken up again.
+        keys = [item.key for item in listing.items]
+        keys.append(f"{ENDS_PREFIX}{quote(job_id, safe='')}")
+        for at in range(0, len(keys), MAX_REMOVES):
+            outcome = await self._store.transact([], [], keys[at : at + MAX_REMOVES])
+            if not isinstance(outcome, Committed):
+                return False
+        return True
+
     async def owner_of(self, job_id: str) -> str | Unavailable | None:
         """Read who owns an unfinished job; ``None`` if it is finished, ended or unknown."""
         item = await self._store.get(_open_key(job_id))
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 
+from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.store import StoredItem
 from hollowrack.jobs.job_log import ENDS_PREFIX, OPEN_PREFIX, OpenJob, job_id_of
@@ -28,11 +29,13 @@
     Attributes:
         nodes: What live processes say of themselves, by owner name.
         open_jobs: Unfinished jobs by identifier.
+        ended_jobs: When this node heard of the end of each ended job, on the loop's clock.
     """
 
     def __init__(self, owner: str, leadership: Leadership, on_ended: Callable[[str], None]) -> None:
         self.nodes: dict[str, NodeEntry] = {}
         self.open_jobs: dict[str, OpenJob] = {}
+        self.ended_jobs: dict[str, float] = {}
         self._owner = owner
         self._leadership = leadership
         self._on_ended = on_ended
@@ -49,8 +52,8 @@
             self._take_node(key.removeprefix(OWNERS_PREFIX), item)
         elif key.startswith(OPEN_PREFIX):
             self._take_open_job(job_id_of(key, OPEN_PREFIX), item)
-        elif key.startswith(ENDS_PREFIX) and item is not None:
-            self._on_ended(job_id_of(key, ENDS_PREFIX))
+        elif key.startswith(ENDS_PREFIX):
+            self._take_end(job_id_of(key, ENDS_PREFIX), item)
 
     def _take_node(self, owner: str, item: StoredItem | None) -> None:
         if item is None:
@@ -65,6 +68,13 @@
         else:
             self.open_jobs[job_id] = OpenJob(job_id, item.value.decode(), item.revision)
 
+    def _take_end(self, job_id: str, item: StoredItem | None) -> None:
+        if item is None:
+            self.ended_jobs.pop(job_id, None)
+            return
+        self.ended_jobs.setdefault(job_id, now_s())
+        self._on_ended(job_id)
+
     def leader_address(self) -> str | None:
         """Where the leader is reached; ``None`` if this node leads or the leader is not known."""
         return None if self._leader is None else self._address_of(self._leader)
--- /dev/null
+++ b/src/hollowrack/jobs/retention.py
@@ -0,0 +1,61 @@
+"""Removes ended jobs from the store once nobody may ask for them any more."""
+
+import asyncio
+
+from absl import logging
+
+from hollowrack.clock import now_s
+from hollowrack.coordination.leadership import Leadership
+from hollowrack.jobs.job_log import JobLog
+from hollowrack.jobs.live_state import LiveState
+from hollowrack.tasks import cancel_all
+
+LOOK_S = 5.0
+# Jobs removed at each look, so that the store's rate of writes is left to others.
+MAX_REMOVED_A_LOOK = 10
+
+
+class JobRetention:
+    """Removes ended jobs while this node leads.
+
+    The time counts from when this node first heard of the end: a new leader counts anew, and keeps
+    jobs longer rather than shorter.
+
+    Args:
+        log: Durable state of jobs.
+        live: Tells which jobs were ended.
+        leadership: Whether this node leads.
+        keep_s: How long an ended job is kept, in seconds.
+    """
+
+    def __init__(self, log: JobLog, live: LiveState, leadership: Leadership, keep_s: float) -> None:
+        self._log = log
+        self._live = live
+        self._leadership = leadership
+        self._keep_s = keep_s
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start looking."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        await cancel_all(self._task)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if self._leadership.is_leader:
+                await self._remove_due()
+
+    async def _remove_due(self) -> None:
+        due = [
+            job_id
+            for job_id, heard_s in self._live.ended_jobs.items()
+            if now_s() - heard_s > self._keep_s
+        ]
+        for job_id in due[:MAX_REMOVED_A_LOOK]:
+            if not await self._log.remove(job_id):
+                return
+            logging.info("job %s: removed, its end is over %g s old", job_id, self._keep_s)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -35,6 +35,8 @@
 OPERATOR_WAIT_S = 0.5
 WORKER_WAIT_S = 1.0
 MAX_CONNECTIONS = 3000
+# Results may be asked for that long after a job was sent; kept a while longer.
+KEEP_IN_STATUS_TIMES = 2.0
 READ_TIMEOUT_S = 40.0
 IDLE_TIMEOUT_S = 60.0
 MAX_GRACEFUL_STOP_S = 3.5
@@ -85,6 +87,7 @@
                 HttpFeedClient(self._sessions[3]),
                 settings.listen.control_plane,
                 settings.limits.cpu_shares * settings.limits.cores,
+                KEEP_IN_STATUS_TIMES * settings.bounds.status_s,
             ),
             self._rng,
         )
