--- a/src/hollowrack_bench/program.py
+++ b/src/hollowrack_bench/program.py
@@ -12,6 +12,7 @@
 from hollowrack_bench.bench_commands import bench
 from hollowrack_bench.demo import run_demo
 from hollowrack_bench.platform_demo import PlatformDemo
+from hollowrack_bench.platform_soak import run_soak
 from hollowrack_bench.standin_commands import standin
 
 
@@ -39,6 +40,19 @@
     click.echo("\nAll results whole.")
 
 
+@hollowrack.command("platform-soak")
+@click.option("--seconds", default=120.0, help="How long the trainer goes on.")
+@click.option("--seed", default=1, help="Seed of the faults.")
+def platform_soak(seconds: float, seed: int) -> None:
+    """Run edge nodes as processes under faults and check what callers and workers saw."""
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    outcome = asyncio.run(run_soak(seconds, seed))
+    print_table(outcome.rows)
+    if outcome.broken:
+        exit_with_problem(Problem(ResultCode.DEMO_PROMISE_BROKEN, "; ".join(outcome.broken[:5])))
+    click.echo("\nAll promises held.")
+
+
 hollowrack.add_command(standin)
 hollowrack.add_command(bench)
 
