--- /dev/null
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -0,0 +1,119 @@
+"""Figures of an edge node, read from its parts only when somebody asks.
+
+The metrics library is loaded with the first question, so that nodes nobody asks do not pay for it.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from hollowrack.clock import now_s
+from hollowrack.edge_node import EdgeNode
+
+if TYPE_CHECKING:
+    from prometheus_client.metrics_core import Metric
+
+METRICS_PATH = "/metrics"
+MEDIA_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+@dataclass
+class EdgeCounts:
+    """What is counted as it happens.
+
+    Attributes:
+        answers: Answers of this node's own by the name of their result code; workers' answers
+            count as ``OK``.
+        store_calls: Calls to the platform's store by kind.
+    """
+
+    answers: Counter[str] = field(default_factory=Counter)
+    store_calls: Counter[str] = field(default_factory=Counter)
+
+
+class EdgeCollector:
+    """Reads a node's figures; a collector of the metrics library.
+
+    Args:
+        node: The node.
+        counts: What was counted.
+    """
+
+    def __init__(self, node: EdgeNode, counts: EdgeCounts) -> None:
+        self._node = node
+        self._counts = counts
+
+    def collect(self) -> Iterator["Metric"]:
+        """Return all figures as they are now."""
+        from prometheus_client.core import (  # noqa: PLC0415 (loaded when asked)
+            CounterMetricFamily,
+            GaugeMetricFamily,
+        )
+
+        answers = CounterMetricFamily(
+            "hollowrack_answers", "Answers by result code", labels=["code"]
+        )
+        for code, count in self._counts.answers.items():
+            answers.add_metric([code], count)
+        yield answers
+        calls = CounterMetricFamily(
+            "hollowrack_store_calls", "Calls to the store by kind", labels=["kind"]
+        )
+        for kind, count in self._counts.store_calls.items():
+            calls.add_metric([kind], count)
+        yield calls
+        workers = GaugeMetricFamily(
+            "hollowrack_workers", "Workers known, by service and state", labels=["service", "state"]
+        )
+        for (service, state), count in self._workers().items():
+            workers.add_metric([service, state], count)
+        yield workers
+        for name, text, value in self._gauges():
+            yield GaugeMetricFamily(name, text, value=value)
+
+    def _workers(self) -> Counter[tuple[str, str]]:
+        return Counter(
+            (worker.service, "leaving" if worker.is_leaving else "serving")
+            for worker in self._node.workers.all()
+        )
+
+    def _gauges(self) -> Iterable[tuple[str, str, float]]:
+        node = self._node
+        now = now_s()
+        session_left_s = max(0.0, node.session.valid_until_s - now)
+        return (
+            ("hollowrack_configuration_version", "In force; 0: none", node.routes.version or 0),
+            ("hollowrack_is_leader", "Whether this node leads", node.leadership.is_leader),
+            ("hollowrack_session_left_seconds", "Until the lease may be over", session_left_s),
+            ("hollowrack_live_nodes", "Live processes known", len(node.live.nodes)),
+            ("hollowrack_jobs_open", "Unfinished jobs known", len(node.live.open_jobs)),
+            ("hollowrack_jobs_owned", "Unfinished jobs run here", node.jobs.num_running),
+            ("hollowrack_items_waiting", "Items waiting for a worker", node.queue.num_waiting),
+            (
+                "hollowrack_store_heard_age_seconds",
+                "Since the store itself answered a watch; followers rarely ask it",
+                now - node.shared_store.heard_store_s,
+            ),
+        )
+
+
+def metrics_routes(node: EdgeNode, counts: EdgeCounts) -> list[Route]:
+    """Return the route that tells a node's figures in the Prometheus text format."""
+
+    async def render(request: Request) -> Response:
+        del request
+        from prometheus_client import (  # noqa: PLC0415 (loaded when asked)
+            CollectorRegistry,
+            generate_latest,
+        )
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(EdgeCollector(node, counts))
+        return Response(generate_latest(registry), media_type=MEDIA_TYPE)
+
+    return [Route(METRICS_PATH, render, methods=["GET"])]
--- a/src/hollowrack/observability/logs.py
+++ b/src/hollowrack/observability/logs.py
@@ -6,8 +6,11 @@
 
 import contextvars
 import logging as standard_logging
+import queue
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from logging.handlers import QueueHandler, QueueListener
 
 from absl import flags, logging
 from pythonjsonlogger.json import JsonFormatter
@@ -36,6 +39,8 @@
 
 class _FieldFilter(standard_logging.Filter):
     def filter(self, record: standard_logging.LogRecord) -> bool:
+        if hasattr(record, "fields"):
+            return True  # Seen before, in the context where it was made.
         for name, value in _fields.get({}).items():
             setattr(record, name, value)
         record.fields = " ".join(f"{name}={value}" for name, value in _fields.get({}).items())
@@ -55,6 +60,65 @@
         log_data.pop("fields", None)
 
 
+MAX_WAITING_RECORDS = 4000
+DRAIN_POLL_S = 0.01
+
+
+class BoundedHandler(QueueHandler):
+    """Hands records to a thread that writes them, and drops what it cannot keep up with.
+
+    A reader that does not read would otherwise stop the whole process at its next line.
+    """
+
+    def __init__(self, target: standard_logging.Handler, max_waiting: int) -> None:
+        self._waiting: queue.Queue[standard_logging.LogRecord] = queue.Queue(max_waiting)
+        super().__init__(self._waiting)
+        self.num_dropped = 0
+        self._target = target
+        self._listener = QueueListener(self._waiting, target)
+        self._listener.start()
+
+    def prepare(self, record: standard_logging.LogRecord) -> standard_logging.LogRecord:
+        """Let the target's filters see the record where it was made; formatting is left to it."""
+        self._target.filter(record)
+        return record
+
+    def stop(self) -> None:
+        """Stop the thread once all that waits is written; needs a reader."""
+        self._listener.stop()
+
+    def drain(self, patience_s: float) -> None:
+        """Wait a moment until what waits is written, at the end of a process."""
+        deadline_s = time.monotonic() + patience_s
+        while not self._waiting.empty() and time.monotonic() < deadline_s:
+            time.sleep(DRAIN_POLL_S)
+
+    def enqueue(self, record: standard_logging.LogRecord) -> None:
+        """Queue a record, or count it as dropped; the count is told once there is room again."""
+        try:
+            self._waiting.put_nowait(record)
+        except queue.Full:
+            self.num_dropped += 1
+            return
+        if self.num_dropped:
+            num_dropped, self.num_dropped = self.num_dropped, 0
+            logging.warning("%d log lines were dropped: nobody read them in time", num_dropped)
+
+
+def bound_logging(max_waiting: int = MAX_WAITING_RECORDS) -> BoundedHandler:
+    """Make logging never wait for its reader; call after :func:`setup_logging`.
+
+    Args:
+        max_waiting: Most records that wait to be written.
+    """
+    target = logging.get_absl_handler()
+    bounded = BoundedHandler(target, max_waiting)
+    root = standard_logging.getLogger()
+    root.removeHandler(target)
+    root.addHandler(bounded)
+    return bounded
+
+
 def setup_logging(settings: Logging, node: str, zone: str) -> None:
     """Set the process's log format and level, and the fields that name this node."""
     # The program has no absl flags; without this absl takes every message for a premature one.
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -15,6 +15,7 @@
 from hollowrack.edge_node import EdgeConnections, EdgeNode
 from hollowrack.forwarding.stream_forwarder import StreamForwarder
 from hollowrack.jobs.peers import HttpPeerJobs, peer_routes
+from hollowrack.observability.edge_metrics import EdgeCounts, metrics_routes
 from hollowrack.platform.configuration import retirement_status
 from hollowrack.platform.feed import PlatformFeed
 from hollowrack.platform.http_session import client_session
@@ -104,11 +105,12 @@
         shared.source_listeners.append(self._feed.rewatch_workers)
         mirrors = {**self._feed.mirrors(), **self.node.shared_mirrors()}
         feed = MirrorFeed(mirrors, lambda: shared.heard_store_s)
+        counts = EdgeCounts(store_calls=store.num_calls)
         streams = StreamForwarder(
             self.node.routes, self.node.workers, workers, self.node.queue, announced_version
         )
         self._frontend = HttpServer(
-            IngressApp(self.node, streams),
+            IngressApp(self.node, streams, counts.answers),
             settings.listen.frontend,
             "listen.frontend",
             MAX_CONNECTIONS,
@@ -124,10 +126,13 @@
         self._peers: HttpServer | None = None
         if settings.listen.control_plane:
             jobs = self.node.jobs
+            routes = [
+                *feed_routes(feed),
+                *peer_routes(jobs.submit_here, jobs.answer_peer),
+                *metrics_routes(self.node, counts),
+            ]
             self._peers = HttpServer(
-                Starlette(
-                    routes=[*feed_routes(feed), *peer_routes(jobs.submit_here, jobs.answer_peer)]
-                ),
+                Starlette(routes=routes),
                 settings.listen.control_plane,
                 "listen.control-plane",
                 MAX_CONNECTIONS,
@@ -139,6 +144,11 @@
         await self._readiness.start()
         logging.info("edge node %s started", settings.node_name)
 
+    @property
+    def peers_address(self) -> str:
+        """Where other nodes, and those who ask for figures, reach this process."""
+        return "" if self._peers is None else self._peers.address
+
     def num_store_calls(self, kind: str) -> int:
         """Return how many calls of a kind this process has made to the store."""
         return self._store.num_calls[kind]
--- a/src/hollowrack/platform/ingress.py
+++ b/src/hollowrack/platform/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+from collections import Counter
 from collections.abc import Awaitable
 from typing import TypeVar
 from urllib.parse import parse_qs, unquote
@@ -53,15 +54,16 @@
 class IngressApp:
     """Answers clients; see the platform's page on requests and batch jobs."""
 
-    def __init__(self, node: EdgeNode, streams: StreamForwarder) -> None:
+    def __init__(self, node: EdgeNode, streams: StreamForwarder, answers: Counter[str]) -> None:
         self._node = node
         self._streams = streams
+        self._answers = answers
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         if scope["type"] != "http":
             return
-        exchange = _Exchange(scope, receive, send, self._node)
+        exchange = _Exchange(scope, receive, send, self._node, self._answers)
         with contextlib.suppress(CallerLeftError):
             try:
                 await self._answer(exchange)
@@ -172,7 +174,10 @@
 class _Exchange:
     """One request and its answer over ASGI."""
 
-    def __init__(self, scope: Scope, receive: Receive, send: Send, node: EdgeNode) -> None:
+    def __init__(
+        self, scope: Scope, receive: Receive, send: Send, node: EdgeNode, answers: Counter[str]
+    ) -> None:
+        self._answers = answers
         self.method: str = scope["method"]
         self.path: str = scope["raw_path"].decode("latin-1")
         self._query: str = scope["query_string"].decode("latin-1")
@@ -276,6 +281,10 @@
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer."""
+        self._answers[ResultCode.OK.name] += 1
+        await self._send_answer(status, headers, body)
+
+    async def _send_answer(self, status: int, headers: Headers, body: bytes) -> None:
         self.has_begun = True
         await _send_whole(self._send, status, (*headers, *self._closing()), body)
 
@@ -285,11 +294,13 @@
         if problem.retry_after_s is not None:
             headers = (*headers, (names.RETRY_AFTER, f"{problem.retry_after_s:g}"))
         logging.info("request %s: %s", self.request_id, problem)
+        self._answers[problem.code.name] += 1
         status = DESCRIPTIONS[problem.code].http_status
-        await self.send(status, headers, json.dumps(problem_body(problem)).encode())
+        await self._send_answer(status, headers, json.dumps(problem_body(problem)).encode())
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a streamed answer."""
+        self._answers[ResultCode.OK.name] += 1
         self.has_begun = True
         message = _head(status, (*headers, *self._closing()))
         await self._send(message)
--- a/src/hollowrack/platform/program.py
+++ b/src/hollowrack/platform/program.py
@@ -6,6 +6,7 @@
 EDGE_ROLE = "edge"
 STORAGE_ROLE = "storage"
 USAGE_STATUS = 25
+DRAIN_PATIENCE_S = 0.5
 
 
 def main(arguments: list[str]) -> int:
@@ -25,7 +26,7 @@
 def _run_edge() -> int:
     from returns.result import Failure  # noqa: PLC0415
 
-    from hollowrack.observability.logs import setup_logging  # noqa: PLC0415
+    from hollowrack.observability.logs import bound_logging, setup_logging  # noqa: PLC0415
     from hollowrack.platform.edge_process import serve_edge  # noqa: PLC0415
     from hollowrack.platform.settings import read_process_settings  # noqa: PLC0415
     from hollowrack.results import ProblemError, exit_status  # noqa: PLC0415
@@ -37,9 +38,12 @@
         return exit_status(settings.failure().code)
     checked = settings.unwrap()
     setup_logging(Logging(), checked.node_name, checked.zone)
+    bounded = bound_logging()
     try:
         asyncio.run(serve_edge(checked))
     except ProblemError as error:
         sys.stderr.write(f"{error.problem}\n")
         return exit_status(error.problem.code)
+    finally:
+        bounded.drain(DRAIN_PATIENCE_S)
     return 0
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -3,13 +3,14 @@
 import io
 import json
 import logging as standard_logging
+import threading
 from collections.abc import Iterator
 
 import pytest
 from absl import logging
 
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
-from hollowrack.observability.logs import log_fields, setup_logging
+from hollowrack.observability.logs import bound_logging, log_fields, setup_logging
 from hollowrack.settings.model import Logging
 
 
@@ -49,6 +50,45 @@
     assert "hidden" not in stream.getvalue()
 
 
+class UnreadPipe(io.StringIO):
+    """A stream whose writes wait until somebody reads."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_read = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.is_read.wait()
+        return super().write(text)
+
+
+def test_a_reader_that_does_not_read_holds_nothing_up_and_is_told_what_was_dropped(
+    stream: io.StringIO,
+) -> None:
+    del stream  # Puts the handler back afterwards.
+    setup_logging(Logging(format="json", level="info"), "n1", "z1")
+    pipe = UnreadPipe()
+    logging.get_absl_handler().python_handler.stream = pipe
+    bounded = bound_logging(max_waiting=10)
+    try:
+        with log_fields(request="q"):
+            for number in range(1000):
+                logging.info("line %d", number)
+        assert bounded.num_dropped > 0
+        pipe.is_read.set()
+        bounded.drain(30.0)
+        logging.info("after")
+        bounded.drain(30.0)
+    finally:
+        pipe.is_read.set()
+        standard_logging.getLogger().removeHandler(bounded)
+        bounded.stop()
+    lines = [json.loads(line) for line in pipe.getvalue().splitlines()]
+    assert lines[0]["message"] == "line 0" and lines[0]["request"] == "q"
+    assert any("log lines were dropped" in line["message"] for line in lines)
+    assert any(line["message"] == "after" for line in lines)
+
+
 def test_decisions_are_found_by_subject_and_bounded() -> None:
     decisions = DecisionLog(max_records=3)
     for number in range(5):
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from functools import partial
 
+import aiohttp
 import pytest
 
 from hollowrack_standins.users_platform import WorkerSwitches
@@ -187,3 +188,20 @@
         assert follower.num_store_calls("watch op/") == before
 
     run_system(scenario, num_edges=3)
+
+
+def test_a_nodes_figures_are_told_in_the_text_format() -> None:
+    async def scenario(system: System) -> None:
+        await system.send("/plain/x")
+        await system.send("/nowhere/x", request_id="q2")
+        edge = system.edges["n0"]
+        url = f"http://{edge.peers_address}/metrics"
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            text = await response.text()
+        assert 'hollowrack_answers_total{code="OK"} 1.0' in text
+        assert 'hollowrack_answers_total{code="UNKNOWN_ROUTE"} 1.0' in text
+        assert "hollowrack_configuration_version 3.0" in text
+        assert 'hollowrack_workers{service="svc",state="serving"} 2.0' in text
+        assert 'hollowrack_store_calls_total{kind="grant"} 1.0' in text
+
+    run_system(scenario)
