--- a/src/hollowrack_bench/platform_demo.py
+++ b/src/hollowrack_bench/platform_demo.py
@@ -7,7 +7,6 @@
 import asyncio
 import base64
 import json
-import socket
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
@@ -19,6 +18,7 @@
 from hollowrack.platform.edge_process import EdgeProcess
 from hollowrack.platform.settings import ProcessSettings
 from hollowrack.tasks import cancel_all
+from hollowrack_bench.free_ports import free_address
 from hollowrack_standins.users_platform import (
     PlatformStoreStandin,
     PlatformWorkerStandin,
@@ -285,10 +285,3 @@
         for index in range(NUM_ITEMS)
     ]
     return {"model": MODEL, "min-version": min_version, "requests": items}
-
-
-def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -20,6 +20,7 @@
 from hollowrack.platform import names
 from hollowrack.tasks import cancel_all
 from hollowrack_bench.edge_processes import EdgeProcesses
+from hollowrack_bench.free_ports import free_address
 from hollowrack_bench.platform_demo import (
     HOST,
     HTTP_OK,
@@ -27,7 +28,6 @@
     PlatformDemo,
     PlatformDemoOutcome,
     configuration,
-    free_address,
 )
 
 NUM_EDGES = 4
--- a/tests/platform/helpers.py
+++ b/tests/platform/helpers.py
@@ -4,7 +4,6 @@
 import base64
 import json
 import logging
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +13,7 @@
 
 from hollowrack.platform.edge_process import EdgeProcess
 from hollowrack.platform.settings import ProcessSettings
+from hollowrack_bench.free_ports import free_address
 from hollowrack_standins.users_platform import (
     PlatformStoreStandin,
     PlatformWorkerStandin,
@@ -97,12 +97,6 @@
             await asyncio.sleep(0.02)
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def job_body(name: str, num_items: int = 6, min_version: int = 1) -> dict[str, Any]:
     items = [
         {
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,7 +7,6 @@
 import base64
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,6 +18,7 @@
 
 from hollowrack.bundle.schema import Bundle
 from hollowrack.bundle.signing import generate_key, public_key_hex, sign_bundle
+from hollowrack_bench.free_ports import free_port
 from hollowrack_bench.live_load import LiveCallers, LiveReport
 from hollowrack_bench.local_fleet import MODEL, SERVICE_POOL
 from hollowrack_standins.trainer import TrainerConfig, TrainerReport, TrainerStandin
@@ -131,13 +131,7 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for listener in sockets:
-        listener.bind(("127.0.0.1", 0))
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
-    return ports
+    return [free_port() for _ in range(count)]
 
 
 def _settings_text(
