--- a/src/hollowrack/engines/controller.py
+++ b/src/hollowrack/engines/controller.py
@@ -29,6 +29,8 @@
 # A group founded by a node that has found no others yet is lost with that node.
 DISCOVERY_POLL_S = 0.1
 SETTLED_AFTER_S = 1.5
+# An election takes less than this; a group without a leader for longer may have no majority left.
+LEADERLESS_S = 5.0
 
 
 def zone_of_group(group: str) -> str | None:
@@ -109,8 +111,17 @@
     async def _run_ensure(self) -> None:
         group = engine_group(self._zone)
         await self._until_nodes_are_found()
+        led_s = now_s()
         while True:
             await self._groups.ensure(group)
+            if await self._groups.has_leader(group):
+                led_s = now_s()
+            elif now_s() - led_s > LEADERLESS_S:
+                # The group has no state, and engines refuse older tokens: nothing is lost by
+                # leaving its earlier members behind.
+                logging.warning("group %s has no leader: founded again", group)
+                await self._groups.refound(group)
+                led_s = now_s()
             await asyncio.sleep(ENSURE_INTERVAL_S)
 
     async def _until_nodes_are_found(self) -> None:
--- a/src/hollowrack/replication/client.py
+++ b/src/hollowrack/replication/client.py
@@ -139,6 +139,36 @@
         if known is None or membership.epoch >= known.epoch:
             self._known[group] = membership
 
+    async def has_leader(self, group: str) -> bool:
+        """Ask the members of a group whether any of them knows a leader."""
+        found = await self.find(group)
+        if isinstance(found, Failure):
+            return False
+        members = sorted({node_of(member) for member in found.unwrap().electors()})
+        return await self._ask_about(group, members)
+
+    async def refound(self, group: str) -> Result[Membership, Problem]:
+        """Open a new epoch of a group without its earlier members, for groups without state.
+
+        An earlier leader that still believes to lead is fenced off by its older token alone.
+        """
+        stored = await self._directory.read(group)
+        current = stored.value_or(None)
+        members = choose_members(group, self._placement_of(group), self._links)
+        if current is None or not members:
+            detail = "no membership is recorded, or no live node is known"
+            return Failure(Problem(ResultCode.NO_QUORUM, detail, group))
+        changed = await self._directory.change(group, current, members)
+        if isinstance(changed, Failure):
+            return changed
+        membership = changed.unwrap().activated()
+        activated = await self._directory.activate(group, membership.epoch)
+        if isinstance(activated, Failure):
+            return activated
+        self._note(group, membership)
+        await self._repair.announce(group, membership, membership.members)
+        return Success(membership)
+
     # -- asking the leader ------------------------------------------------------------------
 
     async def propose(self, group: str, command: bytes, timeout_s: float) -> Result[bytes, Problem]:
--- a/tests/engines/test_controller.py
+++ b/tests/engines/test_controller.py
@@ -36,8 +36,18 @@
 
     def __init__(self, num_nodes: "NodeCount") -> None:
         self.founded_with: list[int] = []
+        self.is_led = True
+        self.num_refounded = 0
         self._num_nodes = num_nodes
 
+    async def has_leader(self, group: str) -> bool:
+        return self.is_led
+
+    async def refound(self, group: str) -> Result[None, None]:
+        self.num_refounded += 1
+        self.is_led = True
+        return Success(None)
+
     async def ensure(self, group: str) -> Result[None, None]:
         self.founded_with.append(self._num_nodes())
         return Success(None)
@@ -146,3 +156,19 @@
         assert founding.founded_with
 
     run_virtual(run())
+
+
+def test_a_group_that_lost_its_majority_is_founded_again_and_one_that_is_led_is_not() -> None:
+    async def run() -> None:
+        num_nodes = NodeCount(6)
+        founding = FoundingClient(num_nodes)
+        controller = _controller(LedGroups(), founding, OrderedEngine(), num_nodes)
+        controller.start()
+        await asyncio.sleep(30.0)
+        assert founding.num_refounded == 0
+        founding.is_led = False
+        await asyncio.sleep(10.0)
+        assert founding.num_refounded == 1
+        await controller.stop()
+
+    run_virtual(run())
--- a/tests/replication/test_repair.py
+++ b/tests/replication/test_repair.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from hollowrack.observability.decisions import DecisionLog
+from hollowrack.replication.client import GroupClient
 from hollowrack.replication.group_messages import Joined, JoinGroup
 from hollowrack.replication.host import GroupHost
 from hollowrack.replication.messages import Envelope
@@ -43,7 +44,8 @@
 
     async def request(self, node: str, message: object, timeout_s: float) -> Result[Any, Problem]:
         await asyncio.sleep(0.001)
-        assert isinstance(message, JoinGroup)
+        if not isinstance(message, JoinGroup) or node not in self._hosts:
+            return Failure(Problem(ResultCode.PEER_UNREACHABLE, "no such node", node))
         if self._num_lost.get(node, 0):
             self._num_lost[node] -= 1
             await asyncio.sleep(timeout_s)
@@ -53,7 +55,8 @@
 
     def post(self, node: str, message: object) -> None:
         assert isinstance(message, Envelope)
-        asyncio.get_running_loop().call_later(0.001, self._hosts[node].receive, message)
+        if node in self._hosts:
+            asyncio.get_running_loop().call_later(0.001, self._hosts[node].receive, message)
 
     def is_reachable(self, node: str) -> bool:
         return node in self._hosts
@@ -73,6 +76,27 @@
     """No membership changes in these tests."""
 
 
+class OneDirectory:
+    """The recorded membership of one group."""
+
+    def __init__(self, membership: Membership) -> None:
+        self.membership = membership
+
+    async def read(self, group: str) -> Result[Membership | None, Problem]:
+        return Success(self.membership)
+
+    async def change(
+        self, group: str, current: Membership, members: tuple[str, ...]
+    ) -> Result[Membership, Problem]:
+        if current.epoch == self.membership.epoch:
+            self.membership = current.successor(members)
+        return Success(self.membership)
+
+    async def activate(self, group: str, epoch: int) -> Result[None, Problem]:
+        self.membership = self.membership.activated()
+        return Success(None)
+
+
 def test_a_member_that_missed_the_announcement_is_told_again() -> None:
     async def main() -> None:
         hosts: dict[str, GroupHost] = {}
@@ -102,3 +126,30 @@
             await host.close()
 
     run_virtual(main())
+
+
+def test_a_group_that_lost_its_majority_leads_again_once_it_is_founded_again() -> None:
+    async def main() -> None:
+        hosts: dict[str, GroupHost] = {}
+        links = Links(hosts, {})
+        for seed, node in enumerate(NODES):
+            hosts[node] = GroupHost(node, LIFE, links, lambda group: Echo(), seed=seed)
+            hosts[node].start()
+        two = Membership(1, tuple(replica_id(node, LIFE) for node in ("a", "b")))
+        directory: Any = OneDirectory(two)
+        repair = GroupRepair(
+            hosts["a"], links, directory, lambda group: GroupPlacement(3), DecisionLog()
+        )
+        client = GroupClient(hosts["a"], links, directory, repair, lambda group: GroupPlacement(3))
+        await repair.announce(GROUP, two, two.members)
+        await asyncio.sleep(4.0)
+        await hosts.pop("b").close()
+        await asyncio.sleep(6.0)
+        assert not any(host.leads(GROUP) for host in hosts.values())
+        assert isinstance(await client.refound(GROUP), Success)
+        await asyncio.sleep(4.0)
+        assert sum(host.leads(GROUP) for host in hosts.values()) == 1
+        for host in hosts.values():
+            await host.close()
+
+    run_virtual(main())
