A process that was replaced as a job's owner leaves the job

Cause, from reading the change once more: two live processes may own a job for a while (an owner cut off for longer than its session). The replaced one ran its items on beside the new owner, and answered reads from what it had listed itself until its next write met the other's. It now leaves the job when its view names another owner; that view is never older than what it claimed the job on. Test: fails without the change (two owners, an empty page). Ruled out before: owners that merely live through an outage do not lose their jobs (6 outages, 3 and 9 nodes, a new test, green before too). Also: one final answer for both ends of a forwarded request; a field that nothing read removed.

--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -26,7 +26,7 @@
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.item_runner import ItemServices
-from hollowrack.jobs.job_log import JobLog
+from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_service import JobService
 from hollowrack.jobs.live_state import LEADER_KEY, LIVE_PREFIX, OWNERS_PREFIX, LiveState
@@ -117,7 +117,7 @@
             connections.read_version,
         )
         log = JobLog(store, self.owner)
-        self.live = LiveState(self.owner, self.leadership, self._on_job_ended)
+        self.live = LiveState(self.owner, self.leadership, self._on_job_ended, self._on_job_owned)
         self.jobs = JobService(
             log,
             JobReader(store, log),
@@ -287,5 +287,9 @@
     def _rewatch_live(self) -> None:
         self._live_mirror.rewatch()
 
+    def _on_job_owned(self, job: OpenJob) -> None:
+        if job.owner != self.owner:
+            self.jobs.note_replaced(job)
+
     def _on_job_ended(self, job_id: str) -> None:
         self.jobs.note_ended(job_id)
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -210,22 +210,19 @@
 
     def give_up(self) -> ForwardOutcome:
         """The final answer when no worker may be tried any more."""
-        if self.failed_answer is not None:
-            return self.failed_answer
-        if self.ran_at:
-            detail = f"no whole answer came ({self._told()})"
-            return Problem(ResultCode.OUTCOME_UNKNOWN, detail, self.request_id)
-        detail = f"no worker took the request ({self._told()})"
-        return Problem(ResultCode.NO_BACK_END, detail, self.request_id, RETRY_AFTER_S)
+        return self._final("no whole answer came", "no worker took the request")
 
     def out_of_time(self) -> ForwardOutcome:
         """The final answer when the time is up."""
+        return self._final("the time is up", "the time is up")
+
+    def _final(self, reason_if_run: str, reason_if_not_run: str) -> ForwardOutcome:
         if self.failed_answer is not None:
             return self.failed_answer
         if self.ran_at:
-            detail = f"the time is up ({self._told()})"
+            detail = f"{reason_if_run} ({self._told()})"
             return Problem(ResultCode.OUTCOME_UNKNOWN, detail, self.request_id)
-        detail = f"the time is up ({self._told()})"
+        detail = f"{reason_if_not_run} ({self._told()})"
         return Problem(ResultCode.NO_BACK_END, detail, self.request_id, RETRY_AFTER_S)
 
     def _told(self) -> str:
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -12,7 +12,13 @@
 from hollowrack.coordination.session import Session
 from hollowrack.coordination.store import NotDone, Unavailable, Unknown
 from hollowrack.jobs.item_runner import ItemServices
-from hollowrack.jobs.job_log import MAX_JOB_ID_LENGTH, CreateOutcome, JobLog, StoredJob
+from hollowrack.jobs.job_log import (
+    MAX_JOB_ID_LENGTH,
+    CreateOutcome,
+    JobLog,
+    OpenJob,
+    StoredJob,
+)
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_runner import JobRunner
 from hollowrack.jobs.live_state import LiveState
@@ -283,6 +289,16 @@
             self._keep(asyncio.create_task(runner.stop()))
         self._reader.note_ended(job_id)
 
+    def note_replaced(self, job: OpenJob) -> None:
+        """Another process owns a job now: leave it, it runs there and is read there.
+
+        What the view tells of a job's owner is never older than what this process claimed it on.
+        """
+        runner = self._runners.get(job.job_id)
+        if runner is not None:
+            logging.warning("job %s: belongs to %s now, left", job.job_id, job.owner)
+            self._keep(asyncio.create_task(runner.stop()))
+
     # -- stopping ---------------------------------------------------------------------------
 
     async def drain(self, patience_s: float) -> None:
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -25,6 +25,7 @@
         owner: Name and incarnation of this node.
         leadership: Hears of the leader keys.
         on_ended: Called with each job that was ended.
+        on_owned: Called with each unfinished job whenever its owner is written.
 
     Attributes:
         nodes: What live processes say of themselves, by owner name.
@@ -32,13 +33,20 @@
         ended_jobs: When this node heard of the end of each ended job, on the loop's clock.
     """
 
-    def __init__(self, owner: str, leadership: Leadership, on_ended: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        owner: str,
+        leadership: Leadership,
+        on_ended: Callable[[str], None],
+        on_owned: Callable[[OpenJob], None],
+    ) -> None:
         self.nodes: dict[str, NodeEntry] = {}
         self.open_jobs: dict[str, OpenJob] = {}
         self.ended_jobs: dict[str, float] = {}
         self._owner = owner
         self._leadership = leadership
         self._on_ended = on_ended
+        self._on_owned = on_owned
         self._leader: str | None = None
 
     def take(self, key: str, item: StoredItem | None) -> None:
@@ -66,7 +74,9 @@
         if item is None:
             self.open_jobs.pop(job_id, None)
         else:
-            self.open_jobs[job_id] = OpenJob(job_id, item.value.decode(), item.revision)
+            job = OpenJob(job_id, item.value.decode(), item.revision)
+            self.open_jobs[job_id] = job
+            self._on_owned(job)
 
     def _take_end(self, job_id: str, item: StoredItem | None) -> None:
         if item is None:
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -43,7 +43,6 @@
         self._live = live
         self._is_live_loaded = is_live_loaded
         self._seen_owners: set[str] = set()
-        self._gone_since_s: dict[str, float] = {}
         self._scan_due_s = 0.0
         self._task: asyncio.Task[None] | None = None
 
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -139,6 +139,57 @@
     run_virtual(main())
 
 
+def test_an_owner_that_was_replaced_leaves_the_job_and_knows_what_the_new_one_lists() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        for worker in ("e0", "e1"):
+            fleet.back_ends.behaviours[worker] = WorkerBehaviour(work_s=100.0)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        fleet.faults["n0"].is_silent = True
+        await asyncio.sleep(5.5)
+        (owner,) = [name for name in ("n1", "n2") if fleet.nodes[name].jobs.owns(job.id)]
+        log = JobLog(fleet.core.view(), fleet.nodes[owner].owner)
+        listed = [ItemResult(job.items[0].id, True, "listed")]
+        assert await log.append(job.id, 0, listed, False) is AppendOutcome.APPENDED
+        fleet.faults["n0"].is_silent = False
+        await asyncio.sleep(7.0)
+        assert fleet.owners_of(job) == [owner]
+        page = await fleet.nodes["n0"].jobs.read(job.id, 0, 0.0)
+        assert isinstance(page, ResultPage)
+        assert page.results == listed
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("num_nodes", [3, 9])
+@pytest.mark.parametrize("outage_s", [2.2, 2.6, 3.0, 3.4, 6.0, 9.0])
+def test_owners_that_live_through_an_outage_keep_their_jobs(
+    num_nodes: int, outage_s: float
+) -> None:
+    async def main() -> None:
+        fleet = Fleet(num_nodes)
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 1000
+        jobs = {name: make_job(f"j-{name}", num_items=1) for name in fleet.nodes}
+        for name, job in jobs.items():
+            assert await fleet.nodes[name].jobs.submit(job) is None
+        for faults in fleet.faults.values():
+            faults.refuses = True
+        await asyncio.sleep(outage_s)
+        for faults in fleet.faults.values():
+            faults.refuses = False
+        await asyncio.sleep(8.0)
+        for name, job in jobs.items():
+            assert fleet.owners_of(job) == [name]
+        assert max(fleet.back_ends.executions.values()) == 1
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_a_job_outlives_all_nodes() -> None:
     async def main() -> None:
         fleet = Fleet()
