--- a/src/hollowrack/cli/fleet_commands.py
+++ b/src/hollowrack/cli/fleet_commands.py
@@ -1,7 +1,9 @@
 """``hollowrack status``, ``explain`` and ``drain``: one node, or the fleet as it sees it."""
 
+from dataclasses import asdict
 from datetime import UTC, datetime
-from typing import Any
+from itertools import chain
+from typing import Any, TextIO
 from urllib.parse import quote
 
 import click
@@ -9,6 +11,8 @@
 
 from hollowrack.cli.operator_client import call_operator
 from hollowrack.cli.output import exit_with_problem, print_json, print_table
+from hollowrack.observability.log_search import account_of, workers_named
+from hollowrack.results import Problem, ResultCode
 
 _operator = click.option(
     "--operator", required=True, metavar="URL", help="A node's operators' listener."
@@ -48,10 +52,25 @@
 
 @click.command()
 @click.argument("subject")
-@_operator
+@click.option("--operator", metavar="URL", help="A node's operators' listener.")
+@click.option(
+    "--logs",
+    multiple=True,
+    type=click.File(errors="replace"),
+    help="A file of nodes' JSON logs, or - for standard input; may be repeated.",
+)
 @_as_json
-def explain(subject: str, operator: str, as_json: bool) -> None:
-    """Show the decisions about a request, sample (RUN/STEP/PROMPT/INDEX), engine or step."""
+def explain(subject: str, operator: str | None, logs: tuple[TextIO, ...], as_json: bool) -> None:
+    """Show the decisions about a request, sample (RUN/STEP/PROMPT/INDEX), engine or step.
+
+    With --logs, what nodes' logs say about a request, item, job or worker instead.
+    """
+    if bool(operator) == bool(logs):
+        detail = "give either --operator or --logs"
+        exit_with_problem(Problem(ResultCode.USAGE, detail, "explain"), as_json)
+    if logs:
+        _explain_from_logs(subject, logs, as_json)
+        return
     records = _call("GET", f"{operator}/v1/decisions?subject={quote(subject)}", as_json)
     if as_json:
         print_json(records)
@@ -64,6 +83,26 @@
         click.echo(f"{at}  {record['kind']:<12} {record['subject']}  {record['outcome']}  {inputs}")
 
 
+def _explain_from_logs(subject: str, logs: tuple[TextIO, ...], as_json: bool) -> None:
+    account = account_of(subject, chain.from_iterable(logs))
+    if as_json:
+        print_json(asdict(account))
+        return
+    if not account.about:
+        click.echo(f"no line is about {subject}")
+    for line in account.about:
+        click.echo(f"{line.time}  {line.node}  {line.message}")
+    workers = workers_named(account.about)
+    if workers:
+        click.echo(f"\nworkers named: {', '.join(workers)}")
+    if account.context:
+        click.echo("\nmeanwhile on these nodes")
+    for line in account.context:
+        click.echo(f"{line.time}  {line.node}  {line.message}")
+    if account.num_unread:
+        click.echo(f"\n{account.num_unread} lines are no log lines of a node", err=True)
+
+
 @click.command()
 @click.argument("address")
 @_operator
--- /dev/null
+++ b/tests/observability/test_log_search.py
@@ -0,0 +1,62 @@
+"""From an identifier to what the logs say, whatever else stands in them."""
+
+import json
+
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollowrack.cli.commands import hollowrack
+from hollowrack.observability.log_search import account_of
+from hollowrack.results import ResultCode, exit_status
+
+
+def _line(time: str, node: str, message: str) -> str:
+    return json.dumps({"time": time, "level": "INFO", "message": message, "node": node})
+
+
+LOG = [
+    _line("10:00:01", "n1", "job j1: owned, 2 items, 0 listed"),
+    _line("10:00:02", "n1", "run i1: worker w7: silent after event 4"),
+    _line("10:00:03", "n1", "coordination store fails for op/: NotDone"),
+    _line("10:00:04", "n1", "item i1 of job j1: 9 events by 2 attempts in 3.0 s, 0.1 s of it"),
+    _line("10:00:04", "n1", "item i2 of job j1: 5 events by 1 attempts in 3.0 s, 0.1 s of it"),
+    _line("10:00:04", "n2", "coordination store fails for op/: NotDone"),
+    "   3.2 n1 " + _line("10:00:05", "n1", "job j1: 2 listed, done here"),
+    _line("10:00:06", "n1", "stopping: 0 jobs here"),
+    _line("10:00:07", "n2", "request q1: [400 OUTCOME_UNKNOWN] at q1: the time is up (w7: silent)"),
+    "not JSON {",
+    "",
+]
+
+
+def test_an_item_is_followed_to_its_job_and_not_to_its_siblings() -> None:
+    account = account_of("i1", reversed(LOG))
+    assert [line.time for line in account.about] == ["10:00:01", "10:00:02", "10:00:04", "10:00:05"]
+    assert [(line.time, line.node) for line in account.context] == [("10:00:03", "n1")]
+    assert account.num_unread == 1
+
+
+def test_a_subject_that_no_line_names_has_an_empty_account() -> None:
+    account = account_of("nobody", LOG)
+    assert account.about == account.context == ()
+
+
+@given(st.lists(st.text() | st.binary().map(repr), max_size=20), st.text(min_size=1))
+def test_any_text_is_read_without_a_fault(lines: list[str], subject: str) -> None:
+    account = account_of(subject, lines)
+    assert account.num_unread <= len(lines)
+
+
+def test_the_command_reads_standard_input_and_names_workers() -> None:
+    result = CliRunner().invoke(hollowrack, ["explain", "i1", "--logs", "-"], input="\n".join(LOG))
+    assert result.exit_code == 0
+    assert "workers named: w7" in result.output
+    assert "coordination store fails" in result.output
+    assert "i2" not in result.output
+
+
+def test_the_command_wants_one_source() -> None:
+    result = CliRunner().invoke(hollowrack, ["explain", "i1"])
+    assert result.exit_code == exit_status(ResultCode.USAGE)
+    assert "[105]" in result.output or "[105 USAGE]" in result.output
