Planned stops: owned jobs go on while callers' last requests end

Change: the stop has two parts; jobs go on until 65% of the grace while callers' connections are closed.

--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -46,6 +46,9 @@
 # At a planned stop callers need this long to turn away, if there is as much time.
 MAX_TURN_AWAY_S = 3.5
 TURN_AWAY_SHARE = 0.45
+# Owned jobs have longer: what an item has generated is lost if it is left.
+MAX_FINISH_S = 10.0
+FINISH_SHARE = 0.65
 
 
 @dataclass(frozen=True)
@@ -155,6 +158,7 @@
         )
         self._rng = rng
         self._retirements: set[str] = set()
+        self._finish_by_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     # -- life -------------------------------------------------------------------------------
@@ -178,25 +182,32 @@
             asyncio.create_task(self._complete_retirements()),
         ]
 
-    async def stop(self, grace_s: float) -> None:
-        """Planned stop: be not ready, let work finish for a while, hand the rest over.
+    async def turn_away(self, grace_s: float) -> None:
+        """Begin a planned stop: be not ready, hand leadership over, let callers turn away.
+
+        Owned jobs go on; :meth:`finish` ends them.
 
         Args:
             grace_s: Time until the process is killed, in seconds; less than half of it is used.
         """
         self.is_stopping = True
-        turn_away_s = min(MAX_TURN_AWAY_S, TURN_AWAY_SHARE * grace_s)
+        started_s = now_s()
         logging.info("stopping: %d jobs here", self.jobs.num_running)
+        self.jobs.refuse_new()
         await self._order_giver.stop()
         await self._takeover.stop()
         await self._retention.stop()
         await self.leadership.resign()
-        started_s = now_s()
-        await self.jobs.drain(turn_away_s)
+        turn_away_s = min(MAX_TURN_AWAY_S, TURN_AWAY_SHARE * grace_s)
+        await asyncio.sleep(max(0.0, started_s + turn_away_s - now_s()))
+        self._finish_by_s = started_s + min(MAX_FINISH_S, FINISH_SHARE * grace_s)
+
+    async def finish(self) -> None:
+        """End a planned stop: owned jobs have the rest of their time, then they are left."""
+        await self.jobs.drain(self._finish_by_s - now_s())
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
         await self.session.stop()
-        await asyncio.sleep(max(0.0, started_s + turn_away_s - now_s()))
 
     async def abandon(self) -> None:
         """End at once, as a crash would; for tests."""
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -301,12 +301,16 @@
 
     # -- stopping ---------------------------------------------------------------------------
 
+    def refuse_new(self) -> None:
+        """Accept and take over nothing more; owned jobs go on."""
+        self._is_stopping = True
+
     async def drain(self, patience_s: float) -> None:
         """Accept nothing more, and let owned jobs finish for a while; then leave them."""
-        self._is_stopping = True
+        self.refuse_new()
         if self._runners:
             await asyncio.wait(
-                {runner.task for runner in self._runners.values()}, timeout=patience_s
+                {runner.task for runner in self._runners.values()}, timeout=max(0.0, patience_s)
             )
         await asyncio.gather(*(runner.stop() for runner in list(self._runners.values())))
         await cancel_all(*self._background)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -159,10 +159,11 @@
             self._stop_task = asyncio.create_task(self._stop())
 
     async def _stop(self) -> None:
-        await self.node.stop(self._settings.bounds.grace_s)
+        await self.node.turn_away(self._settings.bounds.grace_s)
+        # Callers' last requests and owned jobs end side by side.
+        await asyncio.gather(self._frontend.stop(), self.node.finish())
         await cancel_all(self._report_task)
         await self._feed.stop()
-        await self._frontend.stop()
         await self._readiness.stop()
         if self._peers is not None:
             await self._peers.abort()
