--- a/src/hollowrack/node.py
+++ b/src/hollowrack/node.py
@@ -20,7 +20,8 @@
 from hollowrack.clients.service import HttpServiceClient
 from hollowrack.membership.network import SocketNetwork
 from hollowrack.membership.types import Member
-from hollowrack.node_core import NodeCore, NodeEdges, NodeIdentity
+from hollowrack.node_core import NodeCore
+from hollowrack.node_edges import NodeEdges, NodeIdentity
 from hollowrack.replication.journal import JournalFolder
 from hollowrack.results import Problem, value_or_raise
 from hollowrack.settings.load import read_cluster_key
--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -7,29 +7,26 @@
 import asyncio
 import random
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import Any
 
 from hollowrack.admission.controller import AdmissionController
 from hollowrack.bundle.agent import BundleAgent, FetchBundle
 from hollowrack.bundle.schema import Bundle
 from hollowrack.bundle.store import BundleStore
-from hollowrack.clients.config_store import ConfigStoreClient, StoreCall
-from hollowrack.clients.engine import MakeEngineClient
-from hollowrack.clients.machine_list import Machine, ReadMachines
-from hollowrack.clients.service import ServiceClient
+from hollowrack.clients.config_store import ConfigStoreClient
+from hollowrack.clients.machine_list import Machine
 from hollowrack.clock import now_s
 from hollowrack.engines.controller import (
     EngineController,
-    NoState,
     engine_group,
-    zone_of_group,
 )
+from hollowrack.fleet_facts import FleetFacts, leaving_address
+from hollowrack.group_kinds import make_state_machine, placement_of
 from hollowrack.membership.messages import Digest, Exchange, GossipMessage
-from hollowrack.membership.network import NodeNetwork
 from hollowrack.membership.service import MembershipService
 from hollowrack.membership.types import Fact, Member
 from hollowrack.messages.dispatch import Dispatcher
+from hollowrack.node_edges import NodeEdges, NodeIdentity
 from hollowrack.observability.decisions import DecisionLog
 from hollowrack.observability.metrics import NodeMetrics
 from hollowrack.replication.client import GroupClient
@@ -42,19 +39,15 @@
     ProposeRequest,
 )
 from hollowrack.replication.host import GroupHost
-from hollowrack.replication.journal import JournalFolder
 from hollowrack.replication.messages import Envelope
-from hollowrack.replication.placement import GroupPlacement
 from hollowrack.replication.repair import GroupRepair
-from hollowrack.replication.types import StateMachine
 from hollowrack.requests.answers import AnswerStore
 from hollowrack.requests.budget import RetryBudget
-from hollowrack.requests.claims import RequestClaims
 from hollowrack.requests.forwarding import ServiceForwarder
 from hollowrack.requests.gateway import Gateway, GatewayParts
 from hollowrack.requests.generation import GenerationRunner
 from hollowrack.requests.home_answers import FindAnswer, HomeAnswers, KeepAnswer
-from hollowrack.requests.unsafe import CLAIM_GROUP_PREFIX, AskAttempt, UnsafeRequests
+from hollowrack.requests.unsafe import AskAttempt, UnsafeRequests
 from hollowrack.results import value_or_raise
 from hollowrack.rollout.coordinator import RolloutContext
 from hollowrack.rollout.executor import (
@@ -63,8 +56,6 @@
     RolloutExecutor,
     RunningSlots,
 )
-from hollowrack.rollout.groups import RUN_GROUP_PREFIX
-from hollowrack.rollout.ledger import SampleLedger
 from hollowrack.rollout.service import RunService
 from hollowrack.rollout.trainer_messages import ReadRunStatus, ReadSamples
 from hollowrack.routing.broker import (
@@ -74,7 +65,6 @@
     PlacementDone,
     PlaceRequest,
 )
-from hollowrack.routing.choice import Chooser, choose
 from hollowrack.routing.fleet import FleetView
 from hollowrack.routing.local_placer import LocalPlacer, PlacerParts
 from hollowrack.routing.observer import FleetObserver
@@ -85,80 +75,10 @@
 LEAVE_SPREAD_S = 0.5
 REPLACED_TIMEOUT_S = 5.0
 PREPARE_CLAIMS_AFTER_S = 1.0
-WEIGHT_FACT_PREFIX = "weights/"
-LEAVING_FACT_PREFIX = "leaving/"
-LEAVING_MARK = 1
-RUN_FACT_PREFIX = "run/"
 # A broker's own bound is the room of its zone.
 MAX_BROKERED_REQUESTS = 1_000_000
 
 
-@dataclass(frozen=True)
-class NodeIdentity:
-    """Who a node is.
-
-    Attributes:
-        node: Its name.
-        zone: Its zone.
-        incarnation: Identity of its memory.
-        seeds: Members it knows from the start.
-        seed: Seed of all its random choices; ``None`` draws one.
-    """
-
-    node: str
-    zone: str
-    incarnation: str
-    seeds: tuple[Member, ...] = ()
-    seed: int | None = None
-
-
-@dataclass(frozen=True)
-class NodeEdges:
-    """What a node touches.
-
-    Attributes:
-        network: The network between nodes.
-        store_call: Calls the configuration store.
-        read_machines: Reads the machine list.
-        make_engine_client: Returns the client of an engine by its address.
-        services: Sends requests to service workers.
-        journals: The node's journals, if it has a data folder.
-        chooser: Chooses back ends.
-    """
-
-    network: NodeNetwork
-    store_call: StoreCall
-    read_machines: ReadMachines
-    make_engine_client: MakeEngineClient
-    services: ServiceClient
-    journals: JournalFolder | None = None
-    chooser: Chooser = field(default=choose)
-
-
-def make_state_machine(group: str) -> StateMachine:
-    """Return the initial state of a group by the prefix of its name.
-
-    Raises:
-        ValueError: If no kind of group has such a name.
-    """
-    if group.startswith(RUN_GROUP_PREFIX):
-        return SampleLedger()
-    if group.startswith(CLAIM_GROUP_PREFIX):
-        return RequestClaims()
-    if zone_of_group(group) is not None:
-        return NoState()
-    raise ValueError(f"group {group!r} has no state machine")
-
-
-def placement_of(group: str) -> GroupPlacement:
-    """Return how a group wants to be placed.
-
-    Every group survives two losses at once. A zone's engine group stays near its engines, and is as
-    large as the others: without a leader no engine gets new weights, and training stops.
-    """
-    return GroupPlacement(preferred_zone=zone_of_group(group))
-
-
 class NodeCore:
     """One node.
 
@@ -270,6 +190,7 @@
         self.membership = MembershipService(
             own, list(identity.seeds), edges.network, self._rng.getrandbits(32)
         )
+        self.facts = FleetFacts(self.membership)
         self.membership.on_fact.append(self._on_fact)
         store = ConfigStoreClient(edges.store_call)
         self.bundle_store = BundleStore(store)
@@ -281,14 +202,14 @@
         self.observer = FleetObserver(
             self.fleet, edges.read_machines, edges.make_engine_client, self._decides_about
         )
-        self.fleet.is_marked = self._is_marked_leaving
+        self.fleet.is_marked = self.facts.is_leaving
         self.engines = EngineController(
             identity.zone,
             self.host,
             self.groups,
             self.fleet,
             edges.make_engine_client,
-            self._target_version,
+            self.facts.target_version,
             self.decisions,
             self._num_nodes,
         )
@@ -353,7 +274,7 @@
                 links=self.membership,
                 decisions=self.decisions,
                 metrics=self.metrics,
-                trainer_version=self._trainer_version,
+                trainer_version=self.facts.trainer_version,
                 on_own_running=self._note_own_running,
             )
         )
@@ -367,7 +288,11 @@
             decisions=self.decisions,
         )
         self.runs = RunService(
-            self.identity.node, self.membership, context, self._training_room, self._on_version
+            self.identity.node,
+            self.membership,
+            context,
+            self._training_room,
+            self.facts.raise_version,
         )
 
     def _register_messages(self) -> None:
@@ -403,20 +328,10 @@
     def _num_nodes(self) -> int:
         return sum(1 for member in self.membership.swim.members.values() if member.takes_work)
 
-    def _target_version(self, model: str) -> int | None:
-        return self.membership.swim.facts.get(WEIGHT_FACT_PREFIX + model)
-
-    def _on_version(self, run: str, model: str, version: int) -> None:
-        self.membership.raise_fact(WEIGHT_FACT_PREFIX + model, version)
-        self.membership.raise_fact(RUN_FACT_PREFIX + run, version)
-
     def _note_own_running(self, running: RunningSlots) -> None:
         # The run service is built after the executor that reports to it.
         self.runs.note_running(running)
 
-    def _trainer_version(self, run: str) -> int:
-        return self.membership.swim.facts.get(RUN_FACT_PREFIX + run, 0)
-
     def _training_room(self, model: str) -> float:
         bundle = self.bundles.bundle
         if bundle is None or model not in bundle.models:
@@ -424,17 +339,15 @@
         return bundle.models[model].training_room
 
     def _on_fact(self, fact: Fact) -> None:
-        if fact.name.startswith(LEAVING_FACT_PREFIX):
-            self.fleet.mark_leaving(fact.name.removeprefix(LEAVING_FACT_PREFIX))
+        address = leaving_address(fact)
+        if address is not None:
+            self.fleet.mark_leaving(address)
 
     def _decides_about(self, machine: Machine) -> bool:
         """Whether this node places requests on an engine or gives it orders."""
         is_broker = self.placer.broker_of(machine.pool, machine.zone) == self.identity.node
         return is_broker or self.host.leads(engine_group(machine.zone))
 
-    def _is_marked_leaving(self, address: str) -> bool:
-        return LEAVING_FACT_PREFIX + address in self.membership.swim.facts
-
     def _on_bundle(self, bundle: Bundle) -> None:
         self.gateway.bundle = bundle
         self.admission.set_weights(bundle.tenants)
@@ -445,8 +358,7 @@
         """Mark a back end as leaving for the whole fleet; returns whether this node knows it."""
         if address not in self.fleet.records:
             return False
-        # The mark stays: a back end that comes back does so under another address.
-        self.membership.raise_fact(LEAVING_FACT_PREFIX + address, LEAVING_MARK)
+        self.facts.mark_leaving(address)
         return True
 
     def status(self) -> dict[str, Any]:
--- a/src/hollowrack_bench/hollow/fleet.py
+++ b/src/hollowrack_bench/hollow/fleet.py
@@ -13,7 +13,8 @@
 from hollowrack.clients.engine import EngineClient
 from hollowrack.clients.machine_list import Machine
 from hollowrack.membership.types import Member
-from hollowrack.node_core import NodeCore, NodeEdges, NodeIdentity
+from hollowrack.node_core import NodeCore
+from hollowrack.node_edges import NodeEdges, NodeIdentity
 from hollowrack.results import value_or_raise
 from hollowrack.routing.choice import Chooser, choose
 from hollowrack.settings.model import Limits
