--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -92,9 +92,7 @@
         self._schedule(LOOK_AGAIN_S)
 
     def _choose(self, waiter: _Waiter) -> Worker | None:
-        preferred = self._workers.choose(
-            waiter.service, waiter.avoided, waiter.is_eligible, only_with_room=True
-        )
+        preferred = self._workers.choose_place(waiter.service, waiter.avoided, waiter.is_eligible)
         if preferred is not None or not waiter.avoided:
             return preferred
-        return self._workers.choose(waiter.service, (), waiter.is_eligible, only_with_room=True)
+        return self._workers.choose_place(waiter.service, (), waiter.is_eligible)
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -23,6 +23,11 @@
 PACE_FADE_S = 6.0
 MIN_SLOWNESS = 1.3
 MUCH_SLOWER = 2.5
+# How fast a worker is by itself changes rarely: for placing runs it is remembered for longer.
+PLACING_FADE_S = 30.0
+MIN_PLACING_SLOWNESS = 1.1
+# A full worker is taken for that much slower than an empty one when runs are placed.
+PLACING_LOAD_WEIGHT = 0.25
 MIN_PACE_S = 0.001
 MAX_SLOWNESS = 10.0
 FAILURE_DECAY = 0.5
@@ -60,6 +65,7 @@
         self._rng = rng
         self._workers: dict[str, Worker] = {}
         self._evidence: dict[str, _Evidence] = {}
+        self._best_paces_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -70,11 +76,13 @@
         """Take in a worker's newest state."""
         self._workers[worker.id] = worker
         self._evidence.setdefault(worker.id, _Evidence())
+        self._best_paces_s.clear()
         self._notify()
 
     def remove(self, worker_id: str) -> None:
         """Forget a worker that is gone."""
         self._workers.pop(worker_id, None)
+        self._best_paces_s.clear()
         evidence = self._evidence.get(worker_id)
         if evidence is not None and evidence.num_in_flight == 0:
             del self._evidence[worker_id]
@@ -99,32 +107,40 @@
         self,
         service: str,
         excluded: Collection[str] = (),
-        is_eligible: Eligible | None = None,
-        only_with_room: bool = False,
     ) -> Worker | None:
-        """Choose the least loaded worker of a service.
+        """Choose the least loaded worker of a service for a request.
+
+        Args:
+            service: The service.
+            excluded: Identities of workers not to be chosen.
+        """
+        candidates = [worker for worker in self.serving(service) if worker.id not in excluded]
+        ready = [worker for worker in candidates if not self._is_paused(worker)]
+        return min(ready or candidates, key=self._cost, default=None)
+
+    def choose_place(
+        self, service: str, excluded: Collection[str], is_eligible: Eligible
+    ) -> Worker | None:
+        """Choose the fastest worker of a service that has room for a run.
+
+        How long a run takes depends on the pace of its worker far more than on the others there;
+        so those that are placed first, the longest, go to the fastest workers.
 
         Args:
             service: The service.
             excluded: Identities of workers not to be chosen.
             is_eligible: Further condition.
-            only_with_room: Whether workers at capacity, or paused, are out of the question.
         """
         candidates = [
             worker
             for worker in self.serving(service)
-            if worker.id not in excluded and (is_eligible is None or is_eligible(worker))
+            if worker.id not in excluded and is_eligible(worker)
         ]
         ready = [worker for worker in candidates if not self._is_paused(worker)]
-        if only_with_room:
-            if any(not self.is_much_slower(worker) for worker in candidates):
-                ready = [worker for worker in ready if not self.is_much_slower(worker)]
-            candidates = [worker for worker in ready if self._load(worker) < 1.0]
-        elif ready:
-            candidates = ready
-        if not candidates:
-            return None
-        return min(candidates, key=self._cost)
+        if any(not self.is_much_slower(worker) for worker in candidates):
+            ready = [worker for worker in ready if not self.is_much_slower(worker)]
+        with_room = [worker for worker in ready if self._load(worker) < 1.0]
+        return min(with_room, key=self._placing_cost, default=None)
 
     def begin(self, worker: Worker) -> None:
         """A request goes to a worker."""
@@ -154,11 +170,26 @@
         if evidence.num_paces % NUM_PACES_BETWEEN_MEDIANS == 0:
             # The median, as a worker that loads weights holds all its runs up for a moment.
             evidence.pace_s = median(evidence.paces_s)
+            self._best_paces_s.clear()
 
     def is_much_slower(self, worker: Worker) -> bool:
         """Whether a worker has lately been much slower than the best of its service."""
         return self._slowness(worker) >= MUCH_SLOWER
 
+    def time_saved_s(self, worker: Worker, other: Worker | None, num_units: float) -> float:
+        """How much sooner another worker would do so many units of work, in seconds.
+
+        Args:
+            worker: The worker that does them now.
+            other: The other worker; ``None`` for the fastest of the service.
+            num_units: How many units.
+        """
+        pace_s = self._of(worker).pace_s
+        if pace_s is None:
+            return 0.0
+        other_slowness = 1.0 if other is None else self._placing_slowness(other)
+        return num_units * pace_s * (1.0 - other_slowness / self._placing_slowness(worker))
+
     def note_busy(self, worker: Worker) -> None:
         """A worker refused for lack of room."""
         if self._is_paused(worker):
@@ -214,16 +245,31 @@
         return self._of(worker).num_in_flight / max(1, worker.capacity)
 
     def _slowness(self, worker: Worker) -> float:
-        """A worker's pace as a multiple of the best of its service; 1 if nothing is known."""
+        """A worker's recent pace as a multiple of the best of its service."""
+        return self._faded_slowness(worker, PACE_FADE_S, MIN_SLOWNESS)
+
+    def _placing_slowness(self, worker: Worker) -> float:
+        """A worker's own pace as a multiple of the best of its service."""
+        return self._faded_slowness(worker, PLACING_FADE_S, MIN_PLACING_SLOWNESS)
+
+    def _faded_slowness(self, worker: Worker, fade_s: float, least: float) -> float:
+        """A worker's pace against the best; 1 if nothing is known or it is less than ``least``."""
         evidence = self._of(worker)
         if evidence.pace_s is None:
             return 1.0
-        paces = [self._of(other).pace_s for other in self.serving(worker.service)]
-        best_s = min((pace_s for pace_s in paces if pace_s is not None), default=evidence.pace_s)
-        ratio = min(MAX_SLOWNESS, evidence.pace_s / max(best_s, MIN_PACE_S))
-        fading = math.exp(-(now_s() - evidence.pace_noted_s) / PACE_FADE_S)
+        best_s = max(self._best_pace_s(worker.service), MIN_PACE_S)
+        ratio = max(1.0, min(MAX_SLOWNESS, evidence.pace_s / best_s))
+        fading = math.exp(-(now_s() - evidence.pace_noted_s) / fade_s)
         slowness = 1.0 + (ratio - 1.0) * fading
-        return slowness if slowness >= MIN_SLOWNESS else 1.0
+        return slowness if slowness >= least else 1.0
+
+    def _best_pace_s(self, service: str) -> float:
+        """The best pace known in a service, in seconds; infinite if none is."""
+        if service not in self._best_paces_s:
+            paces = [self._of(worker).pace_s for worker in self.serving(service)]
+            known = [pace_s for pace_s in paces if pace_s is not None]
+            self._best_paces_s[service] = min(known, default=float("inf"))
+        return self._best_paces_s[service]
 
     def _cost(self, worker: Worker) -> tuple[float, float]:
         evidence = self._of(worker)
@@ -233,6 +279,15 @@
             cost += REMOTE_ZONE_PENALTY
         return (cost, self._rng.random())
 
+    def _placing_cost(self, worker: Worker) -> tuple[float, float]:
+        evidence = self._of(worker)
+        load = (evidence.num_in_flight + 1) / max(1, worker.capacity)
+        cost = self._placing_slowness(worker) + PLACING_LOAD_WEIGHT * load
+        cost += FAILURE_WEIGHT * evidence.failure_score
+        if worker.zone != self._zone:
+            cost += REMOTE_ZONE_PENALTY
+        return (cost, self._rng.random())
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- /dev/null
+++ b/tests/forwarding/test_workers.py
@@ -0,0 +1,100 @@
+"""Where runs are placed: by the pace of workers, and by their load only between equals."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack_bench.virtual_time import run_virtual
+from tests.forwarding.helpers import make_directory, make_worker
+
+FAST_S = 0.04
+SLOW_S = 0.052
+
+
+def directory_with_paces(paces_s: dict[str, float], capacity: int = 4) -> WorkerDirectory:
+    directory = make_directory(*(make_worker(name, capacity=capacity) for name in paces_s))
+    for name, pace_s in paces_s.items():
+        for _ in range(8):
+            directory.note_pace(make_worker(name), pace_s)
+    return directory
+
+
+def place(directory: WorkerDirectory) -> str | None:
+    worker = directory.choose_place("svc", (), lambda _: True)
+    if worker is None:
+        return None
+    directory.begin(worker)
+    return worker.id
+
+
+def test_fast_workers_are_filled_before_slow_ones() -> None:
+    async def main() -> None:
+        directory = directory_with_paces({"slow": SLOW_S, "f1": FAST_S, "f2": FAST_S * 1.02})
+        first = [place(directory) for _ in range(8)]
+        assert Counter(first) == {"f1": 4, "f2": 4}
+        assert [place(directory) for _ in range(4)] == ["slow"] * 4
+        assert place(directory) is None
+
+    run_virtual(main())
+
+
+def test_equal_workers_are_filled_evenly() -> None:
+    async def main() -> None:
+        directory = directory_with_paces({"f1": FAST_S, "f2": FAST_S * 1.05})
+        assert Counter(place(directory) for _ in range(6)) == {"f1": 3, "f2": 3}
+
+    run_virtual(main())
+
+
+def test_the_pace_of_a_worker_is_remembered_while_it_rests() -> None:
+    async def main() -> None:
+        directory = directory_with_paces({"slow": SLOW_S, "fast": FAST_S})
+        await asyncio.sleep(8.0)
+        assert [place(directory) for _ in range(4)] == ["fast"] * 4
+        await asyncio.sleep(120.0)
+        assert place(directory) == "slow"
+
+    run_virtual(main())
+
+
+def test_a_worker_that_nothing_is_known_of_is_tried() -> None:
+    async def main() -> None:
+        directory = directory_with_paces({"slow": SLOW_S, "fast": FAST_S})
+        directory.put(make_worker("new"))
+        assert Counter(place(directory) for _ in range(8)) == {"fast": 4, "new": 4}
+
+    run_virtual(main())
+
+
+def test_workers_are_compared_with_those_that_are_there() -> None:
+    async def main() -> None:
+        directory = directory_with_paces({"slow": SLOW_S, "fast": FAST_S})
+        slow = make_worker("slow")
+        assert directory.time_saved_s(slow, None, 100) == pytest.approx(100 * (SLOW_S - FAST_S))
+        assert directory.time_saved_s(make_worker("fast"), None, 100) == 0.0
+        directory.remove("fast")
+        assert directory.time_saved_s(slow, None, 100) == 0.0
+        unknown = make_worker("unknown")
+        assert directory.time_saved_s(unknown, slow, 100) == 0.0
+
+    run_virtual(main())
+
+
+def test_a_worker_without_room_or_weights_gets_no_run() -> None:
+    async def main() -> None:
+        directory = directory_with_paces({"fast": FAST_S, "slow": SLOW_S}, capacity=1)
+
+        def is_slow(worker: Worker) -> bool:
+            return worker.id == "slow"
+
+        chosen = directory.choose_place("svc", (), is_slow)
+        assert chosen is not None
+        directory.begin(chosen)
+        assert directory.choose_place("svc", (), is_slow) is None
+        assert directory.choose_place("svc", ("fast",), lambda _: True) is None
+        assert place(directory) == "fast"
+
+    run_virtual(main())
