--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -32,6 +32,7 @@
 from hollowrack.jobs.live_state import LEADER_KEY, LIVE_PREFIX, OWNERS_PREFIX, LiveState
 from hollowrack.jobs.peers import PeerJobs
 from hollowrack.jobs.placement import NodeEntry
+from hollowrack.jobs.progress import ProgressLog
 from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
@@ -42,6 +43,8 @@
 LIVE_WAIT_S = 5.0
 REGISTER_PAUSE_S = 0.2
 RETIREMENT_PAUSE_S = 0.3
+# A process that says so is stopping: it should own no further job.
+NO_CORES = 0.0
 DEFAULT_KEEP_ENDED_S = 300.0
 # At a planned stop callers need this long to turn away, if there is as much time.
 MAX_TURN_AWAY_S = 3.5
@@ -120,9 +123,11 @@
             connections.read_version,
         )
         log = JobLog(store, self.owner)
+        progress = ProgressLog(store, self.owner)
         self.live = LiveState(self.owner, self.leadership, self._on_job_ended, self._on_job_owned)
         self.jobs = JobService(
             log,
+            progress,
             JobReader(store, log),
             self.services,
             connections.peer_jobs,
@@ -144,7 +149,13 @@
             rests_on_sentinel=True,
         )
         self._takeover = JobTakeover(
-            log, self.jobs, self.leadership, self.live, self._live_mirror.is_loaded
+            log,
+            progress,
+            connections.peer_jobs,
+            self.jobs,
+            self.leadership,
+            self.live,
+            self._live_mirror.is_loaded,
         )
         self._retention = JobRetention(log, self.live, self.leadership, connections.keep_ended_s)
         self._named_versions: dict[str, int] = {}
@@ -194,10 +205,13 @@
         started_s = now_s()
         logging.info("stopping: %d jobs here", self.jobs.num_running)
         self.jobs.refuse_new()
+        self._num_cores = NO_CORES
         await self._order_giver.stop()
         await self._takeover.stop()
         await self._retention.stop()
         await self.leadership.resign()
+        if self.session.lease is not None:
+            await self._register(self.session.lease)
         turn_away_s = min(MAX_TURN_AWAY_S, TURN_AWAY_SHARE * grace_s)
         await asyncio.sleep(max(0.0, started_s + turn_away_s - now_s()))
         self._finish_by_s = started_s + min(MAX_FINISH_S, FINISH_SHARE * grace_s)
@@ -261,20 +275,23 @@
 
     async def _keep_registered(self) -> None:
         """Keep this node's name in the store under its session."""
-        key = OWNERS_PREFIX + self.owner
         registered_lease: int | None = None
         while True:
             changed = self.session.changed
             lease = self.session.lease
-            if lease is not None and lease != registered_lease:
-                entry = codec.encode(NodeEntry(self._address, self._num_cores))
-                outcome = await self._store.transact([], [Put(key, entry, lease)])
-                if isinstance(outcome, Committed):
-                    registered_lease = lease
-                    continue
-                await asyncio.sleep(REGISTER_PAUSE_S)
-            else:
+            if lease is None or lease == registered_lease:
                 await changed.wait()
+            elif await self._register(lease):
+                registered_lease = lease
+            else:
+                await asyncio.sleep(REGISTER_PAUSE_S)
+
+    async def _register(self, lease: int) -> bool:
+        """Write what this node says of itself; returns whether that is certain."""
+        entry = codec.encode(NodeEntry(self._address, self._num_cores))
+        put = Put(OWNERS_PREFIX + self.owner, entry, lease)
+        outcome = await self._store.transact([], [put])
+        return isinstance(outcome, Committed)
 
     async def _note_first_leader(self) -> None:
         """Before the first change there is none to hear of: look who leads, if anybody does."""
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -18,6 +18,7 @@
     OpenAnswer,
 )
 from hollowrack.forwarding.event_stream import EventStreamError, EventStreamParser, StreamEvent
+from hollowrack.forwarding.faster_place import FasterPlace, MovePolicy
 from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
@@ -26,9 +27,10 @@
 HTTP_UNPROCESSABLE = 422
 FIRST_SERVER_ERROR = 500
 MIN_PAUSE_S = 0.02
-# A run leaves a worker that is much slower than others, but not again and again.
+# A run leaves a worker that is slower than others, but not again and again.
 MIN_EVENTS_BEFORE_MOVE = 6
-MAX_MOVES = 2
+EVENTS_BETWEEN_LOOKS = 3
+MAX_MOVES = 3
 
 
 class _SlowWorkerError(Exception):
@@ -93,6 +95,7 @@
         accepts_version: Whether an answer that begins under a version may be used.
         limits: Bounds.
         after_event: Begin behind this event; ``None`` for the beginning.
+        moves: When the run should go on at a faster worker; ``None`` for never.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         accepts_version: AcceptVersion,
         limits: RunLimits,
         after_event: int | None = None,
+        moves: MovePolicy | None = None,
     ) -> None:
         self.head: OpenAnswer | None = None
         self.num_attempts = 0
@@ -120,6 +124,7 @@
         self._num_failures = 0
         self._num_moves = 0
         self._avoided: frozenset[str] = frozenset()
+        self._faster = FasterPlace(workers, moves)
 
     async def events(self) -> AsyncGenerator[VersionedEvent]:
         """Iterate over all events in order.
@@ -127,10 +132,16 @@
         Raises:
             RunEndedError: If the run cannot be finished.
         """
+        try:
+            async with contextlib.aclosing(self._attempts()) as events:
+                async for event in events:
+                    yield event
+        finally:
+            self._faster.close()
+
+    async def _attempts(self) -> AsyncGenerator[VersionedEvent]:
         while True:
-            began_waiting_s = now_s()
-            worker = await self._acquire(self._avoided)
-            self.waited_for_places_s += now_s() - began_waiting_s
+            worker = await self._next_place()
             self.num_attempts += 1
             try:
                 async with contextlib.aclosing(self._events_of(worker)) as events:
@@ -162,6 +173,16 @@
             self._avoided = frozenset({worker.id})
             await asyncio.sleep(MIN_PAUSE_S)
 
+    async def _next_place(self) -> Worker:
+        """The faster place that the run has asked for, or else the first that is free."""
+        faster = self._faster.take()
+        if faster is not None:
+            return faster
+        began_waiting_s = now_s()
+        worker = await self._acquire(self._avoided)
+        self.waited_for_places_s += now_s() - began_waiting_s
+        return worker
+
     async def _events_of(self, worker: Worker) -> AsyncGenerator[VersionedEvent]:
         answer: OpenAnswer | None = None
         try:
@@ -199,6 +220,7 @@
     ) -> AsyncGenerator[VersionedEvent]:
         parser = EventStreamParser()
         num_events = 0
+        next_look = MIN_EVENTS_BEFORE_MOVE
         last_s = now_s()
         version = answer.weight_version
         chunks = answer.chunks()
@@ -220,10 +242,15 @@
                 version = announced if announced is not None else version
                 self._last_number = event.number
                 yield VersionedEvent(event, version)
-            if num_events >= MIN_EVENTS_BEFORE_MOVE and self._should_move(worker):
-                raise _SlowWorkerError
+            if num_events >= next_look:
+                next_look = num_events + EVENTS_BETWEEN_LOOKS
+                if self._should_move(worker):
+                    raise _SlowWorkerError
         if parser.has_partial_event:
             raise BrokenAnswerError("the answer ends inside an event")
 
     def _should_move(self, worker: Worker) -> bool:
-        return self._num_moves < MAX_MOVES and self._workers.is_much_slower(worker)
+        if self._num_moves >= MAX_MOVES:
+            return False
+        has_faster_place = self._faster.look(worker, self._last_number or 0)
+        return has_faster_place or self._workers.is_much_slower(worker)
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -1,7 +1,7 @@
 """Runs one item of a job: generation, check of its versions, score."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
 from absl import logging
@@ -21,6 +21,8 @@
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Route, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.jobs.item_moves import ItemMoves
+from hollowrack.jobs.lengths import LengthEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
 
 MIN_FIRST_EVENT_S = 0.8
@@ -47,6 +49,7 @@
         queue: Hands out places at workers.
         read_version: Reads the weight version that an event announces.
         patience: Longest wait for the first event of a generation.
+        lengths: How many events items will have.
     """
 
     routes: RouteTable
@@ -58,6 +61,7 @@
     patience: FirstEventPatience = field(
         default_factory=lambda: FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
     )
+    lengths: LengthEstimate = field(default_factory=LengthEstimate)
 
 
 class ItemRunner:
@@ -69,6 +73,12 @@
         item: The item.
         rank: Its rank in the queue for workers.
         give_up_s: When it may be given up, on the loop's clock; ``None`` for never.
+        kept: What an earlier owner of the job has generated of it, from its beginning.
+
+    Attributes:
+        events: What has been generated so far.
+        num_restarts: How often generation began again from nothing.
+        is_generated: Whether the text is whole.
     """
 
     def __init__(
@@ -78,13 +88,22 @@
         item: JobItem,
         rank: Rank,
         give_up_s: float | None,
+        kept: Sequence[VersionedEvent] = (),
     ) -> None:
+        self.events: list[VersionedEvent] = list(kept)
+        self.num_restarts = 0
+        self.is_generated = False
         self._services = services
         self._job = job
         self._item = item
         self._rank = rank
         self._give_up_s = give_up_s
 
+    @property
+    def item_id(self) -> str:
+        """The item's identifier."""
+        return self._item.id
+
     async def run(self) -> ItemResult:
         """Run the item; the result says whether it is whole or given up."""
         try:
@@ -101,19 +120,24 @@
                 logging.warning("item %s of job %s: its route is gone", self._item.id, self._job.id)
                 return ItemResult(self._item.id, is_complete=False)
             try:
-                events = await self._generate(route)
+                await self._generate(route)
             except RunEndedError as error:
                 logging.info("item %s of job %s: %s", self._item.id, self._job.id, error)
                 return ItemResult(self._item.id, is_complete=False)
-            versions = sorted({e.weight_version for e in events if e.weight_version is not None})
+            made_by = {event.weight_version for event in self.events}
+            versions = sorted(version for version in made_by if version is not None)
             if route.needs_single_version and len(versions) > 1:
                 logging.info("item %s: made by versions %s, again", self._item.id, versions)
+                self.events = []
+                self.num_restarts += 1
                 continue
             break
-        text = "\n".join(event.event.data for event in events)
+        self.is_generated = True
+        text = "\n".join(event.event.data for event in self.events)
         return await self._scored(text, tuple(versions))
 
-    async def _generate(self, route: Route) -> list[VersionedEvent]:
+    async def _generate(self, route: Route) -> None:
+        """Generate whatever is missing."""
         services = self._services
         service = services.routes.choose_service(route)
 
@@ -136,19 +160,40 @@
             services.read_version,
             self._accepts,
             limits,
+            self.events[-1].event.number if self.events else None,
+            moves=self._moves(service, route),
         )
         started_s = now_s()
-        events = [event async for event in run.events()]
+        num_kept = len(self.events)
+        async for event in run.events():
+            self.events.append(event)
+        services.lengths.note(self._item.expected_tokens, len(self.events))
         logging.info(
-            "item %s of job %s: %d events by %d attempts in %.2f s, %.2f s of it waiting",
+            "item %s of job %s: %d events (%d kept, %d tokens expected) by %d attempts in %.2f s, "
+            "%.2f s of it waiting",
             self._item.id,
             self._job.id,
-            len(events),
+            len(self.events),
+            num_kept,
+            self._item.expected_tokens,
             run.num_attempts,
             now_s() - started_s,
             run.waited_for_places_s,
         )
-        return events
+
+    def _moves(self, service: str, route: Route) -> ItemMoves | None:
+        """When to move the item; never where a move could bring in a second version."""
+        if route.needs_single_version:
+            return None
+        return ItemMoves(
+            self._services.workers,
+            self._services.queue,
+            self._services.lengths,
+            service,
+            self._job.model,
+            self._item.expected_tokens,
+            self._rank,
+        )
 
     def _has_weights(self, worker: Worker) -> bool:
         if not self._job.model:
--- a/src/hollowrack/jobs/job_log.py
+++ b/src/hollowrack/jobs/job_log.py
@@ -24,6 +24,7 @@
     Unavailable,
     Unknown,
 )
+from hollowrack.jobs.progress import progress_prefix
 from hollowrack.jobs.types import ItemResult, Job, ResultBatch
 from hollowrack.messages import codec
 from hollowrack.results import Problem, ProblemError, ResultCode, value_or_raise
@@ -174,11 +175,13 @@
 
     async def remove(self, job_id: str) -> bool:
         """Remove an ended job with all that belongs to it; returns whether that is certain."""
-        listing = await self._store.list_prefix(f"{JOBS_PREFIX}{quote(job_id, safe='')}/")
-        if not isinstance(listing, Listing):
-            return False
+        keys: list[str] = []
+        for prefix in (progress_prefix(job_id), f"{JOBS_PREFIX}{quote(job_id, safe='')}/"):
+            listing = await self._store.list_prefix(prefix)
+            if not isinstance(listing, Listing):
+                return False
+            keys.extend(item.key for item in listing.items)
         # Its end goes last: while that is there, the removal is taken up again.
-        keys = [item.key for item in listing.items]
         keys.append(f"{ENDS_PREFIX}{quote(job_id, safe='')}")
         for at in range(0, len(keys), MAX_REMOVES):
             outcome = await self._store.transact([], [], keys[at : at + MAX_REMOVES])
@@ -195,9 +198,13 @@
 
     async def claim(self, job: OpenJob) -> bool:
         """Take over an unfinished job; returns whether this node owns it now for sure."""
+        return await self.assign(job, self.owner)
+
+    async def assign(self, job: OpenJob, owner: str) -> bool:
+        """Give an unfinished job to a process; returns whether that is certain."""
         key = _open_key(job.job_id)
         outcome = await self._store.transact(
-            [Condition(key, job.revision)], [Put(key, self.owner.encode())]
+            [Condition(key, job.revision)], [Put(key, owner.encode())]
         )
         return isinstance(outcome, Committed)
 
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -1,7 +1,7 @@
 """Runs one job on its owner: all items, and the listing of their results."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from absl import logging
 
@@ -10,6 +10,14 @@
 from hollowrack.forwarding.types import Route
 from hollowrack.jobs.item_runner import ItemRunner, ItemServices
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
+from hollowrack.jobs.progress import (
+    ItemProgress,
+    JobRemainder,
+    KeptEvents,
+    ProgressLog,
+    kept_event,
+)
+from hollowrack.jobs.progress_saver import ProgressSaver
 from hollowrack.jobs.types import ItemResult, Job, JobItem
 from hollowrack.tasks import cancel_all
 
@@ -29,10 +37,13 @@
         job: The job.
         results: Results listed already.
         log: Its durable state.
+        progress: Keeps what its items generate.
         services: What running items takes.
         sequence: Number of the job on this node; earlier jobs go first.
         on_done: Called once the job needs nothing more from this node.
         is_taken_over: Whether another process owned the job before.
+        kept: What is kept of its unfinished items.
+        unlisted: Results of an earlier owner that may not be listed yet.
     """
 
     def __init__(
@@ -40,10 +51,13 @@
         job: Job,
         results: list[ItemResult],
         log: JobLog,
+        progress: ProgressLog,
         services: ItemServices,
         sequence: int,
         on_done: Callable[["JobRunner"], None],
         is_taken_over: bool = False,
+        kept: KeptEvents | None = None,
+        unlisted: Sequence[ItemResult] = (),
     ) -> None:
         self.job = job
         self.results = results
@@ -52,13 +66,20 @@
         self._services = services
         self._sequence = sequence
         self._on_done = on_done
-        self._finished: list[ItemResult] = []
+        listed = {result.item_id for result in results}
+        self._finished = [result for result in unlisted if result.item_id not in listed]
         self._has_finished = asyncio.Event()
+        if self._finished:
+            self._has_finished.set()
+        self._kept = kept or {}
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
+        self._item_runners: dict[str, ItemRunner] = {}
+        self._saver = ProgressSaver(job.id, progress, self._item_runners.values)
         self._listing = asyncio.Lock()
         self._follow_task: asyncio.Task[None] | None = None
         if is_taken_over:
             self._follow_task = asyncio.create_task(self._follow_late_writes())
+        self._saver_task = asyncio.create_task(self._saver.run())
         self.task = asyncio.create_task(self._run())
 
     @property
@@ -68,7 +89,7 @@
 
     async def stop(self) -> None:
         """Cancel whatever still runs; nothing more is listed."""
-        await cancel_all(self.task, self._follow_task, *self._item_tasks.values())
+        await cancel_all(self.task, self._saver_task, self._follow_task, *self._item_tasks.values())
         self._notify()
 
     async def _run(self) -> None:
@@ -85,6 +106,7 @@
         except Exception:
             logging.exception("job %s stopped by a fault of the program", self.job.id)
         finally:
+            self._saver_task.cancel()
             for task in self._item_tasks.values():
                 task.cancel()
             if self._follow_task is not None:
@@ -106,8 +128,21 @@
                 # The job may be whole now, though no item has finished here.
                 self._has_finished.set()
 
+    async def save_progress(self) -> None:
+        """Save what running items have generated, for the job's next owner."""
+        await self._saver.save()
+
+    def remainder(self) -> JobRemainder:
+        """Return what this owner holds that may not be in the store."""
+        items = [
+            ItemProgress(item_id, 0, 0, tuple(kept_event(event) for event in runner.events))
+            for item_id, runner in self._item_runners.items()
+            if runner.events and not runner.is_generated
+        ]
+        return JobRemainder(tuple(items), tuple(self._finished))
+
     def _start_items(self) -> None:
-        listed = {result.item_id for result in self.results}
+        listed = {result.item_id for result in [*self.results, *self._finished]}
         route = self._services.routes.lookup(self.job.host, self.job.target)
         priority = route.priority if route is not None else 0
         give_up_s = _give_up_time_s(route)
@@ -116,7 +151,9 @@
                 continue
             # The longest first: what starts last should not be what takes longest.
             rank = (self._sequence, priority, -item.expected_tokens)
-            runner = ItemRunner(self._services, self.job, item, rank, give_up_s)
+            kept = self._kept.get(item.id, ())
+            runner = ItemRunner(self._services, self.job, item, rank, give_up_s, kept)
+            self._item_runners[item.id] = runner
             self._item_tasks[item.id] = asyncio.create_task(self._run_item(item, runner))
 
     async def _run_item(self, item: JobItem, runner: ItemRunner) -> None:
@@ -125,6 +162,7 @@
         except Exception:
             logging.exception("item %s of job %s failed", item.id, self.job.id)
             result = ItemResult(item.id, is_complete=False)
+        self._item_runners.pop(item.id, None)
         self._finished.append(result)
         self._has_finished.set()
 
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -23,6 +24,7 @@
 from hollowrack.jobs.job_runner import JobRunner
 from hollowrack.jobs.live_state import LiveState
 from hollowrack.jobs.peers import JobPage, PeerJobs, ReadJob
+from hollowrack.jobs.progress import JobRemainder, KeptEvents, ProgressLog
 from hollowrack.jobs.types import ItemResult, Job, JobItem
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tasks import cancel_all
@@ -39,6 +41,10 @@
 # The node that should own a job answers soon, or another one owns it.
 HANDOFF_TIMEOUT_S = 1.0
 PEER_TIMEOUT_S = 3.0
+# How long a stopping process tries to hand a job over, in seconds.
+HAND_OVER_S = 0.6
+# Jobs that were left lately, about which their new owners may ask.
+MAX_LEFT_JOBS = 4
 # Problems after which nothing of the job is stored, and another node may do better.
 _WORTH_HANDING_ON = frozenset({ResultCode.STOPPING, ResultCode.JOB_NOT_STORED})
 
@@ -61,6 +67,7 @@
 
     Args:
         log: Durable state of jobs.
+        progress: Keeps what unfinished items generate.
         reader: Reads jobs of other owners.
         services: What running items takes.
         peers: Hands jobs to other nodes.
@@ -72,6 +79,7 @@
     def __init__(
         self,
         log: JobLog,
+        progress: ProgressLog,
         reader: JobReader,
         services: ItemServices,
         peers: PeerJobs,
@@ -85,9 +93,11 @@
         self._peers = peers
         self._peer_addresses = peer_addresses
         self._log = log
+        self._progress = progress
         self._reader = reader
         self._services = services
         self._runners: dict[str, JobRunner] = {}
+        self._left: OrderedDict[str, JobRemainder] = OrderedDict()
         self._sequence = itertools.count()
         self._background: set[asyncio.Task[Any]] = set()
         self._is_stopping = False
@@ -174,13 +184,22 @@
             stored = await self._log.load(job.id)
             self.own(job, stored.results if isinstance(stored, StoredJob) else [])
 
-    def own(self, job: Job, results: list[ItemResult], is_taken_over: bool = False) -> None:
+    def own(
+        self,
+        job: Job,
+        results: list[ItemResult],
+        is_taken_over: bool = False,
+        kept: KeptEvents | None = None,
+        unlisted: Sequence[ItemResult] = (),
+    ) -> None:
         """Run a job on this node.
 
         Args:
             job: The job.
             results: Its results listed so far.
             is_taken_over: Whether another process owned it before.
+            kept: What is kept of its unfinished items.
+            unlisted: Results of an earlier owner that may not be listed yet.
         """
         if self._is_stopping or job.id in self._runners:
             return
@@ -188,13 +207,24 @@
             job,
             results,
             self._log,
+            self._progress,
             self._services,
             next(self._sequence),
             self._on_done,
             is_taken_over,
+            kept,
+            unlisted,
         )
         self._runners[job.id] = runner
-        logging.info("job %s: owned, %d items, %d listed", job.id, len(job.items), len(results))
+        logging.info(
+            "job %s: owned, %d items, %d listed, %d to be listed, %d events kept of %d others",
+            job.id,
+            len(job.items),
+            len(results),
+            len(unlisted),
+            sum(len(events) for events in (kept or {}).values()),
+            len(kept or {}),
+        )
 
     def _on_done(self, runner: JobRunner) -> None:
         self._runners.pop(runner.job.id, None)
@@ -297,7 +327,21 @@
         runner = self._runners.get(job.job_id)
         if runner is not None:
             logging.warning("job %s: belongs to %s now, left", job.job_id, job.owner)
-            self._keep(asyncio.create_task(runner.stop()))
+            self._leave(runner)
+
+    def _leave(self, runner: JobRunner) -> None:
+        """Stop running a job, and remember for its new owner what was held of it."""
+        self._left[runner.job.id] = runner.remainder()
+        while len(self._left) > MAX_LEFT_JOBS:
+            self._left.popitem(last=False)
+        self._keep(asyncio.create_task(runner.stop()))
+
+    def remainder(self, job_id: str) -> JobRemainder:
+        """Return what this node holds of a job that it owns or owned."""
+        runner = self._runners.get(job_id)
+        if runner is not None:
+            return runner.remainder()
+        return self._left.get(job_id, JobRemainder())
 
     # -- stopping ---------------------------------------------------------------------------
 
@@ -312,9 +356,25 @@
             await asyncio.wait(
                 {runner.task for runner in self._runners.values()}, timeout=max(0.0, patience_s)
             )
-        await asyncio.gather(*(runner.stop() for runner in list(self._runners.values())))
+        runners = list(self._runners.values())
+        await asyncio.gather(*(self._hand_over(runner) for runner in runners))
         await cancel_all(*self._background)
 
+    async def _hand_over(self, runner: JobRunner) -> None:
+        """Leave an unfinished job to the process that should own it next, with all it has."""
+        try:
+            async with asyncio.timeout(HAND_OVER_S):
+                await runner.save_progress()
+                open_job = self._live.open_jobs.get(runner.job.id)
+                successor = self._live.successor(runner.job)
+                if open_job is not None and successor is not None:
+                    is_done = await self._log.assign(open_job, successor)
+                    outcome = "handed over" if is_done else "not handed over"
+                    logging.info("job %s: %s to %s", runner.job.id, outcome, successor)
+        except TimeoutError:
+            logging.warning("job %s: left, the store does not answer", runner.job.id)
+        await runner.stop()
+
     def _keep(self, task: asyncio.Task[Any]) -> None:
         self._background.add(task)
         task.add_done_callback(self._background.discard)
--- /dev/null
+++ b/src/hollowrack/jobs/lengths.py
@@ -0,0 +1,43 @@
+"""How many events items will have, from what callers expect and from items that have ended."""
+
+# Estimates follow the latest items: what is older counts half after so many more.
+NUM_ITEMS_REMEMBERED = 100
+# An item that is longer than expected goes on for this share of what it has, as far as known.
+OVERRUN_SHARE = 0.25
+
+
+class LengthEstimate:
+    """Turns expected tokens into events, learnt from the items that have ended."""
+
+    def __init__(self) -> None:
+        self._num_tokens = 0.0
+        self._num_events = 0.0
+        self._num_items = 0.0
+
+    def note(self, expected_tokens: int, num_events: int) -> None:
+        """An item has ended.
+
+        Args:
+            expected_tokens: How many tokens its caller had expected; 0 if that was not told.
+            num_events: How many events it had.
+        """
+        keep = 0.5 ** (1 / NUM_ITEMS_REMEMBERED)
+        self._num_items = self._num_items * keep + 1
+        self._num_events = self._num_events * keep + num_events
+        self._num_tokens = self._num_tokens * keep + expected_tokens
+
+    def num_events_left(self, expected_tokens: int, num_events: int) -> float:
+        """Estimate how many events an item has before it.
+
+        Args:
+            expected_tokens: How many tokens its caller expects; 0 if that is not told.
+            num_events: How many events it has.
+        """
+        return max(self._num_expected(expected_tokens) - num_events, OVERRUN_SHARE * num_events)
+
+    def _num_expected(self, expected_tokens: int) -> float:
+        if not self._num_items:
+            return 0.0
+        if not expected_tokens or not self._num_tokens:
+            return self._num_events / self._num_items
+        return expected_tokens * self._num_events / self._num_tokens
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -3,6 +3,7 @@
 All of it lies below one prefix of the coordination store, so that one mirror a node follows it.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 
 from hollowrack.clock import now_s
@@ -16,6 +17,8 @@
 LIVE_PREFIX = "hollowrack/live/"
 LEADER_KEY = LIVE_PREFIX + "leader"
 OWNERS_PREFIX = LIVE_PREFIX + "nodes/"
+# Processes whose entry is gone may still answer: these are remembered, the latest ones.
+MAX_FORMER_NODES = 64
 
 
 class LiveState:
@@ -41,6 +44,7 @@
         on_owned: Callable[[OpenJob], None],
     ) -> None:
         self.nodes: dict[str, NodeEntry] = {}
+        self._former_nodes: OrderedDict[str, NodeEntry] = OrderedDict()
         self.open_jobs: dict[str, OpenJob] = {}
         self.ended_jobs: dict[str, float] = {}
         self._owner = owner
@@ -65,7 +69,11 @@
 
     def _take_node(self, owner: str, item: StoredItem | None) -> None:
         if item is None:
-            self.nodes.pop(owner, None)
+            former = self.nodes.pop(owner, None)
+            if former is not None:
+                self._former_nodes[owner] = former
+            while len(self._former_nodes) > MAX_FORMER_NODES:
+                self._former_nodes.popitem(last=False)
             return
         entry = codec.decode(item.value).value_or(None)
         self.nodes[owner] = entry if isinstance(entry, NodeEntry) else NodeEntry("")
@@ -99,6 +107,18 @@
         job = self.open_jobs.get(job_id)
         return None if job is None else self._address_of(job.owner)
 
+    def former_address(self, owner: str) -> str | None:
+        """Where a process is or was reached; ``None`` if it was never seen or is this one."""
+        entry = self.nodes.get(owner) or self._former_nodes.get(owner)
+        if owner == self._owner or entry is None:
+            return None
+        return entry.address or None
+
+    def successor(self, job: Job) -> str | None:
+        """The process that should own a job once this one does not; ``None`` if there is none."""
+        others = {owner: entry for owner, entry in self.nodes.items() if owner != self._owner}
+        return preferred_owner(job, others)
+
     def peer_addresses(self) -> list[str]:
         """Where the other nodes are reached, in no particular order."""
         others = {entry.address for owner, entry in self.nodes.items() if owner != self._owner}
--- a/src/hollowrack/jobs/peers.py
+++ b/src/hollowrack/jobs/peers.py
@@ -10,6 +10,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from hollowrack.jobs.progress import JobRemainder
 from hollowrack.jobs.types import ItemResult, Job
 from hollowrack.messages import codec
 from hollowrack.messages.codec import message
@@ -17,6 +18,9 @@
 
 SUBMIT_PATH = "/jobs"
 READ_PATH = "/jobs/read"
+REMAINDER_PATH = "/jobs/remainder"
+# A former owner may be dead or cut off; what it holds is not worth a longer wait.
+REMAINDER_TIMEOUT_S = 0.6
 READ_GRACE_S = 0.4
 MAX_READ_WAIT_S = 5.0
 CONNECT_TIMEOUT_S = 0.3
@@ -72,9 +76,24 @@
     job: Job | None = None
 
 
+@message("job.leave")
+@dataclass(frozen=True)
+class LeftJob:
+    """Asks the former owner of a job for what it holds of it.
+
+    Attributes:
+        job_id: The job.
+    """
+
+    job_id: str
+
+
 class PeerJobs(Protocol):
     """Hands jobs to other nodes and reads them there."""
 
+    async def remainder(self, address: str, job_id: str) -> JobRemainder:
+        """Ask a job's former owner for what it holds; empty if it does not answer soon."""
+
     async def read(self, address: str, request: ReadJob) -> JobPage | None:
         """Read a job at its owner; ``None`` if that node does not own it or does not answer."""
 
@@ -111,6 +130,18 @@
             return _problem(decoded.unwrap(), address)
         return Problem(ResultCode.OUTCOME_UNKNOWN, "a node answered nonsense", address)
 
+    async def remainder(self, address: str, job_id: str) -> JobRemainder:
+        """Ask a job's former owner for what it holds."""
+        timeout = aiohttp.ClientTimeout(total=REMAINDER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        url = f"http://{address}{REMAINDER_PATH}"
+        asked = codec.encode(LeftJob(job_id))
+        try:
+            async with self._session.post(url, data=asked, timeout=timeout) as response:
+                answer = codec.decode(await response.read()).value_or(None)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return JobRemainder()
+        return answer if isinstance(answer, JobRemainder) else JobRemainder()
+
     async def read(self, address: str, request: ReadJob) -> JobPage | None:
         """Read a job at its owner."""
         total_s = request.wait_s + READ_GRACE_S
@@ -134,12 +165,14 @@
 def peer_routes(
     submit: Callable[[Job], Awaitable[Problem | None]],
     read: Callable[[ReadJob], Awaitable[JobPage]],
+    remainder: Callable[[str], JobRemainder],
 ) -> list[Route]:
     """Return the routes that answer other nodes about jobs.
 
     Args:
         submit: Stores a job on this node, without handing it on.
         read: Reads a job that this node owns.
+        remainder: Returns what this node holds of a job that it owned.
     """
 
     async def take(request: Request) -> Response:
@@ -162,7 +195,15 @@
         page = await read(replace(asked, wait_s=wait_s))
         return Response(codec.encode(page), media_type="application/cbor")
 
+    async def give_remainder(request: Request) -> Response:
+        asked = codec.decode(await request.body()).value_or(None)
+        if not isinstance(asked, LeftJob):
+            status = DESCRIPTIONS[ResultCode.MESSAGE_INVALID].http_status
+            return Response(f"[{int(ResultCode.MESSAGE_INVALID)}] no job", status_code=status)
+        return Response(codec.encode(remainder(asked.job_id)), media_type="application/cbor")
+
     return [
+        Route(REMAINDER_PATH, give_remainder, methods=["POST"]),
         Route(SUBMIT_PATH, take, methods=["POST"]),
         Route(READ_PATH, read_page, methods=["POST"]),
     ]
--- a/src/hollowrack/jobs/placement.py
+++ b/src/hollowrack/jobs/placement.py
@@ -24,7 +24,7 @@
 
     Attributes:
         address: Where other nodes reach it; empty if they do not.
-        num_cores: Processor time it has, in cores.
+        num_cores: Processor time it has for jobs, in cores; 0 while it stops.
     """
 
     address: str
--- /dev/null
+++ b/src/hollowrack/jobs/progress_saver.py
@@ -0,0 +1,77 @@
+"""Saves what a job's running items generate, now and then, for whoever owns the job next."""
+
+import asyncio
+from collections.abc import Callable, Collection
+
+from hollowrack.jobs.item_runner import ItemRunner
+from hollowrack.jobs.progress import (
+    MAX_RECORD_BYTES,
+    ItemProgress,
+    KeptEvent,
+    ProgressLog,
+    kept_event,
+)
+
+SAVE_INTERVAL_S = 1.5
+# A store that fails is left alone for this long; every call to it is paid for.
+FAILURE_PAUSE_S = 4.0
+# Shorter texts are made again as fast as they are read.
+MIN_EVENTS_SAVED = 16
+
+
+class ProgressSaver:
+    """Saves the progress of one job while it runs here.
+
+    Args:
+        job_id: The job.
+        log: Where to save it.
+        runners: Returns the items that run now.
+    """
+
+    def __init__(
+        self, job_id: str, log: ProgressLog, runners: Callable[[], Collection[ItemRunner]]
+    ) -> None:
+        self._job_id = job_id
+        self._log = log
+        self._runners = runners
+        self._num_records = 0
+        # Number of events saved, by item and run.
+        self._saved: dict[tuple[str, int], int] = {}
+        self._lock = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Save again and again, until cancelled."""
+        while True:
+            await asyncio.sleep(SAVE_INTERVAL_S)
+            if not await self.save():
+                await asyncio.sleep(FAILURE_PAUSE_S)
+
+    async def save(self) -> bool:
+        """Save what is new of all long items; returns whether nothing is left unsaved."""
+        async with self._lock:
+            while items := self._new_parts():
+                if not await self._log.save(self._job_id, self._num_records, items):
+                    return False
+                self._num_records += 1
+                for part in items:
+                    self._saved[(part.item_id, part.run)] = part.position + len(part.events)
+            return True
+
+    def _new_parts(self) -> list[ItemProgress]:
+        parts: list[ItemProgress] = []
+        num_bytes = 0
+        for runner in self._runners():
+            if runner.is_generated or len(runner.events) < MIN_EVENTS_SAVED:
+                continue
+            position = self._saved.get((runner.item_id, runner.num_restarts), 0)
+            events = tuple(kept_event(event) for event in runner.events[position:])
+            num_bytes += _size(events)
+            if parts and num_bytes > MAX_RECORD_BYTES:
+                break
+            if events:
+                parts.append(ItemProgress(runner.item_id, runner.num_restarts, position, events))
+        return parts
+
+
+def _size(events: Collection[KeptEvent]) -> int:
+    return sum(len(event.data.encode()) for event in events)
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -1,4 +1,8 @@
-"""Jobs whose owner is gone: its node's next process takes them back, or the leader does."""
+"""Jobs whose owner is gone: its node's next process takes them back, or the leader does.
+
+A new owner goes on where the old one was: with what that one has saved in the store, and with what
+it still holds itself, if it answers.
+"""
 
 import asyncio
 
@@ -10,6 +14,8 @@
 from hollowrack.jobs.job_log import JobLog, OpenJob, StoredJob
 from hollowrack.jobs.job_service import JobService
 from hollowrack.jobs.live_state import LiveState
+from hollowrack.jobs.peers import PeerJobs
+from hollowrack.jobs.progress import JobRemainder, ProgressLog, longest_runs
 from hollowrack.tasks import cancel_all
 
 # An owner whose session is seen to be gone for this long is taken to be gone itself.
@@ -23,6 +29,8 @@
 
     Args:
         log: Durable state of jobs.
+        progress: What is kept of unfinished items.
+        peers: Asks former owners for what they hold.
         jobs: This node's jobs.
         leadership: Whether this node leads.
         live: The live processes and the open jobs, as this node sees them.
@@ -32,12 +40,17 @@
     def __init__(
         self,
         log: JobLog,
+        progress: ProgressLog,
+        peers: PeerJobs,
         jobs: JobService,
         leadership: Leadership,
         live: LiveState,
         is_live_loaded: asyncio.Event,
     ) -> None:
         self._log = log
+        self._progress = progress
+        self._peers = peers
+        self._assigned_since_s: dict[str, float] = {}
         self._jobs = jobs
         self._leadership = leadership
         self._live = live
@@ -64,6 +77,7 @@
                 self._scan_due_s = now_s() + GRACE_S
             was_leader = is_leader
             self._note_owners()
+            await self._take_assigned()
             if is_leader and now_s() >= self._scan_due_s:
                 self._scan_due_s = now_s() + IDLE_SCAN_S
                 await self._scan()
@@ -76,6 +90,19 @@
             if node_of_owner(job.owner) == node and job.owner != self._log.owner:
                 await self._take_over(job)
 
+    async def _take_assigned(self) -> None:
+        """Run what another process has left to this one, or what it claimed and could not read."""
+        mine = [job for job in self._live.open_jobs.values() if job.owner == self._log.owner]
+        unowned = {job.job_id: job for job in mine if not self._jobs.owns(job.job_id)}
+        # A job that this process has just stored or finished looks the same for a moment.
+        self._assigned_since_s = {
+            job_id: self._assigned_since_s.get(job_id, now_s()) for job_id in unowned
+        }
+        for job_id, since_s in list(self._assigned_since_s.items()):
+            if now_s() - since_s >= GRACE_S:
+                self._assigned_since_s[job_id] = now_s()
+                await self._take_over(unowned[job_id])
+
     def _note_owners(self) -> None:
         live = set(self._live.nodes)
         if self._seen_owners - live:
@@ -85,10 +112,7 @@
     async def _scan(self) -> None:
         live = set(self._live.nodes)
         for job in list(self._live.open_jobs.values()):
-            # A job of this very process was claimed or created before, and not read then.
-            is_mine = job.owner == self._log.owner
-            is_orphan = not self._jobs.owns(job.job_id) if is_mine else job.owner not in live
-            if is_orphan:
+            if job.owner not in live and job.owner != self._log.owner:
                 await self._take_over(job)
 
     async def _take_over(self, job: OpenJob) -> None:
@@ -98,12 +122,23 @@
         else:
             self._scan_due_s = min(self._scan_due_s, now_s() + GRACE_S)
 
+    async def _ask_former_owner(self, job: OpenJob) -> JobRemainder:
+        address = self._live.former_address(job.owner)
+        return (
+            JobRemainder() if address is None else await self._peers.remainder(address, job.job_id)
+        )
+
     async def _load(self, job: OpenJob) -> None:
-        stored = await self._log.load(job.job_id)
+        stored, written, remainder = await asyncio.gather(
+            self._log.load(job.job_id),
+            self._progress.load(job.job_id),
+            self._ask_former_owner(job),
+        )
         if job.job_id not in self._live.open_jobs:
             return  # Ended meanwhile.
         if isinstance(stored, StoredJob):
             logging.info("job %s: taken over from %s", job.job_id, job.owner)
-            self._jobs.own(stored.job, stored.results, is_taken_over=True)
+            kept = longest_runs([*written, remainder.items])
+            self._jobs.own(stored.job, stored.results, True, kept, remainder.results)
         else:
             self._scan_due_s = min(self._scan_due_s, now_s() + GRACE_S)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -128,7 +128,7 @@
             jobs = self.node.jobs
             routes = [
                 *feed_routes(feed),
-                *peer_routes(jobs.submit_here, jobs.answer_peer),
+                *peer_routes(jobs.submit_here, jobs.answer_peer, jobs.remainder),
                 *metrics_routes(self.node, counts),
             ]
             self._peers = HttpServer(
--- a/src/hollowrack_standins/back_ends.py
+++ b/src/hollowrack_standins/back_ends.py
@@ -51,6 +51,7 @@
         num_events: Length of every stream.
         executions: How often each request began to run.
         ran_at: Workers that began to run each request, in order.
+        began_behind: The event behind which each of these runs began, 0 for the beginning.
         running: Requests at work now, by worker identity.
     """
 
@@ -58,6 +59,7 @@
     num_events: int = 4
     executions: Counter[str] = field(default_factory=Counter)
     ran_at: dict[str, list[str]] = field(default_factory=dict)
+    began_behind: dict[str, list[int]] = field(default_factory=dict)
     running: Counter[str] = field(default_factory=Counter)
     time_handed_s: list[float] = field(default_factory=list)
 
@@ -77,6 +79,7 @@
             raise NotRunError(behaviour.refusal)
         self.executions[call.request_id] += 1
         self.ran_at.setdefault(call.request_id, []).append(worker.id)
+        self.began_behind.setdefault(call.request_id, []).append(after_event or 0)
         self.time_handed_s.append(time_left_s)
         self.running[worker.id] += 1
         try:
--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -14,6 +14,7 @@
     Worker,
 )
 from hollowrack.jobs.peers import JobPage, ReadJob
+from hollowrack.jobs.progress import JobRemainder
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
 from hollowrack.results import Problem, ResultCode
 from hollowrack.weights.order_giver import OrderOutcome, VersionOrder, WorkerReport
@@ -142,6 +143,11 @@
         page = await self.nodes[address].jobs.answer_peer(request)
         return page if page.is_owner else None
 
+    async def remainder(self, address: str, job_id: str) -> JobRemainder:
+        """Ask another node, if it lives, for what it holds of a job."""
+        node = self.nodes.get(address)
+        return JobRemainder() if node is None else node.jobs.remainder(job_id)
+
     def owners_of(self, job: Job) -> list[str]:
         """Return the nodes that run a job."""
         return [name for name, node in self.nodes.items() if node.jobs.owns(job.id)]
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -7,6 +7,7 @@
 from hollowrack.edge_node import EdgeNode
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
 from hollowrack.jobs.job_service import ResultPage
+from hollowrack.jobs.progress import PROGRESS_PREFIX
 from hollowrack.jobs.types import ItemResult
 from hollowrack.results import DESCRIPTIONS, Execution, Problem, ResultCode
 from hollowrack_bench.virtual_time import run_virtual
@@ -118,6 +119,49 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("other_also_dies", [False, True])
+def test_long_items_go_on_where_the_owner_that_died_had_saved_them(other_also_dies: bool) -> None:
+    async def main() -> None:
+        fleet = Fleet(4)
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 600
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        await asyncio.sleep(5.0)
+        await fleet.kill("n0")
+        if other_also_dies:
+            await asyncio.sleep(6.0)
+            (second,) = fleet.owners_of(job)
+            await fleet.kill(second)
+        (name, *_) = fleet.nodes
+        check_whole(job, await read_all(fleet, name, job.id, len(job.items)), num_events=600)
+        for item in job.items:
+            # 50 events a second, saved every 1.5 s; the last 1.5 s may be lost.
+            assert fleet.back_ends.began_behind[item.id][-1] >= 150
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_what_was_saved_is_not_used_where_it_does_not_reach() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 300
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        await asyncio.sleep(2.0)
+        keys = [key for key in fleet.core.items if key.startswith(PROGRESS_PREFIX)]
+        assert keys
+        await fleet.core.view().transact([], [], keys)
+        await fleet.kill("n0")
+        check_whole(job, await read_all(fleet, "n1", job.id, len(job.items)), num_events=300)
+        assert {behind[-1] for behind in fleet.back_ends.began_behind.values()} == {0}
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("num_late", [1, 6])
 def test_a_new_owner_soon_knows_what_the_last_writes_of_the_old_one_listed(num_late: int) -> None:
     async def main() -> None:
@@ -372,6 +416,63 @@
     run_virtual(main())
 
 
+def test_a_planned_stop_leaves_long_items_to_another_node_where_they_are() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 600
+        job = make_job()
+        await fleet.nodes["n0"].jobs.submit(job)
+        await stop(fleet.nodes.pop("n0"), 8.0)
+        await asyncio.sleep(1.0)
+        assert len(fleet.owners_of(job)) == 1
+        results = await read_all(fleet, "n1", job.id, len(job.items))
+        check_whole(job, results, num_events=600)
+        for item in job.items[:4]:
+            assert fleet.back_ends.began_behind[item.id][-1] >= 200
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_no_job_goes_to_a_node_that_stops() -> None:
+    async def main() -> None:
+        fleet = Fleet(hands_on=True)
+        await asyncio.sleep(1.0)
+        job = make_job()
+        preferred = fleet.nodes["n0"].live.preferred_owner_address(job) or "n0"
+        stopping = asyncio.create_task(stop(fleet.nodes[preferred], 8.0))
+        await asyncio.sleep(0.8)
+        for node in fleet.nodes.values():
+            assert node.live.preferred_owner_address(job) != preferred
+        await stopping
+        del fleet.nodes[preferred]
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_new_owner_goes_on_with_what_the_old_one_holds_but_cannot_save() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 600
+        job = make_job(num_items=4)
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        await asyncio.sleep(1.0)
+        # The owner is cut from the store alone: nothing that it saves arrives.
+        fleet.faults["n0"].is_silent = True
+        await asyncio.sleep(4.0)
+        assert "n0" not in fleet.owners_of(job) or len(fleet.owners_of(job)) == 2
+        results = await read_all(fleet, "n1", job.id, len(job.items))
+        check_whole(job, results, num_events=600)
+        for item in job.items:
+            assert fleet.back_ends.began_behind[item.id][-1] >= 100
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("cause", ["refused by the store", "stopping"])
 def test_a_node_that_cannot_store_a_job_hands_it_to_another(cause: str) -> None:
     async def main() -> None:
