--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -34,6 +34,9 @@
 NO_HANDOVER_S = 0.0
 # The node that led last goes first, if it is there.
 MIN_YIELD_S = 0.15
+# While processes start, that node may start as well, and any other would wait out the handover.
+STARTING_AGE_S = 3.0
+STARTING_YIELD_S = 0.8
 MAX_AGE_YIELD_S = 0.45
 OLD_AGE_S = 20.0
 LAST_SUFFIX = "-last"
@@ -111,7 +114,9 @@
         token = self.fencing_token
         await self.stop()
         if token is not None:
-            await self._store.transact([Condition(self.key, token)], [], [self.key])
+            # Nobody needs to wait for this node: it has stopped on purpose.
+            removes = [self.key, self.last_key]
+            await self._store.transact([Condition(self.key, token)], [], removes)
 
     def note(self, item: StoredItem | None) -> None:
         """Take in what the leader key holds, as seen by a mirror or a failed write."""
@@ -155,10 +160,12 @@
         """How long to let others go first, in seconds.
 
         Young processes go first: while machines are stopped and started in turn, those that have
-        just started are not the next to be stopped.
+        just started are not the next to be stopped. Only the node that led last goes before them.
         """
         age_s = now_s() - self._started_s
-        return MIN_YIELD_S + MAX_AGE_YIELD_S * min(1.0, age_s / OLD_AGE_S)
+        yield_s = MIN_YIELD_S + MAX_AGE_YIELD_S * min(1.0, age_s / OLD_AGE_S)
+        is_starting = self._last is not None and age_s < STARTING_AGE_S
+        return yield_s + STARTING_YIELD_S if is_starting else yield_s
 
     async def _campaign(self) -> None:
         lease = self._session.lease
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -103,6 +103,7 @@
         rng: random.Random,
     ) -> None:
         self.name = name
+        self._zone = zone
         self.owner = owner_name(name, uuid.UUID(int=rng.getrandbits(128)).hex)
         self.is_stopping = False
         store = connections.store
@@ -124,7 +125,9 @@
         )
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
-        self.live = LiveState(self.owner, self.leadership, self._on_job_ended, self._on_job_owned)
+        self.live = LiveState(
+            self.owner, zone, self.leadership, self._on_job_ended, self._on_job_owned
+        )
         self.jobs = JobService(
             log,
             progress,
@@ -288,7 +291,7 @@
 
     async def _register(self, lease: int) -> bool:
         """Write what this node says of itself; returns whether that is certain."""
-        entry = codec.encode(NodeEntry(self._address, self._num_cores))
+        entry = codec.encode(NodeEntry(self._address, self._num_cores, self._zone))
         put = Put(OWNERS_PREFIX + self.owner, entry, lease)
         outcome = await self._store.transact([], [put])
         return isinstance(outcome, Committed)
--- a/src/hollowrack/jobs/job_log.py
+++ b/src/hollowrack/jobs/job_log.py
@@ -147,13 +147,26 @@
         return chain(listing.items)
 
     async def append(
-        self, job_id: str, position: int, results: Sequence[ItemResult], is_last: bool
+        self,
+        job_id: str,
+        position: int,
+        results: Sequence[ItemResult],
+        is_last: bool,
+        also: Sequence[Put] = (),
     ) -> AppendOutcome:
-        """List results from a position on; the last ones close the job."""
+        """List results from a position on; the last ones close the job.
+
+        Args:
+            job_id: The job.
+            position: Position of the first of them.
+            results: The results.
+            is_last: Whether they are the job's last.
+            also: What is written with them, if they are.
+        """
         key = f"{log_prefix(job_id)}{position:08d}"
         value = codec.encode(ResultBatch(tuple(results)))
         removes = [_open_key(job_id)] if is_last else []
-        outcome = await self._store.transact([Condition(key)], [Put(key, value)], removes)
+        outcome = await self._store.transact([Condition(key)], [Put(key, value), *also], removes)
         if isinstance(outcome, Committed):
             return AppendOutcome.APPENDED
         if isinstance(outcome, Conflict):
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -1,7 +1,7 @@
 """Runs one job on its owner: all items, and the listing of their results."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from absl import logging
 
@@ -23,6 +23,9 @@
 
 # Results that finish close together are listed by one write.
 GATHER_S = 0.2
+NO_GATHER_S = 0.0
+# What items generate is saved with the results that are listed, but not more often than this.
+MIN_SAVE_AGE_S = 0.5
 RETRY_PAUSE_S = 0.25
 MAX_BATCH_BYTES = 500_000
 # Writes of an earlier owner may be done as late as this after the job was taken over.
@@ -97,7 +100,7 @@
             self._start_items()
             while not self.is_listed_whole:
                 await self._has_finished.wait()
-                await asyncio.sleep(GATHER_S)
+                await asyncio.sleep(self._gather_s())
                 async with self._listing:
                     if not self._finished:
                         self._has_finished.clear()
@@ -113,6 +116,11 @@
                 self._follow_task.cancel()
             self._on_done(self)
 
+    def _gather_s(self) -> float:
+        """How long to wait for more results; not at all once the trainer has what it waits for."""
+        done = {result.item_id for result in [*self.results, *self._finished]}
+        return NO_GATHER_S if has_desired_groups(self.job, done) else GATHER_S
+
     async def _follow_late_writes(self) -> None:
         """List what an earlier owner's last writes have listed since the job was read.
 
@@ -149,9 +157,10 @@
         for item in self.job.items:
             if item.id in listed:
                 continue
-            # The longest first: what starts last should not be what takes longest.
-            rank = (self._sequence, priority, -item.expected_tokens)
             kept = self._kept.get(item.id, ())
+            # The longest first: what starts last should not be what takes longest.
+            num_left = self._services.lengths.num_tokens_left(item.expected_tokens, len(kept))
+            rank = (self._sequence, priority, -num_left)
             runner = ItemRunner(self._services, self.job, item, rank, give_up_s, kept)
             self._item_runners[item.id] = runner
             self._item_tasks[item.id] = asyncio.create_task(self._run_item(item, runner))
@@ -171,8 +180,12 @@
         batch = _first_batch(self._finished)
         position = len(self.results)
         is_last = position + len(batch) == len(self.job.items)
-        outcome = await self._log.append(self.job.id, position, batch, is_last)
+        unsaved = None if is_last else self._saver.unsaved(MIN_SAVE_AGE_S)
+        also = [] if unsaved is None else [unsaved.record]
+        outcome = await self._log.append(self.job.id, position, batch, is_last, also)
         if outcome is AppendOutcome.APPENDED:
+            if unsaved is not None:
+                self._saver.note_saved(unsaved)
             self._finished = self._finished[len(batch) :]
             self._take_listed([*self.results, *batch])
             return True
@@ -209,6 +222,19 @@
         self.changed = asyncio.Event()
 
 
+def has_desired_groups(job: Job, done: Collection[str]) -> bool:
+    """Whether as many groups are whole as the job's trainer waits for.
+
+    Args:
+        job: The job.
+        done: Identifiers of the items that have results.
+    """
+    groups = {item.group for item in job.items}
+    open_groups = {item.group for item in job.items if item.id not in done}
+    num_desired = job.num_desired_groups or len(groups)
+    return len(groups) - len(open_groups) >= num_desired
+
+
 def _give_up_time_s(route: Route | None) -> float | None:
     if route is None or route.queue_ttl_s is None:
         return None
--- a/src/hollowrack/jobs/lengths.py
+++ b/src/hollowrack/jobs/lengths.py
@@ -35,6 +35,13 @@
         """
         return max(self._num_expected(expected_tokens) - num_events, OVERRUN_SHARE * num_events)
 
+    def num_tokens_left(self, expected_tokens: int, num_events: int) -> int:
+        """Estimate how many tokens an item has before it, in its caller's terms."""
+        if not num_events or not self._num_events:
+            return expected_tokens
+        tokens_an_event = self._num_tokens / self._num_events
+        return round(tokens_an_event * self.num_events_left(expected_tokens, num_events))
+
     def _num_expected(self, expected_tokens: int) -> float:
         if not self._num_items:
             return 0.0
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -26,6 +26,7 @@
 
     Args:
         owner: Name and incarnation of this node.
+        zone: Zone of this node.
         leadership: Hears of the leader keys.
         on_ended: Called with each job that was ended.
         on_owned: Called with each unfinished job whenever its owner is written.
@@ -39,6 +40,7 @@
     def __init__(
         self,
         owner: str,
+        zone: str,
         leadership: Leadership,
         on_ended: Callable[[str], None],
         on_owned: Callable[[OpenJob], None],
@@ -48,6 +50,7 @@
         self.open_jobs: dict[str, OpenJob] = {}
         self.ended_jobs: dict[str, float] = {}
         self._owner = owner
+        self._zone = zone
         self._leadership = leadership
         self._on_ended = on_ended
         self._on_owned = on_owned
@@ -99,7 +102,7 @@
 
     def preferred_owner_address(self, job: Job) -> str | None:
         """Where the node that should own a job is reached; ``None`` if it is this one."""
-        owner = preferred_owner(job, self.nodes)
+        owner = preferred_owner(job, self.nodes, self._zone)
         return None if owner is None else self._address_of(owner)
 
     def owner_address(self, job_id: str) -> str | None:
@@ -117,7 +120,7 @@
     def successor(self, job: Job) -> str | None:
         """The process that should own a job once this one does not; ``None`` if there is none."""
         others = {owner: entry for owner, entry in self.nodes.items() if owner != self._owner}
-        return preferred_owner(job, others)
+        return preferred_owner(job, others, self._zone)
 
     def peer_addresses(self) -> list[str]:
         """Where the other nodes are reached, in no particular order."""
--- a/src/hollowrack/jobs/placement.py
+++ b/src/hollowrack/jobs/placement.py
@@ -15,6 +15,8 @@
 
 # Machines with nearly as much processor time as the largest are as good.
 LARGE_SHARE = 0.9
+# Machines near the caller are taken if the largest has at least this share of the largest of all.
+NEAR_SHARE = 0.5
 
 
 @message("jobs.node")
@@ -25,23 +27,33 @@
     Attributes:
         address: Where other nodes reach it; empty if they do not.
         num_cores: Processor time it has for jobs, in cores; 0 while it stops.
+        zone: Its zone; empty if it does not tell.
     """
 
     address: str
     num_cores: float = 1.0
+    zone: str = ""
 
 
-def preferred_owner(job: Job, live: Mapping[str, NodeEntry]) -> str | None:
+def preferred_owner(job: Job, live: Mapping[str, NodeEntry], zone: str = "") -> str | None:
     """Return the process that should own a job: rendezvous hashing over the largest machines.
 
+    Callers read a job where they submitted it, and every result goes from its owner to them; so
+    the owner is in their zone if a large machine is there.
+
     Args:
         job: The job.
         live: What live processes say of themselves, by owner name.
+        zone: Zone in which the job was submitted; empty if that is not known.
     """
     reachable = {owner: entry for owner, entry in live.items() if entry.address}
     if not reachable:
         return None
     most_cores = max(entry.num_cores for entry in reachable.values())
+    near = {owner: entry for owner, entry in reachable.items() if entry.zone == zone}
+    most_near = max((entry.num_cores for entry in near.values()), default=0.0)
+    if zone and most_near > 0.0 and most_near >= NEAR_SHARE * most_cores:
+        reachable, most_cores = near, most_near
     candidates = [
         owner for owner, entry in reachable.items() if entry.num_cores >= LARGE_SHARE * most_cores
     ]
--- a/src/hollowrack/jobs/progress.py
+++ b/src/hollowrack/jobs/progress.py
@@ -105,8 +105,8 @@
         self._store = store
         self._writer = xxhash.xxh64_hexdigest(owner.encode())
 
-    async def save(self, job_id: str, number: int, items: Sequence[ItemProgress]) -> bool:
-        """Write one record; returns whether that is certain.
+    def record(self, job_id: str, number: int, items: Sequence[ItemProgress]) -> Put:
+        """Return the write of one record.
 
         Args:
             job_id: The job.
@@ -114,9 +114,11 @@
             items: What came since the record before.
         """
         key = f"{progress_prefix(job_id)}{self._writer}/{number:06d}"
-        value = codec.encode(ProgressRecord(tuple(items)))
-        outcome = await self._store.transact([], [Put(key, value)])
-        return isinstance(outcome, Committed)
+        return Put(key, codec.encode(ProgressRecord(tuple(items))))
+
+    async def save(self, record: Put) -> bool:
+        """Write one record; returns whether that is certain."""
+        return isinstance(await self._store.transact([], [record]), Committed)
 
     async def load(self, job_id: str) -> list[list[ItemProgress]]:
         """Read what each writer has kept of a job's items; empty if the store cannot tell."""
--- a/src/hollowrack/jobs/progress_saver.py
+++ b/src/hollowrack/jobs/progress_saver.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
+from hollowrack.clock import now_s
+from hollowrack.coordination.store import Put
 from hollowrack.jobs.item_runner import ItemRunner
 from hollowrack.jobs.progress import (
     MAX_RECORD_BYTES,
@@ -13,12 +16,26 @@
 )
 
 SAVE_INTERVAL_S = 1.5
+MIN_SLEEP_S = 0.05
 # A store that fails is left alone for this long; every call to it is paid for.
 FAILURE_PAUSE_S = 4.0
 # Shorter texts are made again as fast as they are read.
 MIN_EVENTS_SAVED = 16
 
 
+@dataclass(frozen=True)
+class UnsavedProgress:
+    """What is not saved yet.
+
+    Attributes:
+        record: The write that saves it.
+        items: What it holds.
+    """
+
+    record: Put
+    items: tuple[ItemProgress, ...]
+
+
 class ProgressSaver:
     """Saves the progress of one job while it runs here.
 
@@ -37,25 +54,48 @@
         self._num_records = 0
         # Number of events saved, by item and run.
         self._saved: dict[tuple[str, int], int] = {}
-        self._lock = asyncio.Lock()
+        self._saved_s = now_s()
 
     async def run(self) -> None:
         """Save again and again, until cancelled."""
         while True:
-            await asyncio.sleep(SAVE_INTERVAL_S)
+            await asyncio.sleep(max(MIN_SLEEP_S, self._saved_s + SAVE_INTERVAL_S - now_s()))
+            if now_s() - self._saved_s < SAVE_INTERVAL_S:
+                continue
             if not await self.save():
                 await asyncio.sleep(FAILURE_PAUSE_S)
 
     async def save(self) -> bool:
         """Save what is new of all long items; returns whether nothing is left unsaved."""
-        async with self._lock:
-            while items := self._new_parts():
-                if not await self._log.save(self._job_id, self._num_records, items):
-                    return False
-                self._num_records += 1
-                for part in items:
-                    self._saved[(part.item_id, part.run)] = part.position + len(part.events)
-            return True
+        self._saved_s = now_s()
+        while (unsaved := self.unsaved()) is not None:
+            if not await self._log.save(unsaved.record):
+                return False
+            self.note_saved(unsaved)
+        return True
+
+    def unsaved(self, min_age_s: float = 0.0) -> UnsavedProgress | None:
+        """Return what is new of long items, as much as fits one record; ``None`` if nothing is.
+
+        Args:
+            min_age_s: Return nothing if something was saved more recently than this.
+        """
+        if now_s() - self._saved_s < min_age_s:
+            return None
+        items = self._new_parts()
+        if not items:
+            return None
+        record = self._log.record(self._job_id, self._num_records, items)
+        return UnsavedProgress(record, tuple(items))
+
+    def note_saved(self, progress: UnsavedProgress) -> None:
+        """A record was written."""
+        self._num_records += 1
+        self._saved_s = now_s()
+        for part in progress.items:
+            key = (part.item_id, part.run)
+            end = part.position + len(part.events)
+            self._saved[key] = max(end, self._saved.get(key, 0))
 
     def _new_parts(self) -> list[ItemProgress]:
         parts: list[ItemProgress] = []
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -86,13 +86,20 @@
         """Take over what an earlier process of this node owned: that process has ended."""
         node = node_of_owner(self._log.owner)
         await self._is_live_loaded.wait()
-        for job in list(self._live.open_jobs.values()):
+        for job in self._oldest_first():
             if node_of_owner(job.owner) == node and job.owner != self._log.owner:
                 await self._take_over(job)
 
+    def _oldest_first(self) -> list[OpenJob]:
+        """Unfinished jobs in the order in which they were stored or changed their owner.
+
+        Jobs that are taken over together go on in the order in which they were accepted.
+        """
+        return sorted(self._live.open_jobs.values(), key=lambda job: job.revision)
+
     async def _take_assigned(self) -> None:
         """Run what another process has left to this one, or what it claimed and could not read."""
-        mine = [job for job in self._live.open_jobs.values() if job.owner == self._log.owner]
+        mine = [job for job in self._oldest_first() if job.owner == self._log.owner]
         unowned = {job.job_id: job for job in mine if not self._jobs.owns(job.job_id)}
         # A job that this process has just stored or finished looks the same for a moment.
         self._assigned_since_s = {
@@ -111,7 +118,7 @@
 
     async def _scan(self) -> None:
         live = set(self._live.nodes)
-        for job in list(self._live.open_jobs.values()):
+        for job in self._oldest_first():
             if job.owner not in live and job.owner != self._log.owner:
                 await self._take_over(job)
 
--- a/src/hollowrack/weights/order_giver.py
+++ b/src/hollowrack/weights/order_giver.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -27,7 +28,11 @@
 
 LOOK_S = 0.1
 LOAD_DELAY_S = 0.8
-LOAD_TIME_S = 0.9
+# Reports are read again and again from shortly before a load should be over.
+FIRST_LOAD_TIME_S = 0.9
+LOAD_TIME_SHARE = 0.9
+UNSEEN_LOAD_SHARE = 0.7
+NUM_LOAD_TIMES_KEPT = 16
 REPORT_POLL_S = 0.1
 MAX_REPORT_POLLS = 100
 FAILURE_PAUSE_S = 0.4
@@ -114,6 +119,8 @@
         self._confirmed: dict[tuple[str, str], int] = {}
         self._moves: dict[str, asyncio.Task[None]] = {}
         self._loading: dict[str, str] = {}
+        self._load_times_s: deque[float] = deque(maxlen=NUM_LOAD_TIMES_KEPT)
+        self._has_ended = asyncio.Event()
         self._ripe_from_s: dict[tuple[str, int], float] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -127,10 +134,19 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(LOOK_S)
+            await self._pause()
             if self._leadership.may_act:
                 self._start_moves()
 
+    async def _pause(self) -> None:
+        """Wait a moment, or until a move has ended: the next one may begin at once."""
+        self._has_ended.clear()
+        try:
+            async with asyncio.timeout(LOOK_S):
+                await self._has_ended.wait()
+        except TimeoutError:
+            return
+
     def _start_moves(self) -> None:
         held = self._held_versions()
         ripe = {model for model in self._named_versions if self._is_ripe(model)}
@@ -164,6 +180,7 @@
     def _forget(self, worker_id: str, _: asyncio.Task[None]) -> None:
         self._moves.pop(worker_id, None)
         self._loading.pop(worker_id, None)
+        self._has_ended.set()
 
     def _held_versions(self) -> dict[tuple[str, str], int]:
         held = dict(self._confirmed)
@@ -186,7 +203,6 @@
             return
         outcome = await self._give(move, report.num_orders)
         if outcome is OrderOutcome.ACCEPTED:
-            await asyncio.sleep(LOAD_TIME_S)
             await self._wait_until_loaded(move)
         elif outcome is OrderOutcome.HOLDS_ALREADY:
             self._confirm(move.worker, move.model, move.version)
@@ -208,13 +224,23 @@
         )
         return outcome
 
+    def _expected_load_time_s(self) -> float:
+        """The shortest of the latest loads, in seconds."""
+        return min(self._load_times_s, default=FIRST_LOAD_TIME_S)
+
     async def _wait_until_loaded(self, move: VersionMove) -> None:
-        for _ in range(MAX_REPORT_POLLS):
+        """Wait for the end of a load that has just begun, and learn how long it took."""
+        given_s = now_s()
+        await asyncio.sleep(LOAD_TIME_SHARE * self._expected_load_time_s())
+        for num_polls in range(MAX_REPORT_POLLS):
             report = await self._client.report(move.worker)
             if report is None:
                 return
             self._note(move, report)
             if not report.is_busy:
+                # A load that was over before the first look may have been much shorter.
+                share = 1.0 if num_polls else UNSEEN_LOAD_SHARE
+                self._load_times_s.append(share * (now_s() - given_s))
                 return
             await asyncio.sleep(REPORT_POLL_S)
 
--- /dev/null
+++ b/tests/jobs/test_job_runner.py
@@ -0,0 +1,82 @@
+"""When results are listed and in which order jobs that were taken over go on."""
+
+import asyncio
+
+import pytest
+
+from hollowrack.jobs.job_runner import GATHER_S, has_desired_groups
+from hollowrack.jobs.progress import PROGRESS_PREFIX
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.back_ends import WorkerBehaviour
+from tests.jobs.helpers import Fleet, make_job
+
+
+@pytest.mark.parametrize(
+    ("done", "expected"),
+    [
+        ([], False),
+        (["i0", "i1", "i2"], False),
+        (["i0", "i1", "i2", "i4"], False),
+        (["i0", "i1", "i2", "i3"], True),
+        (["i0", "i1", "i2", "i3", "i4", "i5"], True),
+    ],
+)
+def test_a_trainer_has_what_it_waits_for_once_enough_groups_are_whole(
+    done: list[str], expected: bool
+) -> None:
+    job = make_job("j", num_items=6)
+    two_of_three = type(job)(**{**vars(job), "num_desired_groups": 2})
+    assert has_desired_groups(two_of_three, {f"j.{name}" for name in done}) is expected
+
+
+def test_the_last_group_that_is_waited_for_is_listed_at_once() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        job = make_job(num_items=2)
+        started_s = asyncio.get_running_loop().time()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        runner = fleet.nodes["n0"].jobs._runners[job.id]
+        await runner.changed.wait()
+        listed_s = asyncio.get_running_loop().time() - started_s
+        assert runner.is_listed_whole
+        # Five times 0.02 s of generation, two of scoring, and a write.
+        assert listed_s < 0.15 + GATHER_S / 2
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_progress_is_saved_with_results_that_are_listed() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 45
+        fleet.back_ends.behaviours["e1"] = WorkerBehaviour(work_s=0.04)
+        job = make_job(num_items=8)
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        await asyncio.sleep(1.3)
+        # Half of the items are listed; the others have run for less than progress is kept waiting.
+        assert len(fleet.nodes["n0"].jobs._runners[job.id].results) == 4
+        assert len([key for key in fleet.core.items if key.startswith(PROGRESS_PREFIX)]) == 1
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_jobs_that_are_taken_over_together_keep_their_order() -> None:
+    async def main() -> None:
+        fleet = Fleet(1)
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 200
+        names = ["c", "a", "b"]
+        for name in names:
+            assert await fleet.nodes["n0"].jobs.submit(make_job(name)) is None
+        await asyncio.sleep(1.0)
+        await fleet.kill("n0")
+        node = fleet.start("n0")
+        await asyncio.sleep(4.0)
+        assert list(node.jobs._runners) == names
+        await fleet.stop()
+
+    run_virtual(main())
--- a/tests/jobs/test_placement.py
+++ b/tests/jobs/test_placement.py
@@ -102,3 +102,17 @@
         await fleet.stop()
 
     run_virtual(main())
+
+
+def test_a_job_is_owned_in_the_zone_where_it_was_submitted_if_a_large_machine_is_there() -> None:
+    near = {"near#life": NodeEntry("10.0.2.1:1", 1.0, "z1")}
+    far = {f"far{index}#life": NodeEntry(f"10.0.3.{index}:1", 1.8, "z2") for index in range(9)}
+    assert preferred_owner(JOB, near | far, "z1") == "near#life"
+    assert preferred_owner(JOB, near | far, "z2") in far
+    assert preferred_owner(JOB, near | far, "z3") in far
+    assert preferred_owner(JOB, near | far) in far
+    small = {"near#life": NodeEntry("10.0.2.1:1", 0.5, "z1")}
+    assert preferred_owner(JOB, small | far, "z1") in far
+    stopping = {"near#life": NodeEntry("10.0.2.1:1", 0.0, "z1")}
+    assert preferred_owner(JOB, stopping | far, "z1") in far
+    assert preferred_owner(JOB, stopping, "z1") == "near#life"
