--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import uuid
 from collections.abc import Awaitable, Callable
@@ -45,6 +46,7 @@
 RETIREMENT_PAUSE_S = 0.3
 # A process that says so is stopping: it should own no further job.
 NO_CORES = 0.0
+ANNOUNCE_TIMEOUT_S = 0.5
 DEFAULT_KEEP_ENDED_S = 300.0
 # At a planned stop callers need this long to turn away, if there is as much time.
 MAX_TURN_AWAY_S = 3.5
@@ -52,6 +54,8 @@
 # Owned jobs have longer: what an item has generated is lost if it is left.
 MAX_FINISH_S = 10.0
 FINISH_SHARE = 0.65
+MAX_HAND_OVER_S = 0.6
+HAND_OVER_SHARE = 0.1
 
 
 @dataclass(frozen=True)
@@ -115,6 +119,7 @@
         self.queue = DispatchQueue(self.workers)
         self.session = Session(store, rng)
         self.leadership = Leadership(store, self.session, LEADER_KEY, self.owner, handover_s, rng)
+        self._named_versions: dict[str, int] = {}
         self.services = ItemServices(
             self.routes,
             self.workers,
@@ -161,7 +166,6 @@
             self._live_mirror.is_loaded,
         )
         self._retention = JobRetention(log, self.live, self.leadership, connections.keep_ended_s)
-        self._named_versions: dict[str, int] = {}
         self._order_giver = OrderGiver(
             name,
             self.leadership,
@@ -173,6 +177,7 @@
         self._rng = rng
         self._retirements: set[str] = set()
         self._finish_by_s = 0.0
+        self._hand_over_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     # -- life -------------------------------------------------------------------------------
@@ -213,18 +218,21 @@
         await self._takeover.stop()
         await self._retention.stop()
         await self.leadership.resign()
-        if self.session.lease is not None:
-            await self._register(self.session.lease)
+        await self._announce_stop()
         turn_away_s = min(MAX_TURN_AWAY_S, TURN_AWAY_SHARE * grace_s)
         await asyncio.sleep(max(0.0, started_s + turn_away_s - now_s()))
         self._finish_by_s = started_s + min(MAX_FINISH_S, FINISH_SHARE * grace_s)
+        self._hand_over_s = min(MAX_HAND_OVER_S, HAND_OVER_SHARE * grace_s)
 
     async def finish(self) -> None:
         """End a planned stop: owned jobs have the rest of their time, then they are left."""
-        await self.jobs.drain(self._finish_by_s - now_s())
+        await self.jobs.drain(self._finish_by_s - now_s(), self._hand_over_s)
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
-        await self.session.stop()
+        # A lease that the store does not end now ends by itself.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._hand_over_s):
+                await self.session.stop()
 
     async def abandon(self) -> None:
         """End at once, as a crash would; for tests."""
@@ -289,6 +297,14 @@
             else:
                 await asyncio.sleep(REGISTER_PAUSE_S)
 
+    async def _announce_stop(self) -> None:
+        """Tell the others that no further job should go here, if the store answers soon."""
+        if self.session.lease is None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ANNOUNCE_TIMEOUT_S):
+                await self._register(self.session.lease)
+
     async def _register(self, lease: int) -> bool:
         """Write what this node says of itself; returns whether that is certain."""
         entry = codec.encode(NodeEntry(self._address, self._num_cores, self._zone))
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -27,10 +27,11 @@
 HTTP_UNPROCESSABLE = 422
 FIRST_SERVER_ERROR = 500
 MIN_PAUSE_S = 0.02
-# A run leaves a worker that is slower than others, but not again and again.
+# A run moves to faster workers and away from much slower ones, but not again and again.
 MIN_EVENTS_BEFORE_MOVE = 6
 EVENTS_BETWEEN_LOOKS = 3
 MAX_MOVES = 3
+MAX_ESCAPES = 3
 
 
 class _SlowWorkerError(Exception):
@@ -123,6 +124,7 @@
         self._last_number = after_event
         self._num_failures = 0
         self._num_moves = 0
+        self._num_escapes = 0
         self._avoided: frozenset[str] = frozenset()
         self._faster = FasterPlace(workers, moves)
 
@@ -152,9 +154,8 @@
             except NotRunError as error:
                 self._workers.note_not_run(worker, error.reason)
             except _SlowWorkerError:
-                self._num_moves += 1
                 logging.info(
-                    "run %s: leaves slow worker %s after event %s",
+                    "run %s: leaves slower worker %s after event %s",
                     self._call.request_id,
                     worker.id,
                     self._last_number,
@@ -250,7 +251,11 @@
             raise BrokenAnswerError("the answer ends inside an event")
 
     def _should_move(self, worker: Worker) -> bool:
-        if self._num_moves >= MAX_MOVES:
-            return False
-        has_faster_place = self._faster.look(worker, self._last_number or 0)
-        return has_faster_place or self._workers.is_much_slower(worker)
+        if self._num_moves < MAX_MOVES and self._faster.look(worker, self._last_number or 0):
+            self._num_moves += 1
+            return True
+        # Counted apart: a run that has moved for little must still get away from such a worker.
+        if self._num_escapes < MAX_ESCAPES and self._workers.is_much_slower(worker):
+            self._num_escapes += 1
+            return True
+        return False
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -1,4 +1,4 @@
-"""Accepts, reads and ends jobs on one node, and owns those that were accepted here."""
+"""Reads and ends jobs on one node, and runs those that it owns."""
 
 import asyncio
 import itertools
@@ -13,13 +13,8 @@
 from hollowrack.coordination.session import Session
 from hollowrack.coordination.store import NotDone, Unavailable, Unknown
 from hollowrack.jobs.item_runner import ItemServices
-from hollowrack.jobs.job_log import (
-    MAX_JOB_ID_LENGTH,
-    CreateOutcome,
-    JobLog,
-    OpenJob,
-    StoredJob,
-)
+from hollowrack.jobs.job_intake import JobIntake
+from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_runner import JobRunner
 from hollowrack.jobs.live_state import LiveState
@@ -29,24 +24,11 @@
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tasks import cancel_all
 
-CREATE_PAUSE_S = 0.25
-# Refused writes are tried for this long; then the caller is told when to come back.
-CREATE_PATIENCE_S = 0.6
-CREATE_RETRY_AFTER_S = 2.5
-# A write without an answer may have been done: only its outcome can answer the caller.
-RESOLVE_PATIENCE_S = 8.0
+END_PAUSE_S = 0.25
 END_PATIENCE_S = 3.0
 READ_RETRY_AFTER_S = 0.3
-MAX_PEERS_ASKED = 3
-# The node that should own a job answers soon, or another one owns it.
-HANDOFF_TIMEOUT_S = 1.0
-PEER_TIMEOUT_S = 3.0
-# How long a stopping process tries to hand a job over, in seconds.
-HAND_OVER_S = 0.6
 # Jobs that were left lately, about which their new owners may ask.
 MAX_LEFT_JOBS = 4
-# Problems after which nothing of the job is stored, and another node may do better.
-_WORTH_HANDING_ON = frozenset({ResultCode.STOPPING, ResultCode.JOB_NOT_STORED})
 
 
 @dataclass(frozen=True)
@@ -74,6 +56,9 @@
         peer_addresses: Returns where other nodes are reached, the preferred ones first.
         live: The live processes and the open jobs, as this node sees them.
         session: Proves that this process may still own what it owned.
+
+    Attributes:
+        intake: Accepts jobs.
     """
 
     def __init__(
@@ -87,11 +72,10 @@
         live: LiveState,
         session: Session,
     ) -> None:
-        self.hands_on = True
+        self.intake = JobIntake(log, peers, peer_addresses, live, self)
         self._live = live
         self._session = session
         self._peers = peers
-        self._peer_addresses = peer_addresses
         self._log = log
         self._progress = progress
         self._reader = reader
@@ -100,7 +84,6 @@
         self._left: OrderedDict[str, JobRemainder] = OrderedDict()
         self._sequence = itertools.count()
         self._background: set[asyncio.Task[Any]] = set()
-        self._is_stopping = False
 
     @property
     def num_running(self) -> int:
@@ -115,74 +98,11 @@
 
     async def submit(self, job: Job) -> Problem | None:
         """Accept a job, here or at another node; ``None`` once it is stored for good."""
-        preferred = None
-        if self.hands_on and not self.owns(job.id):
-            preferred = self._live.preferred_owner_address(job)
-        may_be_stored = False
-        if preferred is not None:
-            handed = await self._hand_on(preferred, job, HANDOFF_TIMEOUT_S)
-            if handed is None:
-                return None
-            may_be_stored = handed.code not in _WORTH_HANDING_ON
-        problem = await self.submit_here(job)
-        if problem is None or problem.code not in _WORTH_HANDING_ON:
-            return problem
-        others = [address for address in self._peer_addresses() if address != preferred]
-        for address in others[:MAX_PEERS_ASKED]:
-            handed = await self._hand_on(address, job, PEER_TIMEOUT_S)
-            if handed is None:
-                return None
-            if handed.code not in _WORTH_HANDING_ON:
-                return handed
-        if may_be_stored:
-            return Problem(ResultCode.OUTCOME_UNKNOWN, "a node may have stored the job", job.id)
-        return problem
-
-    async def _hand_on(self, address: str, job: Job, timeout_s: float) -> Problem | None:
-        handed = await self._peers.submit(address, job, timeout_s)
-        if handed is None:
-            logging.info("job %s: handed to the node at %s", job.id, address)
-        return handed
+        return await self.intake.submit(job)
 
     async def submit_here(self, job: Job) -> Problem | None:
         """Accept a job on this node; ``None`` once it is stored for good."""
-        if not 0 < len(job.id) <= MAX_JOB_ID_LENGTH:
-            return Problem(ResultCode.BAD_REQUEST, "the identifier is empty or too long", "id")
-        if job.id in self._runners:
-            return None
-        if self._is_stopping:
-            return Problem(ResultCode.STOPPING, "this node is stopping", job.id, 0.5)
-        store_task = asyncio.create_task(self._store_new(job))
-        self._keep(store_task)
-        # The caller may leave; an attempt whose outcome is open goes on without it.
-        outcome = await asyncio.shield(store_task)
-        return _problem_of(outcome, job.id)
-
-    async def _store_new(self, job: Job) -> CreateOutcome:
-        started_s = now_s()
-        may_be_stored = False
-        while True:
-            outcome = await self._log.create(job)
-            if outcome is CreateOutcome.CREATED:
-                self.own(job, [])
-                return outcome
-            if outcome is CreateOutcome.EXISTS:
-                await self._own_if_mine(job)
-                return outcome
-            if outcome is CreateOutcome.TOO_LARGE:
-                return outcome
-            may_be_stored = may_be_stored or outcome is CreateOutcome.UNKNOWN
-            patience_s = RESOLVE_PATIENCE_S if may_be_stored else CREATE_PATIENCE_S
-            if now_s() - started_s > patience_s:
-                return CreateOutcome.UNKNOWN if may_be_stored else CreateOutcome.NOT_DONE
-            await asyncio.sleep(CREATE_PAUSE_S)
-
-    async def _own_if_mine(self, job: Job) -> None:
-        """Own a job stored by an earlier attempt of this node whose answer was lost."""
-        owner = await self._log.owner_of(job.id)
-        if owner == self._log.owner and job.id not in self._runners:
-            stored = await self._log.load(job.id)
-            self.own(job, stored.results if isinstance(stored, StoredJob) else [])
+        return await self.intake.submit_here(job)
 
     def own(
         self,
@@ -201,7 +121,7 @@
             kept: What is kept of its unfinished items.
             unlisted: Results of an earlier owner that may not be listed yet.
         """
-        if self._is_stopping or job.id in self._runners:
+        if self.intake.is_stopping or job.id in self._runners:
             return
         runner = JobRunner(
             job,
@@ -307,7 +227,7 @@
         while not await self._log.end(job_id):
             if now_s() - started_s > END_PATIENCE_S:
                 return _unsure(job_id, "the end could not be stored")
-            await asyncio.sleep(CREATE_PAUSE_S)
+            await asyncio.sleep(END_PAUSE_S)
         self.note_ended(job_id)
         return None
 
@@ -347,23 +267,30 @@
 
     def refuse_new(self) -> None:
         """Accept and take over nothing more; owned jobs go on."""
-        self._is_stopping = True
+        self.intake.is_stopping = True
 
-    async def drain(self, patience_s: float) -> None:
-        """Accept nothing more, and let owned jobs finish for a while; then leave them."""
+    async def drain(self, patience_s: float, hand_over_s: float = 0.0) -> None:
+        """Accept nothing more, and let owned jobs finish for a while; then hand them over.
+
+        Args:
+            patience_s: How long they may go on, in seconds.
+            hand_over_s: How long handing over may take then, in seconds; 0 to leave them as they
+                are.
+        """
         self.refuse_new()
         if self._runners:
             await asyncio.wait(
                 {runner.task for runner in self._runners.values()}, timeout=max(0.0, patience_s)
             )
         runners = list(self._runners.values())
-        await asyncio.gather(*(self._hand_over(runner) for runner in runners))
+        await asyncio.gather(*(self._hand_over(runner, hand_over_s) for runner in runners))
+        await self.intake.stop()
         await cancel_all(*self._background)
 
-    async def _hand_over(self, runner: JobRunner) -> None:
+    async def _hand_over(self, runner: JobRunner, timeout_s: float) -> None:
         """Leave an unfinished job to the process that should own it next, with all it has."""
         try:
-            async with asyncio.timeout(HAND_OVER_S):
+            async with asyncio.timeout(timeout_s):
                 await runner.save_progress()
                 open_job = self._live.open_jobs.get(runner.job.id)
                 successor = self._live.successor(runner.job)
@@ -388,18 +315,6 @@
         return
 
 
-def _problem_of(outcome: CreateOutcome, job_id: str) -> Problem | None:
-    if outcome in (CreateOutcome.CREATED, CreateOutcome.EXISTS):
-        return None
-    if outcome is CreateOutcome.TOO_LARGE:
-        return Problem(ResultCode.BODY_TOO_LARGE, "the job is too large to be stored", job_id)
-    if outcome is CreateOutcome.NOT_DONE:
-        return Problem(
-            ResultCode.JOB_NOT_STORED, "the store takes no writes", job_id, CREATE_RETRY_AFTER_S
-        )
-    return Problem(ResultCode.OUTCOME_UNKNOWN, "the store did not answer", job_id)
-
-
 def _unknown_job(job_id: str) -> Problem:
     return Problem(ResultCode.UNKNOWN_JOB, "there is no such job", job_id)
 
--- a/tests/forwarding/test_resumable_run.py
+++ b/tests/forwarding/test_resumable_run.py
@@ -10,6 +10,7 @@
 from hollowrack.forwarding.faster_place import MovePolicy
 from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.resumable_run import (
+    MAX_MOVES,
     ResumableRun,
     RunEnd,
     RunEndedError,
@@ -240,6 +241,34 @@
     run_virtual(main())
 
 
+def test_a_run_that_has_moved_often_still_leaves_a_worker_that_turns_slow() -> None:
+    class MovesToAnother(MovesAlways):
+        """Has a run move whenever it is asked."""
+
+        def is_worthwhile(self, worker: Worker, num_events: int) -> bool:
+            return True
+
+        async def acquire_faster(self, worker: Worker, num_events: int) -> Worker:
+            avoided = frozenset({worker.id})
+            return await self._queue.acquire("svc", (0,), lambda _: True, avoided)
+
+    async def main() -> None:
+        behaviours = {name: WorkerBehaviour(work_s=0.02) for name in ("w0", "w1")}
+        back_ends = BackEndsStandin(behaviours)
+        back_ends.num_events = 200
+        directory = make_directory(make_worker("w0"), make_worker("w1"))
+        run = make_run(back_ends, directory, moves=MovesToAnother(DispatchQueue(directory)))
+        events = asyncio.create_task(events_of(run))
+        await asyncio.sleep(1.5)
+        present = back_ends.ran_at["q1"][-1]
+        assert len(back_ends.ran_at["q1"]) == 1 + MAX_MOVES
+        behaviours[present].work_s = 0.2
+        assert len(await events) == 200
+        assert back_ends.ran_at["q1"][-1] != present
+
+    run_virtual(main())
+
+
 def test_a_slow_worker_is_avoided_and_tried_again_later() -> None:
     async def main() -> None:
         directory = make_directory(make_worker("w0"), make_worker("w1"))
