--- a/src/hollowrack/jobs/progress_saver.py
+++ b/src/hollowrack/jobs/progress_saver.py
@@ -85,12 +85,13 @@
         items = self._new_parts()
         if not items:
             return None
+        # Each has a key of its own: one that is written late must not replace a newer one.
         record = self._log.record(self._job_id, self._num_records, items)
+        self._num_records += 1
         return UnsavedProgress(record, tuple(items))
 
     def note_saved(self, progress: UnsavedProgress) -> None:
         """A record was written."""
-        self._num_records += 1
         self._saved_s = now_s()
         for part in progress.items:
             key = (part.item_id, part.run)
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -21,6 +21,8 @@
 # An owner whose session is seen to be gone for this long is taken to be gone itself.
 GRACE_S = 0.4
 LOOK_S = 0.25
+# A job that could not be taken is tried again after this and the grace.
+ASSIGNED_RETRY_S = 1.5
 IDLE_SCAN_S = 6.0
 
 
@@ -107,7 +109,7 @@
         }
         for job_id, since_s in list(self._assigned_since_s.items()):
             if now_s() - since_s >= GRACE_S:
-                self._assigned_since_s[job_id] = now_s()
+                self._assigned_since_s[job_id] = now_s() + ASSIGNED_RETRY_S
                 await self._take_over(unowned[job_id])
 
     def _note_owners(self) -> None:
--- /dev/null
+++ b/tests/jobs/test_progress_saver.py
@@ -0,0 +1,81 @@
+"""Which progress is saved, and under which keys."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+from hollowrack.forwarding.event_stream import StreamEvent
+from hollowrack.forwarding.resumable_run import VersionedEvent
+from hollowrack.jobs.progress import ProgressLog, longest_runs
+from hollowrack.jobs.progress_saver import FAILURE_PAUSE_S, SAVE_INTERVAL_S, ProgressSaver
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
+
+
+def running_item(name: str, num_events: int) -> Any:
+    item = SimpleNamespace(item_id=name, events=[], num_restarts=0, is_generated=False)
+    generate(item, num_events)
+    return item
+
+
+def generate(item: Any, num_events: int) -> None:
+    first = len(item.events) + 1
+    for number in range(first, first + num_events):
+        event = StreamEvent(number, f"{item.item_id}.{number}", {}, b"")
+        item.events.append(VersionedEvent(event, 1))
+
+
+async def saved_lengths(log: ProgressLog) -> dict[str, int]:
+    kept = longest_runs(await log.load("j"))
+    return {name: len(events) for name, events in kept.items()}
+
+
+def test_only_long_items_that_are_not_whole_are_saved() -> None:
+    async def main() -> None:
+        log = ProgressLog(CoordinationStoreCore().view(), "n0#1")
+        items = [running_item("short", 15), running_item("long", 16), running_item("whole", 90)]
+        items[2].is_generated = True
+        assert await ProgressSaver("j", log, lambda: items).save()
+        assert await saved_lengths(log) == {"long": 16}
+
+    run_virtual(main())
+
+
+def test_saves_that_cross_lose_nothing() -> None:
+    async def main() -> None:
+        log = ProgressLog(CoordinationStoreCore().view(), "n0#1")
+        item = running_item("i", 20)
+        saver = ProgressSaver("j", log, lambda: [item])
+        older = saver.unsaved()
+        generate(item, 20)
+        newer = saver.unsaved()
+        assert older is not None and newer is not None
+        assert older.record.key != newer.record.key
+        for progress in (newer, older):
+            assert await log.save(progress.record)
+            saver.note_saved(progress)
+        generate(item, 5)
+        assert await saver.save()
+        assert await saved_lengths(log) == {"i": 45}
+        assert saver.unsaved() is None
+
+    run_virtual(main())
+
+
+def test_what_a_failing_store_did_not_take_is_saved_later() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        faults = StoreFaults()
+        log = ProgressLog(core.view(faults), "n0#1")
+        item = running_item("i", 20)
+        task = asyncio.create_task(ProgressSaver("j", log, lambda: [item]).run())
+        faults.refuses = True
+        await asyncio.sleep(2 * SAVE_INTERVAL_S)
+        faults.refuses = False
+        generate(item, 20)
+        assert await saved_lengths(log) == {}
+        await asyncio.sleep(FAILURE_PAUSE_S + SAVE_INTERVAL_S)
+        assert await saved_lengths(log) == {"i": 40}
+        task.cancel()
+
+    run_virtual(main())
