Followers that ask the store in the leader's place pause between their questions

Change: the first question is asked at once, so that nothing is noticed later than before; further ones come 0.4 s apart and more. Test: tests/coordination/test_sharing.py.

--- a/src/hollowrack/coordination/sharing.py
+++ b/src/hollowrack/coordination/sharing.py
@@ -7,6 +7,7 @@
 vouch for each other for ever. A follower that gets no answer asks the store.
 """
 
+import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -35,6 +36,8 @@
 FRESHNESS_CHECK_S = 0.3
 # After a follower got no answer it asks the store for this long.
 DISTRUST_S = 1.5
+# All followers ask the store at once while nobody leads: after its first question each pauses.
+FOLLOWER_PAUSE_S = 0.4
 
 
 @message("feed.watch")
@@ -138,6 +141,7 @@
         store: The store.
         client: Sends watches to other nodes.
         leader_address: Returns the leader's address; ``None`` if this node leads or nobody does.
+        is_leader: Returns whether this node leads.
 
     Attributes:
         heard_store_s: When the store itself answered a watch last, on the loop's clock.
@@ -149,10 +153,14 @@
         store: CoordinationStore,
         client: FeedClient,
         leader_address: Callable[[], str | None],
+        is_leader: Callable[[], bool],
     ) -> None:
         self._store = store
         self._client = client
         self._leader_address = leader_address
+        self._is_leader = is_leader
+        # Prefixes of which the store was asked since a leader has answered.
+        self._asked_store: set[str] = set()
         self._trusted_from_s: dict[str, float] = {}
         self._source: str | None = None
         self.heard_store_s = -float("inf")
@@ -175,13 +183,22 @@
             reason = "no answer" if shared is None else "its mirror is old"
             logging.info("watch of %s: not by the leader at %s: %s", prefix, address, reason)
         self._note_source(None)
+        await self._pause_if_asked_before(prefix)
         answer = await self._store.watch(prefix, after_revision, wait_s)
         if isinstance(answer, Changes):
             self.heard_store_s = now_s()
         return answer
 
+    async def _pause_if_asked_before(self, prefix: str) -> None:
+        """Pause before a follower's further questions; the first tells what it has missed."""
+        if prefix in self._asked_store and not self._is_leader():
+            await asyncio.sleep(FOLLOWER_PAUSE_S)
+        self._asked_store.add(prefix)
+
     def _note_source(self, source: str | None) -> None:
         """Have watches that still wait elsewhere begin anew: nothing vouches for them there."""
+        if source is not None:
+            self._asked_store.clear()
         if source != self._source:
             self._source = source
             for listener in self.source_listeners:
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -145,7 +145,12 @@
         )
         self._address = connections.address
         self._num_cores = connections.num_cores
-        self.shared_store = SharedStore(store, connections.feed, self.live.leader_address)
+        self.shared_store = SharedStore(
+            store,
+            connections.feed,
+            self.live.leader_address,
+            lambda: self.leadership.is_leader,
+        )
         self.shared_store.source_listeners.append(self._rewatch_live)
         self._live_mirror = PrefixMirror(
             self.shared_store,
--- a/tests/coordination/test_sharing.py
+++ b/tests/coordination/test_sharing.py
@@ -9,6 +9,7 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.sharing import (
+    FOLLOWER_PAUSE_S,
     MirrorFeed,
     SharedChanges,
     SharedStore,
@@ -68,7 +69,7 @@
 def make_node(core: CoordinationStoreCore, name: str, link: Link | None = None) -> Node:
     faults = StoreFaults()
     store = core.view(faults)
-    shared = store if link is None else SharedStore(store, link, lambda: "leader")
+    shared = store if link is None else SharedStore(store, link, lambda: "leader", lambda: False)
     rng = random.Random(name)
     workers = PrefixMirror(shared, "w/", lambda key, item: None, PACE_S, rng)
     operators = PrefixMirror(
@@ -189,7 +190,9 @@
         mirrors = {"o/": leader.operators, "w/": leader.workers}
         link = Link(MirrorFeed(mirrors, lambda: leader.operators.last_heard_s))
         addresses: list[str | None] = [None]
-        shared = SharedStore(HungWorkerWatch(core, StoreFaults()), link, lambda: addresses[0])
+        shared = SharedStore(
+            HungWorkerWatch(core, StoreFaults()), link, lambda: addresses[0], lambda: False
+        )
         rng = random.Random(1)
         workers = PrefixMirror(shared, "w/", lambda key, item: None, PACE_S, rng)
         operators = PrefixMirror(
@@ -208,3 +211,40 @@
         await leader.stop()
 
     run_virtual(main())
+
+
+class CountingStore(CoordinationStoreStandin):
+    """A store that counts the watches it is asked for."""
+
+    num_watches = 0
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Changes | HistoryGone | Unavailable:
+        self.num_watches += 1
+        return await super().watch(prefix, after_revision, wait_s)
+
+
+@pytest.mark.parametrize("is_leader", [False, True])
+def test_a_follower_asks_the_store_at_once_and_then_less_often_than_a_leader(
+    is_leader: bool,
+) -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        store = CountingStore(core, StoreFaults())
+        link = Link(MirrorFeed({}, now_s), is_cut=True)
+        shared = SharedStore(store, link, lambda: "leader", lambda: is_leader)
+        started_s = now_s()
+        await shared.watch("o/", 0, 0.0)
+        assert now_s() - started_s < 0.1
+        for _ in range(9):
+            await shared.watch("o/", 0, 0.0)
+        took_s = now_s() - started_s
+        assert store.num_watches == 10
+        assert took_s < 0.2 if is_leader else took_s >= 9 * FOLLOWER_PAUSE_S
+        # Questions about other keys are first ones again.
+        started_s = now_s()
+        await shared.watch("w/", 0, 0.0)
+        assert now_s() - started_s < 0.1
+
+    run_virtual(main())
