--- a/src/hollowrack_bench/capacity_page.py
+++ b/src/hollowrack_bench/capacity_page.py
@@ -243,16 +243,30 @@
 
 _USERS_PLATFORM = """## On the users' platform
 
-Not measured as slopes yet; worked out from the counts of their bench's days (10 to 12 machines).
+From two sizes of one deployment on their bench, a quiet day each (quiet-1, seed 101, commit
+37060f8); the slope is a further node's, all else as on those days.
 
-- **Leader, watches of the store**: mirrors of all workers and routes; 3 calls a second whatever
+| | 9 edges, 1 trainer | 71 edges, 4 trainers | slope | at 360 |
+| --- | --- | --- | --- | --- |
+| edge: share of a core, mean | 0.039 | 0.032 | none | 0.03 |
+| edge: share of a core, most | 0.10 | 0.18 | with trainers, not nodes | not known |
+| edge: most memory | 49.5 MB | 52.0 MB | 0.04 MB | 64 MB: at the limit |
+| storage: share of a core, memory | 0.003, 11.8 MB | 0.003, 11.8 MB | none | the same |
+| calls to the store, renewals at a tenth | 632 | 3,596 | 48 a day | 17,500 a day |
+| new connections to workers | 288 | 1,254 | 16 a day | 5,800 a day |
+
+- **Node, session**: one lease, 2 renewals a second; 720 a second of the store's 2,000 reads. Fits
+  barely; nodes that own nothing can do with longer leases.
+- **All nodes, no leader**: each asks the store for three prefixes until there is a leader again. On
+  the grown day 1,170 of 2,900 such calls came from one such time of 4 s (71 nodes); 360 nodes would
+  make 6,000 in it. Since d049cc6 they pause in between; observers by zone are the next step.
+- **Leader, watches of the store**: mirrors of all workers and routes; 5 calls a second whatever
   the size. Fits.
 - **Leader, followers' watches**: 359 followers, 1.5 to 3 answers a second each, about 800 a second.
   Does not fit; observers by zone that watch the leader are the mechanism to build.
-- **Node, session**: one lease, 2 renewals a second; 720 a second of the store's 2,000 reads. Fits
-  barely; nodes that own nothing can do with longer leases.
-- **Job owner**: a step of 512 samples takes 10 to 20 writes. Fits.
+- **Job owner**: a step of 62 items took some 18 writes, listings and progress together. Fits.
+- **Job owner, processor**: one node runs all items of a model. Not measured at 512 samples; the
+  most loaded edge had 0.10 of a core with 62 items a step of 4 s.
 - **Order giver**: two workers in five load at a time, 240 of 600; three rounds of about a second
-  for each version. Fits by that count; the users' sheets bear it out up to 18 workers only.
-- **Job owner, processor**: one node runs all items of a model. Not measured at 512 samples.
+  for each version. Fits by that count; the users' sheets bear it out up to 22 workers only.
 """
