--- a/src/hollowrack/coordination/feed_http.py
+++ b/src/hollowrack/coordination/feed_http.py
@@ -1,6 +1,7 @@
 """Followers' watches over HTTP, with CBOR bodies."""
 
 import asyncio
+from dataclasses import replace
 
 import aiohttp
 from returns.result import Success
@@ -58,7 +59,7 @@
         asked: WatchRequest = decoded.unwrap()
         wait_s = min(MAX_WAIT_S, max(0.0, asked.wait_s))
         async with asyncio.timeout(wait_s + MAX_WAIT_S):
-            answer = await feed.watch(WatchRequest(asked.prefix, asked.after_revision, wait_s))
+            answer = await feed.watch(replace(asked, wait_s=wait_s))
         return Response(codec.encode(answer), media_type="application/cbor")
 
     return [Route(FEED_PATH, watch, methods=["POST"])]
--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -137,7 +137,8 @@
         self._last = item
 
     @property
-    def _led_last(self) -> bool:
+    def led_last(self) -> bool:
+        """Whether this node led last, in this process or an earlier one."""
         if self._last is None:
             return False
         return node_of_owner(self._last.value.decode()) == node_of_owner(self._owner)
@@ -150,7 +151,7 @@
     async def _run(self) -> None:
         while True:
             await self._is_free.wait()
-            if not self._led_last:
+            if not self.led_last:
                 await asyncio.sleep(self._yield_s() + self._rng.uniform(0, CAMPAIGN_JITTER_S))
             if self._is_free.is_set() and self._session.is_valid:
                 await self._campaign()
@@ -172,7 +173,7 @@
         if lease is None:
             return
         last_revision = ABSENT_REVISION if self._last is None else self._last.revision
-        wait_s = NO_HANDOVER_S if self._led_last else self._wait_s
+        wait_s = NO_HANDOVER_S if self.led_last else self._wait_s
         outcome = await self._store.transact(
             [Condition(self.key, self._free_revision), Condition(self.last_key, last_revision)],
             [Put(self.key, self._owner.encode(), lease), Put(self.last_key, self._owner.encode())],
--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -54,6 +54,7 @@
         watch_wait_s: Longest wait of one watch, in seconds.
         on_doubt: Called when other watches may have missed changes; for the sentinel.
         rests_on_sentinel: Whether a sentinel has this mirror list again after failures.
+        starts_after: Set once the first listing may begin; ``None`` for at once.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         watch_wait_s: float = WATCH_WAIT_S,
         on_doubt: Callable[[], None] | None = None,
         rests_on_sentinel: bool = False,
+        starts_after: asyncio.Event | None = None,
     ) -> None:
         self.items: dict[str, StoredItem] = {}
         self.is_loaded = asyncio.Event()
@@ -80,6 +82,7 @@
         self._pace_s = pace_s
         self._watch_wait_s = watch_wait_s
         self._on_doubt = on_doubt
+        self._starts_after = starts_after
         max_pause_s = MAX_RESTING_PAUSE_S if rests_on_sentinel else MAX_RETRY_PAUSE_S
         self._backoff = Backoff(FIRST_RETRY_PAUSE_S, max_pause_s, rng)
         self._must_wake = asyncio.Event()
@@ -119,6 +122,10 @@
         if self._watching is not None:
             self._watching.cancel()
 
+    def wake(self) -> None:
+        """End a pause after a failure: the store answers again."""
+        self._must_wake.set()
+
     def rewatch(self) -> None:
         """Begin the present watch anew, from the same revision."""
         self._must_wake.set()
@@ -126,6 +133,8 @@
             self._watching.cancel()
 
     async def _run(self) -> None:
+        if self._starts_after is not None:
+            await self._starts_after.wait()
         revision: int | None = None
         while True:
             reached = await self._step(revision)
--- a/src/hollowrack/coordination/session.py
+++ b/src/hollowrack/coordination/session.py
@@ -57,14 +57,21 @@
         """Whether the lease certainly still holds."""
         return self.lease is not None and now_s() < self.valid_until_s
 
+    @property
+    def is_held(self) -> bool:
+        """Whether a lease is held, or being asked for."""
+        return self._task is not None
+
     def start(self) -> None:
-        """Start holding a lease."""
+        """Start holding a lease; after a stop, another one."""
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
         """Stop renewing and end the lease."""
-        await cancel_all(self._task)
+        task, self._task = self._task, None
+        await cancel_all(task)
         lease, self.lease = self.lease, None
+        self.valid_until_s = -float("inf")
         if lease is not None:
             await self._store.end_lease(lease)
 
--- a/src/hollowrack/coordination/sharing.py
+++ b/src/hollowrack/coordination/sharing.py
@@ -1,15 +1,19 @@
-"""One node watches the store closely; the others watch that node's mirrors instead.
+"""Few nodes watch the store; the others watch those nodes' mirrors instead.
 
-Calls to the store are paid for and limited, and all nodes want the same changes. The leader's
-mirrors keep a short history under the store's own revisions, so a follower's watch reads the same
-whether the store or the leader answers it. A node that has not heard the store itself lately does
-not answer, whatever other nodes have told it: two nodes that take each other for the leader would
-vouch for each other for ever. A follower that gets no answer asks the store.
+Calls to the store are paid for and limited, and all nodes want the same changes. Mirrors keep a
+short history under the store's own revisions, so a watch reads the same whether the store or
+another node answers it. The leader watches the store, other nodes with a session watch the leader,
+and nodes without a session watch some of those.
+
+Every answer tells how old the store's own word in it is, and whoever passes it on adds the time
+that it was kept. So nodes that watch each other cannot keep each other fresh: without a word of the
+store both become too old to be believed. A node whose sources are all too old asks the store.
 """
 
 import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from absl import logging
@@ -24,6 +28,7 @@
     HistoryGone,
     LeaseGone,
     Listing,
+    NotDone,
     Put,
     StoredItem,
     Unavailable,
@@ -31,29 +36,48 @@
 )
 from hollowrack.messages.codec import message
 
-# A mirror that heard the store longer ago than this does not answer for it.
+# What a node that itself asks the store may lag behind it: one short watch, its pause and a margin.
 MAX_MIRROR_AGE_S = 0.9
+# What a node that asks another one may lag: one more short watch and its pause.
+MAX_RELAYED_AGE_S = 1.7
 FRESHNESS_CHECK_S = 0.3
-# After a follower got no answer it asks the store for this long.
+# After a node gave no answer it is not asked for this long: the next time-out delays changes again.
 DISTRUST_S = 1.5
-# All followers ask the store at once while nobody leads: after its first question each pauses.
+# A node whose mirror is old answers at once, and is asked again after two looks at the store.
+STALE_DISTRUST_S = 0.5
+# Nodes with a session all ask the store while nobody leads: after its first question each pauses.
 FOLLOWER_PAUSE_S = 0.4
+# Nodes without a session are many. While the store fails all of them, each asks it this seldom;
+# changes have three seconds on deployments that are large enough to have such nodes.
+PROBE_INTERVAL_S = 2.0
+
+
+class StoreAccess(Enum):
+    """How freely a node may ask the store for changes."""
+
+    LEADER = "whenever it wants"
+    FOLLOWER = "with pauses, while the leader does not answer"
+    OBSERVER = "seldom, while no node answers"
 
 
 @message("feed.watch")
 @dataclass(frozen=True)
 class WatchRequest:
-    """A follower's watch.
+    """A watch, or a listing, that another node is asked for.
 
     Attributes:
         prefix: Prefix of the keys.
-        after_revision: Store revision the follower has reached.
+        after_revision: Store revision the asking node has reached.
         wait_s: Longest wait, in seconds.
+        max_age_s: How old the store's word in the answer may be, in seconds.
+        wants_listing: Whether all keys are wanted instead of changes.
     """
 
     prefix: str
     after_revision: int
     wait_s: float
+    max_age_s: float = MAX_MIRROR_AGE_S
+    wants_listing: bool = False
 
 
 @message("feed.change")
@@ -70,27 +94,32 @@
 @message("feed.changes")
 @dataclass(frozen=True)
 class SharedChanges:
-    """Changes behind the follower's revision.
+    """Changes behind the asking node's revision, or all keys.
 
     Attributes:
-        changes: The changes, oldest first.
+        changes: The changes, oldest first; all keys for a listing.
         revision: Store revision reached.
-        is_history_gone: Whether the follower has to list again.
-        is_stale: Whether this node cannot answer for the store now.
+        is_history_gone: Whether the asking node has to list again.
+        is_stale: Whether this node's mirror is too old.
+        age_s: How old the store's word in this answer is, in seconds.
+        held_s: How long the question was held before this answer, in seconds.
     """
 
     changes: tuple[SharedChange, ...] = ()
     revision: int = 0
     is_history_gone: bool = False
     is_stale: bool = False
+    age_s: float = 0.0
+    held_s: float = 0.0
 
 
 class MirrorFeed:
-    """Answers followers' watches from this node's mirrors.
+    """Answers other nodes' watches from this node's mirrors.
 
     Args:
         mirrors: Mirrors by prefix.
-        heard_store_s: Returns when the store itself answered this node last, on the loop's clock.
+        heard_store_s: Returns the latest moment of which this node has the store's word, on the
+            loop's clock.
     """
 
     def __init__(
@@ -100,25 +129,38 @@
         self._heard_store_s = heard_store_s
 
     async def watch(self, request: WatchRequest) -> SharedChanges:
-        """Answer a watch as soon as there is a change, or when its time is up."""
+        """Answer as soon as there is a change, or when the time is up; a listing at once."""
+        began_s = now_s()
         mirror = self._mirrors.get(request.prefix)
-        if mirror is None or not self._is_fresh():
+        if mirror is None or not self._is_fresh(mirror, request):
             return SharedChanges(is_stale=True)
-        end_s = now_s() + request.wait_s
+        if request.wants_listing:
+            items = tuple(_shared(item.key, item) for item in mirror.items.values())
+            return self._answer(items, mirror, began_s)
+        end_s = began_s + request.wait_s
         found = mirror.changes_after(request.after_revision)
         while found == [] and now_s() < end_s:
             await mirror.wait_for_change(min(FRESHNESS_CHECK_S, end_s - now_s()))
-            if not self._is_fresh():
+            if not self._is_fresh(mirror, request):
                 return SharedChanges(is_stale=True)
             found = mirror.changes_after(request.after_revision)
         if found is None:
             return SharedChanges(is_history_gone=True)
+        return self._answer(tuple(_shared(key, item) for key, item in found), mirror, began_s)
+
+    def _answer(
+        self, changes: tuple[SharedChange, ...], mirror: PrefixMirror, began_s: float
+    ) -> SharedChanges:
         return SharedChanges(
-            tuple(_shared(key, item) for key, item in found), mirror.reached_revision
+            changes,
+            mirror.reached_revision,
+            age_s=now_s() - self._heard_store_s(),
+            held_s=now_s() - began_s,
         )
 
-    def _is_fresh(self) -> bool:
-        return now_s() - self._heard_store_s() <= MAX_MIRROR_AGE_S
+    def _is_fresh(self, mirror: PrefixMirror, request: WatchRequest) -> bool:
+        is_young = now_s() - self._heard_store_s() <= request.max_age_s
+        return is_young and mirror.is_loaded.is_set()
 
 
 def _shared(key: str, item: StoredItem | None) -> SharedChange:
@@ -135,63 +177,130 @@
 
 
 class SharedStore:
-    """The store, with watches answered by the leader where it can.
+    """The store, with watches and listings answered by other nodes where they can.
 
     Args:
         store: The store.
         client: Sends watches to other nodes.
-        leader_address: Returns the leader's address; ``None`` if this node leads or nobody does.
-        is_leader: Returns whether this node leads.
+        sources: Returns the addresses of the nodes to ask, the preferred one first.
+        access: Returns how freely this node may ask the store itself.
 
     Attributes:
-        heard_store_s: When the store itself answered a watch last, on the loop's clock.
+        heard_store_s: The latest moment of which this node has the store's word, from the store
+            or through other nodes, on the loop's clock.
         source_listeners: Called when watches are answered by another source than before.
+        recovery_listeners: Called when the store itself answers after it did not, or was not asked.
     """
 
     def __init__(
         self,
         store: CoordinationStore,
         client: FeedClient,
-        leader_address: Callable[[], str | None],
-        is_leader: Callable[[], bool],
+        sources: Callable[[], Sequence[str]],
+        access: Callable[[], StoreAccess],
     ) -> None:
         self._store = store
         self._client = client
-        self._leader_address = leader_address
-        self._is_leader = is_leader
-        # Prefixes of which the store was asked since a leader has answered.
+        self._sources = sources
+        self._access = access
+        # Prefixes of which the store was asked since another node has answered.
         self._asked_store: set[str] = set()
         self._trusted_from_s: dict[str, float] = {}
+        self._reached: dict[str, int] = {}
         self._source: str | None = None
+        self._store_answers = False
+        self._next_probe_s = -float("inf")
         self.heard_store_s = -float("inf")
         self.source_listeners: list[Callable[[], None]] = []
+        self.recovery_listeners: list[Callable[[], None]] = []
 
     async def watch(
         self, prefix: str, after_revision: int, wait_s: float
     ) -> Changes | HistoryGone | Unavailable:
-        """Watch at the leader, or at the store if the leader does not answer."""
-        address = self._leader_address()
-        if address is not None and now_s() >= self._trusted_from_s.get(address, 0.0):
-            request = WatchRequest(prefix, after_revision, wait_s)
-            shared = await self._client.watch(address, request)
-            if shared is not None and shared.is_history_gone:
+        """Watch at another node, or at the store if none answers."""
+        self._reach(prefix, after_revision)
+        request = WatchRequest(prefix, after_revision, wait_s, self._max_age_s())
+        shared = await self._ask_sources(request)
+        if shared is not None:
+            if shared.is_history_gone:
                 return HistoryGone()
-            if shared is not None and not shared.is_stale:
-                self._note_source(address)
-                return _changes(shared, after_revision)
-            self._trusted_from_s[address] = now_s() + DISTRUST_S
-            reason = "no answer" if shared is None else "its mirror is old"
-            logging.info("watch of %s: not by the leader at %s: %s", prefix, address, reason)
-        self._note_source(None)
+            return Changes(_items(shared), max(after_revision, shared.revision))
+        is_probe = self._must_probe()
+        if is_probe and not self._begin_probe():
+            return NotDone("no node answers for the store")
         await self._pause_if_asked_before(prefix)
-        answer = await self._store.watch(prefix, after_revision, wait_s)
+        # A probe does not wait: others follow at once if it is answered.
+        answer = await self._store.watch(prefix, after_revision, 0.0 if is_probe else wait_s)
+        self._note_store_answers(isinstance(answer, Changes | HistoryGone))
         if isinstance(answer, Changes):
             self.heard_store_s = now_s()
         return answer
 
+    async def list_prefix(self, prefix: str) -> Listing | Unavailable:
+        """Read all keys below a prefix from another node, or from the store if none answers."""
+        reached = self._reached.get(prefix, 0)
+        request = WatchRequest(prefix, reached, 0.0, self._max_age_s(), wants_listing=True)
+        shared = await self._ask_sources(request)
+        if shared is not None:
+            items = tuple(item for _, item in _items(shared) if item is not None)
+            self._reach(prefix, shared.revision)
+            return Listing(items, shared.revision)
+        if self._must_probe() and not self._begin_probe():
+            return NotDone("no node answers for the store")
+        listing = await self._store.list_prefix(prefix)
+        self._note_store_answers(isinstance(listing, Listing))
+        if isinstance(listing, Listing):
+            self._reach(prefix, listing.revision)
+        return listing
+
+    async def _ask_sources(self, request: WatchRequest) -> SharedChanges | None:
+        """Ask one node after the other; ``None`` if none has an answer that may be used."""
+        for address in self._sources():
+            if now_s() < self._trusted_from_s.get(address, 0.0):
+                continue
+            sent_s = now_s()
+            shared = await self._client.watch(address, request)
+            refusal = _refusal(request, shared)
+            if shared is not None and refusal is None:
+                if not shared.is_history_gone:
+                    # The answer was made after the time that it was held, at the earliest.
+                    word_s = sent_s + shared.held_s - shared.age_s
+                    self.heard_store_s = max(self.heard_store_s, word_s)
+                self._note_source(address)
+                return shared
+            distrust_s = DISTRUST_S if shared is None else STALE_DISTRUST_S
+            self._trusted_from_s[address] = now_s() + distrust_s
+            logging.info("watch of %s: not at the node %s: %s", request.prefix, address, refusal)
+        self._note_source(None)
+        # A listener may have had this very watch begin anew: it ends here, not inside a probe.
+        await asyncio.sleep(0)
+        return None
+
+    def _max_age_s(self) -> float:
+        is_observer = self._access() is StoreAccess.OBSERVER
+        return MAX_RELAYED_AGE_S if is_observer else MAX_MIRROR_AGE_S
+
+    def _must_probe(self) -> bool:
+        """Whether the store may only be asked now and then: it does not answer, or may not."""
+        is_observer = self._access() is StoreAccess.OBSERVER
+        return is_observer and not self._store_answers and bool(self._sources())
+
+    def _begin_probe(self) -> bool:
+        """Whether a probe is due, which counts as made then."""
+        if now_s() < self._next_probe_s:
+            return False
+        self._next_probe_s = now_s() + PROBE_INTERVAL_S
+        return True
+
+    def _note_store_answers(self, answers: bool) -> None:
+        if answers and not self._store_answers:
+            for listener in self.recovery_listeners:
+                listener()
+        self._store_answers = answers
+
     async def _pause_if_asked_before(self, prefix: str) -> None:
         """Pause before a follower's further questions; the first tells what it has missed."""
-        if prefix in self._asked_store and not self._is_leader():
+        if prefix in self._asked_store and self._access() is not StoreAccess.LEADER:
             await asyncio.sleep(FOLLOWER_PAUSE_S)
         self._asked_store.add(prefix)
 
@@ -199,19 +308,19 @@
         """Have watches that still wait elsewhere begin anew: nothing vouches for them there."""
         if source is not None:
             self._asked_store.clear()
+            self._store_answers = False
         if source != self._source:
             self._source = source
             for listener in self.source_listeners:
                 listener()
 
+    def _reach(self, prefix: str, revision: int) -> None:
+        self._reached[prefix] = max(revision, self._reached.get(prefix, 0))
+
     async def get(self, key: str) -> StoredItem | Unavailable | None:
         """Read one key from the store."""
         return await self._store.get(key)
 
-    async def list_prefix(self, prefix: str) -> Listing | Unavailable:
-        """Read all keys below a prefix from the store."""
-        return await self._store.list_prefix(prefix)
-
     async def transact(
         self, conditions: Sequence[Condition], puts: Sequence[Put], removes: Sequence[str] = ()
     ) -> WriteOutcome:
@@ -231,8 +340,19 @@
         await self._store.end_lease(lease)
 
 
-def _changes(answer: SharedChanges, after_revision: int) -> Changes:
-    items = tuple(
+def _refusal(request: WatchRequest, shared: SharedChanges | None) -> str | None:
+    """Why an answer may not be used; ``None`` if it may."""
+    if shared is None:
+        return "no answer"
+    if shared.is_stale:
+        return "its mirror is old"
+    if request.wants_listing and shared.revision < request.after_revision:
+        return f"its listing is of revision {shared.revision}, {request.after_revision} is known"
+    return None
+
+
+def _items(answer: SharedChanges) -> tuple[tuple[str, StoredItem | None], ...]:
+    return tuple(
         (
             change.key,
             None
@@ -241,4 +361,3 @@
         )
         for change in answer.changes
     )
-    return Changes(items, max(after_revision, answer.revision))
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -17,7 +17,7 @@
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.session import Session, owner_name
-from hollowrack.coordination.sharing import FeedClient, SharedStore
+from hollowrack.coordination.sharing import FeedClient, SharedStore, StoreAccess
 from hollowrack.coordination.store import Committed, CoordinationStore, Put
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
@@ -26,6 +26,7 @@
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.jobs.hosting import HostRole, num_hosts_per_zone
 from hollowrack.jobs.item_runner import ItemServices
 from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
@@ -48,6 +49,8 @@
 NO_CORES = 0.0
 ANNOUNCE_TIMEOUT_S = 0.5
 DEFAULT_KEEP_ENDED_S = 300.0
+# The shortest that the platform's deployments have.
+DEFAULT_CHANGE_BOUND_S = 2.0
 # At a planned stop callers need this long to turn away, if there is as much time.
 MAX_TURN_AWAY_S = 3.5
 TURN_AWAY_SHARE = 0.45
@@ -71,6 +74,8 @@
         address: Where other nodes reach this one; empty if they do not.
         num_cores: Processor time this node has, in cores.
         keep_ended_s: How long an ended job is kept, in seconds.
+        change_bound_s: How long changes of routes and workers may take to reach this node, in
+            seconds.
         complete_retirement: Tells the operators that a machine is empty.
         feed: Sends watches to the leader.
     """
@@ -85,6 +90,7 @@
     address: str = ""
     num_cores: float = 1.0
     keep_ended_s: float = DEFAULT_KEEP_ENDED_S
+    change_bound_s: float = DEFAULT_CHANGE_BOUND_S
 
 
 class EdgeNode:
@@ -96,6 +102,11 @@
         handover_s: How long a new leader waits before it gives orders, in seconds.
         connections: What connects it to the outside.
         rng: Source of all random choices.
+
+    Attributes:
+        owner: Name of this process among all of all nodes.
+        is_stopping: Whether a planned stop has begun.
+        may_follow: Set once what operators and workers write may be followed.
     """
 
     def __init__(
@@ -148,10 +159,11 @@
         self.shared_store = SharedStore(
             store,
             connections.feed,
-            self.live.leader_address,
-            lambda: self.leadership.is_leader,
+            self._feed_sources,
+            self._store_access,
         )
         self.shared_store.source_listeners.append(self._rewatch_live)
+        self.shared_store.recovery_listeners.append(self._wake_live)
         self._live_mirror = PrefixMirror(
             self.shared_store,
             LIVE_PREFIX,
@@ -161,6 +173,22 @@
             LIVE_WAIT_S,
             rests_on_sentinel=True,
         )
+        num_hosts = num_hosts_per_zone(connections.change_bound_s)
+        # Where few nodes hold sessions, those are seen first: the rest is asked of them.
+        self.may_follow = asyncio.Event() if num_hosts is None else self._live_mirror.is_loaded
+        if num_hosts is None:
+            self.may_follow.set()
+        self._host_role = HostRole(
+            self.owner,
+            self._entry,
+            self.session,
+            self.live,
+            self._live_mirror.is_loaded,
+            lambda: self.jobs.num_running > 0 or self.leadership.is_leader,
+            lambda: self.leadership.led_last,
+            num_hosts,
+            rng,
+        )
         self._takeover = JobTakeover(
             log,
             progress,
@@ -194,7 +222,7 @@
 
     def start(self) -> None:
         """Start all parts."""
-        self.session.start()
+        self._host_role.start()
         self._live_mirror.start()
         self.leadership.start()
         self._takeover.start()
@@ -219,6 +247,7 @@
         logging.info("stopping: %d jobs here", self.jobs.num_running)
         self.jobs.refuse_new()
         self._num_cores = NO_CORES
+        await self._host_role.stop()
         await self._order_giver.stop()
         await self._takeover.stop()
         await self._retention.stop()
@@ -241,6 +270,7 @@
 
     async def abandon(self) -> None:
         """End at once, as a crash would; for tests."""
+        await self._host_role.stop()
         await self._order_giver.stop()
         await self._takeover.stop()
         await self._retention.stop()
@@ -312,11 +342,14 @@
 
     async def _register(self, lease: int) -> bool:
         """Write what this node says of itself; returns whether that is certain."""
-        entry = codec.encode(NodeEntry(self._address, self._num_cores, self._zone))
-        put = Put(OWNERS_PREFIX + self.owner, entry, lease)
+        put = Put(OWNERS_PREFIX + self.owner, codec.encode(self._entry()), lease)
         outcome = await self._store.transact([], [put])
         return isinstance(outcome, Committed)
 
+    def _entry(self) -> NodeEntry:
+        """What this node says of itself."""
+        return NodeEntry(self._address, self._num_cores, self._zone)
+
     async def _note_first_leader(self) -> None:
         """Before the first change there is none to hear of: look who leads, if anybody does."""
         await self._live_mirror.is_loaded.wait()
@@ -336,6 +369,21 @@
 
     # -- mirrors ----------------------------------------------------------------------------
 
+    def _feed_sources(self) -> list[str]:
+        """Which nodes to ask for changes: the leader, or for a node without a session a host."""
+        if not self.session.is_held:
+            return self.live.observer_sources()
+        leader = self.live.leader_address()
+        return [] if leader is None else [leader]
+
+    def _store_access(self) -> StoreAccess:
+        if self.leadership.is_leader:
+            return StoreAccess.LEADER
+        return StoreAccess.FOLLOWER if self.session.is_held else StoreAccess.OBSERVER
+
+    def _wake_live(self) -> None:
+        self._live_mirror.wake()
+
     def _rewatch_live(self) -> None:
         self._live_mirror.rewatch()
 
--- a/src/hollowrack/jobs/job_intake.py
+++ b/src/hollowrack/jobs/job_intake.py
@@ -25,6 +25,8 @@
 # The node that should own a job answers soon, or another one owns it.
 HANDOFF_TIMEOUT_S = 1.0
 PEER_TIMEOUT_S = 3.0
+# A node without a session asks one more host before it owns a job itself.
+MAX_OTHER_HOSTS = 1
 # Problems after which nothing of the job is stored, and another node may do better.
 _WORTH_HANDING_ON = frozenset({ResultCode.STOPPING, ResultCode.JOB_NOT_STORED})
 
@@ -48,6 +50,7 @@
         peer_addresses: Returns where other nodes are reached, the preferred ones first.
         live: The live processes and the open jobs, as this node sees them.
         owner: Runs the jobs that are accepted here.
+        is_host: Whether this node has a session, so that jobs may well stay here.
 
     Attributes:
         hands_on: Whether jobs go to the node that should own them; otherwise to the one asked.
@@ -61,7 +64,9 @@
         peer_addresses: Callable[[], list[str]],
         live: LiveState,
         owner: JobOwner,
+        is_host: Callable[[], bool],
     ) -> None:
+        self._is_host = is_host
         self.hands_on = True
         self.is_stopping = False
         self._log = log
@@ -73,19 +78,17 @@
 
     async def submit(self, job: Job) -> Problem | None:
         """Accept a job, here or at another node; ``None`` once it is stored for good."""
-        preferred = None
-        if self.hands_on and not self._owner.owns(job.id):
-            preferred = self._live.preferred_owner_address(job)
         may_be_stored = False
-        if preferred is not None:
-            handed = await self._hand_on(preferred, job, HANDOFF_TIMEOUT_S)
+        asked = self._first_asked(job)
+        for address in asked:
+            handed = await self._hand_on(address, job, HANDOFF_TIMEOUT_S)
             if handed is None:
                 return None
-            may_be_stored = handed.code not in _WORTH_HANDING_ON
+            may_be_stored = may_be_stored or handed.code not in _WORTH_HANDING_ON
         problem = await self.submit_here(job)
         if problem is None or problem.code not in _WORTH_HANDING_ON:
             return problem
-        others = [address for address in self._peer_addresses() if address != preferred]
+        others = [address for address in self._peer_addresses() if address not in asked]
         for address in others[:MAX_PEERS_ASKED]:
             handed = await self._hand_on(address, job, PEER_TIMEOUT_S)
             if handed is None:
@@ -96,6 +99,18 @@
             return Problem(ResultCode.OUTCOME_UNKNOWN, "a node may have stored the job", job.id)
         return problem
 
+    def _first_asked(self, job: Job) -> list[str]:
+        """The nodes that are asked to own a job before this one."""
+        if not self.hands_on or self._owner.owns(job.id):
+            return []
+        preferred = self._live.preferred_owner_address(job)
+        if preferred is None:
+            return []
+        if self._is_host():
+            return [preferred]
+        others = [address for address in self._peer_addresses() if address != preferred]
+        return [preferred, *others[:MAX_OTHER_HOSTS]]
+
     async def _hand_on(self, address: str, job: Job, timeout_s: float) -> Problem | None:
         handed = await self._peers.submit(address, job, timeout_s)
         if handed is None:
--- a/src/hollowrack/jobs/job_reader.py
+++ b/src/hollowrack/jobs/job_reader.py
@@ -50,6 +50,13 @@
         """Whether the job itself is in the cache."""
         return job_id in self._cache
 
+    def whole(self, job_id: str) -> tuple[Job, list[ItemResult]] | None:
+        """Return a cached job whose results are all listed, so that nothing of it can change."""
+        cached = self._cache.get(job_id)
+        if cached is None or not cached.is_listed_whole:
+            return None
+        return cached.job, cached.results
+
     def note_ended(self, job_id: str) -> None:
         """A job was ended: nothing more needs to be waited for."""
         cached = self._cache.get(job_id)
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -27,6 +27,8 @@
 END_PAUSE_S = 0.25
 END_PATIENCE_S = 3.0
 READ_RETRY_AFTER_S = 0.3
+# A job is seen by all nodes within two looks at the feed, each a fifth of a second apart.
+MAX_UNSEEN_S = 0.5
 # Jobs that were left lately, about which their new owners may ask.
 MAX_LEFT_JOBS = 4
 
@@ -72,7 +74,7 @@
         live: LiveState,
         session: Session,
     ) -> None:
-        self.intake = JobIntake(log, peers, peer_addresses, live, self)
+        self.intake = JobIntake(log, peers, peer_addresses, live, self, lambda: session.is_held)
         self._live = live
         self._session = session
         self._peers = peers
@@ -160,9 +162,12 @@
             if len(runner.results) <= after:
                 await _wait_for(runner.changed, wait_s)
             return ResultPage(len(runner.job.items), runner.results[after:])
-        page = await self._read_at_owner(ReadJob(job_id, after, wait_s))
-        if page is not None:
-            return ResultPage(page.num_items, list(page.results))
+        if self._reader.whole(job_id) is None:
+            # The owner knows more than the store, and a caller that waits loses nothing.
+            await self._live.wait_for_job(job_id, min(wait_s, MAX_UNSEEN_S))
+            page = await self._read_at_owner(ReadJob(job_id, after, wait_s))
+            if page is not None:
+                return ResultPage(page.num_items, list(page.results))
         found = await self._reader.results(job_id, after, wait_s)
         if found is None:
             return _unknown_job(job_id)
@@ -176,10 +181,10 @@
         return None if address is None else await self._peers.read(address, request)
 
     async def answer_peer(self, request: ReadJob) -> JobPage:
-        """Answer another node, if this one owns the job for sure."""
+        """Answer another node, if this one owns the job for sure or holds all its results."""
         runner = self._runners.get(request.job_id)
         if runner is None:
-            return JobPage(is_owner=False)
+            return self._whole_page(request)
         if len(runner.results) <= request.after:
             await _wait_for(runner.changed, request.wait_s)
         # A process whose session may be over may have lost the job to another one.
@@ -189,6 +194,15 @@
         job = runner.job if request.with_job else None
         return JobPage(True, len(runner.job.items), results, job)
 
+    def _whole_page(self, request: ReadJob) -> JobPage:
+        """Answer for a job that was owned here, if all its results are listed: none can change."""
+        whole = self._reader.whole(request.job_id)
+        if whole is None:
+            return JobPage(is_owner=False)
+        job, results = whole
+        asked_job = job if request.with_job else None
+        return JobPage(True, len(job.items), tuple(results[request.after :]), asked_job)
+
     async def _find_job(self, job_id: str) -> Job | Unavailable | None:
         """Find a job here, at its owner or in the store; ``None`` if there certainly is none."""
         runner = self._runners.get(job_id)
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -3,11 +3,16 @@
 All of it lies below one prefix of the coordination store, so that one mirror a node follows it.
 """
 
+import asyncio
+import contextlib
 from collections import OrderedDict
 from collections.abc import Callable
 
+import xxhash
+
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
+from hollowrack.coordination.session import node_of_owner
 from hollowrack.coordination.store import StoredItem
 from hollowrack.jobs.job_log import ENDS_PREFIX, OPEN_PREFIX, OpenJob, job_id_of
 from hollowrack.jobs.placement import NodeEntry, preferred_owner
@@ -17,8 +22,13 @@
 LIVE_PREFIX = "hollowrack/live/"
 LEADER_KEY = LIVE_PREFIX + "leader"
 OWNERS_PREFIX = LIVE_PREFIX + "nodes/"
+# Nodes that are asked for changes before the store is; each may cost its whole time-out.
+NUM_SOURCES = 3
+NUM_NEAR_SOURCES = 2
 # Processes whose entry is gone may still answer: these are remembered, the latest ones.
 MAX_FORMER_NODES = 64
+# Finished jobs whose last owner is remembered: it still holds their results for readers.
+MAX_FINISHED_JOBS = 256
 
 
 class LiveState:
@@ -35,6 +45,7 @@
         nodes: What live processes say of themselves, by owner name.
         open_jobs: Unfinished jobs by identifier.
         ended_jobs: When this node heard of the end of each ended job, on the loop's clock.
+        last_owners: Who owned jobs that are no longer unfinished, the latest ones.
     """
 
     def __init__(
@@ -49,12 +60,14 @@
         self._former_nodes: OrderedDict[str, NodeEntry] = OrderedDict()
         self.open_jobs: dict[str, OpenJob] = {}
         self.ended_jobs: dict[str, float] = {}
+        self.last_owners: OrderedDict[str, str] = OrderedDict()
         self._owner = owner
         self._zone = zone
         self._leadership = leadership
         self._on_ended = on_ended
         self._on_owned = on_owned
         self._leader: str | None = None
+        self._job_seen = asyncio.Event()
 
     def take(self, key: str, item: StoredItem | None) -> None:
         """Take in a key that was written, or removed (``None``)."""
@@ -83,12 +96,22 @@
 
     def _take_open_job(self, job_id: str, item: StoredItem | None) -> None:
         if item is None:
-            self.open_jobs.pop(job_id, None)
+            self._forget_open_job(job_id)
         else:
             job = OpenJob(job_id, item.value.decode(), item.revision)
             self.open_jobs[job_id] = job
+            self._job_seen.set()
+            self._job_seen = asyncio.Event()
             self._on_owned(job)
 
+    def _forget_open_job(self, job_id: str) -> None:
+        job = self.open_jobs.pop(job_id, None)
+        if job is None:
+            return
+        self.last_owners[job_id] = job.owner
+        while len(self.last_owners) > MAX_FINISHED_JOBS:
+            self.last_owners.popitem(last=False)
+
     def _take_end(self, job_id: str, item: StoredItem | None) -> None:
         if item is None:
             self.ended_jobs.pop(job_id, None)
@@ -100,15 +123,45 @@
         """Where the leader is reached; ``None`` if this node leads or the leader is not known."""
         return None if self._leader is None else self._address_of(self._leader)
 
+    def observer_sources(self) -> list[str]:
+        """Where a node without a session may ask for changes: a few of the nodes with one.
+
+        They stay the same while they live, and differ between nodes. The nearest come first, and
+        the last one is in another zone, so that the loss of a zone's nodes is got over at once.
+        """
+        node = node_of_owner(self._owner)
+        ranked = sorted(
+            (
+                (entry.zone != self._zone, _rank(node, owner), entry.address)
+                for owner, entry in self.nodes.items()
+                if entry.address and owner != self._owner
+            ),
+        )
+        near = [address for is_far, _, address in ranked if not is_far]
+        far = [address for is_far, _, address in ranked if is_far]
+        return [*near[:NUM_NEAR_SOURCES], *far][:NUM_SOURCES]
+
     def preferred_owner_address(self, job: Job) -> str | None:
         """Where the node that should own a job is reached; ``None`` if it is this one."""
         owner = preferred_owner(job, self.nodes, self._zone)
         return None if owner is None else self._address_of(owner)
 
+    def knows_job(self, job_id: str) -> bool:
+        """Whether this node has seen a job."""
+        return job_id in self.open_jobs or job_id in self.last_owners or job_id in self.ended_jobs
+
+    async def wait_for_job(self, job_id: str, wait_s: float) -> None:
+        """Wait until this node has seen a job, at most ``wait_s`` seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self.knows_job(job_id):
+                    await self._job_seen.wait()
+
     def owner_address(self, job_id: str) -> str | None:
-        """Where the owner of an unfinished job is reached; ``None`` if not known or this node."""
+        """Where a job's owner, or its last one, is reached; ``None`` if not known or this node."""
         job = self.open_jobs.get(job_id)
-        return None if job is None else self._address_of(job.owner)
+        owner = self.last_owners.get(job_id) if job is None else job.owner
+        return None if owner is None else self._address_of(owner)
 
     def former_address(self, owner: str) -> str | None:
         """Where a process is or was reached; ``None`` if it was never seen or is this one."""
@@ -135,3 +188,8 @@
     def _own_address(self) -> str:
         entry = self.nodes.get(self._owner)
         return "" if entry is None else entry.address
+
+
+def _rank(node: str, owner: str) -> int:
+    """Order of preference of one node among the others; it survives their restarts."""
+    return xxhash.xxh64_intdigest(f"{node}|{node_of_owner(owner)}".encode())
--- a/src/hollowrack/jobs/peers.py
+++ b/src/hollowrack/jobs/peers.py
@@ -64,7 +64,8 @@
     """An owner's answer.
 
     Attributes:
-        is_owner: Whether the node owns the job for sure; otherwise nothing else is told.
+        is_owner: Whether the node owns the job for sure, or holds all its results; otherwise
+            nothing else is told.
         num_items: Items of the job.
         results: Results from the position on.
         job: The job, if it was asked for.
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -89,6 +89,7 @@
                 settings.listen.control_plane,
                 settings.limits.cpu_shares * settings.limits.cores,
                 KEEP_IN_STATUS_TIMES * settings.bounds.status_s,
+                min(settings.bounds.config_apply_ms, settings.bounds.drain_ms) / MS_PER_S,
             ),
             self._rng,
         )
@@ -100,9 +101,11 @@
             OPERATOR_WAIT_S,
             WORKER_WAIT_S,
             self._rng,
+            self.node.may_follow,
         )
         shared = self.node.shared_store
         shared.source_listeners.append(self._feed.rewatch_workers)
+        shared.recovery_listeners.append(self._feed.wake)
         mirrors = {**self._feed.mirrors(), **self.node.shared_mirrors()}
         feed = MirrorFeed(mirrors, lambda: shared.heard_store_s)
         counts = EdgeCounts(store_calls=store.num_calls)
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -1,5 +1,6 @@
 """Follows what operators, trainers and workers keep in the platform's store."""
 
+import asyncio
 import random
 from typing import Protocol
 
@@ -50,6 +51,7 @@
         operator_wait_s: Longest wait of one watch of operators' keys, in seconds.
         worker_wait_s: Longest wait of one watch of workers' entries, in seconds.
         rng: Source of the retry jitter.
+        starts_after: Set once the first listings may begin.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         operator_wait_s: float,
         worker_wait_s: float,
         rng: random.Random,
+        starts_after: asyncio.Event,
     ) -> None:
         self._listener = listener
         self.operators = PrefixMirror(
@@ -71,6 +74,7 @@
             rng,
             operator_wait_s,
             self._on_doubt,
+            starts_after=starts_after,
         )
         self.workers = PrefixMirror(
             store,
@@ -80,6 +84,7 @@
             rng,
             worker_wait_s,
             rests_on_sentinel=True,
+            starts_after=starts_after,
         )
 
     def start(self) -> None:
@@ -96,6 +101,11 @@
         """Begin the watch of workers' entries anew."""
         self.workers.rewatch()
 
+    def wake(self) -> None:
+        """End the mirrors' pauses after failures."""
+        self.operators.wake()
+        self.workers.wake()
+
     def mirrors(self) -> dict[str, PrefixMirror]:
         """Return the mirrors by prefix."""
         return {names.OPERATOR_PREFIX: self.operators, names.WORKERS_PREFIX: self.workers}
--- a/src/hollowrack/platform/http_session.py
+++ b/src/hollowrack/platform/http_session.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 
+# Between nodes and to the store: questions follow each other within a second or two.
 KEPT_CONNECTION_S = 4.0
 NO_CONNECTION_LIMIT = 0
 
@@ -9,19 +10,19 @@
 def client_session(
     force_close: bool = False,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
+    kept_s: float = KEPT_CONNECTION_S,
 ) -> aiohttp.ClientSession:
     """Return a session that leaves bodies as they are and keeps no cookies.
 
     Args:
         force_close: Whether every request has a connection of its own.
         response_class: Class of the answers.
+        kept_s: How long an idle connection is kept, in seconds.
     """
     if force_close:
         connector = aiohttp.TCPConnector(limit=NO_CONNECTION_LIMIT, force_close=True)
     else:
-        connector = aiohttp.TCPConnector(
-            limit=NO_CONNECTION_LIMIT, keepalive_timeout=KEPT_CONNECTION_S
-        )
+        connector = aiohttp.TCPConnector(limit=NO_CONNECTION_LIMIT, keepalive_timeout=kept_s)
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -32,6 +32,8 @@
     grace_s: float = Field(default=8.0, alias="grace-s")
     lease_ms: float = Field(default=3000.0, alias="lease-ms")
     drain_ms: float = Field(default=2000.0, alias="drain-ms")
+    # How long a change of the configuration may take to be in force at every node.
+    config_apply_ms: float = Field(default=2000.0, alias="config-apply-ms")
     status_s: float = Field(default=120.0, alias="status-s")
 
 
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -27,6 +27,9 @@
 from hollowrack.weights.order_giver import OrderOutcome, VersionOrder, WorkerReport
 
 CONNECT_TIMEOUT_S = 0.5
+# New connections to workers are paid for. Workers close idle ones after a time of their own, which
+# they state as 10 s; one that they have closed earlier is not used again.
+KEPT_CONNECTION_S = 9.5
 REPORT_TIMEOUT_S = 0.8
 ORDER_TIMEOUT_S = 0.8
 MS_PER_S = 1000
@@ -103,7 +106,7 @@
     Args:
         force_close: Whether every request has a connection of its own.
     """
-    return client_session(force_close, _TrackedResponse)
+    return client_session(force_close, _TrackedResponse, KEPT_CONNECTION_S)
 
 
 class WorkerAnswer:
--- /dev/null
+++ b/tests/jobs/test_hosting.py
@@ -0,0 +1,127 @@
+"""Which nodes hold a session, and what becomes of jobs that reach nodes without one."""
+
+import asyncio
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollowrack.jobs.hosting import NUM_HOSTS_PER_ZONE, is_surplus, is_wanted
+from hollowrack.jobs.placement import LARGE_SHARE, NodeEntry
+from hollowrack_bench.virtual_time import run_virtual
+from tests.jobs.helpers import Fleet, make_job
+from tests.jobs.test_job_service import read_all
+
+SETTLED_S = 20.0
+REPLACED_S = 13.0
+SIZES = st.lists(st.sampled_from([0.5, 0.52, 1.07, 2.15]), min_size=1, max_size=30)
+
+
+def _entries(sizes: list[float]) -> dict[str, NodeEntry]:
+    return {
+        f"n{index:02}": NodeEntry(f"10.0.0.{index}:1", cores, "z1")
+        for index, cores in enumerate(sizes)
+    }
+
+
+def _settle(entries: dict[str, NodeEntry], hosts: set[str], rng: random.Random) -> set[str]:
+    """Have nodes decide one after the other, in any order, until nothing changes."""
+    has_changed = True
+    while has_changed:
+        has_changed = False
+        for node in rng.sample(sorted(entries), len(entries)):
+            live = {f"{host}#life": entries[host] for host in hosts}
+            if node in hosts and is_surplus(node, entries[node], live, NUM_HOSTS_PER_ZONE):
+                hosts = hosts - {node}
+                has_changed = True
+            elif node not in hosts and is_wanted(node, entries[node], live, NUM_HOSTS_PER_ZONE):
+                hosts = hosts | {node}
+                has_changed = True
+    return hosts
+
+
+@given(SIZES, st.randoms(use_true_random=False), st.data())
+def test_a_zone_settles_on_a_few_of_its_largest_nodes(
+    sizes: list[float], rng: random.Random, data: st.DataObject
+) -> None:
+    entries = _entries(sizes)
+    begun = data.draw(st.sets(st.sampled_from(sorted(entries))))
+    hosts = _settle(entries, begun, rng)
+    assert len(hosts) >= min(NUM_HOSTS_PER_ZONE, len(entries))
+    assert max(entries[host].num_cores for host in hosts) >= LARGE_SHARE * max(sizes)
+    # Sizes that are nearly the same count as one: three of each at the most.
+    assert len(hosts) <= 3 * NUM_HOSTS_PER_ZONE
+
+
+@given(SIZES)
+def test_hosts_of_another_zone_and_those_that_stop_do_not_count(sizes: list[float]) -> None:
+    own = NodeEntry("10.0.1.1:1", 1.0, "z1")
+    elsewhere = {f"o{name}#life": entry for name, entry in _entries(sizes).items()}
+    far = {name: NodeEntry(entry.address, 9.0, "z2") for name, entry in elsewhere.items()}
+    stopping = {name: NodeEntry(entry.address, 0.0, "z1") for name, entry in elsewhere.items()}
+    for others in (far, stopping):
+        assert is_wanted("n", own, others, NUM_HOSTS_PER_ZONE)
+        assert not is_surplus("n", own, others, NUM_HOSTS_PER_ZONE)
+
+
+def test_every_node_is_a_host_where_changes_have_little_time() -> None:
+    async def main() -> None:
+        fleet = Fleet(8)
+        await asyncio.sleep(1.0)
+        assert _hosts(fleet) == set(fleet.nodes)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def _hosts(fleet: Fleet) -> set[str]:
+    return {name for name, node in fleet.nodes.items() if node.session.is_valid}
+
+
+def test_few_nodes_hold_sessions_and_those_that_die_are_replaced() -> None:
+    async def main() -> None:
+        fleet = Fleet(20, shares=True)
+        await asyncio.sleep(SETTLED_S)
+        hosts = _hosts(fleet)
+        assert len(hosts) >= NUM_HOSTS_PER_ZONE
+        (leader,) = [name for name in hosts if fleet.nodes[name].leadership.is_leader]
+        # The leader keeps its session, whoever else has one.
+        assert len(hosts - {leader}) <= NUM_HOSTS_PER_ZONE
+        for name in (leader, *sorted(hosts - {leader})[:1]):
+            await fleet.kill(name)
+        await asyncio.sleep(REPLACED_S + SETTLED_S)
+        assert NUM_HOSTS_PER_ZONE <= len(_hosts(fleet)) <= NUM_HOSTS_PER_ZONE + 1
+        assert any(node.leadership.is_leader for node in fleet.nodes.values())
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_node_that_starts_again_takes_its_session_back_at_once() -> None:
+    async def main() -> None:
+        fleet = Fleet(20, shares=True)
+        await asyncio.sleep(SETTLED_S)
+        name = sorted(_hosts(fleet))[0]
+        await fleet.kill(name)
+        node = fleet.start(name)
+        await asyncio.sleep(0.3)
+        assert node.session.is_valid
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_job_that_no_host_takes_is_owned_by_the_node_that_was_asked() -> None:
+    async def main() -> None:
+        fleet = Fleet(8, hands_on=True, shares=True)
+        await asyncio.sleep(SETTLED_S)
+        hosts = _hosts(fleet)
+        fleet.unreachable |= hosts
+        asked = next(name for name in fleet.nodes if name not in hosts)
+        assert await fleet.nodes[asked].jobs.submit(make_job()) is None
+        await asyncio.sleep(0.5)
+        assert fleet.nodes[asked].session.is_valid
+        assert len(await read_all(fleet, asked, "j1", 6)) == 6
+        await fleet.stop()
+
+    run_virtual(main())
