Results that complete no group wait 0.8 s to be listed, not 0.2

Change: a group that becomes whole is listed 0.2 s later as before, and at once if the trainer waits for it; anything else within 0.8 s.

--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -1,6 +1,7 @@
 """Runs one job on its owner: all items, and the listing of their results."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Collection, Sequence
 
 from absl import logging
@@ -21,9 +22,10 @@
 from hollowrack.jobs.types import ItemResult, Job, JobItem
 from hollowrack.tasks import cancel_all
 
-# Results that finish close together are listed by one write.
+# Results that finish close together are listed by one write. A trainer uses whole groups, so those
+# that complete none may wait longer.
 GATHER_S = 0.2
-NO_GATHER_S = 0.0
+PARTIAL_GATHER_S = 0.8
 # What items generate is saved with the results that are listed, but not more often than this.
 MIN_SAVE_AGE_S = 0.5
 RETRY_PAUSE_S = 0.25
@@ -72,6 +74,7 @@
         listed = {result.item_id for result in results}
         self._finished = [result for result in unlisted if result.item_id not in listed]
         self._has_finished = asyncio.Event()
+        self._finished_another = asyncio.Event()
         if self._finished:
             self._has_finished.set()
         self._kept = kept or {}
@@ -100,7 +103,7 @@
             self._start_items()
             while not self.is_listed_whole:
                 await self._has_finished.wait()
-                await asyncio.sleep(self._gather_s())
+                await self._gather()
                 async with self._listing:
                     if not self._finished:
                         self._has_finished.clear()
@@ -116,10 +119,26 @@
                 self._follow_task.cancel()
             self._on_done(self)
 
-    def _gather_s(self) -> float:
-        """How long to wait for more results; not at all once the trainer has what it waits for."""
+    async def _gather(self) -> None:
+        """Wait for more results; not at all once the trainer has what it waits for."""
+        end_s = now_s() + PARTIAL_GATHER_S
+        while not self._has_whole_unlisted_group():
+            if now_s() >= end_s or not self._finished:
+                return
+            self._finished_another.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(end_s):
+                    await self._finished_another.wait()
         done = {result.item_id for result in [*self.results, *self._finished]}
-        return NO_GATHER_S if has_desired_groups(self.job, done) else GATHER_S
+        if not has_desired_groups(self.job, done):
+            await asyncio.sleep(GATHER_S)
+
+    def _has_whole_unlisted_group(self) -> bool:
+        """Whether results that are not listed yet complete a group."""
+        unlisted = {result.item_id for result in self._finished}
+        done = unlisted | {result.item_id for result in self.results}
+        open_groups = {item.group for item in self.job.items if item.id not in done}
+        return any(item.group not in open_groups for item in self.job.items if item.id in unlisted)
 
     async def _follow_late_writes(self) -> None:
         """List what an earlier owner's last writes have listed since the job was read.
@@ -174,6 +193,7 @@
         self._item_runners.pop(item.id, None)
         self._finished.append(result)
         self._has_finished.set()
+        self._finished_another.set()
 
     async def _list_finished(self) -> bool:
         """List what has finished; returns whether the job still belongs to this node."""
