A new leader's wait counts from when the key was seen to be gone

Cause: the wait before the first order began once the campaign was won, 0.2 to 0.9 s (at a start 1.7 s) after the last leader's key had gone. And it did not cover a session that the store ends while its holder takes it for valid for up to 1.5 s more.

Change: the wait is the handover time and 0.6 s (the holder's next renewal) from when the key was seen to be gone. Every leader writes the key of the last leader, so a node that has missed one learns of it before it can win, and counts from then.

--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -32,6 +32,9 @@
 # An action decided now must reach its receiver before the session can have ended.
 ACTION_MARGIN_S = 0.5
 NO_HANDOVER_S = 0.0
+# The store may end a session that its holder takes for valid. The holder learns of that with its
+# next renewal, half a second later at most, and its last order is then on the way.
+REVOKED_MARGIN_S = 0.6
 # The node that led last goes first, if it is there.
 MIN_YIELD_S = 0.15
 # While processes start, that node may start as well, and any other would wait out the handover.
@@ -76,6 +79,8 @@
         self._rng = rng
         self._lease: int | None = None
         self._acts_from_s = float("inf")
+        # Since when certainly nobody has led, on the loop's clock.
+        self._free_since_s = float("inf")
         self._started_s = 0.0
         self._is_free = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -121,8 +126,10 @@
     def note(self, item: StoredItem | None) -> None:
         """Take in what the leader key holds, as seen by a mirror or a failed write."""
         if item is None:
+            self._free_since_s = min(self._free_since_s, now_s())
             self._free_from(ABSENT_REVISION, self._handover_s)
             return
+        self._free_since_s = float("inf")
         holder = item.value.decode()
         if holder == self._owner:
             return
@@ -133,7 +140,13 @@
             self._is_free.clear()
 
     def note_last(self, item: StoredItem | None) -> None:
-        """Take in what the key of the last leader holds."""
+        """Take in what the key of the last leader holds.
+
+        Every leader writes it. So if it has changed, somebody led after this node last saw the
+        leader key free, and whoever campaigns must have seen the change.
+        """
+        if _revision_of(item) != _revision_of(self._last):
+            self._free_since_s = now_s() if self._is_free.is_set() else float("inf")
         self._last = item
 
     @property
@@ -172,14 +185,19 @@
         lease = self._session.lease
         if lease is None:
             return
-        last_revision = ABSENT_REVISION if self._last is None else self._last.revision
-        wait_s = NO_HANDOVER_S if self.led_last else self._wait_s
+        last_revision = _revision_of(self._last)
+        must_wait = not self.led_last and self._wait_s > NO_HANDOVER_S
+        # The last leader has not acted long after its key was seen to be gone.
+        free_since_s = min(self._free_since_s, now_s())
         outcome = await self._store.transact(
             [Condition(self.key, self._free_revision), Condition(self.last_key, last_revision)],
             [Put(self.key, self._owner.encode(), lease), Put(self.last_key, self._owner.encode())],
         )
         if isinstance(outcome, Committed):
-            self._win(lease, outcome.revision, wait_s)
+            acts_from_s = now_s()
+            if must_wait:
+                acts_from_s = free_since_s + self._wait_s + REVOKED_MARGIN_S
+            self._win(lease, outcome.revision, acts_from_s)
         elif isinstance(outcome, Conflict):
             self._note_conflict(lease, outcome)
 
@@ -189,13 +207,19 @@
         item = current.get(self.key)
         # A lost answer of an earlier attempt shows as a key that already names this process.
         if item is not None and item.value.decode() == self._owner and item.lease == lease:
-            self._win(lease, item.revision, self._handover_s)
+            self._win(lease, item.revision, now_s() + self._handover_s)
         else:
             self.note(item)
 
-    def _win(self, lease: int, revision: int, wait_s: float) -> None:
+    def _win(self, lease: int, revision: int, acts_from_s: float) -> None:
         self._is_free.clear()
+        self._free_since_s = float("inf")
         self._lease = lease
         self.fencing_token = revision
-        self._acts_from_s = now_s() + wait_s
-        logging.info("leader from now on, fencing token %d", revision)
+        self._acts_from_s = acts_from_s
+        wait_s = max(0.0, acts_from_s - now_s())
+        logging.info("leader from now on, fencing token %d, orders after %.2f s", revision, wait_s)
+
+
+def _revision_of(item: StoredItem | None) -> int:
+    return ABSENT_REVISION if item is None else item.revision
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hollowrack.clock import now_s
-from hollowrack.coordination.leadership import Leadership
+from hollowrack.coordination.leadership import REVOKED_MARGIN_S, Leadership
 from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.session import SESSION_TTL_S, Session
 from hollowrack.coordination.store import StoredItem
@@ -97,7 +97,7 @@
     async def main() -> None:
         core = CoordinationStoreCore()
         candidates = [Candidate.start(core, f"n{index}") for index in range(3)]
-        await asyncio.sleep(HANDOVER_S + 2.0)
+        await asyncio.sleep(HANDOVER_S + 3.0)
         (old,) = await leaders(candidates)
         setattr(old.faults, fault, True)
         last_old_s = first_new_s = None
@@ -139,7 +139,7 @@
     async def main() -> None:
         core = CoordinationStoreCore()
         first = Candidate.start(core, "n1#a")
-        await asyncio.sleep(HANDOVER_S + 2.0)
+        await asyncio.sleep(HANDOVER_S + 3.0)
         assert first.leadership.may_act
         first.faults.is_silent = True
         await first.leadership.stop()
@@ -162,7 +162,7 @@
     async def main() -> None:
         core = CoordinationStoreCore()
         first = [Candidate.start(core, f"n{index}#a") for index in range(4)]
-        await asyncio.sleep(HANDOVER_S + 2.0)
+        await asyncio.sleep(HANDOVER_S + 3.0)
         (old,) = await leaders(first)
         name = old.name.removesuffix("#a")
         for candidate in first:
@@ -188,7 +188,7 @@
     async def main() -> None:
         core = CoordinationStoreCore()
         first = Candidate.start(core, "n0#a")
-        await asyncio.sleep(HANDOVER_S + 2.0)
+        await asyncio.sleep(HANDOVER_S + 3.0)
         first.faults.is_silent = True
         await first.leadership.stop()
         await first.session.abandon()
@@ -206,10 +206,10 @@
     async def main() -> None:
         core = CoordinationStoreCore()
         first = Candidate.start(core, "n1#a")
-        await asyncio.sleep(HANDOVER_S + 2.0)
+        await asyncio.sleep(HANDOVER_S + 3.0)
         await first.stop()
         second = Candidate.start(core, "n2#a")
-        await asyncio.sleep(HANDOVER_S + 2.0)
+        await asyncio.sleep(HANDOVER_S + 3.0)
         assert second.leadership.may_act
         await second.stop()
         again = Candidate.start(core, "n1#b")
@@ -239,3 +239,67 @@
             await candidate.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_handover_counts_from_when_the_key_was_seen_to_be_gone(seed: int) -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        candidates = [Candidate.start(core, f"n{seed}{index}") for index in range(5)]
+        await asyncio.sleep(6.0)
+        (old,) = await leaders(candidates)
+        rest = [candidate for candidate in candidates if candidate is not old]
+        old.faults.is_silent = True
+        last_acted_s = gone_s = first_acted_s = None
+        while first_acted_s is None:
+            await asyncio.sleep(0.01)
+            if old.leadership.may_act:
+                last_acted_s = now_s()
+            if gone_s is None and KEY not in core.items:
+                gone_s = now_s()
+            if any(candidate.leadership.may_act for candidate in rest):
+                first_acted_s = now_s()
+        assert last_acted_s is not None
+        assert gone_s is not None
+        assert first_acted_s - last_acted_s >= HANDOVER_S
+        # The mirror's pace, not the time that the campaign takes, comes on top.
+        assert first_acted_s - gone_s <= HANDOVER_S + REVOKED_MARGIN_S + 0.3
+        for candidate in candidates:
+            await candidate.stop()
+
+    run_virtual(main())
+
+
+def test_a_leader_that_came_and_went_unseen_is_waited_for() -> None:
+    """A node saw the key free, then nothing while another led: it waits from what it learns."""
+
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        late = Candidate.start(core, "late")
+        other = Candidate.start(core, "other")
+        await asyncio.sleep(6.0)
+        (first,) = await leaders([late, other])
+        second = other if first is late else late
+        # The leader falls silent, its key goes, and the other one cannot campaign yet.
+        first.faults.is_silent = True
+        await asyncio.sleep(SESSION_TTL_S + 0.05)
+        second.faults.is_silent = True
+        third = Candidate.start(core, "third")
+        await asyncio.sleep(HANDOVER_S + 3.0)
+        assert third.leadership.may_act
+        third.faults.is_silent = True
+        last_acted_s = now_s()
+        while KEY in core.items or third.leadership.may_act:
+            last_acted_s = now_s() if third.leadership.may_act else last_acted_s
+            await asyncio.sleep(0.01)
+            core.changes("", core.revision)
+        second.faults.is_silent = False
+        acted_s: float | None = None
+        while acted_s is None:
+            await asyncio.sleep(0.01)
+            acted_s = now_s() if second.leadership.may_act else None
+        assert acted_s - last_acted_s >= HANDOVER_S
+        for candidate in (late, other, third):
+            await candidate.stop()
+
+    run_virtual(main())
