--- a/src/hollowrack/coordination/store.py
+++ b/src/hollowrack/coordination/store.py
@@ -9,10 +9,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from hollowrack.messages.codec import message
+
 ABSENT_REVISION = 0
 NO_LEASE = 0
 
 
+@message("store.item")
 @dataclass(frozen=True)
 class StoredItem:
     """One key as it stands in the store.
@@ -30,6 +33,7 @@
     lease: int = NO_LEASE
 
 
+@message("store.listing")
 @dataclass(frozen=True)
 class Listing:
     """All keys below a prefix and the store revision up to which changes are included."""
@@ -38,6 +42,7 @@
     revision: int
 
 
+@message("store.changes")
 @dataclass(frozen=True)
 class Changes:
     """Changes below a prefix, oldest first.
@@ -51,6 +56,7 @@
     revision: int
 
 
+@message("store.committed")
 @dataclass(frozen=True)
 class Committed:
     """A write was done at this store revision."""
@@ -58,6 +64,7 @@
     revision: int
 
 
+@message("store.conflict")
 @dataclass(frozen=True)
 class Conflict:
     """A condition of a write did not hold; nothing was done.
@@ -69,11 +76,13 @@
     current: tuple[StoredItem, ...]
 
 
+@message("store.lease_gone")
 @dataclass(frozen=True)
 class LeaseGone:
     """The lease named by a write or a renewal is over; nothing was done."""
 
 
+@message("store.not_done")
 @dataclass(frozen=True)
 class NotDone:
     """The store refused or could not be reached before anything was sent."""
@@ -81,6 +90,7 @@
     reason: str
 
 
+@message("store.unknown")
 @dataclass(frozen=True)
 class Unknown:
     """No answer came: the write may have been done, or may be done later."""
@@ -88,11 +98,13 @@
     reason: str
 
 
+@message("store.history_gone")
 @dataclass(frozen=True)
 class HistoryGone:
     """The changes asked for are no longer kept: list again."""
 
 
+@message("store.granted_lease")
 @dataclass(frozen=True)
 class GrantedLease:
     """A lease, with the time to live that the store applies, in seconds."""
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -16,6 +16,7 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.mirror import PrefixMirror
+from hollowrack.coordination.relay import RelayClient, RelayingStore
 from hollowrack.coordination.session import Session, owner_name
 from hollowrack.coordination.sharing import FeedClient, SharedStore, StoreAccess
 from hollowrack.coordination.store import Committed, CoordinationStore, Put
@@ -77,7 +78,8 @@
         change_bound_s: How long changes of routes and workers may take to reach this node, in
             seconds.
         complete_retirement: Tells the operators that a machine is empty.
-        feed: Sends watches to the leader.
+        feed: Sends watches to other nodes.
+        relay: Sends calls to the store by way of other nodes.
     """
 
     store: CoordinationStore
@@ -87,6 +89,7 @@
     complete_retirement: Callable[[str], Awaitable[bool]]
     peer_jobs: PeerJobs
     feed: FeedClient
+    relay: RelayClient
     address: str = ""
     num_cores: float = 1.0
     keep_ended_s: float = DEFAULT_KEEP_ENDED_S
@@ -106,6 +109,7 @@
     Attributes:
         owner: Name of this process among all of all nodes.
         is_stopping: Whether a planned stop has begun.
+        store: The coordination store, by way of other nodes if it turns this one away.
         may_follow: Set once what operators and workers write may be followed.
     """
 
@@ -121,8 +125,9 @@
         self._zone = zone
         self.owner = owner_name(name, uuid.UUID(int=rng.getrandbits(128)).hex)
         self.is_stopping = False
-        store = connections.store
-        self._store = store
+        store = RelayingStore(connections.store, connections.relay, self._relay_nodes, rng)
+        store.detour_listeners.append(self._rewatch_live)
+        self.store = store
         self._complete_retirement = connections.complete_retirement
         self.routes = RouteTable()
         self.workers = WorkerDirectory(zone, rng)
@@ -343,7 +348,7 @@
     async def _register(self, lease: int) -> bool:
         """Write what this node says of itself; returns whether that is certain."""
         put = Put(OWNERS_PREFIX + self.owner, codec.encode(self._entry()), lease)
-        outcome = await self._store.transact([], [put])
+        outcome = await self.store.transact([], [put])
         return isinstance(outcome, Committed)
 
     def _entry(self) -> NodeEntry:
@@ -376,6 +381,12 @@
         leader = self.live.leader_address()
         return [] if leader is None else [leader]
 
+    def _relay_nodes(self) -> list[str]:
+        """Which nodes may make calls to the store for this one, in any order."""
+        addresses = self.live.peer_addresses()
+        self._rng.shuffle(addresses)
+        return addresses
+
     def _store_access(self) -> StoreAccess:
         if self.leadership.is_leader:
             return StoreAccess.LEADER
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -10,6 +10,7 @@
 
 from hollowrack.api.server import HttpServer
 from hollowrack.coordination.feed_http import HttpFeedClient, feed_routes
+from hollowrack.coordination.relay_http import HttpRelayClient, relay_routes
 from hollowrack.coordination.sharing import MirrorFeed
 from hollowrack.coordination.store import Committed, Put
 from hollowrack.edge_node import EdgeConnections, EdgeNode
@@ -86,6 +87,7 @@
                 self._complete_retirement,
                 HttpPeerJobs(self._sessions[3]),
                 HttpFeedClient(self._sessions[3]),
+                HttpRelayClient(self._sessions[3]),
                 settings.listen.control_plane,
                 settings.limits.cpu_shares * settings.limits.cores,
                 KEEP_IN_STATUS_TIMES * settings.bounds.status_s,
@@ -106,6 +108,7 @@
         shared = self.node.shared_store
         shared.source_listeners.append(self._feed.rewatch_workers)
         shared.recovery_listeners.append(self._feed.wake)
+        self.node.store.detour_listeners.append(self._feed.rewatch)
         mirrors = {**self._feed.mirrors(), **self.node.shared_mirrors()}
         feed = MirrorFeed(mirrors, lambda: shared.heard_store_s)
         counts = EdgeCounts(store_calls=store.num_calls)
@@ -131,6 +134,7 @@
             jobs = self.node.jobs
             routes = [
                 *feed_routes(feed),
+                *relay_routes(store),
                 *peer_routes(jobs.submit_here, jobs.answer_peer, jobs.remainder),
                 *metrics_routes(self.node, counts),
             ]
@@ -199,7 +203,7 @@
 
     async def _complete_retirement(self, machine: str) -> bool:
         key, value = retirement_status(machine)
-        outcome = await self._store.transact([], [Put(key, value)])
+        outcome = await self.node.store.transact([], [Put(key, value)])
         return isinstance(outcome, Committed)
 
 
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -101,6 +101,11 @@
         """Begin the watch of workers' entries anew."""
         self.workers.rewatch()
 
+    def rewatch(self) -> None:
+        """Begin both watches anew."""
+        self.operators.rewatch()
+        self.workers.rewatch()
+
     def wake(self) -> None:
         """End the mirrors' pauses after failures."""
         self.operators.wake()
--- /dev/null
+++ b/tests/coordination/test_relay.py
@@ -0,0 +1,240 @@
+"""Calls to the store by way of other nodes, while the store turns some or all of them away."""
+
+import asyncio
+import random
+from collections import Counter
+
+import aiohttp
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from starlette.applications import Starlette
+
+from hollowrack.api.server import HttpServer
+from hollowrack.coordination.relay import (
+    Absent,
+    RelayedCall,
+    RelayedGet,
+    RelayedGrant,
+    RelayedList,
+    RelayedOutcome,
+    RelayedRenewal,
+    RelayedWatch,
+    RelayedWrite,
+    RelayingStore,
+    make_relayed_call,
+)
+from hollowrack.coordination.relay_http import RELAY_PATH, HttpRelayClient, relay_routes
+from hollowrack.coordination.store import (
+    Changes,
+    Committed,
+    Condition,
+    Conflict,
+    GrantedLease,
+    LeaseGone,
+    Listing,
+    NotDone,
+    Put,
+    StoredItem,
+    Unknown,
+)
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
+from tests.jobs.helpers import Fleet, check_whole, make_job
+from tests.jobs.test_job_service import read_all
+
+TURNED_AWAY_S = 9.0
+
+
+class Peers:
+    """Other nodes with an access of their own to the store; some lose answers on the way back."""
+
+    def __init__(self, core: CoordinationStoreCore, faults: dict[str, StoreFaults]) -> None:
+        self.num_calls = 0
+        self.losing: set[str] = set()
+        self._core = core
+        self._faults = faults
+
+    async def relay(self, address: str, call: RelayedCall) -> RelayedOutcome:
+        self.num_calls += 1
+        await asyncio.sleep(0.001)
+        outcome = await make_relayed_call(self._core.view(self._faults[address]), call)
+        return Unknown("lost on the way") if address in self.losing else outcome
+
+
+FAULT_NAMES = st.sampled_from(["none", "refuses", "silent", "loses answers", "writes late"])
+
+
+def _set_fault(faults: StoreFaults, name: str) -> None:
+    faults.refuses = name == "refuses"
+    faults.is_silent = name == "silent"
+    faults.num_lost_answers = 1 if name == "loses answers" else 0
+    faults.num_late_writes = 1 if name == "writes late" else 0
+
+
+class WriteCounter(CoordinationStoreCore):
+    """A store that counts how often each key was written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.num_writes: Counter[str] = Counter()
+
+    def _write(self, key: str, item: StoredItem | None) -> None:
+        self.num_writes[key] += 1
+        super()._write(key, item)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(FAULT_NAMES, FAULT_NAMES, FAULT_NAMES, st.booleans()), min_size=1, max_size=12
+    )
+)
+def test_outcomes_are_as_certain_as_direct_ones(
+    steps: list[tuple[str, str, str, bool]],
+) -> None:
+    """Writes without conditions: one that is sent twice would show."""
+
+    async def main() -> None:
+        core = WriteCounter()
+        own, faults = StoreFaults(), {"a": StoreFaults(), "b": StoreFaults()}
+        peers = Peers(core, faults)
+        store = RelayingStore(core.view(own), peers, lambda: ["a", "b"], random.Random(1))
+        outcomes: dict[str, object] = {}
+        for number, (direct, first, second, loses) in enumerate(steps):
+            _set_fault(own, direct)
+            _set_fault(faults["a"], first)
+            _set_fault(faults["b"], second)
+            peers.losing = {"a"} if loses else set()
+            key = f"k{number}"
+            outcomes[key] = await store.transact([], [Put(key, b"v")])
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(5.0)
+        for key, outcome in outcomes.items():
+            if isinstance(outcome, Committed):
+                assert core.num_writes[key] == 1
+            elif isinstance(outcome, NotDone):
+                assert core.num_writes[key] == 0
+            else:
+                assert isinstance(outcome, Unknown)
+                assert core.num_writes[key] <= 1
+
+    run_virtual(main())
+
+
+def test_conditions_hold_on_the_way_round() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        peers = Peers(core, {"a": StoreFaults()})
+        refused = core.view(StoreFaults(refuses=True))
+        store = RelayingStore(refused, peers, lambda: ["a"], random.Random(1))
+        assert isinstance(await store.transact([Condition("k")], [Put("k", b"1")]), Committed)
+        again = await store.transact([Condition("k")], [Put("k", b"2")])
+        assert isinstance(again, Conflict)
+        assert again.current[0].value == b"1"
+        assert await store.get("absent") is None
+        assert isinstance(await store.renew_lease(77), LeaseGone)
+        granted = await store.grant_lease(2.0)
+        assert isinstance(granted, GrantedLease)
+        assert isinstance(await store.renew_lease(granted.lease), GrantedLease)
+
+    run_virtual(main())
+
+
+def test_an_outage_for_all_is_not_made_worse_by_relaying() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        faults = {name: StoreFaults(refuses=True) for name in "abcd"}
+        peers = Peers(core, faults)
+        refused = core.view(StoreFaults(refuses=True))
+        store = RelayingStore(refused, peers, lambda: list("abcd"), random.Random(1))
+        for _ in range(200):
+            assert isinstance(await store.get("k"), NotDone)
+            await asyncio.sleep(0.05)
+        # Ten seconds of four calls in five hundredths of a second, and two nodes an attempt.
+        assert peers.num_calls <= 16
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("fault", ["refuses", "silent"])
+def test_a_leader_that_the_store_alone_turns_away_goes_on_leading(fault: str) -> None:
+    async def main() -> None:
+        fleet = Fleet(5)
+        fleet.relays = True
+        await asyncio.sleep(6.0)
+        (leader,) = [name for name, node in fleet.nodes.items() if node.leadership.is_leader]
+        leadership = fleet.nodes[leader].leadership
+        assert leadership.may_act
+        _set_fault(fleet.faults[leader], fault)
+        num_pauses = 0
+        for _ in range(int(TURNED_AWAY_S / 0.05)):
+            await asyncio.sleep(0.05)
+            num_pauses += not leadership.may_act
+        assert num_pauses == 0
+        _set_fault(fleet.faults[leader], "none")
+        await asyncio.sleep(3.0)
+        assert leadership.may_act
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("fault", ["refuses", "silent"])
+def test_an_owner_that_the_store_alone_turns_away_goes_on_listing(fault: str) -> None:
+    async def main() -> None:
+        fleet = Fleet(4)
+        fleet.relays = True
+        await asyncio.sleep(6.0)
+        (owner,) = [name for name, node in fleet.nodes.items() if not node.leadership.is_leader][:1]
+        fleet.back_ends.num_events = 300
+        job = make_job()
+        assert await fleet.nodes[owner].jobs.submit(job) is None
+        await asyncio.sleep(0.1)
+        _set_fault(fleet.faults[owner], fault)
+        await asyncio.sleep(5.0)
+        # Nobody has to take it over, a while after its lease would have been over.
+        assert fleet.owners_of(job) == [owner]
+        reader = next(name for name in fleet.nodes if name != owner)
+        check_whole(job, await read_all(fleet, reader, job.id, len(job.items)), 300)
+        assert max(fleet.back_ends.executions.values()) == 1
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("call", "expected"),
+    [
+        (RelayedGet("k"), StoredItem),
+        (RelayedGet("none"), Absent),
+        (RelayedList("k"), Listing),
+        (RelayedWatch("k", 0, 0.0), Changes),
+        (RelayedWrite((Condition("k"),), (Put("k", b"2"),), ()), Conflict),
+        (RelayedWrite((), (Put("j", b"2"),), ("k",)), Committed),
+        (RelayedGrant(2.0), GrantedLease),
+        (RelayedRenewal(77), LeaseGone),
+    ],
+)
+def test_calls_and_answers_travel_whole(call: RelayedCall, expected: type) -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("k", b"1")], [])
+        server = HttpServer(Starlette(routes=relay_routes(core.view())), "127.0.0.1:0", "test", 10)
+        await server.start()
+        async with aiohttp.ClientSession() as session:
+            outcome = await HttpRelayClient(session).relay(server.address, call)
+            assert isinstance(outcome, expected)
+            if not isinstance(call, RelayedGrant):
+                assert await make_relayed_call(core.view(), call) == outcome or isinstance(
+                    outcome, Committed
+                )
+            async with session.post(f"http://{server.address}{RELAY_PATH}", data=b"x") as answer:
+                assert answer.status == 400
+                assert "no call" in await answer.text()
+        await server.abort()
+        async with aiohttp.ClientSession() as session:
+            gone = await HttpRelayClient(session).relay(server.address, call)
+            assert isinstance(gone, NotDone)
+
+    asyncio.run(main())
--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 
+from hollowrack.coordination.relay import RelayedCall, RelayedOutcome, make_relayed_call
 from hollowrack.coordination.sharing import (
     FeedClient,
     MirrorFeed,
     SharedChanges,
     WatchRequest,
 )
+from hollowrack.coordination.store import NotDone
 from hollowrack.edge_node import DEFAULT_CHANGE_BOUND_S, EdgeConnections, EdgeNode
 from hollowrack.forwarding.types import (
     Route,
@@ -112,11 +114,13 @@
 
     Attributes:
         unreachable: Nodes that no other node reaches with a job.
+        relays: Whether nodes make each other's calls to the store.
     """
 
     def __init__(self, num_nodes: int = 3, hands_on: bool = False, shares: bool = False) -> None:
         self.hands_on = hands_on
         self.unreachable: set[str] = set()
+        self.relays = False
         self.change_bound_s = MIN_BOUND_WITHOUT_SESSION_S if shares else DEFAULT_CHANGE_BOUND_S
         self.num_lost_handoffs = 0
         self.num_peer_reads = 0
@@ -139,6 +143,7 @@
             self._retire,
             self,
             self.feed,
+            self,
             name,
             change_bound_s=self.change_bound_s,
         )
@@ -164,6 +169,13 @@
             return Problem(ResultCode.OUTCOME_UNKNOWN, "no answer", address)
         return problem
 
+    async def relay(self, address: str, call: RelayedCall) -> RelayedOutcome:
+        """Make a node's call at the store by way of another node, if relaying is on."""
+        if not self.relays or address not in self.nodes:
+            return NotDone("no node")
+        await asyncio.sleep(0.001)
+        return await make_relayed_call(self.core.view(self.faults[address]), call)
+
     async def read(self, address: str, request: ReadJob) -> JobPage | None:
         """Read a job at another node, whose address is its name."""
         if address not in self.nodes:
