Finished jobs are read at their last owner in the zone only, and ended without being read

Change: in another zone the store is read, as before; the end of a job that was seen needs no reading.

--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -231,7 +231,7 @@
 
     async def end(self, job_id: str) -> Problem | None:
         """End a job; ``None`` once that is stored for good."""
-        if job_id not in self._runners and job_id not in self._live.open_jobs:
+        if job_id not in self._runners and not self._live.knows_job(job_id):
             job = await self._find_job(job_id)
             if job is None:
                 return _unknown_job(job_id)
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -158,10 +158,18 @@
                     await self._job_seen.wait()
 
     def owner_address(self, job_id: str) -> str | None:
-        """Where a job's owner, or its last one, is reached; ``None`` if not known or this node."""
+        """Where a job's owner, or its last one, is reached; ``None`` if not known or this node.
+
+        The last owner is named only if it is in this zone: the results of a finished job are many,
+        links between zones are narrow, and the store has them all.
+        """
         job = self.open_jobs.get(job_id)
-        owner = self.last_owners.get(job_id) if job is None else job.owner
-        return None if owner is None else self._address_of(owner)
+        if job is not None:
+            return self._address_of(job.owner)
+        entry = self.nodes.get(self.last_owners.get(job_id, ""))
+        if entry is None or entry.zone != self._zone:
+            return None
+        return self._address_of(self.last_owners[job_id])
 
     def former_address(self, owner: str) -> str | None:
         """Where a process is or was reached; ``None`` if it was never seen or is this one."""
--- a/tests/jobs/test_peer_reads.py
+++ b/tests/jobs/test_peer_reads.py
@@ -37,6 +37,47 @@
     run_virtual(main())
 
 
+def test_a_finished_job_is_read_and_ended_without_the_store() -> None:
+    async def main() -> None:
+        fleet = Fleet(NUM_NODES)
+        await asyncio.sleep(1.0)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        whole = await read_all(fleet, "n0", job.id, len(job.items))
+        await asyncio.sleep(1.0)
+        reads = fleet.core.num_job_reads
+        for name in fleet.nodes:
+            assert await read_all(fleet, name, job.id, len(job.items)) == whole
+        assert await fleet.nodes["n3"].jobs.end(job.id) is None
+        assert fleet.core.num_job_reads == reads
+        # Once its last owner is gone the store is asked.
+        await fleet.kill("n0")
+        await asyncio.sleep(4.0)
+        assert await read_all(fleet, "n1", job.id, len(job.items)) == whole
+        assert fleet.core.num_job_reads == reads + 1
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_a_job_accepted_elsewhere_just_now_is_waited_for() -> None:
+    async def main() -> None:
+        fleet = Fleet(NUM_NODES)
+        await asyncio.sleep(1.0)
+        job = make_job()
+        assert await fleet.nodes["n0"].jobs.submit(job) is None
+        reads = fleet.core.num_job_reads
+        page = await fleet.nodes["n1"].jobs.read(job.id, 0, 1.0)
+        assert isinstance(page, ResultPage)
+        assert page.results
+        assert fleet.core.num_job_reads == reads
+        unknown = await fleet.nodes["n1"].jobs.read("none", 0, 1.0)
+        assert not isinstance(unknown, ResultPage)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_an_owner_whose_session_may_be_over_does_not_answer_for_the_job() -> None:
     async def main() -> None:
         fleet = Fleet(NUM_NODES)
