--- a/src/hollowrack/coordination/relay_http.py
+++ b/src/hollowrack/coordination/relay_http.py
@@ -1,8 +1,6 @@
-"""Relayed calls to the store over HTTP, with CBOR bodies."""
+"""Relayed calls to the store over HTTP."""
 
 import aiohttp
-from starlette.requests import Request
-from starlette.responses import Response
 from starlette.routing import Route
 
 from hollowrack.coordination.relay import (
@@ -30,14 +28,17 @@
     StoredItem,
     Unknown,
 )
-from hollowrack.messages import codec
-from hollowrack.results import DESCRIPTIONS, ResultCode
+from hollowrack.messages.node_http import (
+    NodeSilentError,
+    NodeUnreachableError,
+    ask_node,
+    question_route,
+)
 
 RELAY_PATH = "/store"
 # A little more than the relaying node's own call to the store may take.
 ANSWER_TIMEOUT_S = 1.5
 WATCH_GRACE_S = 1.8
-CONNECT_TIMEOUT_S = 0.3
 
 _CALLS = (
     RelayedGet,
@@ -77,20 +78,15 @@
         total_s = ANSWER_TIMEOUT_S
         if isinstance(call, RelayedWatch):
             total_s = call.wait_s + WATCH_GRACE_S
-        timeout = aiohttp.ClientTimeout(total=total_s, sock_connect=CONNECT_TIMEOUT_S)
-        url = f"http://{address}{RELAY_PATH}"
         try:
-            async with self._session.post(
-                url, data=codec.encode(call), timeout=timeout
-            ) as response:
-                answer = codec.decode(await response.read()).value_or(None)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            answer = await ask_node(self._session, address, RELAY_PATH, call, total_s)
+        except NodeUnreachableError:
             return NotDone(f"the node at {address} was not reached")
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Unknown(f"the node at {address}: {type(error).__name__}")
-        if isinstance(answer, _OUTCOMES):
-            return answer
-        return Unknown(f"the node at {address} answered nonsense")
+        except NodeSilentError as error:
+            return Unknown(f"the node at {address}: {error}")
+        if not isinstance(answer, _OUTCOMES):
+            return Unknown(f"the node at {address} answered nonsense")
+        return answer
 
 
 def relay_routes(store: CoordinationStore) -> list[Route]:
@@ -100,12 +96,7 @@
         store: Direct access to the store.
     """
 
-    async def relay(request: Request) -> Response:
-        call = codec.decode(await request.body()).value_or(None)
-        if not isinstance(call, _CALLS):
-            status = DESCRIPTIONS[ResultCode.MESSAGE_INVALID].http_status
-            return Response(f"[{int(ResultCode.MESSAGE_INVALID)}] no call", status_code=status)
-        outcome = await make_relayed_call(store, call)
-        return Response(codec.encode(outcome), media_type="application/cbor")
+    async def relay(call: RelayedCall) -> RelayedOutcome:
+        return await make_relayed_call(store, call)
 
-    return [Route(RELAY_PATH, relay, methods=["POST"])]
+    return [question_route(RELAY_PATH, _CALLS, relay)]
--- a/src/hollowrack/jobs/peers.py
+++ b/src/hollowrack/jobs/peers.py
@@ -5,16 +5,19 @@
 from typing import Protocol
 
 import aiohttp
-from returns.result import Success
-from starlette.requests import Request
-from starlette.responses import Response
+from absl import logging
 from starlette.routing import Route
 
 from hollowrack.jobs.progress import JobRemainder
 from hollowrack.jobs.types import ItemResult, Job
-from hollowrack.messages import codec
 from hollowrack.messages.codec import message
-from hollowrack.results import DESCRIPTIONS, Problem, ResultCode
+from hollowrack.messages.node_http import (
+    NodeSilentError,
+    NodeUnreachableError,
+    ask_node,
+    question_route,
+)
+from hollowrack.results import Problem, ResultCode
 
 SUBMIT_PATH = "/jobs"
 READ_PATH = "/jobs/read"
@@ -23,7 +26,6 @@
 REMAINDER_TIMEOUT_S = 0.6
 READ_GRACE_S = 0.4
 MAX_READ_WAIT_S = 5.0
-CONNECT_TIMEOUT_S = 0.3
 
 
 @message("job.submitted")
@@ -118,42 +120,35 @@
 
     async def submit(self, address: str, job: Job, timeout_s: float) -> Problem | None:
         """Hand a job over."""
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        url = f"http://{address}{SUBMIT_PATH}"
         try:
-            async with self._session.post(url, data=codec.encode(job), timeout=timeout) as response:
-                decoded = codec.decode(await response.read())
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            answer = await ask_node(self._session, address, SUBMIT_PATH, job, timeout_s)
+        except NodeUnreachableError:
             return Problem(ResultCode.JOB_NOT_STORED, "no node was reached", address)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except NodeSilentError:
             return Problem(ResultCode.OUTCOME_UNKNOWN, "a node did not answer", address)
-        if isinstance(decoded, Success) and isinstance(decoded.unwrap(), SubmitAnswer):
-            return _problem(decoded.unwrap(), address)
+        if isinstance(answer, SubmitAnswer):
+            return _problem(answer, address)
         return Problem(ResultCode.OUTCOME_UNKNOWN, "a node answered nonsense", address)
 
     async def remainder(self, address: str, job_id: str) -> JobRemainder:
         """Ask a job's former owner for what it holds."""
-        timeout = aiohttp.ClientTimeout(total=REMAINDER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
-        url = f"http://{address}{REMAINDER_PATH}"
-        asked = codec.encode(LeftJob(job_id))
+        question = LeftJob(job_id)
         try:
-            async with self._session.post(url, data=asked, timeout=timeout) as response:
-                answer = codec.decode(await response.read()).value_or(None)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+            answer = await ask_node(
+                self._session, address, REMAINDER_PATH, question, REMAINDER_TIMEOUT_S
+            )
+        except (NodeUnreachableError, NodeSilentError) as error:
+            logging.info("job %s: its former owner at %s tells nothing: %s", job_id, address, error)
             return JobRemainder()
         return answer if isinstance(answer, JobRemainder) else JobRemainder()
 
     async def read(self, address: str, request: ReadJob) -> JobPage | None:
         """Read a job at its owner."""
         total_s = request.wait_s + READ_GRACE_S
-        timeout = aiohttp.ClientTimeout(total=total_s, sock_connect=CONNECT_TIMEOUT_S)
-        url = f"http://{address}{READ_PATH}"
         try:
-            async with self._session.post(
-                url, data=codec.encode(request), timeout=timeout
-            ) as response:
-                page = codec.decode(await response.read()).value_or(None)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+            page = await ask_node(self._session, address, READ_PATH, request, total_s)
+        except (NodeUnreachableError, NodeSilentError) as error:
+            logging.info("job %s: not read at %s: %s", request.job_id, address, error)
             return None
         return page if isinstance(page, JobPage) and page.is_owner else None
 
@@ -176,35 +171,21 @@
         remainder: Returns what this node holds of a job that it owned.
     """
 
-    async def take(request: Request) -> Response:
-        decoded = codec.decode(await request.body())
-        if not isinstance(decoded, Success) or not isinstance(decoded.unwrap(), Job):
-            status = DESCRIPTIONS[ResultCode.MESSAGE_INVALID].http_status
-            return Response(f"[{int(ResultCode.MESSAGE_INVALID)}] no job", status_code=status)
-        problem = await submit(decoded.unwrap())
-        answer = SubmitAnswer(int(ResultCode.OK))
-        if problem is not None:
-            answer = SubmitAnswer(int(problem.code), problem.detail)
-        return Response(codec.encode(answer), media_type="application/cbor")
-
-    async def read_page(request: Request) -> Response:
-        asked = codec.decode(await request.body()).value_or(None)
-        if not isinstance(asked, ReadJob):
-            status = DESCRIPTIONS[ResultCode.MESSAGE_INVALID].http_status
-            return Response(f"[{int(ResultCode.MESSAGE_INVALID)}] no read", status_code=status)
+    async def take(job: Job) -> SubmitAnswer:
+        problem = await submit(job)
+        if problem is None:
+            return SubmitAnswer(int(ResultCode.OK))
+        return SubmitAnswer(int(problem.code), problem.detail)
+
+    async def read_page(asked: ReadJob) -> JobPage:
         wait_s = min(MAX_READ_WAIT_S, max(0.0, asked.wait_s))
-        page = await read(replace(asked, wait_s=wait_s))
-        return Response(codec.encode(page), media_type="application/cbor")
+        return await read(replace(asked, wait_s=wait_s))
 
-    async def give_remainder(request: Request) -> Response:
-        asked = codec.decode(await request.body()).value_or(None)
-        if not isinstance(asked, LeftJob):
-            status = DESCRIPTIONS[ResultCode.MESSAGE_INVALID].http_status
-            return Response(f"[{int(ResultCode.MESSAGE_INVALID)}] no job", status_code=status)
-        return Response(codec.encode(remainder(asked.job_id)), media_type="application/cbor")
+    async def give_remainder(asked: LeftJob) -> JobRemainder:
+        return remainder(asked.job_id)
 
     return [
-        Route(REMAINDER_PATH, give_remainder, methods=["POST"]),
-        Route(SUBMIT_PATH, take, methods=["POST"]),
-        Route(READ_PATH, read_page, methods=["POST"]),
+        question_route(REMAINDER_PATH, (LeftJob,), give_remainder),
+        question_route(SUBMIT_PATH, (Job,), take),
+        question_route(READ_PATH, (ReadJob,), read_page),
     ]
--- /dev/null
+++ b/src/hollowrack/messages/node_http.py
@@ -0,0 +1,79 @@
+"""Typed messages between nodes over HTTP: one question and one answer, both as CBOR."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from hollowrack.messages import codec
+from hollowrack.results import DESCRIPTIONS, ResultCode
+
+# Nodes are a few milliseconds apart; one that is gone or cut off does not answer at all.
+CONNECT_TIMEOUT_S = 0.3
+MEDIA_TYPE = "application/cbor"
+
+
+class NodeUnreachableError(Exception):
+    """No connection was made: the node has not seen the question."""
+
+
+class NodeSilentError(Exception):
+    """No answer came in time or whole: what the node did is unknown."""
+
+
+async def ask_node(
+    session: aiohttp.ClientSession, address: str, path: str, question: object, timeout_s: float
+) -> Any:
+    """Send a message to a node and return the message that it answers.
+
+    Args:
+        session: HTTP session for nodes.
+        address: ``IP:PORT`` of the node.
+        path: Path of the question.
+        question: A registered message.
+        timeout_s: Longest wait for the whole answer, in seconds.
+
+    Returns:
+        The answer; ``None`` if it is no message.
+
+    Raises:
+        NodeUnreachableError: If the question was not sent.
+        NodeSilentError: If it may have been sent and no whole answer came.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+    body = codec.encode(question)
+    try:
+        async with session.post(f"http://{address}{path}", data=body, timeout=timeout) as response:
+            return codec.decode(await response.read()).value_or(None)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise NodeUnreachableError(type(error).__name__) from error
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise NodeSilentError(type(error).__name__) from error
+
+
+def question_route(
+    path: str, kinds: tuple[type, ...], answer: Callable[[Any], Awaitable[object]]
+) -> Route:
+    """Return a route that answers other nodes' questions.
+
+    Anything but a message of these kinds is refused with ``MESSAGE_INVALID``.
+
+    Args:
+        path: Path of the questions.
+        kinds: Types of messages that are answered.
+        answer: Returns the answer, a registered message.
+    """
+
+    async def take(request: Request) -> Response:
+        question = codec.decode(await request.body()).value_or(None)
+        if not isinstance(question, kinds):
+            expected = " or ".join(kind.__name__ for kind in kinds)
+            detail = f"[{int(ResultCode.MESSAGE_INVALID)}] expected {expected}"
+            status = DESCRIPTIONS[ResultCode.MESSAGE_INVALID].http_status
+            return Response(detail, status_code=status)
+        return Response(codec.encode(await answer(question)), media_type=MEDIA_TYPE)
+
+    return Route(path, take, methods=["POST"])
