--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -94,6 +94,7 @@
     num_cores: float = 1.0
     keep_ended_s: float = DEFAULT_KEEP_ENDED_S
     change_bound_s: float = DEFAULT_CHANGE_BOUND_S
+    seeds: tuple[str, ...] = ()
 
 
 class EdgeNode:
@@ -160,6 +161,7 @@
             self.session,
         )
         self._address = connections.address
+        self._seeds = connections.seeds
         self._num_cores = connections.num_cores
         self.shared_store = SharedStore(
             store,
@@ -383,7 +385,9 @@
 
     def _relay_nodes(self) -> list[str]:
         """Which nodes may make calls to the store for this one, in any order."""
-        addresses = self.live.peer_addresses()
+        addresses = self.live.peer_addresses() or [
+            seed for seed in self._seeds if seed != self._address
+        ]
         self._rng.shuffle(addresses)
         return addresses
 
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -96,7 +96,7 @@
             ("hollowrack_items_waiting", "Items waiting for a worker", node.queue.num_waiting),
             (
                 "hollowrack_store_heard_age_seconds",
-                "Since the store itself answered a watch; followers rarely ask it",
+                "Age of the store's word, from itself or through other nodes",
                 now - node.shared_store.heard_store_s,
             ),
         )
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -92,6 +92,7 @@
                 settings.limits.cpu_shares * settings.limits.cores,
                 KEEP_IN_STATUS_TIMES * settings.bounds.status_s,
                 min(settings.bounds.config_apply_ms, settings.bounds.drain_ms) / MS_PER_S,
+                settings.seeds,
             ),
             self._rng,
         )
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -57,6 +57,8 @@
     zone: str
     role: str = ""
     listen: Listen = Listen()
+    # Control-plane addresses of up to three machines, which may be down.
+    seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
     platform: StoreSettings
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -180,6 +180,21 @@
     run_virtual(main())
 
 
+def test_a_node_that_is_turned_away_as_it_starts_asks_its_seeds() -> None:
+    async def main() -> None:
+        fleet = Fleet(3)
+        fleet.relays = True
+        await asyncio.sleep(6.0)
+        fleet.seeds = ("n0", "n1")
+        node = fleet.start("late", StoreFaults(refuses=True))
+        await asyncio.sleep(3.0)
+        assert node.session.is_valid
+        assert set(node.live.nodes) >= {node.owner}
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("fault", ["refuses", "silent"])
 def test_an_owner_that_the_store_alone_turns_away_goes_on_listing(fault: str) -> None:
     async def main() -> None:
--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -114,6 +114,7 @@
 
     Attributes:
         unreachable: Nodes that no other node reaches with a job.
+        seeds: Nodes that those which start know of.
         relays: Whether nodes make each other's calls to the store.
     """
 
@@ -121,6 +122,7 @@
         self.hands_on = hands_on
         self.unreachable: set[str] = set()
         self.relays = False
+        self.seeds: tuple[str, ...] = ()
         self.change_bound_s = MIN_BOUND_WITHOUT_SESSION_S if shares else DEFAULT_CHANGE_BOUND_S
         self.num_lost_handoffs = 0
         self.num_peer_reads = 0
@@ -132,9 +134,9 @@
         for index in range(num_nodes):
             self.start(f"n{index}")
 
-    def start(self, name: str) -> EdgeNode:
-        """Start a node, or start it again."""
-        faults = self.faults[name] = StoreFaults()
+    def start(self, name: str, faults: StoreFaults | None = None) -> EdgeNode:
+        """Start a node, or start it again, with faults of its access to the store."""
+        faults = self.faults[name] = faults or StoreFaults()
         connections = EdgeConnections(
             self.core.view(faults),
             self.back_ends,
@@ -146,6 +148,7 @@
             self,
             name,
             change_bound_s=self.change_bound_s,
+            seeds=self.seeds,
         )
         node = EdgeNode(name, "z1", 3.0, connections, random.Random(f"{name}{len(self.faults)}"))
         node.jobs.intake.hands_on = self.hands_on
