--- a/src/hollowrack/coordination/relay.py
+++ b/src/hollowrack/coordination/relay.py
@@ -40,8 +40,8 @@
 
 # After a direct call failed, reads go by way of other nodes first for this long, then one of them
 # finds out; a cut from the store lasts some seconds.
-FIRST_DETOUR_S = 1.0
-MAX_DETOUR_S = 4.0
+FIRST_RELAY_PERIOD_S = 1.0
+MAX_RELAY_PERIOD_S = 4.0
 # Leases last 2 s: what keeps or opens one is not waited for longer than this before it goes by way
 # of another node. A slow store answers in a quarter of a second.
 LEASE_PATIENCE_S = 0.5
@@ -171,7 +171,7 @@
         rng: Source of the jitter.
 
     Attributes:
-        detour_listeners: Called when direct calls begin to fail and other nodes may relay them.
+        turned_away_listeners: Called when direct calls begin to fail and others may relay them.
     """
 
     def __init__(
@@ -185,12 +185,12 @@
         self._client = client
         self._nodes = nodes
         self._direct_calls_fail = False
-        self._detour_until_s = -float("inf")
-        self._detours = Backoff(FIRST_DETOUR_S, MAX_DETOUR_S, rng)
+        self._relays_first_until_s = -float("inf")
+        self._relay_periods = Backoff(FIRST_RELAY_PERIOD_S, MAX_RELAY_PERIOD_S, rng)
         self._relays_from_s = -float("inf")
         self._node_from_s: dict[str, float] = {}
         self._attempts = Backoff(FIRST_RELAY_PAUSE_S, MAX_RELAY_PAUSE_S, rng)
-        self.detour_listeners: list[Callable[[], None]] = []
+        self.turned_away_listeners: list[Callable[[], None]] = []
 
     async def get(self, key: str) -> StoredItem | Unavailable | None:
         """Read one key."""
@@ -278,7 +278,7 @@
         self, ask_directly: Callable[[], Awaitable[RelayedOutcome]], call: RelayedCall
     ) -> RelayedOutcome:
         """Make a call that may be made twice, directly or by way of another node."""
-        if now_s() < self._detour_until_s and self._may_relay():
+        if now_s() < self._relays_first_until_s and self._may_relay():
             answer = await self._relay(call)
             if not isinstance(answer, NotDone | Unknown):
                 return answer
@@ -301,11 +301,11 @@
         did_fail = self._direct_calls_fail
         self._direct_calls_fail = isinstance(answer, NotDone | Unknown)
         if not self._direct_calls_fail:
-            self._detours.reset()
+            self._relay_periods.reset()
             return
-        self._detour_until_s = now_s() + self._detours.next_pause_s()
+        self._relays_first_until_s = now_s() + self._relay_periods.next_pause_s()
         if not did_fail and self._may_relay():
-            for listener in self.detour_listeners:
+            for listener in self.turned_away_listeners:
                 listener()
 
     async def _relay(self, call: RelayedCall) -> RelayedOutcome:
--- a/src/hollowrack/coordination/sharing.py
+++ b/src/hollowrack/coordination/sharing.py
@@ -5,9 +5,9 @@
 another node answers it. The leader watches the store, other nodes with a session watch the leader,
 and nodes without a session watch some of those.
 
-Every answer tells how old the store's own word in it is, and whoever passes it on adds the time
-that it was kept. So nodes that watch each other cannot keep each other fresh: without a word of the
-store both become too old to be believed. A node whose sources are all too old asks the store.
+Every answer tells how long ago the store itself answered, and whoever passes it on adds the time
+that it was kept. So nodes that watch each other cannot keep each other fresh: when the store
+answers neither of them, both become too old. A node whose sources are all too old asks the store.
 """
 
 import asyncio
@@ -69,7 +69,7 @@
         prefix: Prefix of the keys.
         after_revision: Store revision the asking node has reached.
         wait_s: Longest wait, in seconds.
-        max_age_s: How old the store's word in the answer may be, in seconds.
+        max_age_s: How long ago the store itself may have answered at the most, in seconds.
         wants_listing: Whether all keys are wanted instead of changes.
     """
 
@@ -101,7 +101,7 @@
         revision: Store revision reached.
         is_history_gone: Whether the asking node has to list again.
         is_stale: Whether this node's mirror is too old.
-        age_s: How old the store's word in this answer is, in seconds.
+        age_s: How long ago the store itself answered, in seconds.
         held_s: How long the question was held before this answer, in seconds.
     """
 
@@ -118,8 +118,8 @@
 
     Args:
         mirrors: Mirrors by prefix.
-        heard_store_s: Returns the latest moment of which this node has the store's word, on the
-            loop's clock.
+        heard_store_s: Returns when the store last answered this node, or one that it learnt from,
+            on the loop's clock.
     """
 
     def __init__(
@@ -186,8 +186,8 @@
         access: Returns how freely this node may ask the store itself.
 
     Attributes:
-        heard_store_s: The latest moment of which this node has the store's word, from the store
-            or through other nodes, on the loop's clock.
+        heard_store_s: When the store last answered this node, or one that it learnt from, on the
+            loop's clock.
         source_listeners: Called when watches are answered by another source than before.
         recovery_listeners: Called when the store itself answers after it did not, or was not asked.
     """
@@ -264,8 +264,8 @@
             if shared is not None and refusal is None:
                 if not shared.is_history_gone:
                     # The answer was made after the time that it was held, at the earliest.
-                    word_s = sent_s + shared.held_s - shared.age_s
-                    self.heard_store_s = max(self.heard_store_s, word_s)
+                    answered_s = sent_s + shared.held_s - shared.age_s
+                    self.heard_store_s = max(self.heard_store_s, answered_s)
                 self._note_source(address)
                 return shared
             distrust_s = DISTRUST_S if shared is None else STALE_DISTRUST_S
@@ -305,7 +305,7 @@
         self._asked_store.add(prefix)
 
     def _note_source(self, source: str | None) -> None:
-        """Have watches that still wait elsewhere begin anew: nothing vouches for them there."""
+        """Have watches that wait at another source begin anew: that one may never answer."""
         if source is not None:
             self._asked_store.clear()
             self._store_answers = False
--- /dev/null
+++ b/src/hollowrack/edge_connections.py
@@ -0,0 +1,51 @@
+"""What connects an edge node to the outside."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from hollowrack.coordination.relay import RelayClient
+from hollowrack.coordination.sharing import FeedClient
+from hollowrack.coordination.store import CoordinationStore
+from hollowrack.forwarding.back_end import BackEndClient
+from hollowrack.forwarding.event_stream import StreamEvent
+from hollowrack.jobs.peers import PeerJobs
+from hollowrack.weights.order_giver import OrderClient
+
+DEFAULT_KEEP_ENDED_S = 300.0
+# The shortest that the platform's deployments have.
+DEFAULT_CHANGE_BOUND_S = 2.0
+
+
+@dataclass(frozen=True)
+class EdgeConnections:
+    """What connects the node to the outside.
+
+    Attributes:
+        store: The coordination store.
+        back_ends: Sends requests to workers.
+        orders: Talks to workers about their weights.
+        read_version: Reads the weight version that an event announces.
+        peer_jobs: Hands jobs to other nodes.
+        address: Where other nodes reach this one; empty if they do not.
+        num_cores: Processor time this node has, in cores.
+        keep_ended_s: How long an ended job is kept, in seconds.
+        change_bound_s: How long changes of routes and workers may take to reach this node, in
+            seconds.
+        complete_retirement: Tells the operators that a machine is empty.
+        feed: Sends watches to other nodes.
+        relay: Sends calls to the store by way of other nodes.
+    """
+
+    store: CoordinationStore
+    back_ends: BackEndClient
+    orders: OrderClient
+    read_version: Callable[[StreamEvent], int | None]
+    complete_retirement: Callable[[str], Awaitable[bool]]
+    peer_jobs: PeerJobs
+    feed: FeedClient
+    relay: RelayClient
+    address: str = ""
+    num_cores: float = 1.0
+    keep_ended_s: float = DEFAULT_KEEP_ENDED_S
+    change_bound_s: float = DEFAULT_CHANGE_BOUND_S
+    seeds: tuple[str, ...] = ()
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -8,21 +8,19 @@
 import contextlib
 import random
 import uuid
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 from absl import logging
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.mirror import PrefixMirror
-from hollowrack.coordination.relay import RelayClient, RelayingStore
+from hollowrack.coordination.relay import RelayingStore
+from hollowrack.coordination.retirement import MachineRetirement
 from hollowrack.coordination.session import Session, owner_name
-from hollowrack.coordination.sharing import FeedClient, SharedStore, StoreAccess
-from hollowrack.coordination.store import Committed, CoordinationStore, Put
-from hollowrack.forwarding.back_end import BackEndClient
+from hollowrack.coordination.sharing import SharedStore, StoreAccess
+from hollowrack.coordination.store import Committed, Put
+from hollowrack.edge_connections import EdgeConnections
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
-from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import Forwarder
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
@@ -33,25 +31,20 @@
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_service import JobService
 from hollowrack.jobs.live_state import LEADER_KEY, LIVE_PREFIX, OWNERS_PREFIX, LiveState
-from hollowrack.jobs.peers import PeerJobs
 from hollowrack.jobs.placement import NodeEntry
 from hollowrack.jobs.progress import ProgressLog
 from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
 from hollowrack.tasks import cancel_all
-from hollowrack.weights.order_giver import OrderClient, OrderGiver
+from hollowrack.weights.order_giver import OrderGiver
 
 LIVE_PACE_S = 0.2
 LIVE_WAIT_S = 5.0
 REGISTER_PAUSE_S = 0.2
-RETIREMENT_PAUSE_S = 0.3
 # A process that says so is stopping: it should own no further job.
 NO_CORES = 0.0
 ANNOUNCE_TIMEOUT_S = 0.5
-DEFAULT_KEEP_ENDED_S = 300.0
-# The shortest that the platform's deployments have.
-DEFAULT_CHANGE_BOUND_S = 2.0
 # At a planned stop callers need this long to turn away, if there is as much time.
 MAX_TURN_AWAY_S = 3.5
 TURN_AWAY_SHARE = 0.45
@@ -62,41 +55,6 @@
 HAND_OVER_SHARE = 0.1
 
 
-@dataclass(frozen=True)
-class EdgeConnections:
-    """What connects the node to the outside.
-
-    Attributes:
-        store: The coordination store.
-        back_ends: Sends requests to workers.
-        orders: Talks to workers about their weights.
-        read_version: Reads the weight version that an event announces.
-        peer_jobs: Hands jobs to other nodes.
-        address: Where other nodes reach this one; empty if they do not.
-        num_cores: Processor time this node has, in cores.
-        keep_ended_s: How long an ended job is kept, in seconds.
-        change_bound_s: How long changes of routes and workers may take to reach this node, in
-            seconds.
-        complete_retirement: Tells the operators that a machine is empty.
-        feed: Sends watches to other nodes.
-        relay: Sends calls to the store by way of other nodes.
-    """
-
-    store: CoordinationStore
-    back_ends: BackEndClient
-    orders: OrderClient
-    read_version: Callable[[StreamEvent], int | None]
-    complete_retirement: Callable[[str], Awaitable[bool]]
-    peer_jobs: PeerJobs
-    feed: FeedClient
-    relay: RelayClient
-    address: str = ""
-    num_cores: float = 1.0
-    keep_ended_s: float = DEFAULT_KEEP_ENDED_S
-    change_bound_s: float = DEFAULT_CHANGE_BOUND_S
-    seeds: tuple[str, ...] = ()
-
-
 class EdgeNode:
     """The node's parts, joined; it is also the listener of the platform's feed.
 
@@ -127,9 +85,8 @@
         self.owner = owner_name(name, uuid.UUID(int=rng.getrandbits(128)).hex)
         self.is_stopping = False
         store = RelayingStore(connections.store, connections.relay, self._relay_nodes, rng)
-        store.detour_listeners.append(self._rewatch_live)
+        store.turned_away_listeners.append(self._rewatch_live)
         self.store = store
-        self._complete_retirement = connections.complete_retirement
         self.routes = RouteTable()
         self.workers = WorkerDirectory(zone, rng)
         self.forwarder = Forwarder(self.routes, self.workers, connections.back_ends)
@@ -215,7 +172,7 @@
             connections.orders,
         )
         self._rng = rng
-        self._retirements: set[str] = set()
+        self._retirement = MachineRetirement(self.leadership, connections.complete_retirement)
         self._finish_by_s = 0.0
         self._hand_over_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
@@ -234,11 +191,11 @@
         self.leadership.start()
         self._takeover.start()
         self._retention.start()
+        self._retirement.start()
         self._order_giver.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._note_first_leader()),
-            asyncio.create_task(self._complete_retirements()),
         ]
 
     async def turn_away(self, grace_s: float) -> None:
@@ -258,6 +215,7 @@
         await self._order_giver.stop()
         await self._takeover.stop()
         await self._retention.stop()
+        await self._retirement.stop()
         await self.leadership.resign()
         await self._announce_stop()
         turn_away_s = min(MAX_TURN_AWAY_S, TURN_AWAY_SHARE * grace_s)
@@ -281,6 +239,7 @@
         await self._order_giver.stop()
         await self._takeover.stop()
         await self._retention.stop()
+        await self._retirement.stop()
         await self.leadership.stop()
         await self.jobs.drain(0.0)
         await cancel_all(*self._tasks)
@@ -318,7 +277,7 @@
 
     def retirement_asked(self, node: str) -> None:
         """Note that a machine is to be emptied."""
-        self._retirements.add(node)
+        self._retirement.ask(node)
 
     def store_doubted(self) -> None:
         """Look again at all that is watched."""
@@ -362,18 +321,6 @@
         await self._live_mirror.is_loaded.wait()
         self.leadership.note(self._live_mirror.items.get(LEADER_KEY))
 
-    async def _complete_retirements(self) -> None:
-        """Nothing lasts on any machine's disk, so a machine to be emptied is empty."""
-        done: set[str] = set()
-        while True:
-            await asyncio.sleep(RETIREMENT_PAUSE_S)
-            if not self.leadership.is_leader:
-                continue
-            for node in sorted(self._retirements - done):
-                if await self._complete_retirement(node):
-                    logging.info("machine %s is empty", node)
-                    done.add(node)
-
     # -- mirrors ----------------------------------------------------------------------------
 
     def _feed_sources(self) -> list[str]:
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -96,7 +96,7 @@
             ("hollowrack_items_waiting", "Items waiting for a worker", node.queue.num_waiting),
             (
                 "hollowrack_store_heard_age_seconds",
-                "Age of the store's word, from itself or through other nodes",
+                "Since the store answered this node, or one that it learnt from",
                 now - node.shared_store.heard_store_s,
             ),
         )
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -13,7 +13,8 @@
 from hollowrack.coordination.relay_http import HttpRelayClient, relay_routes
 from hollowrack.coordination.sharing import MirrorFeed
 from hollowrack.coordination.store import Committed, Put
-from hollowrack.edge_node import EdgeConnections, EdgeNode
+from hollowrack.edge_connections import EdgeConnections
+from hollowrack.edge_node import EdgeNode
 from hollowrack.forwarding.stream_forwarder import StreamForwarder
 from hollowrack.jobs.peers import HttpPeerJobs, peer_routes
 from hollowrack.observability.edge_metrics import EdgeCounts, metrics_routes
@@ -109,7 +110,7 @@
         shared = self.node.shared_store
         shared.source_listeners.append(self._feed.rewatch_workers)
         shared.recovery_listeners.append(self._feed.wake)
-        self.node.store.detour_listeners.append(self._feed.rewatch)
+        self.node.store.turned_away_listeners.append(self._feed.rewatch)
         mirrors = {**self._feed.mirrors(), **self.node.shared_mirrors()}
         feed = MirrorFeed(mirrors, lambda: shared.heard_store_s)
         counts = EdgeCounts(store_calls=store.num_calls)
--- a/tests/coordination/test_shared_sessions.py
+++ b/tests/coordination/test_shared_sessions.py
@@ -13,7 +13,8 @@
     WatchRequest,
 )
 from hollowrack.coordination.store import Put
-from hollowrack.edge_node import EdgeConnections, EdgeNode
+from hollowrack.edge_connections import EdgeConnections
+from hollowrack.edge_node import EdgeNode
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.back_ends import BackEndsStandin
 from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -11,7 +11,8 @@
     WatchRequest,
 )
 from hollowrack.coordination.store import NotDone
-from hollowrack.edge_node import DEFAULT_CHANGE_BOUND_S, EdgeConnections, EdgeNode
+from hollowrack.edge_connections import DEFAULT_CHANGE_BOUND_S, EdgeConnections
+from hollowrack.edge_node import EdgeNode
 from hollowrack.forwarding.types import (
     Route,
     RouteKind,
--- a/tests/jobs/test_retention.py
+++ b/tests/jobs/test_retention.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hollowrack.edge_node import DEFAULT_KEEP_ENDED_S
+from hollowrack.edge_connections import DEFAULT_KEEP_ENDED_S
 from hollowrack.jobs.job_log import ENDS_PREFIX, JOBS_PREFIX, JobLog
 from hollowrack.jobs.job_service import ResultPage
 from hollowrack.jobs.progress import PROGRESS_PREFIX
