--- a/src/hollowrack/coordination/relay.py
+++ b/src/hollowrack/coordination/relay.py
@@ -1,4 +1,4 @@
-"""Calls to the store by way of another node, for a node that the store alone turns away.
+"""Calls to the store by way of another node, for a node that the store does not serve.
 
 A relayed call is the same call: the same conditions, the same lease, and an outcome that is as
 certain as a direct one. What may not be sent twice is not: a write without an answer stays
@@ -162,7 +162,7 @@
 
 
 class RelayingStore:
-    """The store, reached by way of other nodes while it turns this one away.
+    """The store, reached by way of other nodes while it does not serve this one.
 
     Args:
         store: Direct access to the store.
@@ -171,7 +171,7 @@
         rng: Source of the jitter.
 
     Attributes:
-        turned_away_listeners: Called when direct calls begin to fail and others may relay them.
+        direct_failure_listeners: Called when direct calls begin to fail and others may relay them.
     """
 
     def __init__(
@@ -190,7 +190,7 @@
         self._relays_from_s = -float("inf")
         self._node_from_s: dict[str, float] = {}
         self._attempts = Backoff(FIRST_RELAY_PAUSE_S, MAX_RELAY_PAUSE_S, rng)
-        self.turned_away_listeners: list[Callable[[], None]] = []
+        self.direct_failure_listeners: list[Callable[[], None]] = []
 
     async def get(self, key: str) -> StoredItem | Unavailable | None:
         """Read one key."""
@@ -305,7 +305,7 @@
             return
         self._relays_first_until_s = now_s() + self._relay_periods.next_pause_s()
         if not did_fail and self._may_relay():
-            for listener in self.turned_away_listeners:
+            for listener in self.direct_failure_listeners:
                 listener()
 
     async def _relay(self, call: RelayedCall) -> RelayedOutcome:
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -68,7 +68,7 @@
     Attributes:
         owner: Name of this process among all of all nodes.
         is_stopping: Whether a planned stop has begun.
-        store: The coordination store, by way of other nodes if it turns this one away.
+        store: The coordination store, by way of other nodes if it does not serve this one.
         may_follow: Set once what operators and workers write may be followed.
     """
 
@@ -85,7 +85,7 @@
         self.owner = owner_name(name, uuid.UUID(int=rng.getrandbits(128)).hex)
         self.is_stopping = False
         store = RelayingStore(connections.store, connections.relay, self._relay_nodes, rng)
-        store.turned_away_listeners.append(self._rewatch_live)
+        store.direct_failure_listeners.append(self._rewatch_live)
         self.store = store
         self.routes = RouteTable()
         self.workers = WorkerDirectory(zone, rng)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -110,7 +110,7 @@
         shared = self.node.shared_store
         shared.source_listeners.append(self._feed.rewatch_workers)
         shared.recovery_listeners.append(self._feed.wake)
-        self.node.store.turned_away_listeners.append(self._feed.rewatch)
+        self.node.store.direct_failure_listeners.append(self._feed.rewatch)
         mirrors = {**self._feed.mirrors(), **self.node.shared_mirrors()}
         feed = MirrorFeed(mirrors, lambda: shared.heard_store_s)
         counts = EdgeCounts(store_calls=store.num_calls)
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -27,8 +27,8 @@
 from hollowrack.weights.order_giver import OrderOutcome, VersionOrder, WorkerReport
 
 CONNECT_TIMEOUT_S = 0.5
-# New connections to workers are paid for. Workers close idle ones after a time of their own, which
-# they state as 10 s; one that they have closed earlier is not used again.
+# New connections to workers are paid for. Workers close idle ones after 10 s, by
+# their Keep-Alive headers; one that a worker has closed earlier is not used again.
 KEPT_CONNECTION_S = 9.5
 REPORT_TIMEOUT_S = 0.8
 ORDER_TIMEOUT_S = 0.8
--- a/tests/coordination/test_observers.py
+++ b/tests/coordination/test_observers.py
@@ -120,7 +120,7 @@
         return [node for name, node in self.nodes.items() if name.startswith("x")]
 
     def refuse(self, *names: str) -> None:
-        """Have the store turn nodes away."""
+        """Have the store refuse nodes."""
         for name in names:
             self.nodes[name].faults.refuses = True
 
@@ -160,10 +160,10 @@
         "one host dead",
         "one host hung",
         "all hosts dead",
-        "leader turned away",
-        "hosts turned away",
-        "leader and hosts turned away",
-        "leader hung, hosts turned away",
+        "leader refused",
+        "hosts refused",
+        "leader and hosts refused",
+        "leader hung, hosts refused",
         "history dropped",
     ],
 )
@@ -178,13 +178,13 @@
             tree.network.hung.add("h0")
         elif fault == "all hosts dead":
             tree.network.dead.update(HOSTS)
-        elif fault == "leader turned away":
+        elif fault == "leader refused":
             tree.refuse(LEADER)
-        elif fault == "hosts turned away":
+        elif fault == "hosts refused":
             tree.refuse(*HOSTS)
-        elif fault == "leader and hosts turned away":
+        elif fault == "leader and hosts refused":
             tree.refuse(LEADER, *HOSTS)
-        elif fault == "leader hung, hosts turned away":
+        elif fault == "leader hung, hosts refused":
             tree.network.hung.add(LEADER)
             tree.refuse(*HOSTS)
         await asyncio.sleep(delay_s)
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -1,4 +1,4 @@
-"""Calls to the store by way of other nodes, while the store turns some or all of them away."""
+"""Calls to the store by way of other nodes, while the store does not serve some or all of them."""
 
 import asyncio
 import random
@@ -50,7 +50,7 @@
 from tests.jobs.helpers import Fleet, check_whole, make_job
 from tests.jobs.test_job_service import read_all
 
-TURNED_AWAY_S = 9.0
+OUTAGE_S = 9.0
 
 
 class Peers:
@@ -191,7 +191,7 @@
 
 
 @pytest.mark.parametrize("fault", ["refuses", "silent"])
-def test_a_leader_that_the_store_alone_turns_away_goes_on_leading(fault: str) -> None:
+def test_a_leader_that_the_store_alone_does_not_serve_goes_on_leading(fault: str) -> None:
     async def main() -> None:
         fleet = Fleet(5)
         fleet.relays = True
@@ -201,7 +201,7 @@
         assert leadership.may_act
         _set_fault(fleet.faults[leader], fault)
         num_pauses = 0
-        for _ in range(int(TURNED_AWAY_S / 0.05)):
+        for _ in range(int(OUTAGE_S / 0.05)):
             await asyncio.sleep(0.05)
             num_pauses += not leadership.may_act
         assert num_pauses == 0
@@ -213,7 +213,7 @@
     run_virtual(main())
 
 
-def test_a_node_that_is_turned_away_as_it_starts_asks_its_seeds() -> None:
+def test_a_node_that_is_refused_as_it_starts_asks_its_seeds() -> None:
     async def main() -> None:
         fleet = Fleet(3)
         fleet.relays = True
@@ -229,7 +229,7 @@
 
 
 @pytest.mark.parametrize("fault", ["refuses", "silent"])
-def test_an_owner_that_the_store_alone_turns_away_goes_on_listing(fault: str) -> None:
+def test_an_owner_that_the_store_alone_does_not_serve_goes_on_listing(fault: str) -> None:
     async def main() -> None:
         fleet = Fleet(4)
         fleet.relays = True
