--- a/src/hollowrack/forwarding/back_end.py
+++ b/src/hollowrack/forwarding/back_end.py
@@ -21,6 +21,7 @@
         headers: The caller's headers without those of one connection.
         body: The body.
         priority: Rank at the worker, 0 first; ``None`` leaves the worker's default.
+        tenant: Name of the tenant it is for; ``None`` if it is for none.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     headers: Headers
     body: bytes
     priority: int | None = None
+    tenant: str | None = None
 
 
 class NotRunReason(Enum):
--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -7,10 +7,12 @@
 from hollowrack.forwarding.types import (
     CallerLimits,
     Route,
+    RouteKind,
     RoutingConfiguration,
     Service,
     Target,
 )
+from hollowrack.tenants.types import TenantDirectory
 
 
 class RouteTable:
@@ -31,6 +33,11 @@
         """Bounds on callers in force."""
         return CallerLimits() if self._configuration is None else self._configuration.limits
 
+    @property
+    def tenants(self) -> TenantDirectory:
+        """Tenants in force; they are of the same version as the routes."""
+        return TenantDirectory() if self._configuration is None else self._configuration.tenants
+
     def service(self, name: str) -> Service | None:
         """Return a service of the configuration in force."""
         return None if self._configuration is None else self._configuration.services.get(name)
@@ -56,12 +63,20 @@
 
     def lookup(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or ``None`` if there is none."""
-        name = host.partition(":")[0].lower()
-        for route in self._by_host.get(name, ()):
+        for route in self._routes_of(host):
             if path.startswith(route.prefix):
                 return route
         return None
 
+    def has_public_jobs(self, host: str) -> bool:
+        """Whether jobs may be submitted to a host without a key."""
+        return any(
+            route.is_public and route.kind is RouteKind.JOB for route in self._routes_of(host)
+        )
+
+    def _routes_of(self, host: str) -> list[Route]:
+        return self._by_host.get(host.partition(":")[0].lower(), [])
+
     def choose_service(self, route: Route) -> str:
         """Choose a route's service by weight: smooth weighted round robin."""
         if len(route.targets) == 1:
--- a/src/hollowrack/forwarding/types.py
+++ b/src/hollowrack/forwarding/types.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from hollowrack.tenants.types import TenantDirectory
+
 
 class RouteKind(Enum):
     """What a route's requests are."""
@@ -39,6 +41,7 @@
         is_resumable: Whether a stream may be continued at another worker.
         queue_ttl_s: How long after its job's acceptance an item may be given up, in seconds.
         needs_single_version: Whether all tokens of a sample must come from one weight version.
+        is_public: Whether its requests need no key.
     """
 
     name: str
@@ -53,6 +56,7 @@
     is_resumable: bool = False
     queue_ttl_s: float | None = None
     needs_single_version: bool = False
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -60,6 +64,25 @@
         return self.kind is RouteKind.SAFE or self.is_resumable
 
 
+@dataclass(frozen=True)
+class ScalingLimits:
+    """How many workers of a service may be ordered, and at what price.
+
+    Attributes:
+        min_workers: Fewest workers in each zone, of both kinds together.
+        max_workers: Most workers in each zone, of both kinds together.
+        boot_s: How long a new worker needs until it serves, in seconds.
+        spot_price: Price of a worker that may be taken away, as a share of an ordinary one's.
+        zone_prices: Price of a second of an ordinary worker by zone.
+    """
+
+    min_workers: int
+    max_workers: int
+    boot_s: float
+    spot_price: float
+    zone_prices: Mapping[str, float]
+
+
 @dataclass(frozen=True)
 class Service:
     """A pool of like workers.
@@ -68,11 +91,13 @@
         name: Its name.
         max_connections: Connections that one worker accepts from all callers together.
         models: Models its workers hold.
+        scaling: Within which limits its workers may be ordered; ``None`` if they may not.
     """
 
     name: str
     max_connections: int
     models: tuple[str, ...] = ()
+    scaling: ScalingLimits | None = None
 
 
 @dataclass(frozen=True)
@@ -93,6 +118,7 @@
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    tenants: TenantDirectory = field(default_factory=TenantDirectory)
 
 
 @dataclass(frozen=True)
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -150,6 +150,7 @@
             self._item.target,
             (("Host", self._job.host), *self._item.headers),
             self._item.body,
+            tenant=self._job.tenant,
         )
         limits = RunLimits(route.max_attempts, services.patience, SILENCE_TIMEOUT_S, RUN_TIME_S)
         run = ResumableRun(
--- a/src/hollowrack/jobs/types.py
+++ b/src/hollowrack/jobs/types.py
@@ -1,6 +1,7 @@
 """Jobs, their items and results. All of them are stored, so all are registered messages."""
 
 from dataclasses import dataclass
+from urllib.parse import quote
 
 from hollowrack.messages.codec import message
 
@@ -60,6 +61,7 @@
         model: Model whose versions bind it; empty if none do.
         min_version: Oldest weight version that may make its tokens.
         num_desired_groups: How many whole groups its trainer waits for.
+        tenant: Name of the tenant that submitted it; ``None`` if it needed no key.
     """
 
     id: str
@@ -69,6 +71,20 @@
     model: str = ""
     min_version: int = 0
     num_desired_groups: int = 0
+    tenant: str | None = None
+
+
+def scoped_job_id(tenant: str | None, caller_job_id: str) -> str:
+    """Return the identifier under which a job is kept.
+
+    Callers choose identifiers. A tenant's are in a space of its own, so that it can neither find
+    nor end another one's job, nor learn that there is one.
+
+    Args:
+        tenant: Name of the tenant; ``None`` where requests need no key.
+        caller_job_id: The caller's identifier.
+    """
+    return caller_job_id if tenant is None else f"{quote(tenant, safe='')}/{caller_job_id}"
 
 
 @message("job.result")
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -11,12 +11,14 @@
     Route,
     RouteKind,
     RoutingConfiguration,
+    ScalingLimits,
     Service,
     Target,
     Worker,
 )
 from hollowrack.platform import names
 from hollowrack.results import Problem, ResultCode
+from hollowrack.tenants.types import Tenant, TenantDirectory, digest_key
 
 MS_PER_S = 1000
 DEFAULT_CAPACITY = 1
@@ -76,16 +78,55 @@
     services = {entry["name"]: _service(entry) for entry in content.get("services", ())}
     routes = tuple(_route(entry) for entry in content.get("routes", ()))
     return RoutingConfiguration(
-        int(content["version"]), routes, services, _limits(content.get("limits") or {})
+        int(content["version"]),
+        routes,
+        services,
+        _limits(content.get("limits") or {}),
+        TenantDirectory(_tenant(entry) for entry in content.get("tenants") or ()),
     )
 
 
+def _tenant(entry: dict[str, Any]) -> Tenant:
+    name = str(entry["name"])
+    keys = entry.get("api-keys") or ()
+    # No error names a key: errors are logged.
+    if not all(isinstance(key, str) and key.strip() for key in keys):
+        raise ValueError(f"tenant {name!r}: a key is empty or no text")
+    priority = entry.get("priority")
+    return Tenant(
+        name,
+        frozenset(digest_key(key) for key in keys),
+        None if priority is None else _rank(priority),
+    )
+
+
+def _rank(priority: Any) -> int:
+    return min(LOWEST_PRIORITY, max(0, int(priority)))
+
+
 def _service(entry: dict[str, Any]) -> Service:
     engine = entry.get("engine") or {}
     models = tuple(str(model["name"]) for model in engine.get("models") or ())
+    scaling = entry.get("scaling")
     return Service(
-        entry["name"], int(entry.get("max-connections") or DEFAULT_MAX_CONNECTIONS), models
+        entry["name"],
+        int(entry.get("max-connections") or DEFAULT_MAX_CONNECTIONS),
+        models,
+        _scaling(scaling) if scaling else None,
+    )
+
+
+def _scaling(entry: dict[str, Any]) -> ScalingLimits:
+    limits = ScalingLimits(
+        int(entry["min-replicas"]),
+        int(entry["max-replicas"]),
+        float(entry.get("boot-s") or 0.0),
+        float(entry.get("spot-price") or 1.0),
+        {str(zone): float(price) for zone, price in (entry.get("zone-prices") or {}).items()},
     )
+    if not 0 <= limits.min_workers <= limits.max_workers:
+        raise ValueError(f"scaling: {limits.min_workers} to {limits.max_workers} workers")
+    return limits
 
 
 def _route(entry: dict[str, Any]) -> Route:
@@ -100,10 +141,11 @@
         max_attempts=max(1, int(entry.get("max-attempts") or 1)),
         timeout_s=timeout_ms / MS_PER_S if timeout_ms else None,
         target_latency_s=(entry.get("target-latency-ms") or DEFAULT_TARGET_LATENCY_MS) / MS_PER_S,
-        priority=min(LOWEST_PRIORITY, max(0, int(entry.get("priority") or 0))),
+        priority=_rank(entry.get("priority") or 0),
         is_resumable=bool(entry.get("resumable")),
         queue_ttl_s=float(queue_ttl_s) if queue_ttl_s else None,
         needs_single_version=bool(entry.get("on-policy")),
+        is_public=bool(entry.get("public")),
     )
 
 
--- a/src/hollowrack/platform/ingress.py
+++ b/src/hollowrack/platform/ingress.py
@@ -4,12 +4,13 @@
 import contextlib
 import json
 from collections import Counter
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import parse_qs, unquote
 
 from absl import logging
-from returns.result import Failure
+from returns.result import Failure, Result
 from starlette.types import Message, Receive, Scope, Send
 
 from hollowrack.api.responses import problem_body
@@ -19,16 +20,20 @@
 from hollowrack.forwarding.forwarder import ForwardRequest
 from hollowrack.forwarding.stream_forwarder import StreamForwarder, StreamHead
 from hollowrack.forwarding.types import Route, RouteKind
+from hollowrack.jobs.types import scoped_job_id
 from hollowrack.platform import names
 from hollowrack.platform.job_format import decode_job, encode_page
 from hollowrack.platform.worker_client import forwarded_headers
 from hollowrack.results import DESCRIPTIONS, Problem, ResultCode
+from hollowrack.tenants.authentication import authenticate
+from hollowrack.tenants.types import Tenant
 
 MS_PER_S = 1000
 MAX_WAIT_S = 1.0
 HTTP_OK = 200
 HTTP_ACCEPTED = 202
 JSON_HEADERS: Headers = (("Content-Type", "application/json"),)
+NOT_CONFIGURED_RETRY_AFTER_S = 0.5
 
 Value = TypeVar("Value")
 
@@ -78,33 +83,68 @@
 
     async def _answer(self, exchange: "_Exchange") -> None:
         path = exchange.path
-        if path.startswith(names.JOBS_PATH):
-            await self._job_call(exchange, unquote(path.removeprefix(names.JOBS_PATH)))
+        if self._node.routes.version is None:
+            await exchange.send_problem(
+                Problem(
+                    ResultCode.NOT_CONFIGURED,
+                    "no configuration has been read yet",
+                    exchange.path,
+                    NOT_CONFIGURED_RETRY_AFTER_S,
+                )
+            )
+        elif path.startswith(names.JOBS_PATH):
+            await self._about_job(exchange, names.JOBS_PATH, self._job_call)
         elif path.startswith(names.ITEMS_PATH):
-            await self._item_call(exchange, unquote(path.removeprefix(names.ITEMS_PATH)))
+            await self._about_job(exchange, names.ITEMS_PATH, self._item_call)
         else:
             await self._routed(exchange)
 
     async def _routed(self, exchange: "_Exchange") -> None:
         routes = self._node.routes
+        # A caller without a key learns no more than which paths have routes: an unknown one is
+        # told as such, as whether it would need a key is not known either.
         route = routes.lookup(exchange.host, exchange.path)
         if route is None:
-            code = ResultCode.UNKNOWN_ROUTE
-            if routes.version is None:
-                code = ResultCode.NOT_CONFIGURED
             await exchange.send_problem(
-                Problem(code, f"version {routes.version}", exchange.path, 0.5)
+                Problem(ResultCode.UNKNOWN_ROUTE, f"version {routes.version}", exchange.path)
             )
             return
+        caller = self._authenticate(exchange, route.is_public)
+        if isinstance(caller, Failure):
+            await exchange.send_problem(caller.failure())
+            return
+        tenant = caller.unwrap()
         body = await exchange.read_body(routes.limits.max_body_bytes)
         if isinstance(body, Problem):
             await exchange.send_problem(body)
         elif route.kind is RouteKind.JOB and exchange.method == "POST":
-            await self._submit(exchange, body)
+            await self._submit(exchange, body, tenant)
         elif route.kind is RouteKind.STREAM:
-            await self._stream(exchange, exchange.forward_request(route, body))
+            await self._stream(exchange, exchange.forward_request(route, body, tenant))
         else:
-            await self._forward(exchange, exchange.forward_request(route, body))
+            await self._forward(exchange, exchange.forward_request(route, body, tenant))
+
+    def _authenticate(
+        self, exchange: "_Exchange", is_public: bool
+    ) -> Result[Tenant | None, Problem]:
+        return authenticate(self._node.routes.tenants, exchange.credentials, is_public)
+
+    async def _about_job(
+        self,
+        exchange: "_Exchange",
+        prefix: str,
+        answer: Callable[["_Exchange", str], Awaitable[None]],
+    ) -> None:
+        """Answer a call about a job, which is looked for among those of the caller's tenant."""
+        is_public = self._node.routes.has_public_jobs(exchange.host)
+        caller = self._authenticate(exchange, is_public)
+        if isinstance(caller, Failure):
+            await exchange.send_problem(caller.failure())
+            return
+        tenant = caller.unwrap()
+        caller_job_id = unquote(exchange.path.removeprefix(prefix))
+        name = None if tenant is None else tenant.name
+        await answer(exchange, scoped_job_id(name, caller_job_id))
 
     async def _forward(self, exchange: "_Exchange", request: ForwardRequest) -> None:
         outcome = await exchange.while_connected(self._node.forwarder.forward(request))
@@ -131,8 +171,9 @@
                     await exchange.send_chunk(part)
         await exchange.finish()
 
-    async def _submit(self, exchange: "_Exchange", body: bytes) -> None:
-        job = decode_job(exchange.request_id, exchange.host, exchange.path, body)
+    async def _submit(self, exchange: "_Exchange", body: bytes, tenant: Tenant | None) -> None:
+        name = None if tenant is None else tenant.name
+        job = decode_job(exchange.request_id, exchange.host, exchange.path, body, name)
         if isinstance(job, Failure):
             await exchange.send_problem(job.failure())
             return
@@ -213,6 +254,12 @@
         number = self._header(names.LAST_EVENT_ID)
         return int(number) if number.isdigit() else None
 
+    @property
+    def credentials(self) -> list[str]:
+        """The values of all credential headers."""
+        name = names.CREDENTIALS.lower()
+        return [value for header, value in self._headers if header.lower() == name]
+
     def query_value(self, name: str) -> str:
         """Return a query parameter, or an empty text."""
         return parse_qs(self._query).get(name, [""])[0]
@@ -224,16 +271,17 @@
             return 0
         return int(value) if value.isdigit() else None
 
-    def forward_request(self, route: Route, body: bytes) -> ForwardRequest:
+    def forward_request(self, route: Route, body: bytes, tenant: Tenant | None) -> ForwardRequest:
         """Build the request that goes to a worker."""
         target = f"{self.path}?{self._query}" if self._query else self.path
         call = BackEndCall(
             self.request_id,
             self.method,
             target,
-            forwarded_headers(self._headers),
+            forwarded_headers(self._headers, has_credentials=bool(self._node.routes.tenants)),
             body,
-            route.priority,
+            route.priority if tenant is None or tenant.priority is None else tenant.priority,
+            None if tenant is None else tenant.name,
         )
         deadline = self._header(names.DEADLINE_MS)
         deadline_s = self._received_s + int(deadline) / MS_PER_S if deadline.isdigit() else None
@@ -293,6 +341,8 @@
         headers = JSON_HEADERS
         if problem.retry_after_s is not None:
             headers = (*headers, (names.RETRY_AFTER, f"{problem.retry_after_s:g}"))
+        if DESCRIPTIONS[problem.code].http_status == HTTPStatus.UNAUTHORIZED:
+            headers = (*headers, (names.CHALLENGE, names.CHALLENGE_VALUE))
         logging.info("request %s: %s", self.request_id, problem)
         self._answers[problem.code.name] += 1
         status = DESCRIPTIONS[problem.code].http_status
--- a/src/hollowrack/platform/job_format.py
+++ b/src/hollowrack/platform/job_format.py
@@ -8,15 +8,26 @@
 from returns.result import Failure, Result, Success
 
 from hollowrack.jobs.job_service import ResultPage
-from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
+from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall, scoped_job_id
 from hollowrack.platform import names
+from hollowrack.platform.worker_client import forwarded_headers
 from hollowrack.results import Problem, ResultCode
 
 MAX_PAGE_BYTES = 900_000
 
 
-def decode_job(job_id: str, host: str, target: str, body: bytes) -> Result[Job, Problem]:
-    """Decode a submitted job; fails with ``BAD_REQUEST``, which names the field."""
+def decode_job(
+    job_id: str, host: str, target: str, body: bytes, tenant: str | None = None
+) -> Result[Job, Problem]:
+    """Decode a submitted job; fails with ``BAD_REQUEST``, which names the field.
+
+    Args:
+        job_id: The caller's identifier.
+        host: Host it was submitted to.
+        target: Path it was submitted under.
+        body: The body.
+        tenant: The tenant whose job it is; ``None`` if it needed no key.
+    """
     place = "body"
     try:
         content = json.loads(body)
@@ -26,13 +37,14 @@
             items.append(_item(entry))
         place = "body"
         job = Job(
-            job_id,
+            scoped_job_id(tenant, job_id),
             host,
             target,
             tuple(items),
             str(content.get("model") or ""),
             int(content.get("min-version") or 0),
             int(content.get("desired") or 0),
+            tenant,
         )
     except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
         detail = f"{type(error).__name__}: {error}"
@@ -62,7 +74,8 @@
 
 
 def _item(entry: dict[str, Any]) -> JobItem:
-    headers = tuple((str(name), str(value)) for name, value in entry.get("headers", {}).items())
+    given = [(str(name), str(value)) for name, value in entry.get("headers", {}).items()]
+    headers = forwarded_headers(given, has_credentials=True)
     scorer = entry.get("scorer")
     return JobItem(
         str(entry["id"]),
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -35,6 +35,10 @@
     # How long a change of the configuration may take to be in force at every node.
     config_apply_ms: float = Field(default=2000.0, alias="config-apply-ms")
     status_s: float = Field(default=120.0, alias="status-s")
+    # Whether a node that may not know the keys in force must refuse them, and how soon.
+    refuses_unsure_keys: bool = Field(default=False, alias="revoke-partitioned")
+    revoke_ms: float = Field(default=5000.0, alias="revoke-ms")
+    usage_window_s: float = Field(default=5.0, alias="report-window-s", gt=0.0)
 
 
 class Limits(_Section):
@@ -50,6 +54,13 @@
     address: str
 
 
+class DutySettings(_Section):
+    """Where the calls go that one node makes for all, and which of them there are."""
+
+    address: str
+    duties: tuple[str, ...] = ()
+
+
 class ProcessSettings(_Section):
     """Everything the platform tells a process; unknown keys are left alone."""
 
@@ -62,6 +73,7 @@
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
     platform: StoreSettings
+    cloud: DutySettings | None = None
     metrics: str | None = None
 
 
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -57,6 +57,8 @@
     UNKNOWN_BACK_END = 207
     UNKNOWN_ROUTE = 208
     UNKNOWN_JOB = 209
+    KEY_MISSING = 210
+    KEY_UNKNOWN = 211
 
     OVERLOADED = 300
     NO_BACK_END = 301
@@ -202,6 +204,12 @@
     ResultCode.UNKNOWN_JOB: CodeDescription(
         _N, _NO, 404, "No such job or item.", "Submit the job first."
     ),
+    ResultCode.KEY_MISSING: CodeDescription(
+        _N, _CHANGE, 401, "The request carries no usable key.", "Send one bearer key."
+    ),
+    ResultCode.KEY_UNKNOWN: CodeDescription(
+        _N, _CHANGE, 401, "The configuration in force holds no such key.", "Use a tenant's key."
+    ),
     ResultCode.OVERLOADED: CodeDescription(
         _N, _YES, 429, "Refused early because of overload.", "Wait for Retry-After."
     ),
--- /dev/null
+++ b/src/hollowrack/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: whose a request is, and how that is proved."""
--- /dev/null
+++ b/tests/platform/test_tenants.py
@@ -0,0 +1,262 @@
+"""Keys and tenants through real edge processes: who is let in, and what workers are told."""
+
+import json
+import logging
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+from hollowrack.jobs.types import scoped_job_id
+from hollowrack.platform.configuration import decode_configuration
+from hollowrack.platform.job_format import decode_job
+from hollowrack.platform.worker_client import forwarded_headers
+from hollowrack.results import ResultCode
+from tests.platform.helpers import CONFIGURATION, HOST, System, job_body, run_system, until
+
+TENANTS = [
+    {"name": "ana", "api-keys": ["ka1", "ka2"], "priority": 0},
+    {"name": "bob", "api-keys": ["kb1"]},
+    {"name": "eve", "api-keys": []},
+]
+
+
+def with_tenants(version: int, tenants: list[dict[str, Any]] = TENANTS) -> dict[str, Any]:
+    routes = [*CONFIGURATION["routes"]]
+    routes.append(routes[0] | {"name": "open", "path-prefix": "/open/", "public": True})
+    return CONFIGURATION | {"version": version, "routes": routes, "tenants": tenants}
+
+
+def bearing(key: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {key}"}
+
+
+async def put_in_force(system: System, configuration: dict[str, Any]) -> None:
+    system.store.put("op/config", configuration)
+    version = configuration["version"]
+    await until(lambda: all(edge.node.routes.version == version for edge in system.edges.values()))
+
+
+HOSTILE = {
+    "another tenant's name": ("Tenant", "bob"),
+    "the same in another case": ("tEnAnT", "bob"),
+    "a rank at the worker": ("Request-Priority", "0"),
+    "a version to check": ("Expect-Version", "9"),
+    "a reservation": ("Hold", "h1"),
+    "another's memory": ("Kv-From", "127.0.0.1:1/x"),
+    "memory of a worker": ("Kv-Fetch", "127.0.0.1:1"),
+    "a copy elsewhere": ("Kv-Backup", "127.0.0.1:1"),
+    "memory kept": ("Pin-Ms", "4000"),
+    "another worker": ("Expect-Instance", "s9"),
+    "more time": ("Deadline-Ms", "999999"),
+    "of the connection": ("Keep-Alive", "9"),
+}
+
+
+@pytest.mark.parametrize("name", sorted(HOSTILE))
+def test_what_only_the_system_sets_is_not_forwarded(name: str) -> None:
+    hostile = HOSTILE[name]
+    assert forwarded_headers([("Model", "m"), hostile, hostile]) == (("Model", "m"),)
+
+
+def test_what_the_connection_header_lists_is_not_forwarded() -> None:
+    headers = [
+        ("Host", HOST),
+        ("Connection", "close, X-Secret"),
+        ("Connection", "Host"),
+        ("x-secret", "s"),
+        ("Other", "o"),
+    ]
+    assert forwarded_headers(headers) == (("Host", HOST), ("Other", "o"))
+
+
+def test_credentials_are_forwarded_only_where_they_are_not_meant_for_the_system() -> None:
+    headers = (("authorization", "Bearer k"), ("Other", "o"))
+    assert forwarded_headers(headers) == headers
+    assert forwarded_headers(headers, has_credentials=True) == (("Other", "o"),)
+
+
+def test_an_items_own_headers_name_no_tenant_and_carry_no_key() -> None:
+    body = job_body("j1")
+    body["requests"][0]["headers"] |= {"Tenant": "bob", "Authorization": "Bearer kb1"}
+    job = decode_job("j1", HOST, "/jobs/j1", json.dumps(body).encode(), "ana").unwrap()
+    assert job.tenant == "ana"
+    assert job.id == "ana/j1"
+    assert {name for name, _ in job.items[0].headers} == {"Model", "Token-Count", "Prefix-Hash"}
+
+
+def test_identifiers_of_two_tenants_never_meet() -> None:
+    pairs = [(None, "a/b"), ("a", "b"), ("a/b", "c"), ("a", "b/c"), ("a%2Fb", "c")]
+    assert len({scoped_job_id(tenant, job_id) for tenant, job_id in pairs[1:]}) == 4
+
+
+BAD_TENANTS = {
+    "no name": [{"api-keys": ["k1"]}],
+    "an empty name": [{"name": "", "api-keys": ["k1"]}],
+    "an empty key": [{"name": "a", "api-keys": ["k1", " "]}],
+    "a key that is no text": [{"name": "a", "api-keys": [{"k1": 1}]}],
+    "a key of two tenants": [{"name": "a", "api-keys": ["k1"]}, {"name": "b", "api-keys": ["k1"]}],
+    "a rank that is no number": [{"name": "a", "api-keys": ["k1"], "priority": "first"}],
+    "no list": 5,
+}
+
+
+@pytest.mark.parametrize("name", sorted(BAD_TENANTS))
+def test_a_configuration_with_bad_tenants_is_refused_without_a_key_in_the_error(name: str) -> None:
+    content = CONFIGURATION | {"tenants": BAD_TENANTS[name]}
+    decoded = decode_configuration(json.dumps(content).encode())
+    assert isinstance(decoded, Failure)
+    assert decoded.failure().code is ResultCode.PLATFORM_ANSWER_INVALID
+    assert "k1" not in str(decoded.failure())
+
+
+def test_tenants_and_public_routes_are_decoded() -> None:
+    decoded = decode_configuration(json.dumps(with_tenants(4)).encode())
+    assert isinstance(decoded, Success)
+    configuration = decoded.unwrap()
+    assert [route.is_public for route in configuration.routes] == [False] * 4 + [True]
+    found = configuration.tenants.with_key("ka2")
+    assert found is not None
+    assert (found.name, found.priority) == ("ana", 0)
+
+
+def test_a_request_runs_for_the_tenant_of_its_key_alone() -> None:
+    async def scenario(system: System) -> None:
+        await put_in_force(system, with_tenants(4))
+        hostile = {"Tenant": "bob", "Request-Priority": "0", "X-Other": "o"}
+        for key, tenant, rank in (("ka2", "ana", "0"), ("kb1", "bob", "2")):
+            answer = await system.send("/plain/x", headers=bearing(key) | hostile, request_id=key)
+            assert answer.status == 200
+            seen = system.ledger.headers[key]
+            assert seen["tenant"] == tenant
+            assert seen["request-priority"] == rank
+            assert seen["x-other"] == "o"
+            assert "authorization" not in seen
+
+    run_system(scenario)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [{}, bearing("none"), {"Authorization": "Basic ka1"}, {"Authorization": "ka1"}],
+    ids=["no key", "unknown", "another scheme", "no scheme"],
+)
+def test_a_request_without_a_good_key_runs_nowhere(headers: dict[str, str]) -> None:
+    async def scenario(system: System) -> None:
+        await put_in_force(system, with_tenants(4))
+        body = json.dumps(job_body("j1")).encode()
+        calls = [
+            ("/plain/x", "POST", b""),
+            ("/stream/x", "POST", b""),
+            ("/jobs/j1", "POST", body),
+            ("/api/lots/j1", "GET", b""),
+            ("/api/lots/j1", "DELETE", b""),
+            ("/api/items/j1?id=j1.i0", "GET", b""),
+        ]
+        for index, (path, method, content) in enumerate(calls):
+            answer = await system.send(path, method, content, headers, request_id=f"q{index}")
+            assert answer.status == 401
+            assert answer.headers["WWW-Authenticate"] == "Bearer"
+            assert answer.json()["error"]["code"] in (
+                int(ResultCode.KEY_MISSING),
+                int(ResultCode.KEY_UNKNOWN),
+            )
+        assert not system.ledger.executions
+        assert (await system.send("/open/x", headers=headers, request_id="open")).status == 200
+        assert "tenant" not in system.ledger.headers["open"]
+        assert "authorization" not in system.ledger.headers["open"]
+        assert (await system.send("/none/x", headers=headers)).status == 404
+
+    run_system(scenario)
+
+
+def test_a_key_that_was_taken_away_is_refused_and_its_jobs_go_on() -> None:
+    async def scenario(system: System) -> None:
+        await put_in_force(system, with_tenants(4))
+        body = json.dumps(job_body("j1")).encode()
+        submitted = await system.send("/jobs/j1", body=body, headers=bearing("ka1"))
+        assert submitted.status == 202
+        kept = [TENANTS[0] | {"api-keys": ["ka2"]}, *TENANTS[1:]]
+        await put_in_force(system, with_tenants(5, kept))
+        assert (await system.send("/plain/x", headers=bearing("ka1"))).status == 401
+        assert (await system.send("/plain/x", headers=bearing("ka2"))).status == 200
+
+        async def num_results() -> int:
+            answer = await system.send(
+                "/api/lots/q1", "GET", headers=bearing("ka2") | {"Wait-Ms": "500"}, node="n1"
+            )
+            return len(answer.json()["results"]) if answer.status == 200 else 0
+
+        while await num_results() < 6:
+            pass
+        tenants = {system.ledger.headers[f"j1.i{index}"]["tenant"] for index in range(6)}
+        assert tenants == {"ana"}
+        scorers = [system.ledger.headers[f"j1.s{index}"] for index in range(6)]
+        assert all("tenant" not in seen for seen in scorers)
+
+    run_system(scenario, num_edges=2)
+
+
+def test_another_tenant_finds_no_job_and_ends_none() -> None:
+    async def scenario(system: System) -> None:
+        await put_in_force(system, with_tenants(4))
+        body = json.dumps(job_body("j1")).encode()
+        for node in ("n0", "n1"):
+            answer = await system.send("/jobs/j1", body=body, headers=bearing("ka1"), node=node)
+            assert answer.status == 202
+        for node in ("n0", "n1"):
+            for path, method in (
+                ("/api/lots/q1", "GET"),
+                ("/api/lots/ana/q1", "GET"),
+                ("/api/lots/ana%2Fq1", "GET"),
+                ("/api/lots/q1", "DELETE"),
+                ("/api/items/q1?id=j1.i0", "GET"),
+            ):
+                answer = await system.send(path, method, headers=bearing("kb1"), node=node)
+                assert answer.status == 404, path
+            own = await system.send("/api/lots/q1", "GET", headers=bearing("ka2"), node=node)
+            assert own.status == 200
+        # The same identifier is free for another tenant.
+        other = await system.send("/jobs/j1", body=body, headers=bearing("kb1"))
+        assert other.status == 202
+        ended = await system.send("/api/lots/q1", "DELETE", headers=bearing("kb1"))
+        assert ended.status == 200
+        own = await system.send("/api/lots/q1", "GET", headers=bearing("ka1"))
+        assert own.status == 200
+
+    run_system(scenario, num_edges=2)
+
+
+def test_a_job_taken_over_runs_for_its_tenant_though_the_submitters_key_is_gone() -> None:
+    async def scenario(system: System) -> None:
+        await put_in_force(system, with_tenants(4))
+        for name in ("e0", "e1"):
+            system.workers[name].switches.sheds = True
+        body = json.dumps(job_body("j1")).encode()
+        assert (await system.send("/jobs/j1", body=body, headers=bearing("ka1"))).status == 202
+        kept = [TENANTS[0] | {"api-keys": ["ka2"]}, *TENANTS[1:]]
+        await put_in_force(system, with_tenants(5, kept))
+        owner = next(name for name, edge in system.edges.items() if edge.node.jobs.num_running)
+        await system.edges.pop(owner).kill()
+        survivor = next(iter(system.edges))
+        await until(lambda: system.edges[survivor].node.jobs.num_running > 0)
+        for name in ("e0", "e1"):
+            system.workers[name].switches.sheds = False
+        await until(lambda: all(f"j1.i{n}" in system.ledger.headers for n in range(6)))
+        assert {system.ledger.headers[f"j1.i{n}"]["tenant"] for n in range(6)} == {"ana"}
+
+    run_system(scenario, num_edges=2)
+
+
+def test_no_key_stands_in_the_logs(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario(system: System) -> None:
+        await put_in_force(system, with_tenants(4))
+        for key in ("ka1", "ku1"):
+            await system.send("/plain/x", headers=bearing(key), request_id=f"id-{key[1]}")
+        system.store.put("op/config", with_tenants(5, [{"name": "", "api-keys": ["ka1"]}]))
+        system.store.put("op/config", with_tenants(6))
+        await until(lambda: system.edges["n0"].node.routes.version == 6)
+
+    with caplog.at_level(logging.DEBUG):
+        run_system(scenario)
+    assert not any(key in caplog.text for key in ("ka1", "ku1", "kb1"))
