--- a/src/hollowrack/edge_connections.py
+++ b/src/hollowrack/edge_connections.py
@@ -1,14 +1,17 @@
 """What connects an edge node to the outside."""
 
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from hollowrack.capacity.types import CapacityClient
 from hollowrack.coordination.relay import RelayClient
 from hollowrack.coordination.sharing import FeedClient
 from hollowrack.coordination.store import CoordinationStore
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.jobs.peers import PeerJobs
+from hollowrack.usage.types import UsageClient, UsagePeers
 from hollowrack.weights.order_giver import OrderClient
 
 DEFAULT_KEEP_ENDED_S = 300.0
@@ -16,6 +19,23 @@
 DEFAULT_CHANGE_BOUND_S = 2.0
 
 
+@dataclass(frozen=True)
+class UsageConnections:
+    """What reporting usage takes.
+
+    Attributes:
+        window_s: Length of a window, in seconds.
+        peers: Hands counts to other nodes.
+        client: Delivers reports.
+        time_of_day_s: Returns the machine's time of day, in seconds since 1970.
+    """
+
+    window_s: float
+    peers: UsagePeers
+    client: UsageClient
+    time_of_day_s: Callable[[], float] = time.time
+
+
 @dataclass(frozen=True)
 class EdgeConnections:
     """What connects the node to the outside.
@@ -34,6 +54,9 @@
         complete_retirement: Tells the operators that a machine is empty.
         feed: Sends watches to other nodes.
         relay: Sends calls to the store by way of other nodes.
+        seeds: Addresses of a few nodes, which may be down.
+        usage: What reporting usage takes; ``None`` where it is not reported.
+        capacity: Gives orders of capacity; ``None`` where none are given.
     """
 
     store: CoordinationStore
@@ -49,3 +72,5 @@
     keep_ended_s: float = DEFAULT_KEEP_ENDED_S
     change_bound_s: float = DEFAULT_CHANGE_BOUND_S
     seeds: tuple[str, ...] = ()
+    usage: UsageConnections | None = None
+    capacity: CapacityClient | None = None
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import random
+import time
 import uuid
 
 from absl import logging
@@ -18,7 +19,7 @@
 from hollowrack.coordination.retirement import MachineRetirement
 from hollowrack.coordination.session import Session, owner_name
 from hollowrack.coordination.sharing import SharedStore, StoreAccess
-from hollowrack.coordination.store import Committed, Put
+from hollowrack.coordination.store import Committed, Put, StoredItem
 from hollowrack.edge_connections import EdgeConnections
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.forwarder import Forwarder
@@ -36,7 +37,12 @@
 from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
+from hollowrack.node_duties import NodeDuties
 from hollowrack.tasks import cancel_all
+from hollowrack.usage.counts import UsageCounts
+from hollowrack.usage.meter import UsageMeter
+from hollowrack.usage.types import ProcessCounts
+from hollowrack.usage.wall_clock import WallClock
 from hollowrack.weights.order_giver import OrderGiver
 
 LIVE_PACE_S = 0.2
@@ -89,7 +95,15 @@
         self.store = store
         self.routes = RouteTable()
         self.workers = WorkerDirectory(zone, rng)
-        self.forwarder = Forwarder(self.routes, self.workers, connections.back_ends)
+        self._usage_counts = UsageCounts()
+        usage = connections.usage
+        self.usage = UsageMeter(
+            self.owner,
+            self._usage_counts,
+            WallClock(time.time if usage is None else usage.time_of_day_s, now_s),
+            None if usage is None else usage.window_s,
+        )
+        self.forwarder = Forwarder(self.routes, self.workers, connections.back_ends, self.usage)
         self.queue = DispatchQueue(self.workers)
         self.session = Session(store, rng)
         self.leadership = Leadership(store, self.session, LEADER_KEY, self.owner, handover_s, rng)
@@ -131,7 +145,7 @@
         self._live_mirror = PrefixMirror(
             self.shared_store,
             LIVE_PREFIX,
-            self.live.take,
+            self._on_live_key,
             LIVE_PACE_S,
             rng,
             LIVE_WAIT_S,
@@ -171,6 +185,19 @@
             self._named_versions,
             connections.orders,
         )
+        self._duties = NodeDuties(
+            name,
+            self.owner,
+            store,
+            self.leadership,
+            self.live,
+            self.routes,
+            self.workers,
+            self._usage_counts,
+            self.usage,
+            connections.usage,
+            connections.capacity,
+        )
         self._rng = rng
         self._retirement = MachineRetirement(self.leadership, connections.complete_retirement)
         self._finish_by_s = 0.0
@@ -184,6 +211,11 @@
         """Whether callers may be sent here."""
         return self.routes.version is not None and not self.is_stopping
 
+    @property
+    def configuration_age_s(self) -> float:
+        """How long ago the store answered this node, or one that it learnt from, in seconds."""
+        return now_s() - self.shared_store.heard_store_s
+
     def start(self) -> None:
         """Start all parts."""
         self._host_role.start()
@@ -193,6 +225,7 @@
         self._retention.start()
         self._retirement.start()
         self._order_giver.start()
+        self._duties.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._note_first_leader()),
@@ -213,6 +246,7 @@
         self._num_cores = NO_CORES
         await self._host_role.stop()
         await self._order_giver.stop()
+        await self._duties.stop_calls()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
@@ -226,6 +260,7 @@
     async def finish(self) -> None:
         """End a planned stop: owned jobs have the rest of their time, then they are left."""
         await self.jobs.drain(self._finish_by_s - now_s(), self._hand_over_s)
+        await self._duties.stop()
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
         # A lease that the store does not end now ends by itself.
@@ -237,6 +272,7 @@
         """End at once, as a crash would; for tests."""
         await self._host_role.stop()
         await self._order_giver.stop()
+        await self._duties.abandon()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
@@ -279,6 +315,10 @@
         """Note that a machine is to be emptied."""
         self._retirement.ask(node)
 
+    def take_usage(self, counts: ProcessCounts) -> None:
+        """Take in what another node hands over of usage."""
+        self._usage_counts.merge(counts)
+
     def store_doubted(self) -> None:
         """Look again at all that is watched."""
         self._live_mirror.recheck()
@@ -343,6 +383,10 @@
             return StoreAccess.LEADER
         return StoreAccess.FOLLOWER if self.session.is_held else StoreAccess.OBSERVER
 
+    def _on_live_key(self, key: str, item: StoredItem | None) -> None:
+        if not self._duties.take(key, item):
+            self.live.take(key, item)
+
     def _wake_live(self) -> None:
         self._live_mirror.wake()
 
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from hollowrack.forwarding.types import Route, RouteKind, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.results import Problem, ResultCode
+from hollowrack.usage.meter import UsageMeter
 
 MAX_REFUSALS = 6
 REFUSAL_PAUSE_S = 0.05
@@ -80,14 +81,20 @@
         routes: The routes in force.
         workers: The workers known.
         back_ends: Sends requests to workers.
+        usage: Counts what workers begin.
     """
 
     def __init__(
-        self, routes: RouteTable, workers: WorkerDirectory, back_ends: BackEndClient
+        self,
+        routes: RouteTable,
+        workers: WorkerDirectory,
+        back_ends: BackEndClient,
+        usage: UsageMeter,
     ) -> None:
         self._routes = routes
         self._workers = workers
         self._back_ends = back_ends
+        self._usage = usage
 
     async def forward(self, request: ForwardRequest) -> ForwardOutcome:
         """Return a worker's answer, or the problem that stands in its place."""
@@ -127,10 +134,13 @@
         self._workers.begin(worker)
         attempts.begin(worker)
         sent_s = now_s()
+        begun_s = self._usage.time_s()
+        may_have_begun = True
         try:
             async with asyncio.timeout(patience_s):
                 answer = await self._exchange(worker, attempts, end_s)
         except NotRunError as error:
+            may_have_begun = False
             self._workers.note_not_run(worker, error.reason)
             attempts.did_not_run(worker, error.reason)
             if error.reason is NotRunReason.BUSY:
@@ -147,6 +157,9 @@
             return None
         finally:
             self._workers.end(worker)
+            if may_have_begun:
+                # A worker that gave no answer has most likely begun: it had taken the request.
+                self._usage.note_begun(attempts.request.call.tenant, begun_s)
         if answer.status < FIRST_SERVER_ERROR:
             self._workers.note_success(worker)
             self._workers.note_pace(worker, now_s() - sent_s)
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -26,6 +26,7 @@
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.results import Problem, ResultCode
+from hollowrack.usage.meter import UsageMeter
 
 MIN_FIRST_EVENT_S = 0.8
 MAX_FIRST_EVENT_S = 2.5
@@ -52,6 +53,7 @@
         back_ends: Sends requests to workers.
         queue: Hands out places at workers.
         read_version: Reads the weight version that an event announces.
+        usage: Counts what workers begin.
     """
 
     def __init__(
@@ -61,12 +63,14 @@
         back_ends: BackEndClient,
         queue: DispatchQueue,
         read_version: Callable[[StreamEvent], int | None],
+        usage: UsageMeter,
     ) -> None:
         self._routes = routes
         self._workers = workers
         self._back_ends = back_ends
         self._queue = queue
         self._read_version = read_version
+        self._usage = usage
         self._patience = FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
 
     def forward(
@@ -109,6 +113,7 @@
                 async for event in events:
                     if not has_begun and run.head is not None:
                         has_begun = True
+                        self._note_begun(request)
                         yield StreamHead(run.head.status, run.head.headers)
                     yield event.event.raw
         except RunEndedError as error:
@@ -116,6 +121,9 @@
                 raise BrokenAnswerError(str(error)) from error
             yield Problem(ResultCode.BACK_END_FAILED, str(error), request.call.request_id)
 
+    def _note_begun(self, request: ForwardRequest) -> None:
+        self._usage.note_begun(request.call.tenant, self._usage.time_s())
+
     async def _once(
         self, request: ForwardRequest, after_event: int | None
     ) -> AsyncGenerator[StreamPart]:
@@ -152,6 +160,7 @@
                 worker, request.call, time_left_s, after_event, is_repeatable=False
             )
             has_begun = True
+            self._note_begun(request)
             yield StreamHead(answer.status, answer.headers)
             async for chunk in answer.chunks():
                 yield chunk
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -21,6 +21,8 @@
 
 LIVE_PREFIX = "hollowrack/live/"
 LEADER_KEY = LIVE_PREFIX + "leader"
+USAGE_KEY = LIVE_PREFIX + "usage-windows"
+CAPACITY_KEY = LIVE_PREFIX + "capacity-plan"
 OWNERS_PREFIX = LIVE_PREFIX + "nodes/"
 # Nodes that are asked for changes before the store is; each may cost its whole time-out.
 NUM_SOURCES = 3
@@ -119,6 +121,10 @@
         self.ended_jobs.setdefault(job_id, now_s())
         self._on_ended(job_id)
 
+    def leader(self) -> str | None:
+        """The process that leads; ``None`` if none is known to."""
+        return self._leader
+
     def leader_address(self) -> str | None:
         """Where the leader is reached; ``None`` if this node leads or the leader is not known."""
         return None if self._leader is None else self._address_of(self._leader)
@@ -129,17 +135,33 @@
         They stay the same while they live, and differ between nodes. The nearest come first, and
         the last one is in another zone, so that the loss of a zone's nodes is got over at once.
         """
+        ranked = self._ranked_owners()
+        near = [owner for owner in ranked if self.nodes[owner].zone == self._zone]
+        far = [owner for owner in ranked if self.nodes[owner].zone != self._zone]
+        chosen = [*near[:NUM_NEAR_SOURCES], *far][:NUM_SOURCES]
+        return [self.nodes[owner].address for owner in chosen]
+
+    def leader_and_deputy(self) -> dict[str, str]:
+        """Where the leader and one more process with a session are reached, by owner name.
+
+        The other one is the nearest; this process is neither.
+        """
+        deputies = [owner for owner in self._ranked_owners() if owner != self._leader][:1]
+        leaders = [] if self._leader is None else [self._leader]
+        addresses = {owner: self._address_of(owner) for owner in [*leaders, *deputies]}
+        return {owner: address for owner, address in addresses.items() if address is not None}
+
+    def _ranked_owners(self) -> list[str]:
+        """The other processes with a session, the nearest first; each node's order differs."""
         node = node_of_owner(self._owner)
-        ranked = sorted(
+        return sorted(
             (
-                (entry.zone != self._zone, _rank(node, owner), entry.address)
+                owner
                 for owner, entry in self.nodes.items()
                 if entry.address and owner != self._owner
             ),
+            key=lambda owner: (self.nodes[owner].zone != self._zone, _rank(node, owner)),
         )
-        near = [address for is_far, _, address in ranked if not is_far]
-        far = [address for is_far, _, address in ranked if is_far]
-        return [*near[:NUM_NEAR_SOURCES], *far][:NUM_SOURCES]
 
     def preferred_owner_address(self, job: Job) -> str | None:
         """Where the node that should own a job is reached; ``None`` if it is this one."""
--- /dev/null
+++ b/src/hollowrack/platform/duty_client.py
@@ -0,0 +1,66 @@
+"""Calls of the platform that one node makes for all: reports of usage and orders of capacity."""
+
+from http import HTTPStatus
+
+import aiohttp
+
+from hollowrack.capacity.types import CapacityOrder
+from hollowrack.coordination.duty import DutyHolder, DutyOutcome
+from hollowrack.platform import names
+from hollowrack.usage.types import WindowReport
+
+# A call must be over before the leader's session may be: it is begun half a second before that.
+CALL_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.4
+
+_OUTCOMES = {
+    HTTPStatus.CONFLICT: DutyOutcome.UNAVAILABLE_HERE,
+    HTTPStatus.TOO_MANY_REQUESTS: DutyOutcome.THROTTLED,
+    HTTPStatus.SERVICE_UNAVAILABLE: DutyOutcome.THROTTLED,
+}
+
+
+class PlatformDutyClient:
+    """Reports usage and orders capacity; see :class:`UsageClient` and :class:`CapacityClient`.
+
+    Args:
+        session: HTTP session of this client alone.
+        address: ``IP:PORT`` of the platform's service for such calls.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+
+    async def report_usage(self, holder: DutyHolder, report: WindowReport) -> DutyOutcome:
+        """Deliver the report of one window."""
+        body: dict[str, object] = {"window": report.window, "counts": report.counts}
+        return await self._call(names.USAGE_PATH, holder, body)
+
+    async def order_capacity(self, holder: DutyHolder, order: CapacityOrder) -> DutyOutcome:
+        """Give one order."""
+        body: dict[str, object] = {
+            "service": order.service,
+            "zone": order.zone,
+            "desired": order.num_workers,
+        }
+        if order.is_spot:
+            body["spot"] = True
+        return await self._call(names.SCALE_PATH, holder, body)
+
+    async def _call(self, path: str, holder: DutyHolder, body: dict[str, object]) -> DutyOutcome:
+        headers = {
+            names.DUTY_HOLDER: holder.node,
+            names.FENCING_TOKEN: str(holder.fencing_token),
+        }
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.post(
+                self._base + path, json=body, headers=headers, timeout=timeout
+            ) as response:
+                await response.read()
+                if response.status == HTTPStatus.OK:
+                    return DutyOutcome.ACCEPTED
+                return _OUTCOMES.get(HTTPStatus(response.status), DutyOutcome.REFUSED)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return DutyOutcome.UNKNOWN
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -13,16 +13,23 @@
 from hollowrack.coordination.relay_http import HttpRelayClient, relay_routes
 from hollowrack.coordination.sharing import MirrorFeed
 from hollowrack.coordination.store import Committed, Put
-from hollowrack.edge_connections import EdgeConnections
+from hollowrack.edge_connections import EdgeConnections, UsageConnections
 from hollowrack.edge_node import EdgeNode
 from hollowrack.forwarding.stream_forwarder import StreamForwarder
 from hollowrack.jobs.peers import HttpPeerJobs, peer_routes
 from hollowrack.observability.edge_metrics import EdgeCounts, metrics_routes
+from hollowrack.platform import names
 from hollowrack.platform.configuration import retirement_status
+from hollowrack.platform.duty_client import PlatformDutyClient
 from hollowrack.platform.feed import PlatformFeed
 from hollowrack.platform.http_session import client_session
 from hollowrack.platform.ingress import IngressApp, ReadinessApp
-from hollowrack.platform.settings import MS_PER_S, ProcessSettings, read_process_settings
+from hollowrack.platform.settings import (
+    MS_PER_S,
+    Bounds,
+    ProcessSettings,
+    read_process_settings,
+)
 from hollowrack.platform.store_client import PlatformStore
 from hollowrack.platform.worker_client import (
     PlatformWorkers,
@@ -30,6 +37,7 @@
     worker_session,
 )
 from hollowrack.tasks import cancel_all
+from hollowrack.usage.peers import HttpUsagePeers, usage_routes
 
 # Only the leader's watches reach the store, so that they may be close.
 OPERATOR_PACE_S = 0.15
@@ -47,6 +55,17 @@
 REPORT_INTERVAL_S = 10.0
 
 
+# A change needs this long from the store's answer to a worker, by way of the node that refuses.
+KEY_MARGIN_S = 0.5
+
+
+def max_configuration_age_s(bounds: Bounds) -> float | None:
+    """How old a node's configuration may be for it to accept keys; ``None`` for any age."""
+    if not bounds.refuses_unsure_keys:
+        return None
+    return bounds.revoke_ms / MS_PER_S - KEY_MARGIN_S
+
+
 class EdgeProcess:
     """An edge node with its sockets.
 
@@ -73,6 +92,7 @@
             worker_session(),
             worker_session(force_close=True),
             client_session(),
+            client_session(),
         ]
         store = PlatformStore(self._sessions[0], settings.platform.address)
         workers = PlatformWorkers(self._sessions[1], self._sessions[2])
@@ -94,6 +114,8 @@
                 KEEP_IN_STATUS_TIMES * settings.bounds.status_s,
                 min(settings.bounds.config_apply_ms, settings.bounds.drain_ms) / MS_PER_S,
                 settings.seeds,
+                self._usage_connections(),
+                self._duty_client(names.DUTY_CAPACITY),
             ),
             self._rng,
         )
@@ -115,10 +137,17 @@
         feed = MirrorFeed(mirrors, lambda: shared.heard_store_s)
         counts = EdgeCounts(store_calls=store.num_calls)
         streams = StreamForwarder(
-            self.node.routes, self.node.workers, workers, self.node.queue, announced_version
+            self.node.routes,
+            self.node.workers,
+            workers,
+            self.node.queue,
+            announced_version,
+            self.node.usage,
         )
         self._frontend = HttpServer(
-            IngressApp(self.node, streams, counts.answers),
+            IngressApp(
+                self.node, streams, counts.answers, max_configuration_age_s(settings.bounds)
+            ),
             settings.listen.frontend,
             "listen.frontend",
             MAX_CONNECTIONS,
@@ -138,6 +167,7 @@
                 *feed_routes(feed),
                 *relay_routes(store),
                 *peer_routes(jobs.submit_here, jobs.answer_peer, jobs.remainder),
+                *usage_routes(self.node.take_usage),
                 *metrics_routes(self.node, counts),
             ]
             self._peers = HttpServer(
@@ -153,6 +183,20 @@
         await self._readiness.start()
         logging.info("edge node %s started", settings.node_name)
 
+    def _duty_client(self, duty: str) -> PlatformDutyClient | None:
+        """The client for a duty; ``None`` if the deployment has no such duty."""
+        cloud = self._settings.cloud
+        if cloud is None or duty not in cloud.duties:
+            return None
+        return PlatformDutyClient(self._sessions[4], cloud.address)
+
+    def _usage_connections(self) -> UsageConnections | None:
+        client = self._duty_client(names.DUTY_USAGE)
+        if client is None:
+            return None
+        window_s = self._settings.bounds.usage_window_s
+        return UsageConnections(window_s, HttpUsagePeers(self._sessions[3]), client)
+
     @property
     def peers_address(self) -> str:
         """Where other nodes, and those who ask for figures, reach this process."""
--- a/src/hollowrack/platform/ingress.py
+++ b/src/hollowrack/platform/ingress.py
@@ -57,12 +57,27 @@
 
 
 class IngressApp:
-    """Answers clients; see the platform's page on requests and batch jobs."""
+    """Answers clients; see the platform's page on requests and batch jobs.
 
-    def __init__(self, node: EdgeNode, streams: StreamForwarder, answers: Counter[str]) -> None:
+    Args:
+        node: The node.
+        streams: Forwards streams.
+        answers: Counts answers by the name of their result code.
+        max_configuration_age_s: Keys are refused once the store's last answer is older than this,
+            in seconds; ``None`` to serve on by the configuration that is known.
+    """
+
+    def __init__(
+        self,
+        node: EdgeNode,
+        streams: StreamForwarder,
+        answers: Counter[str],
+        max_configuration_age_s: float | None = None,
+    ) -> None:
         self._node = node
         self._streams = streams
         self._answers = answers
+        self._max_configuration_age_s = max_configuration_age_s
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -127,7 +142,18 @@
     def _authenticate(
         self, exchange: "_Exchange", is_public: bool
     ) -> Result[Tenant | None, Problem]:
-        return authenticate(self._node.routes.tenants, exchange.credentials, is_public)
+        tenants = self._node.routes.tenants
+        if tenants and not is_public and self._is_configuration_old():
+            detail = "a key may have been taken away meanwhile"
+            problem = Problem(
+                ResultCode.CONFIGURATION_OLD, detail, "", NOT_CONFIGURED_RETRY_AFTER_S
+            )
+            return Failure(problem)
+        return authenticate(tenants, exchange.credentials, is_public)
+
+    def _is_configuration_old(self) -> bool:
+        max_age_s = self._max_configuration_age_s
+        return max_age_s is not None and self._node.configuration_age_s > max_age_s
 
     async def _about_job(
         self,
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -69,6 +69,7 @@
     JOB_NOT_STORED = 306
     JOB_UNSURE = 307
     NOT_CONFIGURED = 308
+    CONFIGURATION_OLD = 309
 
     OUTCOME_UNKNOWN = 400
     ANSWER_INCOMPLETE = 401
@@ -241,6 +242,13 @@
     ResultCode.NOT_CONFIGURED: CodeDescription(
         _N, _YES, 503, "This node knows no configuration yet.", "Ask another node."
     ),
+    ResultCode.CONFIGURATION_OLD: CodeDescription(
+        _N,
+        _YES,
+        503,
+        "The node has not heard of the configuration for too long to know which keys hold.",
+        "Try another node.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeDescription(
         _U,
         _SAME,
--- /dev/null
+++ b/tests/capacity/test_planner.py
@@ -0,0 +1,33 @@
+from hollowrack.capacity.planner import orders_of, plan_as_found
+from hollowrack.capacity.types import CapacityOrder, CapacityPlan, ZoneCapacity
+from hollowrack.forwarding.types import ScalingLimits, Service, Worker
+
+LIMITS = ScalingLimits(1, 3, 4.0, 0.2, {"z1": 1.0, "z2": 0.9, "z3": 1.2})
+SCALED = Service("llm", 100, ("m",), LIMITS)
+FIXED = Service("svc", 100)
+
+
+def workers(service: str, zone: str, number: int) -> list[Worker]:
+    return [
+        Worker(f"{service}-{zone}-{index}", service, "127.0.0.1:1", zone, 4)
+        for index in range(number)
+    ]
+
+
+def test_what_is_found_is_held_within_the_limits() -> None:
+    found = [*workers("llm", "z1", 2), *workers("llm", "z2", 5), *workers("svc", "z1", 3)]
+    plan = plan_as_found([SCALED, FIXED], found)
+    assert plan.zones == (ZoneCapacity("llm", "z1", 2), ZoneCapacity("llm", "z2", 3))
+
+
+def test_nothing_is_planned_before_workers_are_known() -> None:
+    assert plan_as_found([SCALED, FIXED], []).zones == ()
+
+
+def test_each_kind_of_workers_is_ordered_on_its_own() -> None:
+    plan = CapacityPlan((ZoneCapacity("llm", "z1", 2, 3), ZoneCapacity("llm", "z2", 1)))
+    assert orders_of(plan) == [
+        CapacityOrder("llm", "z1", 2),
+        CapacityOrder("llm", "z1", 3, is_spot=True),
+        CapacityOrder("llm", "z2", 1),
+    ]
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -248,6 +248,32 @@
     run_system(scenario, num_edges=2)
 
 
+@pytest.mark.parametrize("refuses", [True, False])
+def test_a_node_cut_off_refuses_keys_in_time_only_where_it_must(refuses: bool) -> None:
+    async def scenario(system: System) -> None:
+        bounds = {"lease-ms": 300, "revoke-partitioned": refuses, "revoke-ms": 2000}
+        await system.start_edge("c0", {"bounds": bounds})
+        await system.wait_until_ready("c0")
+        await put_in_force(system, with_tenants(4))
+        assert (await system.send("/plain/x", headers=bearing("ka1"), node="c0")).status == 200
+        system.store.faults.status = 503
+        await until(lambda: system.edges["c0"].node.configuration_age_s > 1.6)
+        answer = await system.send("/plain/x", headers=bearing("ka1"), node="c0", request_id="q2")
+        assert answer.status == (503 if refuses else 200)
+        assert system.ledger.executions["q2"] == (0 if refuses else 1)
+        if refuses:
+            assert answer.json()["error"]["code"] == int(ResultCode.CONFIGURATION_OLD)
+            assert "Retry-After" in answer.headers
+        public = await system.send("/open/x", node="c0", request_id="q3")
+        assert public.status == 200
+        system.store.faults.status = None
+        await until(lambda: system.edges["c0"].node.configuration_age_s < 1.0)
+        again = await system.send("/plain/x", headers=bearing("ka1"), node="c0", request_id="q4")
+        assert again.status == 200
+
+    run_system(scenario, num_edges=0)
+
+
 def test_no_key_stands_in_the_logs(caplog: pytest.LogCaptureFixture) -> None:
     async def scenario(system: System) -> None:
         await put_in_force(system, with_tenants(4))
--- /dev/null
+++ b/tests/usage/helpers.py
@@ -0,0 +1,117 @@
+"""Edge nodes that count and report usage, on virtual time; each may die, lose the store or jump."""
+
+import asyncio
+import random
+from collections import Counter
+
+from hollowrack.coordination.sharing import SharedChanges, WatchRequest
+from hollowrack.edge_connections import EdgeConnections, UsageConnections
+from hollowrack.edge_node import EdgeNode
+from hollowrack.usage.types import PushedCounts
+from hollowrack_standins.back_ends import BackEndsStandin
+from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
+from hollowrack_standins.duty_service import DutyServiceCore
+from tests.jobs.helpers import Fleet as PeerFleet
+from tests.jobs.helpers import FleetFeed, NoOrders
+
+WINDOW_S = 5.0
+HANDOVER_S = 3.0
+EPOCH_S = 1_000_000.0
+SILENT_NODE_S = 0.3
+
+
+async def _retire(machine: str) -> bool:
+    return bool(machine)
+
+
+class UsageNode:
+    """One process of a node."""
+
+    def __init__(self, name: str, fleet: "UsageFleet") -> None:
+        self.faults = StoreFaults()
+        self.clock_off_s = 0.0
+        peers = PeerFleet(0)
+        connections = EdgeConnections(
+            fleet.core.view(self.faults),
+            BackEndsStandin(),
+            NoOrders(),
+            lambda _: None,
+            _retire,
+            peers,
+            fleet.feed,
+            peers,
+            name,
+            usage=UsageConnections(
+                WINDOW_S, fleet, fleet.service, lambda: true_time_s() + self.clock_off_s
+            ),
+        )
+        self.node = EdgeNode(name, "z1", HANDOVER_S, connections, random.Random(name))
+        fleet.edges[name] = self.node
+        self.node.start()
+
+
+def true_time_s() -> float:
+    return EPOCH_S + asyncio.get_running_loop().time()
+
+
+class UsageFleet:
+    """Nodes, the store and the duty service.
+
+    Attributes:
+        begun: Requests that began, by window and tenant.
+        kept: Those of them whose node lived on until other nodes held its counts.
+    """
+
+    def __init__(self, num_nodes: int) -> None:
+        self.core = CoordinationStoreCore()
+        self.service = DutyServiceCore(HANDOVER_S)
+        self.edges: dict[str, EdgeNode] = {}
+        self.feed = FleetFeed(self.edges)
+        self.nodes: dict[str, UsageNode] = {}
+        self.begun: Counter[tuple[int, str]] = Counter()
+        for index in range(num_nodes):
+            self.start(f"n{index}")
+
+    def start(self, name: str) -> None:
+        self.nodes[name] = UsageNode(name, self)
+
+    async def kill(self, name: str) -> None:
+        node = self.nodes.pop(name)
+        del self.edges[name]
+        node.faults.is_silent = True
+        await node.node.abandon()
+
+    async def stop(self) -> None:
+        for name in list(self.nodes):
+            await self.kill(name)
+
+    async def push(self, address: str, pushed: PushedCounts) -> bool:
+        node = self.edges.get(address)
+        if node is None:
+            await asyncio.sleep(SILENT_NODE_S)
+            return False
+        await asyncio.sleep(0.001)
+        for counts in pushed.counts:
+            node.take_usage(counts)
+        return True
+
+    def begin(self, name: str, tenant: str) -> None:
+        """A worker begins a request that goes by way of a node."""
+        usage = self.nodes[name].node.usage
+        usage.note_begun(tenant, usage.time_s())
+        self.begun[(int(true_time_s() // WINDOW_S), tenant)] += 1
+
+    def leaders(self) -> list[str]:
+        return [name for name, node in self.nodes.items() if node.node.leadership.is_leader]
+
+    def reported(self) -> Counter[tuple[int, str]]:
+        return Counter(
+            {
+                (window, tenant): count
+                for window, counts in self.service.reports.items()
+                for tenant, count in counts.items()
+            }
+        )
+
+
+__all__ = ["SharedChanges", "UsageFleet", "WatchRequest"]
