--- a/src/hollowrack/settings/example.py
+++ b/src/hollowrack/settings/example.py
@@ -4,7 +4,8 @@
 
 from pydantic import BaseModel
 
-from hollowrack.settings.model import NodeSettings, Peer
+from hollowrack.settings.model import NodeSettings
+from hollowrack.settings.sections import Peer
 
 _EXAMPLE_VALUES = {
     "node": '"buc-a-1"',
