One record in the store for what a duty has decided, one tenure of its leader

Cause: reporting usage and ordering capacity each had their own copy of a conditional write, of what to do when its outcome is unknown, and of when a leadership is a new one.

Change: coordination/record.py and tenure.py; an unreadable record is told with its remedy.

--- a/src/hollowrack/capacity/duty.py
+++ b/src/hollowrack/capacity/duty.py
@@ -9,25 +9,17 @@
 from collections.abc import Callable
 
 from absl import logging
-from returns.result import Failure
 
 from hollowrack.capacity.planner import orders_of, plan_as_found
 from hollowrack.capacity.types import CapacityClient, CapacityOrder, CapacityPlan
 from hollowrack.clock import now_s
 from hollowrack.coordination.duty import DutyHolder, DutyOutcome
 from hollowrack.coordination.leadership import Leadership
-from hollowrack.coordination.store import (
-    ABSENT_REVISION,
-    Committed,
-    Condition,
-    Conflict,
-    CoordinationStore,
-    Put,
-    StoredItem,
-)
+from hollowrack.coordination.record import Record
+from hollowrack.coordination.store import CoordinationStore, StoredItem
+from hollowrack.coordination.tenure import Tenure
 from hollowrack.forwarding.types import Service
 from hollowrack.forwarding.workers import WorkerDirectory
-from hollowrack.messages import codec
 from hollowrack.tasks import cancel_all
 
 LOOK_S = 0.5
@@ -62,16 +54,12 @@
         client: CapacityClient,
     ) -> None:
         self._node = node
-        self._key = key
-        self._store = store
         self._leadership = leadership
         self._services = services
         self._workers = workers
         self._client = client
-        self._plan: CapacityPlan | None = None
-        self._revision = ABSENT_REVISION
-        self._led_token: int | None = None
-        self._leads_since_s = 0.0
+        self._record = Record(store, key, CapacityPlan)
+        self._tenure = Tenure(leadership)
         self._due_s: dict[CapacityOrder, float] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -84,51 +72,28 @@
         await cancel_all(self._task)
 
     def take(self, item: StoredItem | None) -> None:
-        """Take in what the store holds, as a mirror or a failed write shows it."""
-        if item is None or item.revision <= self._revision:
-            return
-        decoded = codec.decode(item.value)
-        if isinstance(decoded, Failure) or not isinstance(decoded.unwrap(), CapacityPlan):
-            logging.error("capacity: the plan cannot be read: %s", decoded)
-            return
-        self._revision = item.revision
-        self._plan = decoded.unwrap()
+        """Take in the plan as a mirror shows it."""
+        self._record.take(item)
 
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(LOOK_S)
             if not self._leadership.may_act:
                 continue
-            self._note_leading()
-            if self._plan is None:
+            if self._tenure.note():
+                self._due_s.clear()
+            plan = self._record.value
+            if plan is not None:
+                await self._order(plan)
+            elif self._tenure.age_s >= FIRST_LOOK_S:
                 await self._decide()
-            else:
-                await self._order(self._plan)
-
-    def _note_leading(self) -> None:
-        if self._led_token != self._leadership.fencing_token:
-            self._led_token = self._leadership.fencing_token
-            self._leads_since_s = now_s()
-            self._due_s.clear()
 
     async def _decide(self) -> None:
-        if now_s() < self._leads_since_s + FIRST_LOOK_S:
-            return
         serving = [worker for worker in self._workers.all() if not worker.is_leaving]
         plan = plan_as_found(self._services(), serving)
-        if not plan.zones:
-            return
-        value = codec.encode(plan)
-        condition = Condition(self._key, self._revision)
-        outcome = await self._store.transact([condition], [Put(self._key, value)])
-        if isinstance(outcome, Committed):
-            logging.info("capacity: decided %s", plan)
-            self.take(StoredItem(self._key, value, outcome.revision))
-        elif isinstance(outcome, Conflict):
-            self.take(next(iter(outcome.current), None))
-        else:
-            # If the write was done all the same, the next attempt shows it as a conflict.
-            logging.warning("capacity: not decided, %s", outcome)
+        if plan.zones and await self._record.is_known():
+            is_decided = await self._record.replace(plan)
+            logging.info("capacity: %s %s", plan, "decided" if is_decided else "not decided")
 
     async def _order(self, plan: CapacityPlan) -> None:
         for order in orders_of(plan):
--- a/src/hollowrack/usage/types.py
+++ b/src/hollowrack/usage/types.py
@@ -55,9 +55,9 @@
     counts: TenantCounts
 
 
-@message("usage.fixed")
+@message("usage.decided")
 @dataclass(frozen=True)
-class FixedUsage:
+class DecidedUsage:
     """Which windows have been decided, as the coordination store keeps it.
 
     Attributes:
