--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import random
-import time
 import uuid
 
 from absl import logging
@@ -37,12 +36,9 @@
 from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
-from hollowrack.node_duties import NodeDuties
+from hollowrack.node_duties import NodeDuties, usage_meter
 from hollowrack.tasks import cancel_all
-from hollowrack.usage.counts import UsageCounts
-from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.types import ProcessCounts
-from hollowrack.usage.wall_clock import WallClock
 from hollowrack.weights.order_giver import OrderGiver
 
 LIVE_PACE_S = 0.2
@@ -75,6 +71,7 @@
         owner: Name of this process among all of all nodes.
         is_stopping: Whether a planned stop has begun.
         store: The coordination store, by way of other nodes if it does not serve this one.
+        usage: Counts the requests of tenants that workers began.
         may_follow: Set once what operators and workers write may be followed.
     """
 
@@ -95,14 +92,7 @@
         self.store = store
         self.routes = RouteTable()
         self.workers = WorkerDirectory(zone, rng)
-        self._usage_counts = UsageCounts()
-        usage = connections.usage
-        self.usage = UsageMeter(
-            self.owner,
-            self._usage_counts,
-            WallClock(time.time if usage is None else usage.time_of_day_s, now_s),
-            None if usage is None else usage.window_s,
-        )
+        self.usage = usage_meter(self.owner, connections.usage)
         self.forwarder = Forwarder(self.routes, self.workers, connections.back_ends, self.usage)
         self.queue = DispatchQueue(self.workers)
         self.session = Session(store, rng)
@@ -193,7 +183,6 @@
             self.live,
             self.routes,
             self.workers,
-            self._usage_counts,
             self.usage,
             connections.usage,
             connections.capacity,
@@ -317,7 +306,7 @@
 
     def take_usage(self, counts: ProcessCounts) -> None:
         """Take in what another node hands over of usage."""
-        self._usage_counts.merge(counts)
+        self.usage.counts.merge(counts)
 
     def store_doubted(self) -> None:
         """Look again at all that is watched."""
--- a/src/hollowrack/node_duties.py
+++ b/src/hollowrack/node_duties.py
@@ -1,17 +1,32 @@
 """The calls that one node makes for all, as far as a deployment asks for them."""
 
+import time
+
 from hollowrack.capacity.duty import CapacityDuty
 from hollowrack.capacity.types import CapacityClient
+from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.edge_connections import UsageConnections
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.live_state import CAPACITY_KEY, USAGE_KEY, LiveState
-from hollowrack.usage.counts import UsageCounts
 from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.reporter import UsageReporter
 from hollowrack.usage.spreader import UsageSpreader
+from hollowrack.usage.wall_clock import WallClock
+
+
+def usage_meter(owner: str, usage: UsageConnections | None) -> UsageMeter:
+    """Return what counts the requests that go by way of a node.
+
+    Args:
+        owner: Name of the node's process.
+        usage: What reporting usage takes; ``None`` where it is not reported.
+    """
+    if usage is None:
+        return UsageMeter(owner, WallClock(time.time, now_s), None)
+    return UsageMeter(owner, WallClock(usage.time_of_day_s, now_s), usage.window_s)
 
 
 class NodeDuties:
@@ -25,7 +40,6 @@
         live: The live processes, as this node sees them.
         routes: The routes in force.
         workers: The workers known.
-        counts: Counts of usage that this node holds.
         meter: Counts the requests that go by way of this node.
         usage: What reporting usage takes; ``None`` where it is not reported.
         capacity: Gives orders of capacity; ``None`` where none are given.
@@ -40,7 +54,6 @@
         live: LiveState,
         routes: RouteTable,
         workers: WorkerDirectory,
-        counts: UsageCounts,
         meter: UsageMeter,
         usage: UsageConnections | None,
         capacity: CapacityClient | None,
@@ -50,15 +63,14 @@
         self._capacity: CapacityDuty | None = None
         if usage is not None:
             self._spreader = UsageSpreader(
-                owner, counts, meter, live.leader_and_deputy, live.leader, usage.peers
+                owner, meter, live.leader_and_deputy, live.leader, usage.peers
             )
             self._reporter = UsageReporter(
                 node,
                 USAGE_KEY,
                 store,
                 leadership,
-                counts,
-                meter.time_s,
+                meter,
                 usage.window_s,
                 usage.client,
             )
--- a/src/hollowrack/usage/meter.py
+++ b/src/hollowrack/usage/meter.py
@@ -11,22 +11,20 @@
 
     Args:
         process: Name of this process.
-        counts: Takes the counts.
         clock: The time of day.
         window_s: Length of a window, in seconds; ``None`` where usage is not reported.
 
     Attributes:
+        counts: What this node holds, of other processes as well.
         num_counted: How many requests were counted.
         changed: Set whenever one was.
     """
 
-    def __init__(
-        self, process: str, counts: UsageCounts, clock: WallClock, window_s: float | None
-    ) -> None:
+    def __init__(self, process: str, clock: WallClock, window_s: float | None) -> None:
         self.num_counted = 0
         self.changed = asyncio.Event()
         self._process = process
-        self._counts = counts
+        self.counts = UsageCounts()
         self._clock = clock
         self._window_s = window_s
 
@@ -43,6 +41,6 @@
         """
         if tenant is None or self._window_s is None:
             return
-        self._counts.add(self._process, int(begun_s // self._window_s), tenant)
+        self.counts.add(self._process, int(begun_s // self._window_s), tenant)
         self.num_counted += 1
         self.changed.set()
--- a/src/hollowrack/usage/reporter.py
+++ b/src/hollowrack/usage/reporter.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 from absl import logging
 
@@ -17,7 +16,7 @@
 from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.coordination.tenure import Tenure
 from hollowrack.tasks import cancel_all
-from hollowrack.usage.counts import UsageCounts
+from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.types import DecidedUsage, UsageClient, WindowReport
 
 LOOK_S = 0.25
@@ -38,8 +37,7 @@
         key: Key of the decided windows in the coordination store.
         store: The coordination store.
         leadership: Whether this node may report.
-        counts: All counts that this node holds.
-        time_s: Returns the time of day, in seconds since 1970.
+        meter: Holds the counts, and tells the time of day.
         window_s: Length of a window, in seconds.
         client: Delivers reports.
     """
@@ -50,15 +48,14 @@
         key: str,
         store: CoordinationStore,
         leadership: Leadership,
-        counts: UsageCounts,
-        time_s: Callable[[], float],
+        meter: UsageMeter,
         window_s: float,
         client: UsageClient,
     ) -> None:
         self._node = node
         self._leadership = leadership
-        self._counts = counts
-        self._time_s = time_s
+        self._counts = meter.counts
+        self._time_s = meter.time_s
         self._window_s = window_s
         self._client = client
         self._record = Record(store, key, DecidedUsage, self._forget_decided)
--- a/src/hollowrack/usage/spreader.py
+++ b/src/hollowrack/usage/spreader.py
@@ -10,7 +10,6 @@
 
 from hollowrack.clock import now_s
 from hollowrack.tasks import cancel_all
-from hollowrack.usage.counts import UsageCounts
 from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.types import PushedCounts, UsagePeers
 
@@ -26,8 +25,7 @@
 
     Args:
         process: Name of this process.
-        counts: All counts that this node holds.
-        meter: Tells when there are more.
+        meter: Holds the counts, and tells when there are more.
         targets: Returns the processes to be informed, with their addresses.
         leader: Returns the process that leads, if that is known.
         peers: Hands counts over.
@@ -36,14 +34,13 @@
     def __init__(
         self,
         process: str,
-        counts: UsageCounts,
         meter: UsageMeter,
         targets: Callable[[], dict[str, str]],
         leader: Callable[[], str | None],
         peers: UsagePeers,
     ) -> None:
         self._process = process
-        self._counts = counts
+        self._counts = meter.counts
         self._meter = meter
         self._targets = targets
         self._leader = leader
--- a/tests/forwarding/helpers.py
+++ b/tests/forwarding/helpers.py
@@ -14,7 +14,6 @@
     Worker,
 )
 from hollowrack.forwarding.workers import WorkerDirectory
-from hollowrack.usage.counts import UsageCounts
 from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.wall_clock import WallClock
 from hollowrack_standins.back_ends import BackEndsStandin
@@ -73,4 +72,4 @@
 
 def make_meter(window_s: float | None = None) -> UsageMeter:
     clock = WallClock(lambda: 0.0, lambda: 0.0)
-    return UsageMeter("p1", UsageCounts(), clock, window_s)
+    return UsageMeter("p1", clock, window_s)
