Soak: callers bear one tenant's key and claim to be another; duties are checked by what was seen

Workers must be told the key's tenant and no key, scorer calls none; the duty service must see no two reports of a window, no older token, no turns of holders, and no more usage than workers ran.

--- a/src/hollowrack_bench/platform_demo.py
+++ b/src/hollowrack_bench/platform_demo.py
@@ -90,6 +90,8 @@
         self._edges: dict[str, EdgeProcess] = {}
         self._addresses: dict[str, str] = {}
         self._num_calls = 0
+        # Sent with every request, besides what it needs.
+        self._caller_headers: dict[str, str] = {}
         self._plain: Counter[int] = Counter()
         self.outcome = PlatformDemoOutcome()
 
@@ -248,7 +250,7 @@
     ) -> tuple[int, bytes]:
         """Send a request to one edge; status 0 stands for no answer."""
         address = self._addresses[edge]
-        headers = {
+        headers = self._caller_headers | {
             "Host": HOST,
             names.REQUEST_ID: request_id,
             names.DEADLINE_MS: "8000",
--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -2,7 +2,8 @@
 
 A trainer takes one step after the other beside plain requests, some of them unsafe to repeat, while
 processes are killed, stopped and frozen, the store refuses, loses answers and talks nonsense, and
-workers break off and fail; two faults may meet. What callers and workers saw is checked.
+workers break off and fail; two faults may meet. All callers bear one tenant's key and claim to be
+another one. What callers, workers and the service for duties saw is checked.
 """
 
 import asyncio
@@ -29,6 +30,7 @@
     PlatformDemoOutcome,
     configuration,
 )
+from hollowrack_standins.duty_service import DutyServiceCore, DutyServiceStandin
 
 NUM_EDGES = 4
 NUM_FAULT_LOOPS = 2
@@ -40,6 +42,11 @@
 UNSAFE_PAUSE_S = 0.07
 HTTP_REFUSED = frozenset({408, 421, 429, 503})
 REFUSED_STATUS = 503
+TENANT = "ana"
+KEY = "key-of-ana"
+OTHER_TENANT = "bob"
+USAGE_WINDOW_S = 2.0
+SCORER_MARK = ".score-"
 
 
 class PlatformSoak(PlatformDemo):
@@ -61,9 +68,15 @@
         self._faults: Counter[str] = Counter()
         self.refused_unsafe: set[str] = set()
         self._num_unsafe = 0
+        self._duties = DutyServiceStandin()
+        self._caller_headers = {
+            names.CREDENTIALS: f"{names.CHALLENGE_VALUE} {KEY}",
+            names.TENANT: OTHER_TENANT,
+        }
 
     async def run(self) -> PlatformDemoOutcome:
         """Run it and return what was seen."""
+        await self._duties.server.start()
         await self._start()
         beside = [
             asyncio.create_task(self._send_plain_requests()),
@@ -81,6 +94,8 @@
             await self._stop()
         self.check_unsafe()
         self.check_orders()
+        self.check_tenants()
+        self.check_duties(self._duties.core)
         self.outcome.rows = {
             "steps taken": str(len(step_times_s)),
             "longest step, s": f"{max(step_times_s):.1f}",
@@ -89,6 +104,7 @@
             "unsafe requests": str(self._num_unsafe),
             "orders given": str(len(self.ledger.orders)),
             "holders of orders": str(len({holder for _, holder, *_ in self.ledger.orders})),
+            "windows of usage reported": str(len(self._duties.core.reports)),
         }
         return self.outcome
 
@@ -98,6 +114,12 @@
         content = configuration()
         unsafe = {"path-prefix": "/once/", "route-type": "unsafe", "service": "prices"}
         content["routes"].append(content["routes"][1] | unsafe)
+        content["tenants"] = [
+            {"name": TENANT, "api-keys": [KEY]},
+            {"name": OTHER_TENANT, "api-keys": ["key-of-bob"]},
+        ]
+        scaling = {"min-replicas": 1, "max-replicas": 9, "zone-prices": {"z1": 1.0}}
+        content["services"][0]["scaling"] = scaling
         return content
 
     async def _start_edge(self, name: str) -> None:
@@ -107,6 +129,11 @@
             "zone": "z1",
             "listen": listen,
             "platform": {"address": self._store.server.address},
+            "bounds": {"report-window-s": USAGE_WINDOW_S},
+            "cloud": {
+                "address": self._duties.server.address,
+                "duties": [names.DUTY_USAGE, names.DUTY_CAPACITY],
+            },
         }
         self._processes.start(name, self._settings[name])
         self._addresses[name] = listen["frontend"]
@@ -127,6 +154,7 @@
         for worker in self._workers:
             await worker.server.crash()
         await self._store.server.crash()
+        await self._duties.server.crash()
         self._folder.cleanup()
 
     async def _after_submit(self, step: int) -> None:
@@ -141,6 +169,7 @@
             self._freeze,
             self._refuse_writes,
             self._lose_answers,
+            self._lose_duty_answers,
             self._talk_nonsense,
             self._break_worker,
         ]
@@ -190,6 +219,9 @@
     async def _lose_answers(self) -> None:
         self._store.faults.num_lost_answers = self._rng.randint(1, 4)
 
+    async def _lose_duty_answers(self) -> None:
+        self._duties.core.faults.num_lost_answers = self._rng.randint(1, 4)
+
     async def _talk_nonsense(self) -> None:
         self._store.faults.answers_nonsense = True
         await asyncio.sleep(MIN_FAULT_S)
@@ -232,6 +264,27 @@
             if self.ledger.executions[request_id]:
                 self.outcome.broken.append(f"{request_id}: refused as not run, and ran")
 
+    def check_tenants(self) -> None:
+        """Check that workers ran everything for the tenant of its key, and saw no key."""
+        for request_id, headers in self.ledger.headers.items():
+            expected = None if SCORER_MARK in request_id else TENANT
+            if headers.get(names.TENANT.lower()) != expected:
+                self.outcome.broken.append(f"{request_id}: run for another tenant")
+            if names.CREDENTIALS.lower() in headers:
+                self.outcome.broken.append(f"{request_id}: a worker saw its key")
+
+    def check_duties(self, service: DutyServiceCore) -> None:
+        """Check the calls that one node makes for all against what workers ran."""
+        self.outcome.broken.extend(service.broken)
+        num_reported = sum(counts.get(TENANT, 0) for counts in service.reports.values())
+        num_begun = sum(
+            number for request_id, number in self.ledger.executions.items() if "." not in request_id
+        )
+        if num_reported > num_begun:
+            self.outcome.broken.append(f"usage: {num_reported} reported, {num_begun} begun")
+        if any(set(counts) - {TENANT} for counts in service.reports.values()):
+            self.outcome.broken.append("usage: reported for another tenant")
+
     def check_orders(self) -> None:
         """Check that every fencing token had one holder and that no worker saw an older one."""
         holders: dict[int, str] = {}
