--- a/src/hollowrack/api/server.py
+++ b/src/hollowrack/api/server.py
@@ -11,7 +11,7 @@
 
 from hollowrack.api.guarded_protocol import guarded_protocol
 from hollowrack.results import Problem, ProblemError, ResultCode
-from hollowrack.settings.addresses import split_address
+from hollowrack.settings.model import split_address
 
 START_POLL_S = 0.01
 LISTEN_BACKLOG = 1024
--- a/src/hollowrack/node_core.py
+++ b/src/hollowrack/node_core.py
@@ -68,7 +68,7 @@
 from hollowrack.routing.fleet import FleetView
 from hollowrack.routing.local_placer import LocalPlacer, PlacerParts
 from hollowrack.routing.observer import FleetObserver
-from hollowrack.settings.sections import Limits
+from hollowrack.settings.model import Limits
 from hollowrack.tasks import cancel_all
 
 DEFAULT_DRAIN_DEADLINE_S = 30.0
--- a/src/hollowrack/platform/program.py
+++ b/src/hollowrack/platform/program.py
@@ -1,15 +1,12 @@
 """Runs one role on the platform: ``edge`` or ``storage``."""
 
 import asyncio
-import os
 import sys
 
 EDGE_ROLE = "edge"
 STORAGE_ROLE = "storage"
 USAGE_STATUS = 25
 DRAIN_PATIENCE_S = 0.5
-# Where OpenSSL looks for the certificates that it trusts.
-TRUST_STORE_VARIABLES = ("SSL_CERT_FILE", "SSL_CERT_DIR")
 
 
 def main(arguments: list[str]) -> int:
@@ -26,24 +23,14 @@
     return USAGE_STATUS
 
 
-def _load_no_certificates() -> None:
-    """Keep the HTTP client from loading the system's certificates as it is imported.
-
-    Nothing here speaks TLS, and processes start often.
-    """
-    for variable in TRUST_STORE_VARIABLES:
-        os.environ[variable] = os.devnull
-
-
 def _run_edge() -> int:
-    _load_no_certificates()
     from returns.result import Failure  # noqa: PLC0415
 
     from hollowrack.observability.logs import bound_logging, setup_logging  # noqa: PLC0415
     from hollowrack.platform.edge_process import serve_edge  # noqa: PLC0415
     from hollowrack.platform.settings import read_process_settings  # noqa: PLC0415
     from hollowrack.results import ProblemError, exit_status  # noqa: PLC0415
-    from hollowrack.settings.sections import Logging  # noqa: PLC0415
+    from hollowrack.settings.model import Logging  # noqa: PLC0415
 
     settings = read_process_settings()
     if isinstance(settings, Failure):
--- a/src/hollowrack/settings/example.py
+++ b/src/hollowrack/settings/example.py
@@ -4,8 +4,7 @@
 
 from pydantic import BaseModel
 
-from hollowrack.settings.model import NodeSettings
-from hollowrack.settings.sections import Peer
+from hollowrack.settings.model import NodeSettings, Peer
 
 _EXAMPLE_VALUES = {
     "node": '"buc-a-1"',
--- a/src/hollowrack/settings/load.py
+++ b/src/hollowrack/settings/load.py
@@ -13,8 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from hollowrack.results import Problem, ResultCode
-from hollowrack.settings.addresses import split_address
-from hollowrack.settings.model import NodeSettings
+from hollowrack.settings.model import NodeSettings, split_address
 
 CLUSTER_KEY_BYTES = 32
 
--- a/src/hollowrack/settings/model.py
+++ b/src/hollowrack/settings/model.py
@@ -1,11 +1,99 @@
-"""The settings of one node, read from a file and environment variables."""
+"""The settings of one node, each key checked and documented."""
 
+import ipaddress
 from pathlib import Path
+from typing import Annotated, Literal
 
-from pydantic import Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
-from hollowrack.settings.sections import Limits, Listeners, Logging, Name, Peer, Platform
+MIN_TRUSTED_KEY_LENGTH = 64
+
+
+def _check_address(value: str) -> str:
+    host, separator, port = value.rpartition(":")
+    if not separator:
+        raise ValueError("must be IP:PORT, for example 127.0.0.1:7100")
+    ipaddress.ip_address(host.strip("[]"))
+    max_port = 65535
+    if not port.isdigit() or int(port) > max_port:
+        raise ValueError("the port must be a number from 0 to 65535")
+    return value
+
+
+def _check_name(value: str) -> str:
+    if not value or not all(char.isalnum() or char in "-_." for char in value):
+        raise ValueError("must consist of letters, digits, '-', '_' and '.'")
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Name = Annotated[str, AfterValidator(_check_name)]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split a checked ``IP:PORT`` address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Listeners(_Section):
+    """The addresses a node listens on."""
+
+    callers: Address = Field(description="Callers and trainers: HTTP.")
+    operators: Address = Field(description="Operators and metrics scrapers: HTTP.")
+    nodes: Address = Field(description="Other nodes: the internal protocol, TCP.")
+
+
+class Peer(_Section):
+    """Another node this node knows from the start."""
+
+    node: Name = Field(description="The other node's name.")
+    zone: Name = Field(description="The other node's zone.")
+    address: Address = Field(description="The other node's listeners.nodes address.")
+
+
+class Platform(_Section):
+    """Where the platform's services are."""
+
+    config_store: tuple[str, ...] = Field(
+        description="Base URLs of the configuration store (etcd v3 JSON gateway)."
+    )
+    machine_list: str = Field(description="URL of the machine list (HTTP service discovery JSON).")
+    weight_store: str = Field(description="Base URL of the weight store.")
+
+
+class Limits(_Section):
+    """Bounds that protect the node's memory."""
+
+    max_body_bytes: int = Field(
+        default=1_048_576, ge=1024, description="Longest accepted request body, in bytes."
+    )
+    max_connections: int = Field(
+        default=4096, ge=16, description="Most caller connections open at once."
+    )
+    max_requests: int = Field(default=1024, ge=1, description="Most caller requests at once.")
+    request_read_timeout_s: float = Field(
+        default=10.0, gt=0, description="Longest time for a caller to send a request, in seconds."
+    )
+    max_answers: int = Field(
+        default=4096, ge=16, description="Most finished answers kept for reading again."
+    )
+
+
+class Logging(_Section):
+    """How the node logs."""
+
+    format: Literal["json", "human"] = Field(
+        default="json", description="One JSON object a line, or plain lines for people."
+    )
+    level: Literal["debug", "info", "warning", "error"] = Field(
+        default="info", description="Least severity that is written."
+    )
 
 
 class NodeSettings(BaseSettings):
--- a/src/hollowrack_bench/hollow/fleet.py
+++ b/src/hollowrack_bench/hollow/fleet.py
@@ -17,7 +17,7 @@
 from hollowrack.node_edges import NodeEdges, NodeIdentity
 from hollowrack.results import value_or_raise
 from hollowrack.routing.choice import Chooser, choose
-from hollowrack.settings.sections import Limits
+from hollowrack.settings.model import Limits
 from hollowrack_bench.hollow.network import HollowNetwork, HollowWorld
 from hollowrack_bench.hollow.platform import (
     HollowEngine,
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -11,7 +11,7 @@
 
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.observability.logs import bound_logging, log_fields, setup_logging
-from hollowrack.settings.sections import Logging
+from hollowrack.settings.model import Logging
 
 
 @pytest.fixture
