Items wait for the configuration: a job taken back before it is read gave its items up

Cause: a process that starts again takes its jobs back as soon as it sees them. If the configuration came later, every item's route looked gone, and the item was listed as given up.

Change: items run once there is a configuration. The test fails without it.

--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -1,5 +1,6 @@
 """Looks up the route of a request: the longest prefix among the routes of its host."""
 
+import asyncio
 from collections import defaultdict
 
 from absl import logging
@@ -16,9 +17,14 @@
 
 
 class RouteTable:
-    """The routes in force on this node; the version only rises."""
+    """The routes in force on this node; the version only rises.
+
+    Attributes:
+        is_loaded: Set once there is a configuration.
+    """
 
     def __init__(self) -> None:
+        self.is_loaded = asyncio.Event()
         self._configuration: RoutingConfiguration | None = None
         self._by_host: dict[str, list[Route]] = {}
         self._credits: dict[tuple[str, str], float] = {}
@@ -58,6 +64,7 @@
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._by_host = dict(by_host)
         self._configuration = configuration
+        self.is_loaded.set()
         logging.info("configuration %d in force", configuration.version)
         return True
 
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -108,6 +108,9 @@
         """Run the item; the result says whether it is whole or given up."""
         try:
             async with asyncio.timeout_at(self._give_up_s):
+                # A process may take its jobs back before it has read the configuration: until then
+                # a route that it does not know is not one that is gone.
+                await self._services.routes.is_loaded.wait()
                 return await self._run()
         except TimeoutError:
             logging.warning("item %s of job %s: its time is up", self._item.id, self._job.id)
--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -135,7 +135,9 @@
         for index in range(num_nodes):
             self.start(f"n{index}")
 
-    def start(self, name: str, faults: StoreFaults | None = None) -> EdgeNode:
+    def start(
+        self, name: str, faults: StoreFaults | None = None, is_configured: bool = True
+    ) -> EdgeNode:
         """Start a node, or start it again, with faults of its access to the store."""
         faults = self.faults[name] = faults or StoreFaults()
         connections = EdgeConnections(
@@ -153,7 +155,8 @@
         )
         node = EdgeNode(name, "z1", 3.0, connections, random.Random(f"{name}{len(self.faults)}"))
         node.jobs.intake.hands_on = self.hands_on
-        node.configuration_changed(configuration())
+        if is_configured:
+            node.configuration_changed(configuration())
         for index in range(2):
             worker = Worker(f"e{index}", "engines", "127.0.0.1:1", "z1", 4, False, {MODEL: 1})
             node.worker_changed(worker)
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -12,7 +12,7 @@
 from hollowrack.results import DESCRIPTIONS, Execution, Problem, ResultCode
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.back_ends import WorkerBehaviour
-from tests.jobs.helpers import Fleet, check_whole, make_job
+from tests.jobs.helpers import Fleet, check_whole, configuration, make_job
 
 SETTLE_S = 1.0
 
@@ -276,6 +276,24 @@
     run_virtual(main())
 
 
+def test_jobs_taken_back_before_the_configuration_is_read_give_no_item_up() -> None:
+    async def main() -> None:
+        fleet = Fleet()
+        await asyncio.sleep(1.0)
+        fleet.back_ends.num_events = 40
+        job = make_job()
+        assert await fleet.nodes["n1"].jobs.submit(job) is None
+        await fleet.kill("n1")
+        node = fleet.start("n1", is_configured=False)
+        await asyncio.sleep(1.0)
+        assert node.jobs.owns(job.id)
+        node.configuration_changed(configuration())
+        check_whole(job, await read_all(fleet, "n2", job.id, len(job.items)), num_events=40)
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_an_owner_whose_session_was_lost_and_a_new_owner_agree() -> None:
     async def main() -> None:
         fleet = Fleet()
