--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -90,7 +90,7 @@
         store = RelayingStore(connections.store, connections.relay, self._relay_nodes, rng)
         store.direct_failure_listeners.append(self._rewatch_live)
         self.store = store
-        self.routes = RouteTable()
+        self.routes = RouteTable(lambda: self.configuration_age_s)
         self.workers = WorkerDirectory(zone, rng)
         self.usage = usage_meter(self.owner, connections.usage)
         self.forwarder = Forwarder(self.routes, self.workers, connections.back_ends, self.usage)
--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable
 
 from absl import logging
 
@@ -19,11 +20,15 @@
 class RouteTable:
     """The routes in force on this node; the version only rises.
 
+    Args:
+        age_s: Returns how long ago the store confirmed the version in force, in seconds; for logs.
+
     Attributes:
         is_loaded: Set once there is a configuration.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, age_s: Callable[[], float] | None = None) -> None:
+        self._age_s = age_s
         self.is_loaded = asyncio.Event()
         self._configuration: RoutingConfiguration | None = None
         self._by_host: dict[str, list[Route]] = {}
@@ -34,6 +39,14 @@
         """Version in force; ``None`` before the first."""
         return None if self._configuration is None else self._configuration.version
 
+    def describe(self) -> str:
+        """Version in force and its age, for a log line that tells what a decision rests on."""
+        if self.version is None:
+            return "no configuration"
+        if self._age_s is None:
+            return f"configuration {self.version}"
+        return f"configuration {self.version}, confirmed {self._age_s():.2f} s ago"
+
     @property
     def limits(self) -> CallerLimits:
         """Bounds on callers in force."""
@@ -65,7 +78,7 @@
         self._by_host = dict(by_host)
         self._configuration = configuration
         self.is_loaded.set()
-        logging.info("configuration %d in force", configuration.version)
+        logging.info("configuration %d in force, before: %s", configuration.version, current)
         return True
 
     def lookup(self, host: str, path: str) -> Route | None:
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -120,7 +120,12 @@
         while True:
             route = self._services.routes.lookup(self._job.host, self._item.target)
             if route is None:
-                logging.warning("item %s of job %s: its route is gone", self._item.id, self._job.id)
+                logging.warning(
+                    "item %s of job %s: its route is gone (%s)",
+                    self._item.id,
+                    self._job.id,
+                    self._services.routes.describe(),
+                )
                 return ItemResult(self._item.id, is_complete=False)
             try:
                 await self._generate(route)
@@ -215,6 +220,12 @@
         while True:
             route = self._services.routes.lookup(scorer.host, scorer.target)
             if route is None:
+                logging.warning(
+                    "item %s of job %s: the route of its scorer is gone (%s)",
+                    self._item.id,
+                    self._job.id,
+                    self._services.routes.describe(),
+                )
                 return ItemResult(self._item.id, is_complete=False)
             answer = await self._services.forwarder.forward(_scorer_request(scorer, route))
             if isinstance(answer, WholeAnswer):
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -139,13 +139,14 @@
         )
         self._runners[job.id] = runner
         logging.info(
-            "job %s: owned, %d items, %d listed, %d to be listed, %d events kept of %d others",
+            "job %s: owned, %d items, %d listed, %d to be listed, %d events kept of %d others (%s)",
             job.id,
             len(job.items),
             len(results),
             len(unlisted),
             sum(len(events) for events in (kept or {}).values()),
             len(kept or {}),
+            self._services.routes.describe(),
         )
 
     def _on_done(self, runner: JobRunner) -> None:
--- a/src/hollowrack/platform/ingress.py
+++ b/src/hollowrack/platform/ingress.py
@@ -106,7 +106,7 @@
         route = routes.lookup(exchange.host, exchange.path)
         if route is None:
             await exchange.send_problem(
-                Problem(ResultCode.UNKNOWN_ROUTE, f"version {routes.version}", exchange.path)
+                Problem(ResultCode.UNKNOWN_ROUTE, routes.describe(), exchange.path)
             )
             return
         caller = self._authenticate(exchange, route.is_public)
