--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -22,14 +22,11 @@
 
     Args:
         age_s: Returns how long ago the store confirmed the version in force, in seconds; for logs.
-
-    Attributes:
-        is_loaded: Set once there is a configuration.
     """
 
     def __init__(self, age_s: Callable[[], float] | None = None) -> None:
         self._age_s = age_s
-        self.is_loaded = asyncio.Event()
+        self._changed = asyncio.Event()
         self._configuration: RoutingConfiguration | None = None
         self._by_host: dict[str, list[Route]] = {}
         self._credits: dict[tuple[str, str], float] = {}
@@ -77,7 +74,8 @@
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._by_host = dict(by_host)
         self._configuration = configuration
-        self.is_loaded.set()
+        self._changed.set()
+        self._changed = asyncio.Event()
         logging.info("configuration %d in force, before: %s", configuration.version, current)
         return True
 
@@ -88,6 +86,38 @@
                 return route
         return None
 
+    def is_at_least(self, version: int) -> bool:
+        """Whether a configuration of at least this version is in force."""
+        return self.version is not None and self.version >= version
+
+    async def lookup_since(self, host: str, path: str, version: int) -> Route | None:
+        """Return the route of a request that was accepted under a version.
+
+        Other nodes may know newer configurations than this one. A route that is absent from an
+        older one may have been added since, so absence counts from that version on only.
+
+        Args:
+            host: The host.
+            path: The path.
+            version: The version under which the route was seen; 0 if that is not known.
+
+        Returns:
+            The route; ``None`` if it has ended.
+        """
+        while True:
+            route = self.lookup(host, path)
+            if route is not None or self.is_at_least(version):
+                return route
+            await self._changed.wait()
+
+    async def lookup_until_found(self, host: str, path: str) -> Route:
+        """Return the route of a request, waiting until there is one."""
+        while True:
+            route = self.lookup(host, path)
+            if route is not None:
+                return route
+            await self._changed.wait()
+
     def has_public_jobs(self, host: str) -> bool:
         """Whether jobs may be submitted to a host without a key."""
         return any(
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -1,8 +1,10 @@
 """Runs one item of a job: generation, check of its versions, score."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from enum import Enum
 
 from absl import logging
 
@@ -14,6 +16,7 @@
 from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.resumable_run import (
     ResumableRun,
+    RunEnd,
     RunEndedError,
     RunLimits,
     VersionedEvent,
@@ -32,11 +35,37 @@
 MIN_SCORER_PATIENCE_S = 0.6
 SCORER_PATIENCE_IN_TARGETS = 2.0
 SCORER_PAUSE_S = 0.1
+# An unexpected error may come again at once, and would take the processor and fill the log.
+ERROR_PAUSE_S = 1.0
 SCORER_METHOD = "POST"
 HTTP_SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
 
 
+class GiveUpReason(Enum):
+    """Why an item has no whole text: all that may end one, as a result cannot be taken back."""
+
+    REJECTED = "a worker says that it can never be done"
+    FAILED_TOO_OFTEN = "workers failed it too often"
+    SCORER_FAILED_TOO_OFTEN = "its scorer failed too often"
+    ROUTE_ENDED = "its route has ended"
+    TIME_IS_UP = "its time is up"
+
+
+_REASONS = {
+    RunEnd.REJECTED: GiveUpReason.REJECTED,
+    RunEnd.FAILED_TOO_OFTEN: GiveUpReason.FAILED_TOO_OFTEN,
+}
+
+
+class ItemGivenUpError(Exception):
+    """The item can never be whole."""
+
+    def __init__(self, reason: GiveUpReason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
 @dataclass(frozen=True)
 class ItemServices:
     """What running items takes.
@@ -50,6 +79,7 @@
         read_version: Reads the weight version that an event announces.
         patience: Longest wait for the first event of a generation.
         lengths: How many events items will have.
+        num_given_up: How many items were given up here, by reason.
     """
 
     routes: RouteTable
@@ -62,6 +92,7 @@
         default_factory=lambda: FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
     )
     lengths: LengthEstimate = field(default_factory=LengthEstimate)
+    num_given_up: Counter[GiveUpReason] = field(default_factory=Counter)
 
 
 class ItemRunner:
@@ -71,8 +102,7 @@
         services: What running takes.
         job: Its job.
         item: The item.
-        rank: Its rank in the queue for workers.
-        give_up_s: When it may be given up, on the loop's clock; ``None`` for never.
+        sequence: Number of the job on this node; items of earlier jobs go first.
         kept: What an earlier owner of the job has generated of it, from its beginning.
 
     Attributes:
@@ -86,8 +116,7 @@
         services: ItemServices,
         job: Job,
         item: JobItem,
-        rank: Rank,
-        give_up_s: float | None,
+        sequence: int,
         kept: Sequence[VersionedEvent] = (),
     ) -> None:
         self.events: list[VersionedEvent] = list(kept)
@@ -96,8 +125,9 @@
         self._services = services
         self._job = job
         self._item = item
-        self._rank = rank
-        self._give_up_s = give_up_s
+        # The longest first: what starts last should not be what takes longest.
+        num_left = services.lengths.num_tokens_left(item.expected_tokens, len(kept))
+        self._rank: Rank = (sequence, 0, -num_left)
 
     @property
     def item_id(self) -> str:
@@ -106,43 +136,83 @@
 
     async def run(self) -> ItemResult:
         """Run the item; the result says whether it is whole or given up."""
+        job_route = await self._route_of(self._job.target)
+        if job_route is not None:
+            sequence, _, num_left = self._rank
+            self._rank = (sequence, job_route.priority, num_left)
+        limit = asyncio.timeout_at(_give_up_time_s(job_route))
         try:
-            async with asyncio.timeout_at(self._give_up_s):
-                # A process may take its jobs back before it has read the configuration: until then
-                # a route that it does not know is not one that is gone.
-                await self._services.routes.is_loaded.wait()
-                return await self._run()
+            async with limit:
+                return await self._run_until_ended()
+        except ItemGivenUpError as error:
+            return self._give_up(error.reason)
         except TimeoutError:
-            logging.warning("item %s of job %s: its time is up", self._item.id, self._job.id)
-            return ItemResult(self._item.id, is_complete=False)
+            return self._give_up(GiveUpReason.TIME_IS_UP)
+
+    def _give_up(self, reason: GiveUpReason) -> ItemResult:
+        """Return the result of an item that can never be whole; no other place makes one."""
+        self._services.num_given_up[reason] += 1
+        logging.warning(
+            "item %s of job %s: given up with %d events, %s (%s)",
+            self._item.id,
+            self._job.id,
+            len(self.events),
+            reason.value,
+            self._services.routes.describe(),
+        )
+        return ItemResult(self._item.id, is_complete=False)
+
+    async def _run_until_ended(self) -> ItemResult:
+        """Run the item, again after errors that are no proof that it can never be whole.
+
+        Raises:
+            ItemGivenUpError: If there is such a proof.
+        """
+        while True:
+            try:
+                return await self._run()
+            except ItemGivenUpError:
+                raise
+            except Exception:
+                logging.exception("item %s of job %s: goes on", self._item.id, self._job.id)
+                await asyncio.sleep(ERROR_PAUSE_S)
+
+    async def _route_of(self, target: str) -> Route | None:
+        """The route of a path, as of the configuration under which the job was accepted or later.
+
+        A node that has just started, or that lags, may have none or an older one: what is absent
+        from that has not ended.
+        """
+        version = self._job.configuration_version
+        return await self._services.routes.lookup_since(self._job.host, target, version)
 
     async def _run(self) -> ItemResult:
+        if not self.is_generated:
+            await self._generate_whole()
+            self.is_generated = True
+        text = "\n".join(event.event.data for event in self.events)
+        return await self._scored(text, self._versions())
+
+    async def _generate_whole(self) -> None:
         while True:
-            route = self._services.routes.lookup(self._job.host, self._item.target)
+            route = await self._route_of(self._item.target)
             if route is None:
-                logging.warning(
-                    "item %s of job %s: its route is gone (%s)",
-                    self._item.id,
-                    self._job.id,
-                    self._services.routes.describe(),
-                )
-                return ItemResult(self._item.id, is_complete=False)
+                raise ItemGivenUpError(GiveUpReason.ROUTE_ENDED)
             try:
                 await self._generate(route)
             except RunEndedError as error:
-                logging.info("item %s of job %s: %s", self._item.id, self._job.id, error)
-                return ItemResult(self._item.id, is_complete=False)
-            made_by = {event.weight_version for event in self.events}
-            versions = sorted(version for version in made_by if version is not None)
-            if route.needs_single_version and len(versions) > 1:
-                logging.info("item %s: made by versions %s, again", self._item.id, versions)
-                self.events = []
-                self.num_restarts += 1
-                continue
-            break
-        self.is_generated = True
-        text = "\n".join(event.event.data for event in self.events)
-        return await self._scored(text, tuple(versions))
+                raise ItemGivenUpError(_REASONS[error.end]) from error
+            versions = self._versions()
+            if not route.needs_single_version or len(versions) <= 1:
+                return
+            logging.info("item %s: made by versions %s, again", self._item.id, versions)
+            self.events = []
+            self.num_restarts += 1
+
+    def _versions(self) -> tuple[int, ...]:
+        """Every weight version that made an event."""
+        made_by = {event.weight_version for event in self.events}
+        return tuple(sorted(version for version in made_by if version is not None))
 
     async def _generate(self, route: Route) -> None:
         """Generate whatever is missing."""
@@ -218,26 +288,25 @@
             return ItemResult(self._item.id, True, text, versions)
         num_failures = 0
         while True:
-            route = self._services.routes.lookup(scorer.host, scorer.target)
-            if route is None:
-                logging.warning(
-                    "item %s of job %s: the route of its scorer is gone (%s)",
-                    self._item.id,
-                    self._job.id,
-                    self._services.routes.describe(),
-                )
-                return ItemResult(self._item.id, is_complete=False)
+            # No configuration ends an item by lacking the route of its scorer: its time does.
+            route = await self._services.routes.lookup_until_found(scorer.host, scorer.target)
             answer = await self._services.forwarder.forward(_scorer_request(scorer, route))
             if isinstance(answer, WholeAnswer):
                 if answer.status in HTTP_SUCCESS and answer.signature is not None:
                     return ItemResult(self._item.id, True, text, versions, answer.signature)
                 num_failures += answer.status == FIRST_SERVER_ERROR
                 if num_failures >= route.max_attempts:
-                    logging.info("item %s: its scorer failed %d times", self._item.id, num_failures)
-                    return ItemResult(self._item.id, is_complete=False)
+                    raise ItemGivenUpError(GiveUpReason.SCORER_FAILED_TOO_OFTEN)
             await asyncio.sleep(SCORER_PAUSE_S)
 
 
+def _give_up_time_s(job_route: Route | None) -> float | None:
+    """When an item may be given up, on the loop's clock; ``None`` for never."""
+    if job_route is None or job_route.queue_ttl_s is None:
+        return None
+    return now_s() + job_route.queue_ttl_s
+
+
 def _scorer_request(scorer: ScorerCall, route: Route) -> ForwardRequest:
     call = BackEndCall(
         scorer.request_id,
--- a/src/hollowrack/jobs/job_intake.py
+++ b/src/hollowrack/jobs/job_intake.py
@@ -161,7 +161,8 @@
         owner = await self._log.owner_of(job.id)
         if owner == self._log.owner and not self._owner.owns(job.id):
             stored = await self._log.load(job.id)
-            self._owner.own(job, stored.results if isinstance(stored, StoredJob) else [])
+            known = stored if isinstance(stored, StoredJob) else StoredJob(job)
+            self._owner.own(known.job, known.results)
 
 
 def _problem_of(outcome: CreateOutcome, job_id: str) -> Problem | None:
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -8,7 +8,6 @@
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import NotDone, Unknown
-from hollowrack.forwarding.types import Route
 from hollowrack.jobs.item_runner import ItemRunner, ItemServices
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
 from hollowrack.jobs.progress import (
@@ -19,7 +18,7 @@
     kept_event,
 )
 from hollowrack.jobs.progress_saver import ProgressSaver
-from hollowrack.jobs.types import ItemResult, Job, JobItem
+from hollowrack.jobs.types import ItemResult, Job
 from hollowrack.tasks import cancel_all
 
 # Results that finish close together are listed by one write. A trainer uses whole groups, so those
@@ -170,27 +169,25 @@
 
     def _start_items(self) -> None:
         listed = {result.item_id for result in [*self.results, *self._finished]}
-        route = self._services.routes.lookup(self.job.host, self.job.target)
-        priority = route.priority if route is not None else 0
-        give_up_s = _give_up_time_s(route)
+        version = self.job.configuration_version
+        if not self._services.routes.is_at_least(version):
+            logging.warning(
+                "job %s: accepted under configuration %d, which is not known here yet (%s)",
+                self.job.id,
+                version,
+                self._services.routes.describe(),
+            )
         for item in self.job.items:
             if item.id in listed:
                 continue
             kept = self._kept.get(item.id, ())
-            # The longest first: what starts last should not be what takes longest.
-            num_left = self._services.lengths.num_tokens_left(item.expected_tokens, len(kept))
-            rank = (self._sequence, priority, -num_left)
-            runner = ItemRunner(self._services, self.job, item, rank, give_up_s, kept)
+            runner = ItemRunner(self._services, self.job, item, self._sequence, kept)
             self._item_runners[item.id] = runner
-            self._item_tasks[item.id] = asyncio.create_task(self._run_item(item, runner))
+            self._item_tasks[item.id] = asyncio.create_task(self._run_item(runner))
 
-    async def _run_item(self, item: JobItem, runner: ItemRunner) -> None:
-        try:
-            result = await runner.run()
-        except Exception:
-            logging.exception("item %s of job %s failed", item.id, self.job.id)
-            result = ItemResult(item.id, is_complete=False)
-        self._item_runners.pop(item.id, None)
+    async def _run_item(self, runner: ItemRunner) -> None:
+        result = await runner.run()
+        self._item_runners.pop(runner.item_id, None)
         self._finished.append(result)
         self._has_finished.set()
         self._finished_another.set()
@@ -255,12 +252,6 @@
     return len(groups) - len(open_groups) >= num_desired
 
 
-def _give_up_time_s(route: Route | None) -> float | None:
-    if route is None or route.queue_ttl_s is None:
-        return None
-    return now_s() + route.queue_ttl_s
-
-
 def _first_batch(finished: list[ItemResult]) -> list[ItemResult]:
     """The first results that fit one write; at least one."""
     size = 0
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -4,7 +4,7 @@
 import itertools
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from absl import logging
@@ -100,7 +100,8 @@
 
     async def submit(self, job: Job) -> Problem | None:
         """Accept a job, here or at another node; ``None`` once it is stored for good."""
-        return await self.intake.submit(job)
+        version = self._services.routes.version or 0
+        return await self.intake.submit(replace(job, configuration_version=version))
 
     async def submit_here(self, job: Job) -> Problem | None:
         """Accept a job on this node; ``None`` once it is stored for good."""
--- a/src/hollowrack/jobs/types.py
+++ b/src/hollowrack/jobs/types.py
@@ -62,6 +62,8 @@
         min_version: Oldest weight version that may make its tokens.
         num_desired_groups: How many whole groups its trainer waits for.
         tenant: Name of the tenant that submitted it; ``None`` if it needed no key.
+        configuration_version: Version of the configuration under which it was accepted; 0 if that
+            is not known.
     """
 
     id: str
@@ -72,6 +74,7 @@
     min_version: int = 0
     num_desired_groups: int = 0
     tenant: str | None = None
+    configuration_version: int = 0
 
 
 def scoped_job_id(tenant: str | None, caller_job_id: str) -> str:
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -67,6 +67,12 @@
         for kind, count in self._counts.store_calls.items():
             calls.add_metric([kind], count)
         yield calls
+        given_up = CounterMetricFamily(
+            "hollowrack_items_given_up", "Items given up here by reason", labels=["reason"]
+        )
+        for reason, count in self._node.services.num_given_up.items():
+            given_up.add_metric([reason.name], count)
+        yield given_up
         workers = GaugeMetricFamily(
             "hollowrack_workers", "Workers known, by service and state", labels=["service", "state"]
         )
