--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -11,7 +11,6 @@
 from hollowrack.api.server import HttpServer
 from hollowrack.coordination.feed_http import HttpFeedClient, feed_routes
 from hollowrack.coordination.relay_http import HttpRelayClient, relay_routes
-from hollowrack.coordination.sharing import MirrorFeed
 from hollowrack.coordination.store import Committed, Put
 from hollowrack.edge_connections import EdgeConnections, UsageConnections
 from hollowrack.edge_node import EdgeNode
@@ -21,7 +20,7 @@
 from hollowrack.platform import names
 from hollowrack.platform.configuration import retirement_status
 from hollowrack.platform.duty_client import PlatformDutyClient
-from hollowrack.platform.feed import PlatformFeed
+from hollowrack.platform.feed import answer_watches, follow_platform
 from hollowrack.platform.http_session import client_session
 from hollowrack.platform.ingress import IngressApp, ReadinessApp
 from hollowrack.platform.settings import (
@@ -39,12 +38,6 @@
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.peers import HttpUsagePeers, usage_routes
 
-# Only the leader's watches reach the store, so that they may be close.
-OPERATOR_PACE_S = 0.15
-WORKER_PACE_S = 0.25
-# Changes missed by a watch must be noticed well inside the two seconds they have.
-OPERATOR_WAIT_S = 0.5
-WORKER_WAIT_S = 1.0
 MAX_CONNECTIONS = 3000
 # Results may be asked for that long after a job was sent; kept a while longer.
 KEEP_IN_STATUS_TIMES = 2.0
@@ -119,22 +112,8 @@
             ),
             self._rng,
         )
-        self._feed = PlatformFeed(
-            self.node.shared_store,
-            self.node,
-            OPERATOR_PACE_S,
-            WORKER_PACE_S,
-            OPERATOR_WAIT_S,
-            WORKER_WAIT_S,
-            self._rng,
-            self.node.may_follow,
-        )
-        shared = self.node.shared_store
-        shared.source_listeners.append(self._feed.rewatch_workers)
-        shared.recovery_listeners.append(self._feed.wake)
-        self.node.store.direct_failure_listeners.append(self._feed.rewatch)
-        mirrors = {**self._feed.mirrors(), **self.node.shared_mirrors()}
-        feed = MirrorFeed(mirrors, lambda: shared.heard_store_s)
+        self._feed = follow_platform(self.node, self._rng)
+        feed = answer_watches(self.node, self._feed)
         counts = EdgeCounts(store_calls=store.num_calls)
         streams = StreamForwarder(
             self.node.routes,
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -8,7 +8,9 @@
 from returns.result import Failure
 
 from hollowrack.coordination.mirror import PrefixMirror
+from hollowrack.coordination.sharing import MirrorFeed
 from hollowrack.coordination.store import CoordinationStore, StoredItem
+from hollowrack.edge_node import EdgeNode
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.platform import names
 from hollowrack.platform.configuration import (
@@ -17,6 +19,13 @@
     decode_worker,
 )
 
+# Only the leader's watches reach the store, so that they may be close.
+OPERATOR_PACE_S = 0.15
+WORKER_PACE_S = 0.25
+# Changes missed by a watch must be noticed well inside the two seconds they have.
+OPERATOR_WAIT_S = 0.5
+WORKER_WAIT_S = 1.0
+
 
 class FeedListener(Protocol):
     """Takes in what the platform tells."""
@@ -146,3 +155,33 @@
             logging.error("%s", worker.failure())
         else:
             self._listener.worker_changed(worker.unwrap())
+
+
+def follow_platform(node: EdgeNode, rng: random.Random) -> PlatformFeed:
+    """Return a feed of a node's own, joined to it and not started.
+
+    Args:
+        node: The node.
+        rng: Source of the retry jitter.
+    """
+    shared = node.shared_store
+    feed = PlatformFeed(
+        shared,
+        node,
+        OPERATOR_PACE_S,
+        WORKER_PACE_S,
+        OPERATOR_WAIT_S,
+        WORKER_WAIT_S,
+        rng,
+        node.may_follow,
+    )
+    shared.source_listeners.append(feed.rewatch_workers)
+    shared.recovery_listeners.append(feed.wake)
+    node.store.direct_failure_listeners.append(feed.rewatch)
+    return feed
+
+
+def answer_watches(node: EdgeNode, feed: PlatformFeed) -> MirrorFeed:
+    """Return what answers other nodes' watches from a node's mirrors."""
+    mirrors = {**feed.mirrors(), **node.shared_mirrors()}
+    return MirrorFeed(mirrors, lambda: node.shared_store.heard_store_s)
