--- a/src/hollowrack_bench/edge_processes.py
+++ b/src/hollowrack_bench/edge_processes.py
@@ -61,6 +61,13 @@
                 await asyncio.sleep(POLL_S)
         return status
 
+    def log_lines(self) -> list[str]:
+        """Return what all nodes have written to their logs."""
+        lines: list[str] = []
+        for path in sorted(self._folder.glob("*.log")):
+            lines.extend(path.read_text(errors="replace").splitlines())
+        return lines
+
     def ended_by_themselves(self) -> list[str]:
         """Return the nodes whose process has ended."""
         return [name for name, process in self._processes.items() if process.poll() is not None]
--- /dev/null
+++ b/src/hollowrack_bench/soak_operator.py
@@ -0,0 +1,62 @@
+"""The operator of a soak: a configuration whose routes come and go."""
+
+import copy
+import random
+from typing import Any
+
+from hollowrack.platform import names
+from hollowrack_standins.users_platform import PlatformStoreStandin
+
+NUM_SPARE_ROUTES = 6
+
+
+class SoakOperator:
+    """Writes configurations of rising versions; the routes of the first one always stay.
+
+    Args:
+        store: The platform's store.
+        content: The first configuration.
+        rng: Draws changes.
+
+    Attributes:
+        num_changes: How many configurations were written.
+    """
+
+    def __init__(
+        self, store: PlatformStoreStandin, content: dict[str, Any], rng: random.Random
+    ) -> None:
+        self.num_changes = 0
+        self._store = store
+        self._content = content
+        self._rng = rng
+        self._spare: dict[str, dict[str, Any]] = {}
+
+    def add_route(self, like: str, prefix: str) -> None:
+        """Add a route that does what another one does.
+
+        Args:
+            like: Prefix of the other one.
+            prefix: Its own prefix.
+        """
+        original = next(route for route in self._content["routes"] if route["path-prefix"] == like)
+        self._spare[prefix] = copy.deepcopy(original) | {"path-prefix": prefix}
+        self._write()
+
+    def remove_route(self, prefix: str) -> None:
+        """Take a route away that was added."""
+        self._spare.pop(prefix, None)
+        self._write()
+
+    def change_spare_routes(self) -> None:
+        """Add a route that nobody uses, or take one away."""
+        prefix = f"/spare-{self._rng.randrange(NUM_SPARE_ROUTES)}/"
+        if prefix in self._spare:
+            self.remove_route(prefix)
+        else:
+            self.add_route(self._content["routes"][0]["path-prefix"], prefix)
+
+    def _write(self) -> None:
+        self.num_changes += 1
+        self._content["version"] += self._rng.randint(1, 3)
+        routes = [*self._content["routes"], *self._spare.values()]
+        self._store.put(names.CONFIGURATION_KEY, self._content | {"routes": routes})
--- a/src/hollowrack_standins/users_platform.py
+++ b/src/hollowrack_standins/users_platform.py
@@ -190,12 +190,14 @@
 
     Attributes:
         executions: How often each request ran.
+        failures: How often workers answered each request 500.
         headers: Headers of each request's last execution.
         bodies: Body of each request's last execution.
         orders: Orders taken: worker, holder, fence, model, version.
     """
 
     executions: Counter[str] = field(default_factory=Counter)
+    failures: Counter[str] = field(default_factory=Counter)
     headers: dict[str, dict[str, str]] = field(default_factory=dict)
     bodies: dict[str, bytes] = field(default_factory=dict)
     orders: list[tuple[str, str, int, str, int]] = field(default_factory=list)
@@ -212,6 +214,8 @@
         self.version = 1
         self.num_orders = 0
         self.is_busy = False
+        # Where others are told to reach it; its own address if empty.
+        self.advertised_address = ""
         self.num_events = 6
         self.switches = WorkerSwitches()
         self.server = StandinServer(
@@ -226,7 +230,7 @@
         """Return what the worker writes into the store."""
         return {
             "service": self.service,
-            "address": self.server.address,
+            "address": self.advertised_address or self.server.address,
             "zone": "z1",
             "version": "v1",
             "capacity": 8,
@@ -281,6 +285,7 @@
         headers = self._headers("another" if self.switches.wrong_id else request_id)
         if self.switches.num_errors:
             self.switches.num_errors -= 1
+            self.ledger.failures[request_id] += 1
             return PlainTextResponse("failed", status_code=500, headers=headers)
         if "token-count" in request.headers:
             after = int(request.headers.get(names.LAST_EVENT_ID, "0"))
--- /dev/null
+++ b/tests/bench/test_loopback_proxy.py
@@ -0,0 +1,101 @@
+"""The proxy harms connections as it says, and nothing else."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import pytest
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse
+from starlette.routing import Route
+
+from hollowrack_bench.loopback_proxy import LinkFault, LoopbackProxy
+from hollowrack_standins.server import StandinServer
+
+TIMEOUT_S = 0.5
+BODY = b"whole"
+
+
+async def _answer(request: Request) -> PlainTextResponse:
+    del request
+    return PlainTextResponse(BODY)
+
+
+def run_behind_proxy(scenario: Callable[[LoopbackProxy], Awaitable[None]]) -> None:
+    async def main() -> None:
+        server = StandinServer([Route("/", _answer)])
+        proxy = LoopbackProxy(await server.start(), random.Random(1))
+        await proxy.start()
+        try:
+            await scenario(proxy)
+        finally:
+            await proxy.stop()
+            await server.crash()
+
+    asyncio.run(main())
+
+
+async def fetch(proxy: LoopbackProxy) -> bytes | str:
+    """Ask over a new connection; the name of the failure if there is no answer."""
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(f"http://{proxy.address}/") as response,
+        ):
+            return await response.read()
+    except TimeoutError:
+        return "silence"
+    except aiohttp.ClientError:
+        return "reset"
+
+
+@pytest.mark.parametrize(
+    ("fault", "expected"),
+    [
+        (LinkFault.NONE, BODY),
+        (LinkFault.RESET, "reset"),
+        (LinkFault.SILENT, "silence"),
+        (LinkFault.NO_REQUESTS, "silence"),
+        (LinkFault.NO_ANSWERS, "silence"),
+        (LinkFault.REPEATED, BODY),
+    ],
+)
+def test_new_connections_are_harmed_and_heal(fault: LinkFault, expected: bytes | str) -> None:
+    async def scenario(proxy: LoopbackProxy) -> None:
+        proxy.harm(fault)
+        assert await fetch(proxy) == expected
+        proxy.harm(LinkFault.NONE)
+        assert await fetch(proxy) == BODY
+
+    run_behind_proxy(scenario)
+
+
+def test_open_connections_are_reset() -> None:
+    async def scenario(proxy: LoopbackProxy) -> None:
+        host, _, port = proxy.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.sleep(0.1)
+        proxy.harm(LinkFault.RESET)
+        with pytest.raises(ConnectionResetError):
+            async with asyncio.timeout(TIMEOUT_S):
+                await reader.read()
+        writer.close()
+
+    run_behind_proxy(scenario)
+
+
+def test_whole_answers_come_a_second_time_on_the_same_connection() -> None:
+    async def scenario(proxy: LoopbackProxy) -> None:
+        proxy.harm(LinkFault.REPEATED)
+        host, _, port = proxy.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        async with asyncio.timeout(2.0):
+            for _ in range(2):
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+                assert await reader.readexactly(len(BODY)) == BODY
+        writer.close()
+
+    run_behind_proxy(scenario)
