--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -14,6 +14,7 @@
     Service,
     Target,
 )
+from hollowrack.results import Problem, ResultCode
 from hollowrack.tenants.types import TenantDirectory
 
 
@@ -66,6 +67,9 @@
         """Put a configuration in force unless it is older; returns whether it is in force now."""
         current = self.version
         if current is not None and configuration.version <= current:
+            if configuration.version < current:
+                detail = f"version {configuration.version}, but {current} is in force"
+                logging.warning("%s", Problem(ResultCode.CONFIGURATION_IGNORED, detail))
             return False
         by_host: dict[str, list[Route]] = defaultdict(list)
         for route in configuration.routes:
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -71,6 +71,7 @@
         self._settings = settings
         self._rng = random.Random(seed)
         self.stopped = asyncio.Event()
+        self._is_started = asyncio.Event()
         self._stop_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -161,6 +162,7 @@
         await self._frontend.start()
         await self._readiness.start()
         logging.info("edge node %s started", settings.node_name)
+        self._is_started.set()
 
     def _duty_client(self, duty: str) -> PlatformDutyClient | None:
         """The client for a duty; ``None`` if the deployment has no such duty."""
@@ -186,11 +188,12 @@
         return self._store.num_calls[kind]
 
     def start_stop(self) -> None:
-        """Start a planned stop in the background."""
+        """Start a planned stop in the background, once the process has started."""
         if self._stop_task is None:
             self._stop_task = asyncio.create_task(self._stop())
 
     async def _stop(self) -> None:
+        await self._is_started.wait()
         await self.node.turn_away(self._settings.bounds.grace_s)
         # Callers' last requests and owned jobs end side by side.
         await asyncio.gather(self._frontend.stop(), self.node.finish())
@@ -235,10 +238,11 @@
 async def serve_edge(settings: ProcessSettings) -> None:
     """Run the process until SIGTERM."""
     process = EdgeProcess(settings)
-    await process.start()
     loop = asyncio.get_running_loop()
+    # Before callers are served: a stop that comes while the process starts must cut nothing off.
     loop.add_signal_handler(signal.SIGTERM, process.start_stop)
     loop.add_signal_handler(signal.SIGINT, process.start_stop)
     loop.add_signal_handler(signal.SIGHUP, process.reload)
+    await process.start()
     gc.freeze()
     await process.stopped.wait()
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -19,6 +19,7 @@
     decode_named_version,
     decode_worker,
 )
+from hollowrack.results import Problem, ResultCode
 
 # Only the leader's watches reach the store, so that they may be close.
 OPERATOR_PACE_S = 0.15
@@ -141,6 +142,9 @@
 
     def _on_operator_key(self, key: str, item: StoredItem | None) -> None:
         if item is None:
+            if key == names.CONFIGURATION_KEY:
+                detail = "the key was removed"
+                logging.error("%s", Problem(ResultCode.CONFIGURATION_IGNORED, detail, key))
             return
         if key == names.CONFIGURATION_KEY:
             decoded = decode_configuration(item.value)
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -106,6 +106,7 @@
     WRITE_CONFLICT = 803
     ORDER_FENCED = 804
     SWAP_FAILED = 805
+    CONFIGURATION_IGNORED = 806
 
     INTERNAL_ERROR = 900
 
@@ -380,6 +381,13 @@
     ResultCode.WRITE_CONFLICT: CodeDescription(
         _N, _CHANGE, 409, "A compare-and-swap lost its race.", "Read again, then decide."
     ),
+    ResultCode.CONFIGURATION_IGNORED: CodeDescription(
+        _N,
+        _CHANGE,
+        409,
+        "A configuration is older than the one in force, or its key is gone: that one stays.",
+        "Write a newer version.",
+    ),
     ResultCode.ORDER_FENCED: CodeDescription(
         _N, _NO, 409, "An engine saw a newer fencing token.", "None; a newer leader is in charge."
     ),
--- a/src/hollowrack_bench/edge_processes.py
+++ b/src/hollowrack_bench/edge_processes.py
@@ -29,14 +29,18 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Where the log of each node's present process begins, in bytes.
+        self._log_starts: dict[str, int] = {}
 
     def start(self, name: str, settings: dict[str, object]) -> None:
         """Start a node, or start it again; its log goes on in the same file."""
+        log_file = self._folder / f"{name}.log"
+        self._log_starts[name] = log_file.stat().st_size if log_file.exists() else 0
         settings_file = self._folder / f"{name}.json"
         settings_file.write_text(json.dumps(settings))
         environment = os.environ | {names.SETTINGS_VARIABLE: str(settings_file)}
         log: IO[bytes]
-        with (self._folder / f"{name}.log").open("ab") as log:
+        with log_file.open("ab") as log:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, "-c", PROGRAM],
                 stdout=log,
@@ -61,6 +65,10 @@
                 await asyncio.sleep(POLL_S)
         return status
 
+    def has_started(self, name: str) -> bool:
+        """Whether a node's present process has got as far as to write a line."""
+        return (self._folder / f"{name}.log").stat().st_size > self._log_starts[name]
+
     def log_lines(self) -> list[str]:
         """Return what all nodes have written to their logs."""
         lines: list[str] = []
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -8,11 +8,12 @@
 import pytest
 from returns.result import Failure, Success
 
+from hollowrack.coordination.store import Put
 from hollowrack.platform.configuration import decode_configuration, decode_worker
 from hollowrack.platform.job_format import decode_job
 from hollowrack.platform.settings import read_process_settings
 from hollowrack.results import ResultCode
-from tests.platform.helpers import CONFIGURATION, System, job_body, run_system
+from tests.platform.helpers import CONFIGURATION, System, job_body, run_system, until
 
 
 def changed_job(**changes: Any) -> bytes:
@@ -186,3 +187,42 @@
     assert (
         decode_job("j1", "h", "/", json.dumps(body).encode()).unwrap().items[0].body == b"\x00\xff"
     )
+
+
+@pytest.mark.parametrize(
+    ("name", "code"),
+    [
+        ("older", ResultCode.CONFIGURATION_IGNORED),
+        ("removed", ResultCode.CONFIGURATION_IGNORED),
+        ("empty", ResultCode.PLATFORM_ANSWER_INVALID),
+        ("unreadable", ResultCode.PLATFORM_ANSWER_INVALID),
+    ],
+)
+def test_a_configuration_that_cannot_be_used_leaves_the_last_one_and_all_items(
+    name: str, code: ResultCode, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def scenario(system: System) -> None:
+        for worker in system.workers.values():
+            worker.num_events = 200
+        body = json.dumps(job_body("j1")).encode()
+        answer = await system.send("/jobs/j1", body=body, request_id="j1")
+        assert answer.status == 202
+        if name == "removed":
+            system.store.remove("op/config")
+        elif name == "older":
+            system.store.put("op/config", {"version": 1, "routes": [], "services": []})
+        else:
+            value = b"" if name == "empty" else b"\xff{"
+            system.store.core.transact([], [Put("op/config", value)], [])
+        await until(lambda: f"[{int(code)} " in caplog.text)
+        plain = await system.send("/plain/x", request_id="q2")
+        assert plain.status == 200
+        results: list[dict[str, Any]] = []
+        while len(results) < len(job_body("j1")["requests"]):
+            path = f"/api/lots/j1?after-revision={len(results)}"
+            page = await system.send(path, method="GET", headers={"Wait-Ms": "1000"})
+            results.extend(page.json()["results"])
+        assert {result["state"] for result in results} == {"complete"}
+
+    caplog.set_level("INFO", logger="absl")
+    run_system(scenario, num_edges=1)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -175,6 +175,16 @@
     run_system(scenario)
 
 
+def test_a_planned_stop_while_the_process_starts_is_done_once_it_has_started() -> None:
+    async def scenario(system: System) -> None:
+        edge = await system.start_edge("late", stops_at_once=True)
+        async with asyncio.timeout(10.0):
+            await edge.stopped.wait()
+        assert edge.node.is_stopping
+
+    run_system(scenario, num_edges=1)
+
+
 def test_followers_hear_of_configurations_from_the_leader() -> None:
     async def scenario(system: System) -> None:
         nodes = [edge.node for edge in system.edges.values()]
