--- a/src/hollowrack_bench/soak_faults.py
+++ b/src/hollowrack_bench/soak_faults.py
@@ -29,8 +29,8 @@
 # All at once, the store may be back before, while or after the processes are.
 MAX_STORE_AWAY_S = 3.0
 STORE_AWAY_SHARE = 0.5
-# What networks do. Answers that come twice are a fault of workers: on the way to a caller they would
-# be the answers of its next requests, whatever the node had sent.
+# What networks do. Answers that come twice are a fault of workers; on the way to a caller they
+# would be the answers of its next requests, whatever the node had sent.
 LINK_FAULTS = (
     LinkFault.DELAYED,
     LinkFault.RESET,
