--- a/src/hollowrack/coordination/anti_entropy.py
+++ b/src/hollowrack/coordination/anti_entropy.py
@@ -6,9 +6,9 @@
 revisions order all changes, so whatever is newer may be taken from any node, however old its
 mirror is; only how old the outcome is rests on the age that the answer tells.
 
-The bound that follows: a calm node has a change :data:`SILENT_S` after its last answer and two
-rounds, 1.4 s, after any neighbour that it asks has it; without such a neighbour, its own watch
-needs a time-out, a pause and a question to a dead source, see :mod:`.mirror`.
+A round takes :data:`ROUND_S`, and the time-out of a question more if one of those asked is dead.
+Without a neighbour that knows more, a node has its own watch alone, with its time-out, its pause
+and its question to a source that may be dead.
 """
 
 import asyncio
@@ -19,8 +19,9 @@
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.mirror import PrefixMirror
-from hollowrack.coordination.sharing import FeedClient, SharedChanges, SharedStore, WatchRequest
+from hollowrack.coordination.sharing import FeedClient, SharedStore
 from hollowrack.coordination.store import Changes, Listing
+from hollowrack.coordination.watch_messages import SharedChanges, WatchRequest
 from hollowrack.tasks import cancel_all
 
 # Watches are short: one that is answered is heard of within 0.65 s, its wait and its pause.
--- a/src/hollowrack/coordination/feed_http.py
+++ b/src/hollowrack/coordination/feed_http.py
@@ -6,7 +6,8 @@
 import aiohttp
 from starlette.routing import Route
 
-from hollowrack.coordination.sharing import MirrorFeed, SharedChanges, WatchRequest
+from hollowrack.coordination.mirror_feed import MirrorFeed
+from hollowrack.coordination.watch_messages import SharedChanges, WatchRequest
 from hollowrack.messages.node_http import (
     NodeSilentError,
     NodeUnreachableError,
--- a/src/hollowrack/coordination/sharing.py
+++ b/src/hollowrack/coordination/sharing.py
@@ -12,14 +12,12 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
 from absl import logging
 
 from hollowrack.clock import now_s
-from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.store import (
     Changes,
     Condition,
@@ -34,13 +32,10 @@
     Unavailable,
     WriteOutcome,
 )
-from hollowrack.messages.codec import message
+from hollowrack.coordination.watch_messages import MAX_MIRROR_AGE_S, SharedChanges, WatchRequest
 
-# What a node that itself asks the store may lag behind it: one short watch, its pause and a margin.
-MAX_MIRROR_AGE_S = 0.9
 # What a node that asks another one may lag: one more short watch and its pause.
 MAX_RELAYED_AGE_S = 1.7
-FRESHNESS_CHECK_S = 0.3
 # After a node gave no answer it is not asked for this long: the next time-out delays changes again.
 DISTRUST_S = 1.5
 # A node whose mirror is old answers at once, and is asked again after two looks at the store.
@@ -60,139 +55,6 @@
     OBSERVER = "seldom, while no node answers"
 
 
-@message("feed.watch")
-@dataclass(frozen=True)
-class WatchRequest:
-    """A watch, or a listing, that another node is asked for.
-
-    Attributes:
-        prefix: Prefix of the keys.
-        after_revision: Store revision the asking node has reached.
-        wait_s: Longest wait, in seconds.
-        max_age_s: How long ago the store itself may have answered at the most, in seconds.
-        wants_listing: Whether all keys are wanted instead of changes.
-    """
-
-    prefix: str
-    after_revision: int
-    wait_s: float
-    max_age_s: float = MAX_MIRROR_AGE_S
-    wants_listing: bool = False
-
-
-@message("feed.change")
-@dataclass(frozen=True)
-class SharedChange:
-    """A key as it was written, or removed (``value`` is ``None``)."""
-
-    key: str
-    value: bytes | None
-    revision: int = 0
-    lease: int = 0
-
-
-@message("feed.changes")
-@dataclass(frozen=True)
-class SharedChanges:
-    """Changes behind the asking node's revision, or all keys.
-
-    Attributes:
-        changes: The changes, oldest first; all keys for a listing.
-        revision: Store revision reached.
-        is_history_gone: Whether the asking node has to list again.
-        is_stale: Whether this node's mirror is too old.
-        age_s: How long ago the store itself answered, in seconds.
-        held_s: How long the question was held before this answer, in seconds.
-    """
-
-    changes: tuple[SharedChange, ...] = ()
-    revision: int = 0
-    is_history_gone: bool = False
-    is_stale: bool = False
-    age_s: float = 0.0
-    held_s: float = 0.0
-
-    def known_at_s(self, asked_s: float) -> float:
-        """Return when the store held just this, on the asking node's clock, at the earliest.
-
-        Args:
-            asked_s: When the question was sent.
-        """
-        # The answer was made after the time that it was held, at the earliest.
-        return asked_s + self.held_s - self.age_s
-
-    def items(self) -> tuple[tuple[str, StoredItem | None], ...]:
-        """Return the changes as the store would tell them."""
-        return tuple(
-            (
-                change.key,
-                None
-                if change.value is None
-                else StoredItem(change.key, change.value, change.revision, change.lease),
-            )
-            for change in self.changes
-        )
-
-
-class MirrorFeed:
-    """Answers other nodes' watches from this node's mirrors.
-
-    Args:
-        mirrors: Mirrors by prefix.
-        heard_s: Returns when the store last answered this node, or one that it learnt from, about
-            a prefix, on the loop's clock.
-    """
-
-    def __init__(self, mirrors: dict[str, PrefixMirror], heard_s: Callable[[str], float]) -> None:
-        self._mirrors = mirrors
-        self._heard_s = heard_s
-
-    async def watch(self, request: WatchRequest) -> SharedChanges:
-        """Answer as soon as there is a change, or when the time is up; a listing at once."""
-        began_s = now_s()
-        mirror = self._mirrors.get(request.prefix)
-        if mirror is None or not self._is_fresh(mirror, request):
-            return SharedChanges(is_stale=True)
-        if request.wants_listing:
-            items = tuple(_shared(item.key, item) for item in mirror.items.values())
-            return self._answer(items, mirror, request, began_s)
-        end_s = began_s + request.wait_s
-        found = mirror.changes_after(request.after_revision)
-        while found == [] and now_s() < end_s:
-            await mirror.wait_for_change(min(FRESHNESS_CHECK_S, end_s - now_s()))
-            if not self._is_fresh(mirror, request):
-                return SharedChanges(is_stale=True)
-            found = mirror.changes_after(request.after_revision)
-        if found is None:
-            return SharedChanges(is_history_gone=True)
-        changes = tuple(_shared(key, item) for key, item in found)
-        return self._answer(changes, mirror, request, began_s)
-
-    def _answer(
-        self,
-        changes: tuple[SharedChange, ...],
-        mirror: PrefixMirror,
-        request: WatchRequest,
-        began_s: float,
-    ) -> SharedChanges:
-        return SharedChanges(
-            changes,
-            mirror.reached_revision,
-            age_s=now_s() - self._heard_s(request.prefix),
-            held_s=now_s() - began_s,
-        )
-
-    def _is_fresh(self, mirror: PrefixMirror, request: WatchRequest) -> bool:
-        is_young = now_s() - self._heard_s(request.prefix) <= request.max_age_s
-        return is_young and mirror.is_loaded.is_set()
-
-
-def _shared(key: str, item: StoredItem | None) -> SharedChange:
-    if item is None:
-        return SharedChange(key, None)
-    return SharedChange(key, item.value, item.revision, item.lease)
-
-
 class FeedClient(Protocol):
     """Sends watches to other nodes."""
 
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -9,7 +9,7 @@
 
 from hollowrack.coordination.anti_entropy import AntiEntropy
 from hollowrack.coordination.mirror import PrefixMirror
-from hollowrack.coordination.sharing import MirrorFeed
+from hollowrack.coordination.mirror_feed import MirrorFeed
 from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.edge_node import EdgeNode
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
--- a/tests/coordination/change_fleet.py
+++ b/tests/coordination/change_fleet.py
@@ -8,8 +8,8 @@
 from hollowrack.coordination.feed_http import ANSWER_GRACE_S
 from hollowrack.coordination.relay import RelayedCall, RelayedOutcome, make_relayed_call
 from hollowrack.coordination.relay_http import ANSWER_TIMEOUT_S
-from hollowrack.coordination.sharing import SharedChanges, WatchRequest
 from hollowrack.coordination.store import Committed, Put, Unknown
+from hollowrack.coordination.watch_messages import SharedChanges, WatchRequest
 from hollowrack.edge_connections import EdgeConnections
 from hollowrack.edge_node import EdgeNode
 from hollowrack.platform.feed import answer_watches, follow_platform
--- a/tests/usage/helpers.py
+++ b/tests/usage/helpers.py
@@ -4,7 +4,7 @@
 import random
 from collections import Counter
 
-from hollowrack.coordination.sharing import SharedChanges, WatchRequest
+from hollowrack.coordination.watch_messages import SharedChanges, WatchRequest
 from hollowrack.edge_connections import EdgeConnections, UsageConnections
 from hollowrack.edge_node import EdgeNode
 from hollowrack.usage.types import PushedCounts
