--- a/src/hollowrack_bench/loopback_proxy.py
+++ b/src/hollowrack_bench/loopback_proxy.py
@@ -12,6 +12,7 @@
 CHUNK_BYTES = 65_536
 MAX_DELAY_S = 0.4
 MAX_REPEAT_DELAY_S = 0.3
+LOST_SHARE = 0.35
 _ANSWER_BEGIN = b"HTTP/1.1 "
 _HEAD_END = b"\r\n\r\n"
 _LENGTH = b"content-length:"
@@ -27,6 +28,7 @@
     DELAYED = "holds every piece up"
     RESET = "resets connections, open and new"
     SILENT = "swallows all bytes"
+    LOSSY = "swallows all bytes of some new connections"
     NO_REQUESTS = "swallows what clients send"
     NO_ANSWERS = "swallows what servers send"
     REPEATED = "sends whole answers a second time, late"
@@ -90,22 +92,26 @@
         if self.fault is LinkFault.RESET:
             _reset(writer)
             return
+        is_lost = self.fault is LinkFault.LOSSY and self._rng.random() < LOST_SHARE
         host, _, port = self._target.rpartition(":")
         server_reader, server_writer = await asyncio.open_connection(host, int(port))
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pass(reader, server_writer, is_request=True))
-                group.create_task(self._pass(server_reader, writer, is_request=False))
+                group.create_task(self._pass(reader, server_writer, True, is_lost))
+                group.create_task(self._pass(server_reader, writer, False, is_lost))
         except* OSError:
             _reset(writer)
         finally:
             _reset(server_writer)
 
     async def _pass(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_request: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_request: bool,
+        is_silenced: bool,
     ) -> None:
         """Pass one direction on until its sender ends it."""
-        is_silenced = False
         while chunk := await reader.read(CHUNK_BYTES):
             is_silenced = is_silenced or self._swallows(is_request)
             if is_silenced:
--- a/tests/bench/test_loopback_proxy.py
+++ b/tests/bench/test_loopback_proxy.py
@@ -72,6 +72,15 @@
     run_behind_proxy(scenario)
 
 
+def test_some_connections_are_lost_and_others_work() -> None:
+    async def scenario(proxy: LoopbackProxy) -> None:
+        proxy.harm(LinkFault.LOSSY)
+        answers = await asyncio.gather(*(fetch(proxy) for _ in range(30)))
+        assert set(answers) == {BODY, "silence"}
+
+    run_behind_proxy(scenario)
+
+
 def test_open_connections_are_reset() -> None:
     async def scenario(proxy: LoopbackProxy) -> None:
         host, _, port = proxy.address.rpartition(":")
