--- a/tests/coordination/test_time_to_newest.py
+++ b/tests/coordination/test_time_to_newest.py
@@ -18,16 +18,21 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_bench.virtual_time import VirtualTimeLoop, run_virtual
 from tests.coordination.change_fleet import ChangeFleet
 
 NUM_NODES = 9
 SETTLE_S = 6.0
 AFTER_S = 5.0
+MAX_FROZEN = 2
 # The first of all schedules, and later ones that have failed.
 SEEDS = (*range(48), 72, 91, 98, 109)
 
@@ -111,3 +116,73 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_calm_nodes_know_a_change_in_time(seed: int) -> None:
     run_virtual(play(drawn(seed)))
+
+
+async def _settled_fleet() -> ChangeFleet:
+    fleet = ChangeFleet(NUM_NODES)
+    await asyncio.sleep(SETTLE_S)
+    return fleet
+
+
+class ChangesUnderFaults(RuleBasedStateMachine):
+    """Outages, frozen and restarted nodes, and changes, in any order; checked all the while."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner(loop_factory=VirtualTimeLoop)
+        self.fleet = self.runner.run(_settled_fleet())
+
+    def _do(self, action: Callable[[], None]) -> None:
+        """Do something at once on the loop."""
+
+        async def act() -> None:
+            action()
+
+        self.runner.run(act())
+
+    @rule(kind=st.sampled_from(["silent", "refuses"]), share=st.sampled_from([0.3, 0.6, 1.0]))
+    def store_fails(self, kind: str, share: float) -> None:
+        names = self.fleet.names()
+        victims = names[: max(1, int(share * len(names)))]
+        self._do(lambda: self.fleet.fail_store(victims, kind))
+
+    @rule()
+    def store_returns(self) -> None:
+        self._do(self.fleet.heal_store)
+
+    @rule()
+    def change(self) -> None:
+        self._do(self.fleet.change)
+
+    @precondition(lambda self: len(self.fleet.frozen) < MAX_FROZEN)
+    @rule()
+    def leader_freezes(self) -> None:
+        leader = self.fleet.leader()
+        names = self.fleet.names()
+        self._do(lambda: self.fleet.freeze(leader if leader in names else names[0]))
+
+    @precondition(lambda self: bool(self.fleet.frozen))
+    @rule()
+    def node_thaws(self) -> None:
+        self._do(lambda: self.fleet.thaw(min(self.fleet.frozen)))
+
+    @rule(index=st.integers(0, NUM_NODES - 1))
+    def node_starts_again(self, index: int) -> None:
+        name = sorted(self.fleet.nodes)[index]
+        if name not in self.fleet.frozen:
+            self.runner.run(self.fleet.nodes.pop(name).kill())
+            self._do(lambda: self.fleet.start(name))
+
+    @rule(seconds=st.floats(0.1, 4.0))
+    def wait(self, seconds: float) -> None:
+        self.runner.run(self.fleet.wait(seconds))
+
+    def teardown(self) -> None:
+        self.runner.run(self.fleet.stop())
+        self.runner.close()
+
+
+TestChangesUnderFaults = ChangesUnderFaults.TestCase
+TestChangesUnderFaults.settings = settings(
+    max_examples=20, stateful_step_count=20, derandomize=True, deadline=None
+)
