--- a/tests/bench/test_platform_soak.py
+++ b/tests/bench/test_platform_soak.py
@@ -20,6 +20,7 @@
     3: "without the mend of given-up items: a job is handed to a node with an older configuration",
     103: "a process was stopped while it loaded its code, before it could handle the signal",
     112: "the proxy itself repeated answers on callers' connections",
+    228: "three requests counted whose connections gave another one's answer: nobody can know",
 }
 SOAK_S = 12.0
 
@@ -129,6 +130,16 @@
     assert bool(soak.outcome.broken) is is_broken
 
 
+def test_usage_may_count_as_many_requests_more_as_nodes_cannot_know_of() -> None:
+    for num_unsure, is_broken in ((0, True), (1, False)):
+        soak = PlatformSoak(SoakPlan(0.0, 1))
+        soak.ledger.executions.update({"plain-1": 1})
+        service = DutyServiceCore()
+        service.reports = {1: {"ana": 2}}
+        soak.check_duties(service, num_unsure)
+        assert bool(soak.outcome.broken) is is_broken
+
+
 @pytest.mark.parametrize(
     ("reports", "broken", "is_broken"),
     [
