--- a/src/hollowrack_bench/program.py
+++ b/src/hollowrack_bench/program.py
@@ -13,8 +13,9 @@
 from hollowrack_bench.bench_commands import bench
 from hollowrack_bench.demo import run_demo
 from hollowrack_bench.platform_demo import PlatformDemo
-from hollowrack_bench.platform_soak import NUM_EDGES, SoakPlan, run_soak
+from hollowrack_bench.platform_soak import run_soak
 from hollowrack_bench.soak_faults import SoakFault
+from hollowrack_bench.soak_plan import NUM_EDGES, SoakPlan
 from hollowrack_bench.standin_commands import standin
 
 
