--- a/src/hollowrack/coordination/anti_entropy.py
+++ b/src/hollowrack/coordination/anti_entropy.py
@@ -26,11 +26,13 @@
 
 # Watches are short: one that is answered is heard of within 0.65 s, its wait and its pause.
 SILENT_S = 0.8
+# Several rounds fit the two seconds that changes have, together with the silence before them.
 ROUND_S = 0.3
 # With two neighbours a round what one of nine nodes knows is at all within about four rounds.
 NUM_ASKED = 2
 # A neighbour whom the store answered this lately shows that it is worth asking.
 STORE_ANSWERS_S = 0.7
+# No bound on the age of a neighbour's mirror, in seconds: revisions tell what is newer.
 ANY_AGE_S = 1e9
 
 
