--- a/tests/observability/test_log_search.py
+++ b/tests/observability/test_log_search.py
@@ -37,6 +37,25 @@
     assert account.num_unread == 1
 
 
+def test_how_a_node_caught_up_stands_beside_an_item_that_was_taken_over() -> None:
+    log = [
+        _line("10:00:01", "n1", "job j1: owned, 2 items, 0 listed"),
+        _line("10:00:02", "n2", "edge node n2 started"),
+        _line("10:00:03", "n2", "job j1: taken over from n1#1"),
+        _line(
+            "10:00:04", "n2", "changes of op/ from the node n3: revision 9 after 7, of 0.2 s ago"
+        ),
+        _line("10:00:05", "n2", "item i1 of job j1: 9 events"),
+    ]
+    account = account_of("i1", log)
+    assert [(line.time, line.node) for line in account.about] == [
+        ("10:00:01", "n1"),
+        ("10:00:03", "n2"),
+        ("10:00:05", "n2"),
+    ]
+    assert [line.time for line in account.context] == ["10:00:02", "10:00:04"]
+
+
 def test_a_subject_that_no_line_names_has_an_empty_account() -> None:
     account = account_of("nobody", LOG)
     assert account.about == account.context == ()
