--- a/src/hollowrack/observability/log_search.py
+++ b/src/hollowrack/observability/log_search.py
@@ -14,7 +14,8 @@
 # What may have happened to a whole node while the subject was in progress.
 _CONTEXT = re.compile(
     r"coordination store |leader from now on|session lease \d+ is over|^stopping|^stopped"
-    r"|^edge node \S+ started|configuration \d+ in force|^changes of \S+ from|log lines were dropped"
+    r"|^edge node \S+ started|configuration \d+ in force|^changes of \S+ from"
+    r"|log lines were dropped"
 )
 
 
