--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -101,9 +101,26 @@
         }
 
     async def run(self) -> PlatformDemoOutcome:
-        """Run it and return what was seen."""
-        await self._duties.server.start()
-        await self._start()
+        """Run it and return what was seen; no process stays, however it ends."""
+        try:
+            await self._duties.server.start()
+            await self._start()
+            num_steps = await self._take_steps()
+        finally:
+            await self._stop()
+        self._check_all()
+        self.outcome.rows = self._rows(num_steps)
+        self._collect_evidence()
+        self._folder.cleanup()
+        return self.outcome
+
+    def running_nodes(self) -> list[str]:
+        """Return the nodes whose processes run."""
+        ended = set(self._system.processes.ended_by_themselves())
+        return sorted(set(self._system.settings) - ended)
+
+    async def _take_steps(self) -> int:
+        """Take steps under faults until the time is up; returns how many."""
         beside = [
             asyncio.create_task(self._send_plain_requests()),
             asyncio.create_task(self._send_unsafe_requests()),
@@ -120,12 +137,7 @@
             self.outcome.broken.append(f"step-{num_steps - 1}: not whole in time")
         finally:
             await cancel_all(*beside)
-            await self._stop()
-        self._check_all()
-        self.outcome.rows = self._rows(num_steps)
-        self._collect_evidence()
-        self._folder.cleanup()
-        return self.outcome
+        return num_steps
 
     def _rows(self, num_steps: int) -> dict[str, str]:
         latencies = {
--- a/tests/bench/test_platform_soak.py
+++ b/tests/bench/test_platform_soak.py
@@ -7,7 +7,7 @@
 
 from hollowrack.results import ProblemError, ResultCode
 from hollowrack_bench.platform_demo import PlatformDemoOutcome
-from hollowrack_bench.platform_soak import run_soak
+from hollowrack_bench.platform_soak import PlatformSoak, run_soak
 from hollowrack_bench.program import hollowrack
 from hollowrack_bench.soak_checks import SoakChecks, count_unsure_attempts
 from hollowrack_bench.soak_plan import SoakPlan
@@ -186,3 +186,21 @@
     service.broken = broken
     checks.check_duties(service)
     assert bool(found) is is_broken
+
+
+def test_an_interrupted_soak_leaves_no_process(monkeypatch: pytest.MonkeyPatch) -> None:
+    soaks: list[PlatformSoak] = []
+
+    async def main() -> None:
+        soak = PlatformSoak(SoakPlan(60.0, 1, num_edges=1))
+        soaks.append(soak)
+        monkeypatch.setattr(soak, "_all_ready", never_ready)
+        async with asyncio.timeout(2.0):
+            await soak.run()
+
+    async def never_ready() -> bool:
+        return False
+
+    with pytest.raises(TimeoutError):
+        asyncio.run(main())
+    assert soaks[0].running_nodes() == []
