--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -37,6 +37,7 @@
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
 from hollowrack.node_duties import NodeDuties, usage_meter
+from hollowrack.quarantine.worker_ends import WorkerEnds
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.types import ProcessCounts
 from hollowrack.weights.order_giver import OrderGiver
@@ -73,6 +74,7 @@
         store: The coordination store, by way of other nodes if it does not serve this one.
         feed_client: Asks other nodes for changes.
         usage: Counts the requests of tenants that workers began.
+        worker_ends: Finds out whether workers that break requests off have ended.
         may_follow: Set once what operators and workers write may be followed.
     """
 
@@ -94,7 +96,10 @@
         self.routes = RouteTable(lambda: self.configuration_age_s)
         self.workers = WorkerDirectory(zone, rng)
         self.usage = usage_meter(self.owner, connections.usage)
-        self.forwarder = Forwarder(self.routes, self.workers, connections.back_ends, self.usage)
+        self.worker_ends = WorkerEnds(connections.back_ends)
+        self.forwarder = Forwarder(
+            self.routes, self.workers, connections.back_ends, self.usage, self.worker_ends
+        )
         self.queue = DispatchQueue(self.workers)
         self.session = Session(store, rng)
         self.leadership = Leadership(store, self.session, LEADER_KEY, self.owner, handover_s, rng)
@@ -106,6 +111,7 @@
             self.forwarder,
             self.queue,
             connections.read_version,
+            self.worker_ends,
         )
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
--- a/src/hollowrack/forwarding/back_end.py
+++ b/src/hollowrack/forwarding/back_end.py
@@ -106,3 +106,9 @@
             NotRunError: The worker certainly did not run the request.
             BrokenAnswerError: It may have run.
         """
+
+    async def has_ended(self, worker: Worker) -> bool:
+        """Whether a worker is certainly over: its machine says that nothing listens there.
+
+        ``False`` if it listens, or if nothing can be told.
+        """
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -23,6 +23,8 @@
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Route, RouteKind, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.quarantine.fingerprint import fingerprint_of
+from hollowrack.quarantine.worker_ends import WorkerEnds
 from hollowrack.results import Problem, ResultCode
 from hollowrack.usage.meter import UsageMeter
 
@@ -82,6 +84,7 @@
         workers: The workers known.
         back_ends: Sends requests to workers.
         usage: Counts what workers begin.
+        worker_ends: Finds out whether workers that break requests off have ended.
     """
 
     def __init__(
@@ -90,11 +93,13 @@
         workers: WorkerDirectory,
         back_ends: BackEndClient,
         usage: UsageMeter,
+        worker_ends: WorkerEnds,
     ) -> None:
         self._routes = routes
         self._workers = workers
         self._back_ends = back_ends
         self._usage = usage
+        self._worker_ends = worker_ends
 
     async def forward(self, request: ForwardRequest) -> ForwardOutcome:
         """Return a worker's answer, or the problem that stands in its place."""
@@ -149,6 +154,7 @@
         except BrokenAnswerError as error:
             self._workers.note_failure(worker)
             attempts.failed(worker, str(error))
+            self._worker_ends.note_break(attempts.request_id, attempts.fingerprint, worker)
             return None
         except TimeoutError:
             self._workers.note_failure(worker)
@@ -190,6 +196,7 @@
     def __init__(self, request: ForwardRequest) -> None:
         self.request = request
         self.request_id = request.call.request_id
+        self.fingerprint = fingerprint_of(request.call)
         self.tried: set[str] = set()
         self.ran_at: set[str] = set()
         self.failed_answer: WholeAnswer | None = None
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -22,6 +22,8 @@
 from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.quarantine.fingerprint import fingerprint_of
+from hollowrack.quarantine.worker_ends import WorkerEnds
 
 HTTP_OK = 200
 HTTP_UNPROCESSABLE = 422
@@ -95,6 +97,7 @@
         read_version: Reads the weight version that an event announces.
         accepts_version: Whether an answer that begins under a version may be used.
         limits: Bounds.
+        worker_ends: Finds out whether workers that break the run off have ended.
         after_event: Begin behind this event; ``None`` for the beginning.
         moves: When the run should go on at a faster worker; ``None`` for never.
     """
@@ -108,6 +111,7 @@
         read_version: ReadVersion,
         accepts_version: AcceptVersion,
         limits: RunLimits,
+        worker_ends: WorkerEnds,
         after_event: int | None = None,
         moves: MovePolicy | None = None,
     ) -> None:
@@ -121,6 +125,8 @@
         self._read_version = read_version
         self._accepts_version = accepts_version
         self._limits = limits
+        self._worker_ends = worker_ends
+        self._fingerprint = fingerprint_of(call)
         self._last_number = after_event
         self._num_failures = 0
         self._num_moves = 0
@@ -169,6 +175,8 @@
                     str(error) or "silent",
                     self._last_number,
                 )
+                if isinstance(error, BrokenAnswerError):
+                    self._worker_ends.note_break(self._call.request_id, self._fingerprint, worker)
             finally:
                 self._workers.end(worker)
             self._avoided = frozenset({worker.id})
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -25,6 +25,8 @@
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.quarantine.fingerprint import fingerprint_of
+from hollowrack.quarantine.worker_ends import WorkerEnds
 from hollowrack.results import Problem, ResultCode
 from hollowrack.usage.meter import UsageMeter
 
@@ -54,6 +56,7 @@
         queue: Hands out places at workers.
         read_version: Reads the weight version that an event announces.
         usage: Counts what workers begin.
+        worker_ends: Finds out whether workers that break streams off have ended.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         queue: DispatchQueue,
         read_version: Callable[[StreamEvent], int | None],
         usage: UsageMeter,
+        worker_ends: WorkerEnds,
     ) -> None:
         self._routes = routes
         self._workers = workers
@@ -71,6 +75,7 @@
         self._queue = queue
         self._read_version = read_version
         self._usage = usage
+        self._worker_ends = worker_ends
         self._patience = FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
 
     def forward(
@@ -105,6 +110,7 @@
             self._read_version,
             lambda _: True,
             limits,
+            self._worker_ends,
             after_event,
         )
         has_begun = False
@@ -166,6 +172,9 @@
                 yield chunk
         except BrokenAnswerError as error:
             self._workers.note_failure(worker)
+            self._worker_ends.note_break(
+                request.call.request_id, fingerprint_of(request.call), worker
+            )
             if has_begun:
                 raise
             yield Problem(ResultCode.OUTCOME_UNKNOWN, str(error), request.call.request_id)
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -27,6 +27,7 @@
 from hollowrack.jobs.item_moves import ItemMoves
 from hollowrack.jobs.lengths import LengthEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
+from hollowrack.quarantine.worker_ends import WorkerEnds
 
 MIN_FIRST_EVENT_S = 0.8
 MAX_FIRST_EVENT_S = 2.5
@@ -77,6 +78,7 @@
         forwarder: Forwards scorer calls.
         queue: Hands out places at workers.
         read_version: Reads the weight version that an event announces.
+        worker_ends: Finds out whether workers that break generations off have ended.
         patience: Longest wait for the first event of a generation.
         lengths: How many events items will have.
         num_given_up: How many items were given up here, by reason.
@@ -88,6 +90,7 @@
     forwarder: Forwarder
     queue: DispatchQueue
     read_version: Callable[[StreamEvent], int | None]
+    worker_ends: WorkerEnds
     patience: FirstEventPatience = field(
         default_factory=lambda: FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
     )
@@ -239,6 +242,7 @@
             services.read_version,
             self._accepts,
             limits,
+            services.worker_ends,
             self.events[-1].event.number if self.events else None,
             moves=self._moves(service, route),
         )
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -73,6 +73,12 @@
         for reason, count in self._node.services.num_given_up.items():
             given_up.add_metric([reason.name], count)
         yield given_up
+        breaks = CounterMetricFamily(
+            "hollowrack_requests_broken_off", "By a worker, by what became of it", labels=["worker"]
+        )
+        for cause, count in self._node.worker_ends.num_breaks.items():
+            breaks.add_metric([cause.name], count)
+        yield breaks
         workers = GaugeMetricFamily(
             "hollowrack_workers", "Workers known, by service and state", labels=["service", "state"]
         )
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -123,6 +123,7 @@
             self.node.queue,
             announced_version,
             self.node.usage,
+            self.node.worker_ends,
         )
         self._frontend = HttpServer(
             IngressApp(
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import aiohttp
+from absl import logging
 from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from yarl import URL
@@ -231,6 +232,20 @@
             raise TypeError("the session is not one for workers")
         return WorkerAnswer(response)
 
+    async def has_ended(self, worker: Worker) -> bool:
+        """Whether nothing listens at a worker's address; see :class:`BackEndClient`."""
+        host, _, port = worker.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError) as error:
+            logging.info("worker %s: not known whether it listens: %s", worker.id, error)
+            return False
+        writer.close()
+        return False
+
     async def report(self, worker: Worker) -> WorkerReport | None:
         """Read a worker's report."""
         try:
--- a/src/hollowrack_standins/back_ends.py
+++ b/src/hollowrack_standins/back_ends.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
+from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import (
     BackEndCall,
     BrokenAnswerError,
@@ -15,6 +16,7 @@
 from hollowrack.forwarding.types import Worker
 
 SILENCE_S = 1_000_000.0
+CRASH_AFTER_S = 0.06
 
 
 @dataclass
@@ -53,6 +55,10 @@
         ran_at: Workers that began to run each request, in order.
         began_behind: The event behind which each of these runs began, 0 for the beginning.
         running: Requests at work now, by worker identity.
+        crashing_bodies: A request with one of these bodies ends each worker that begins to run
+            it, and all that runs there is broken off.
+        ends: Workers that ended, with the time and the body that ended each, in order.
+        on_end: Called with each worker that has ended.
     """
 
     behaviours: dict[str, WorkerBehaviour] = field(default_factory=dict)
@@ -62,6 +68,10 @@
     began_behind: dict[str, list[int]] = field(default_factory=dict)
     running: Counter[str] = field(default_factory=Counter)
     time_handed_s: list[float] = field(default_factory=list)
+    crashing_bodies: set[bytes] = field(default_factory=set)
+    ends: list["WorkerEnd"] = field(default_factory=list)
+    on_end: Callable[[Worker], None] = lambda _: None
+    _ended: dict[str, asyncio.Event] = field(default_factory=dict)
 
     async def open(
         self,
@@ -75,6 +85,8 @@
         del is_repeatable
         behaviour = self.behaviours.setdefault(worker.id, WorkerBehaviour())
         await asyncio.sleep(0.001)
+        if self._end_of(worker.id).is_set():
+            raise NotRunError(NotRunReason.UNREACHABLE)
         if behaviour.refusal is not None:
             raise NotRunError(behaviour.refusal)
         self.executions[call.request_id] += 1
@@ -97,7 +109,10 @@
     ) -> "AnswerStandin":
         if behaviour.is_silent:
             await asyncio.sleep(SILENCE_S)
-        await asyncio.sleep(behaviour.work_s)
+        if call.body in self.crashing_bodies:
+            await self.work(worker.id, CRASH_AFTER_S)
+            self.end(worker, call.body)
+        await self.work(worker.id, behaviour.work_s)
         if behaviour.num_broken:
             behaviour.num_broken -= 1
             raise BrokenAnswerError("reset")
@@ -107,6 +122,49 @@
             status = 500
         return AnswerStandin(self, worker, call, behaviour, status, after_event or 0)
 
+    async def has_ended(self, worker: Worker) -> bool:
+        """Whether nothing listens at a worker's address."""
+        await asyncio.sleep(0.001)
+        return self._end_of(worker.id).is_set()
+
+    def end(self, worker: Worker, body: bytes = b"") -> None:
+        """End a worker with all that it runs."""
+        if not self._end_of(worker.id).is_set():
+            self._end_of(worker.id).set()
+            self.ends.append(WorkerEnd(worker, now_s(), body))
+            self.on_end(worker)
+
+    async def work(self, worker_id: str, seconds: float) -> None:
+        """Pass time at a worker.
+
+        Raises:
+            BrokenAnswerError: If the worker ends meanwhile.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                await self._end_of(worker_id).wait()
+        except TimeoutError:
+            return
+        raise BrokenAnswerError("the worker has ended")
+
+    def _end_of(self, worker_id: str) -> asyncio.Event:
+        return self._ended.setdefault(worker_id, asyncio.Event())
+
+
+@dataclass(frozen=True)
+class WorkerEnd:
+    """A worker that ended.
+
+    Attributes:
+        worker: The worker.
+        at_s: When, on the loop's clock.
+        body: Body of the request that ended it; empty if none did.
+    """
+
+    worker: Worker
+    at_s: float
+    body: bytes
+
 
 class AnswerStandin:
     """An answer; see :class:`hollowrack.forwarding.back_end.OpenAnswer`."""
@@ -138,7 +196,7 @@
     async def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the events of the request that are still missing."""
         for number in range(self._after_event + 1, self._back_ends.num_events + 1):
-            await asyncio.sleep(self._behaviour.work_s)
+            await self._back_ends.work(self._worker.id, self._behaviour.work_s)
             breaks_after = self._behaviour.breaks_after_events
             if breaks_after is not None and number > breaks_after:
                 yield b"id: "
