--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -30,14 +30,21 @@
 from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_service import JobService
-from hollowrack.jobs.live_state import LEADER_KEY, LIVE_PREFIX, OWNERS_PREFIX, LiveState
+from hollowrack.jobs.live_state import (
+    LEADER_KEY,
+    LIVE_PREFIX,
+    OWNERS_PREFIX,
+    SUSPECTS_PREFIX,
+    LiveState,
+)
 from hollowrack.jobs.placement import NodeEntry
 from hollowrack.jobs.progress import ProgressLog
 from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
 from hollowrack.node_duties import NodeDuties, usage_meter
-from hollowrack.quarantine.worker_ends import WorkerEnds
+from hollowrack.quarantine.quarantine import Quarantine
+from hollowrack.quarantine.sharing import SuspectSharing
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.types import ProcessCounts
 from hollowrack.weights.order_giver import OrderGiver
@@ -74,7 +81,7 @@
         store: The coordination store, by way of other nodes if it does not serve this one.
         feed_client: Asks other nodes for changes.
         usage: Counts the requests of tenants that workers began.
-        worker_ends: Finds out whether workers that break requests off have ended.
+        quarantine: Keeps requests that end their workers from further workers.
         may_follow: Set once what operators and workers write may be followed.
     """
 
@@ -96,9 +103,9 @@
         self.routes = RouteTable(lambda: self.configuration_age_s)
         self.workers = WorkerDirectory(zone, rng)
         self.usage = usage_meter(self.owner, connections.usage)
-        self.worker_ends = WorkerEnds(connections.back_ends)
+        self.quarantine = Quarantine(connections.back_ends)
         self.forwarder = Forwarder(
-            self.routes, self.workers, connections.back_ends, self.usage, self.worker_ends
+            self.routes, self.workers, connections.back_ends, self.usage, self.quarantine
         )
         self.queue = DispatchQueue(self.workers)
         self.session = Session(store, rng)
@@ -111,7 +118,7 @@
             self.forwarder,
             self.queue,
             connections.read_version,
-            self.worker_ends,
+            self.quarantine,
         )
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
@@ -141,6 +148,9 @@
         )
         self.shared_store.source_listeners.append(self._rewatch_live)
         self.shared_store.recovery_listeners.append(self._wake_live)
+        self._suspects = SuspectSharing(
+            SUSPECTS_PREFIX, store, self.quarantine.register, self.leadership, rng
+        )
         self._live_mirror = PrefixMirror(
             self.shared_store,
             LIVE_PREFIX,
@@ -229,6 +239,7 @@
         self._retirement.start()
         self._order_giver.start()
         self._duties.start()
+        self._suspects.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._note_first_leader()),
@@ -264,6 +275,7 @@
         """End a planned stop: owned jobs have the rest of their time, then they are left."""
         await self.jobs.drain(self._finish_by_s - now_s(), self._hand_over_s)
         await self._duties.stop()
+        await self._suspects.stop()
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
         # A lease that the store does not end now ends by itself.
@@ -276,6 +288,7 @@
         await self._host_role.stop()
         await self._order_giver.stop()
         await self._duties.abandon()
+        await self._suspects.stop()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
@@ -387,7 +400,7 @@
         return StoreAccess.FOLLOWER if self.session.is_held else StoreAccess.OBSERVER
 
     def _on_live_key(self, key: str, item: StoredItem | None) -> None:
-        if not self._duties.take(key, item):
+        if not self._duties.take(key, item) and not self._suspects.take(key, item):
             self.live.take(key, item)
 
     def _wake_live(self) -> None:
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -24,7 +24,8 @@
 from hollowrack.forwarding.types import Route, RouteKind, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
-from hollowrack.quarantine.worker_ends import WorkerEnds
+from hollowrack.quarantine.quarantine import Quarantine, refusal
+from hollowrack.quarantine.types import Verdict
 from hollowrack.results import Problem, ResultCode
 from hollowrack.usage.meter import UsageMeter
 
@@ -35,6 +36,7 @@
 # before another worker is tried.
 PATIENCE_IN_TARGETS = 1.5
 MIN_PATIENCE_S = 0.25
+HTTP_SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
 
 
@@ -84,7 +86,7 @@
         workers: The workers known.
         back_ends: Sends requests to workers.
         usage: Counts what workers begin.
-        worker_ends: Finds out whether workers that break requests off have ended.
+        quarantine: Keeps requests that end their workers from further workers.
     """
 
     def __init__(
@@ -93,13 +95,13 @@
         workers: WorkerDirectory,
         back_ends: BackEndClient,
         usage: UsageMeter,
-        worker_ends: WorkerEnds,
+        quarantine: Quarantine,
     ) -> None:
         self._routes = routes
         self._workers = workers
         self._back_ends = back_ends
         self._usage = usage
-        self._worker_ends = worker_ends
+        self._quarantine = quarantine
 
     async def forward(self, request: ForwardRequest) -> ForwardOutcome:
         """Return a worker's answer, or the problem that stands in its place."""
@@ -116,6 +118,10 @@
         self, service: str, attempts: "_Attempts", end_s: float
     ) -> ForwardOutcome:
         while attempts.may_go_on():
+            # Asked before each worker: the request may have ended others at other nodes meanwhile.
+            verdict = self._quarantine.verdict(attempts.fingerprint)
+            if verdict is not None:
+                return attempts.stopped_by(verdict)
             worker = self._workers.choose(service, attempts.tried)
             if worker is None and attempts.tried:
                 worker = self._workers.choose(service, attempts.ran_at)
@@ -154,7 +160,7 @@
         except BrokenAnswerError as error:
             self._workers.note_failure(worker)
             attempts.failed(worker, str(error))
-            self._worker_ends.note_break(attempts.request_id, attempts.fingerprint, worker)
+            self._quarantine.note_break(attempts.request_id, attempts.fingerprint, worker)
             return None
         except TimeoutError:
             self._workers.note_failure(worker)
@@ -169,6 +175,8 @@
         if answer.status < FIRST_SERVER_ERROR:
             self._workers.note_success(worker)
             self._workers.note_pace(worker, now_s() - sent_s)
+            if answer.status in HTTP_SUCCESS:
+                self._quarantine.note_good(attempts.fingerprint)
             return answer
         attempts.failed_answer = answer
         attempts.failed(worker, f"status {answer.status}")
@@ -232,6 +240,12 @@
         """The final answer when no worker may be tried any more."""
         return self._final("no whole answer came", "no worker took the request")
 
+    def stopped_by(self, verdict: Verdict) -> ForwardOutcome:
+        """The final answer when no further worker may end under the request."""
+        if self.ran_at or self.failed_answer is not None:
+            return self.give_up()
+        return refusal(verdict, self.request_id)
+
     def out_of_time(self) -> ForwardOutcome:
         """The final answer when the time is up."""
         return self._final("the time is up", "the time is up")
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -23,7 +23,7 @@
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
-from hollowrack.quarantine.worker_ends import WorkerEnds
+from hollowrack.quarantine.quarantine import Quarantine
 
 HTTP_OK = 200
 HTTP_UNPROCESSABLE = 422
@@ -45,6 +45,7 @@
 
     REJECTED = "a worker says that it can never be done"
     FAILED_TOO_OFTEN = "workers failed it too often"
+    QUARANTINED = "too many workers ended under it"
 
 
 class RunEndedError(Exception):
@@ -97,7 +98,7 @@
         read_version: Reads the weight version that an event announces.
         accepts_version: Whether an answer that begins under a version may be used.
         limits: Bounds.
-        worker_ends: Finds out whether workers that break the run off have ended.
+        quarantine: Keeps calls that end their workers from further workers.
         after_event: Begin behind this event; ``None`` for the beginning.
         moves: When the run should go on at a faster worker; ``None`` for never.
     """
@@ -111,7 +112,7 @@
         read_version: ReadVersion,
         accepts_version: AcceptVersion,
         limits: RunLimits,
-        worker_ends: WorkerEnds,
+        quarantine: Quarantine,
         after_event: int | None = None,
         moves: MovePolicy | None = None,
     ) -> None:
@@ -125,7 +126,7 @@
         self._read_version = read_version
         self._accepts_version = accepts_version
         self._limits = limits
-        self._worker_ends = worker_ends
+        self._quarantine = quarantine
         self._fingerprint = fingerprint_of(call)
         self._last_number = after_event
         self._num_failures = 0
@@ -149,13 +150,14 @@
 
     async def _attempts(self) -> AsyncGenerator[VersionedEvent]:
         while True:
-            worker = await self._next_place()
+            worker = await self._next_allowed_place()
             self.num_attempts += 1
             try:
                 async with contextlib.aclosing(self._events_of(worker)) as events:
                     async for event in events:
                         yield event
                 self._workers.note_success(worker)
+                self._quarantine.note_good(self._fingerprint)
                 return
             except NotRunError as error:
                 self._workers.note_not_run(worker, error.reason)
@@ -176,12 +178,43 @@
                     self._last_number,
                 )
                 if isinstance(error, BrokenAnswerError):
-                    self._worker_ends.note_break(self._call.request_id, self._fingerprint, worker)
+                    self._quarantine.note_break(
+                        self._call.request_id, self._fingerprint, worker, goes_on=True
+                    )
             finally:
-                self._workers.end(worker)
+                self._leave(worker)
             self._avoided = frozenset({worker.id})
             await asyncio.sleep(MIN_PAUSE_S)
 
+    async def _next_allowed_place(self) -> Worker:
+        """A place where the run may begin.
+
+        Raises:
+            RunEndedError: If too many workers have ended under the call. Without this a run would
+                go from one worker that it ends to the next for ever.
+        """
+        while True:
+            self._check_quarantine()
+            worker = await self._next_place()
+            places = self._quarantine.places
+            # Others may have been placed there since the place was chosen.
+            if self._is_allowed() and places.allows(self._fingerprint, worker.id):
+                places.begin(self._fingerprint, worker.id)
+                return worker
+            self._workers.end(worker)
+            await asyncio.sleep(MIN_PAUSE_S)
+
+    def _leave(self, worker: Worker) -> None:
+        self._quarantine.places.end(self._fingerprint, worker.id)
+        self._workers.end(worker)
+
+    def _is_allowed(self) -> bool:
+        return self._quarantine.verdict(self._fingerprint) is None
+
+    def _check_quarantine(self) -> None:
+        if not self._is_allowed():
+            raise RunEndedError(RunEnd.QUARANTINED)
+
     async def _next_place(self) -> Worker:
         """The faster place that the run has asked for, or else the first that is free."""
         faster = self._faster.take()
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -15,6 +15,7 @@
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import (
+    HTTP_SUCCESS,
     MAX_REFUSALS,
     RETRY_AFTER_S,
     ForwardRequest,
@@ -26,7 +27,7 @@
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
-from hollowrack.quarantine.worker_ends import WorkerEnds
+from hollowrack.quarantine.quarantine import Quarantine, refusal
 from hollowrack.results import Problem, ResultCode
 from hollowrack.usage.meter import UsageMeter
 
@@ -56,7 +57,7 @@
         queue: Hands out places at workers.
         read_version: Reads the weight version that an event announces.
         usage: Counts what workers begin.
-        worker_ends: Finds out whether workers that break streams off have ended.
+        quarantine: Keeps requests that end their workers from further workers.
     """
 
     def __init__(
@@ -67,7 +68,7 @@
         queue: DispatchQueue,
         read_version: Callable[[StreamEvent], int | None],
         usage: UsageMeter,
-        worker_ends: WorkerEnds,
+        quarantine: Quarantine,
     ) -> None:
         self._routes = routes
         self._workers = workers
@@ -75,7 +76,7 @@
         self._queue = queue
         self._read_version = read_version
         self._usage = usage
-        self._worker_ends = worker_ends
+        self._quarantine = quarantine
         self._patience = FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
 
     def forward(
@@ -110,7 +111,7 @@
             self._read_version,
             lambda _: True,
             limits,
-            self._worker_ends,
+            self._quarantine,
             after_event,
         )
         has_begun = False
@@ -125,7 +126,11 @@
         except RunEndedError as error:
             if has_begun:
                 raise BrokenAnswerError(str(error)) from error
-            yield Problem(ResultCode.BACK_END_FAILED, str(error), request.call.request_id)
+            verdict = self._quarantine.verdict(fingerprint_of(request.call))
+            if verdict is not None and run.num_attempts == 0:
+                yield refusal(verdict, request.call.request_id)
+            else:
+                yield Problem(ResultCode.BACK_END_FAILED, str(error), request.call.request_id)
 
     def _note_begun(self, request: ForwardRequest) -> None:
         self._usage.note_begun(request.call.tenant, self._usage.time_s())
@@ -133,6 +138,10 @@
     async def _once(
         self, request: ForwardRequest, after_event: int | None
     ) -> AsyncGenerator[StreamPart]:
+        verdict = self._quarantine.verdict(fingerprint_of(request.call))
+        if verdict is not None:
+            yield refusal(verdict, request.call.request_id)
+            return
         service = self._routes.choose_service(request.route)
         refused: set[str] = set()
         while len(refused) < MAX_REFUSALS:
@@ -170,9 +179,11 @@
             yield StreamHead(answer.status, answer.headers)
             async for chunk in answer.chunks():
                 yield chunk
+            if answer.status in HTTP_SUCCESS:
+                self._quarantine.note_good(fingerprint_of(request.call))
         except BrokenAnswerError as error:
             self._workers.note_failure(worker)
-            self._worker_ends.note_break(
+            self._quarantine.note_break(
                 request.call.request_id, fingerprint_of(request.call), worker
             )
             if has_begun:
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -27,7 +27,9 @@
 from hollowrack.jobs.item_moves import ItemMoves
 from hollowrack.jobs.lengths import LengthEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
-from hollowrack.quarantine.worker_ends import WorkerEnds
+from hollowrack.quarantine.fingerprint import fingerprint_of
+from hollowrack.quarantine.quarantine import Quarantine
+from hollowrack.results import ResultCode
 
 MIN_FIRST_EVENT_S = 0.8
 MAX_FIRST_EVENT_S = 2.5
@@ -78,7 +80,7 @@
         forwarder: Forwards scorer calls.
         queue: Hands out places at workers.
         read_version: Reads the weight version that an event announces.
-        worker_ends: Finds out whether workers that break generations off have ended.
+        quarantine: Keeps generations that end their workers from further workers.
         patience: Longest wait for the first event of a generation.
         lengths: How many events items will have.
         num_given_up: How many items were given up here, by reason.
@@ -90,7 +92,7 @@
     forwarder: Forwarder
     queue: DispatchQueue
     read_version: Callable[[StreamEvent], int | None]
-    worker_ends: WorkerEnds
+    quarantine: Quarantine
     patience: FirstEventPatience = field(
         default_factory=lambda: FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
     )
@@ -204,6 +206,9 @@
             try:
                 await self._generate(route)
             except RunEndedError as error:
+                if error.end is RunEnd.QUARANTINED:
+                    await self._wait_in_quarantine()
+                    continue
                 raise ItemGivenUpError(_REASONS[error.end]) from error
             versions = self._versions()
             if not route.needs_single_version or len(versions) <= 1:
@@ -212,6 +217,25 @@
             self.events = []
             self.num_restarts += 1
 
+    async def _wait_in_quarantine(self) -> None:
+        """Wait without reaching a worker; only the item's time, its job or its route end it."""
+        logging.warning(
+            "item %s of job %s: waits, too many workers ended under it",
+            self._item.id,
+            self._job.id,
+        )
+        await self._services.quarantine.wait_until_lifted(fingerprint_of(self._call()))
+
+    def _call(self) -> BackEndCall:
+        return BackEndCall(
+            self._item.id,
+            "POST",
+            self._item.target,
+            (("Host", self._job.host), *self._item.headers),
+            self._item.body,
+            tenant=self._job.tenant,
+        )
+
     def _versions(self) -> tuple[int, ...]:
         """Every weight version that made an event."""
         made_by = {event.weight_version for event in self.events}
@@ -222,27 +246,25 @@
         services = self._services
         service = services.routes.choose_service(route)
 
+        fingerprint = fingerprint_of(self._call())
+
+        def is_eligible(worker: Worker) -> bool:
+            is_apart = services.quarantine.places.allows(fingerprint, worker.id)
+            return is_apart and self._has_weights(worker)
+
         async def acquire(avoided: frozenset[str]) -> Worker:
-            return await services.queue.acquire(service, self._rank, self._has_weights, avoided)
+            return await services.queue.acquire(service, self._rank, is_eligible, avoided)
 
-        call = BackEndCall(
-            self._item.id,
-            "POST",
-            self._item.target,
-            (("Host", self._job.host), *self._item.headers),
-            self._item.body,
-            tenant=self._job.tenant,
-        )
         limits = RunLimits(route.max_attempts, services.patience, SILENCE_TIMEOUT_S, RUN_TIME_S)
         run = ResumableRun(
-            call,
+            self._call(),
             services.back_ends,
             services.workers,
             acquire,
             services.read_version,
             self._accepts,
             limits,
-            services.worker_ends,
+            services.quarantine,
             self.events[-1].event.number if self.events else None,
             moves=self._moves(service, route),
         )
@@ -294,13 +316,16 @@
         while True:
             # No configuration ends an item by lacking the route of its scorer: its time does.
             route = await self._services.routes.lookup_until_found(scorer.host, scorer.target)
-            answer = await self._services.forwarder.forward(_scorer_request(scorer, route))
+            request = _scorer_request(scorer, route)
+            answer = await self._services.forwarder.forward(request)
             if isinstance(answer, WholeAnswer):
                 if answer.status in HTTP_SUCCESS and answer.signature is not None:
                     return ItemResult(self._item.id, True, text, versions, answer.signature)
                 num_failures += answer.status == FIRST_SERVER_ERROR
                 if num_failures >= route.max_attempts:
                     raise ItemGivenUpError(GiveUpReason.SCORER_FAILED_TOO_OFTEN)
+            elif answer.code is ResultCode.REQUEST_QUARANTINED:
+                await self._services.quarantine.wait_until_lifted(fingerprint_of(request.call))
             await asyncio.sleep(SCORER_PAUSE_S)
 
 
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -24,6 +24,7 @@
 USAGE_KEY = LIVE_PREFIX + "usage-windows"
 CAPACITY_KEY = LIVE_PREFIX + "capacity-plan"
 OWNERS_PREFIX = LIVE_PREFIX + "nodes/"
+SUSPECTS_PREFIX = LIVE_PREFIX + "suspects/"
 # Nodes that are asked for changes before the store is; each may cost its whole time-out.
 NUM_SOURCES = 3
 NUM_NEAR_SOURCES = 2
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -76,7 +76,7 @@
         breaks = CounterMetricFamily(
             "hollowrack_requests_broken_off", "By a worker, by what became of it", labels=["worker"]
         )
-        for cause, count in self._node.worker_ends.num_breaks.items():
+        for cause, count in self._node.quarantine.worker_ends.num_breaks.items():
             breaks.add_metric([cause.name], count)
         yield breaks
         workers = GaugeMetricFamily(
@@ -105,6 +105,16 @@
             ("hollowrack_live_nodes", "Live processes known", len(node.live.nodes)),
             ("hollowrack_jobs_open", "Unfinished jobs known", len(node.live.open_jobs)),
             ("hollowrack_jobs_owned", "Unfinished jobs run here", node.jobs.num_running),
+            (
+                "hollowrack_requests_suspected",
+                "Requests under which a worker ended, quarantined ones included",
+                node.quarantine.register.num_suspects,
+            ),
+            (
+                "hollowrack_requests_quarantined",
+                "Requests that are not sent to workers, as too many ended under them",
+                node.quarantine.register.num_quarantined,
+            ),
             ("hollowrack_items_waiting", "Items waiting for a worker", node.queue.num_waiting),
             (
                 "hollowrack_store_heard_age_seconds",
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -123,7 +123,7 @@
             self.node.queue,
             announced_version,
             self.node.usage,
-            self.node.worker_ends,
+            self.node.quarantine,
         )
         self._frontend = HttpServer(
             IngressApp(
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -144,7 +144,11 @@
     Args:
         force_close: Whether every request has a connection of its own.
     """
-    return client_session(force_close, _TrackedResponse, KEPT_CONNECTION_S)
+    session = client_session(force_close, _TrackedResponse, KEPT_CONNECTION_S)
+    # The library would send a GET once more by itself when a kept connection breaks. Such a run is
+    # counted by nobody, and a worker that ended under the first one would pass for not reached.
+    session._retry_connection = False
+    return session
 
 
 class WorkerAnswer:
--- /dev/null
+++ b/src/hollowrack/quarantine/places.py
@@ -0,0 +1,50 @@
+"""Keeps suspects apart, so that one which ends a worker does not condemn the others.
+
+All that a worker runs is broken off when it ends, and whatever is caught in three such ends looks
+just like the one request that caused them. So a request that has been caught twice shares no worker
+with another suspect: its third end is its own.
+"""
+
+from collections import Counter, defaultdict
+
+from hollowrack.quarantine.register import NUM_ENDS, SuspectRegister
+
+# One end more condemns such a request.
+NUM_ENDS_KEPT_APART = NUM_ENDS - 1
+
+
+class SuspectPlaces:
+    """Where this node runs suspects.
+
+    Args:
+        register: How many workers have ended under each request.
+    """
+
+    def __init__(self, register: SuspectRegister) -> None:
+        self._register = register
+        self._suspects_at: defaultdict[str, Counter[str]] = defaultdict(Counter)
+
+    def allows(self, fingerprint: str, worker_id: str) -> bool:
+        """Whether a request may begin at a worker beside those that are there."""
+        num_ended = self._register.num_ended(fingerprint)
+        if num_ended == 0 or worker_id not in self._suspects_at:
+            return True
+        others = [other for other in self._suspects_at[worker_id] if other != fingerprint]
+        most_ended = max((self._register.num_ended(other) for other in others), default=0)
+        return most_ended == 0 or max(num_ended, most_ended) < NUM_ENDS_KEPT_APART
+
+    def begin(self, fingerprint: str, worker_id: str) -> None:
+        """A request begins at a worker."""
+        if self._register.num_ended(fingerprint) > 0:
+            self._suspects_at[worker_id][fingerprint] += 1
+
+    def end(self, fingerprint: str, worker_id: str) -> None:
+        """A request is over at a worker."""
+        suspects = self._suspects_at.get(worker_id)
+        if suspects is None or fingerprint not in suspects:
+            return
+        suspects[fingerprint] -= 1
+        if suspects[fingerprint] <= 0:
+            del suspects[fingerprint]
+        if not suspects:
+            del self._suspects_at[worker_id]
--- a/src/hollowrack/quarantine/worker_ends.py
+++ b/src/hollowrack/quarantine/worker_ends.py
@@ -25,14 +25,15 @@
 
     Args:
         back_ends: Looks whether a worker listens.
-        on_ended: Called with the fingerprint of a request and the worker that ended under it.
+        on_ended: Called with the fingerprint of a request, the identity of the worker that ended
+            under it, and whether the request goes on.
 
     Attributes:
         num_breaks: How many requests were broken off, by cause.
     """
 
     def __init__(
-        self, back_ends: BackEndClient, on_ended: Callable[[str, Worker], None] | None = None
+        self, back_ends: BackEndClient, on_ended: Callable[[str, str, bool], None]
     ) -> None:
         self.num_breaks: Counter[BreakCause] = Counter()
         self._back_ends = back_ends
@@ -40,19 +41,26 @@
         self._looks: dict[str, asyncio.Task[bool]] = {}
         self._notes: set[asyncio.Task[None]] = set()
 
-    def note_break(self, request_id: str, fingerprint: str, worker: Worker) -> None:
+    def note_break(
+        self, request_id: str, fingerprint: str, worker: Worker, goes_on: bool = False
+    ) -> None:
         """A worker broke a request off: find out in the background whether it has ended."""
         look = self._looks.get(worker.id)
         if look is None:
             look = asyncio.create_task(self._back_ends.has_ended(worker))
             self._looks[worker.id] = look
             look.add_done_callback(lambda _: self._looks.pop(worker.id, None))
-        note = asyncio.create_task(self._note(request_id, fingerprint, worker, look))
+        note = asyncio.create_task(self._note(request_id, fingerprint, worker, look, goes_on))
         self._notes.add(note)
         note.add_done_callback(self._notes.discard)
 
     async def _note(
-        self, request_id: str, fingerprint: str, worker: Worker, look: asyncio.Task[bool]
+        self,
+        request_id: str,
+        fingerprint: str,
+        worker: Worker,
+        look: asyncio.Task[bool],
+        goes_on: bool,
     ) -> None:
         cause = BreakCause.ENDED if await asyncio.shield(look) else BreakCause.UNPROVEN
         self.num_breaks[cause] += 1
@@ -63,5 +71,5 @@
             worker.id,
             cause.value,
         )
-        if cause is BreakCause.ENDED and self._on_ended is not None:
-            self._on_ended(fingerprint, worker)
+        if cause is BreakCause.ENDED:
+            self._on_ended(fingerprint, worker.id, goes_on)
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -70,6 +70,7 @@
     JOB_UNSURE = 307
     NOT_CONFIGURED = 308
     CONFIGURATION_OLD = 309
+    REQUEST_QUARANTINED = 310
 
     OUTCOME_UNKNOWN = 400
     ANSWER_INCOMPLETE = 401
@@ -250,6 +251,13 @@
         "The node has not heard of the configuration for too long to know all routes and keys.",
         "Try another node.",
     ),
+    ResultCode.REQUEST_QUARANTINED: CodeDescription(
+        _N,
+        _CHANGE,
+        503,
+        "Too many workers have ended while they ran this request; it is sent to none for a time.",
+        "Change the request or mend the workers; the same one may run after Retry-After.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeDescription(
         _U,
         _SAME,
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -4,12 +4,14 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
-from hollowrack.forwarding.back_end import BackEndCall, BrokenAnswerError
+from hollowrack.forwarding.back_end import BackEndCall, BrokenAnswerError, NotRunError
 from hollowrack.forwarding.types import Worker
 from hollowrack.platform.worker_client import PlatformWorkers, worker_session
+from tests.forwarding.helpers import make_worker
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nServer-Stamp: s\r\nConnection: close\r\n\r\n"
 BODY = b"the whole body"
@@ -62,3 +64,44 @@
 def test_an_answer_without_a_length_that_is_reset_is_broken() -> None:
     with pytest.raises(BrokenAnswerError):
         asyncio.run(_answer(0.05, is_reset=True))
+
+
+async def _run_twice_on_one_connection(method: str) -> tuple[int, Exception | None]:
+    """Send two requests over a kept connection; the worker breaks the second one off.
+
+    Returns:
+        How often a request began to run, and what the second one came to.
+    """
+    num_runs = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal num_runs
+        while await reader.readuntil(b"\r\n\r\n"):
+            num_runs += 1
+            if num_runs > 1:
+                break
+            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    worker = replace(make_worker("w0"), address=f"{host}:{port}")
+    async with worker_session() as session, worker_session(force_close=True) as fresh:
+        workers = PlatformWorkers(session, fresh)
+        call = BackEndCall("q1", method, "/a/x", (), b"")
+        first = await workers.open(worker, call, 1.0)
+        assert await first.read() == b"ok"
+        try:
+            await workers.open(worker, call, 1.0)
+        except (BrokenAnswerError, NotRunError) as error:
+            return num_runs, error
+        finally:
+            server.close()
+    return num_runs, None
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+def test_no_request_is_repeated_behind_the_back_of_what_counts_attempts(method: str) -> None:
+    num_runs, error = asyncio.run(_run_twice_on_one_connection(method))
+    assert num_runs == 2
+    assert isinstance(error, BrokenAnswerError)
