--- a/src/hollowrack/coordination/anti_entropy.py
+++ b/src/hollowrack/coordination/anti_entropy.py
@@ -20,8 +20,9 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.sharing import FeedClient, SharedStore
-from hollowrack.coordination.store import Changes, Listing
+from hollowrack.coordination.store import Changes
 from hollowrack.coordination.watch_messages import SharedChanges, WatchRequest
+from hollowrack.results import ResultCode
 from hollowrack.tasks import cancel_all
 
 # Watches are short: one that is answered is heard of within 0.65 s, its wait and its pause.
@@ -99,6 +100,12 @@
             answer = await self._watch(address, mirror, prefix, wants_listing)
         if answer is None or answer.is_stale or answer.is_history_gone:
             return
+        fault = answer.fault(wants_listing)
+        if fault is not None:
+            code = int(ResultCode.MESSAGE_INVALID)
+            logging.error("[%d] changes of %s from %s: %s", code, prefix, address, fault)
+            mirror.recheck()
+            return
         self._adopt(address, prefix, answer, wants_listing)
         self._shared.note_heard(prefix, answer.known_at_s(asked_s))
         if answer.age_s < STORE_ANSWERS_S:
@@ -114,8 +121,7 @@
         mirror = self._mirrors[prefix]
         before = mirror.reached_revision
         if is_listing:
-            items = tuple(item for _, item in answer.items() if item is not None)
-            mirror.adopt_listing(Listing(items, answer.revision))
+            mirror.adopt_listing(answer.listed())
         else:
             mirror.adopt(Changes(answer.items(), answer.revision))
         if mirror.reached_revision != before and answer.changes:
--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -23,7 +23,9 @@
     Changes,
     CoordinationStore,
     HistoryGone,
+    KeyChange,
     Listing,
+    RemovedKey,
     StoredItem,
     Unavailable,
 )
@@ -73,7 +75,7 @@
         self.is_loaded = asyncio.Event()
         self.last_heard_s = -float("inf")
         self.reached_revision = 0
-        self._history: deque[tuple[int, str, StoredItem | None]] = deque(maxlen=MAX_HISTORY)
+        self._history: deque[KeyChange] = deque(maxlen=MAX_HISTORY)
         self._history_from = 0
         self._changed = asyncio.Event()
         self._store = store
@@ -100,11 +102,11 @@
         """Stop following the store."""
         await cancel_all(self._task)
 
-    def changes_after(self, revision: int) -> list[tuple[str, StoredItem | None]] | None:
+    def changes_after(self, revision: int) -> list[KeyChange] | None:
         """Return the changes behind a store revision; ``None`` if they are no longer kept."""
         if revision < self._history_from:
             return None
-        return [(key, item) for at, key, item in self._history if at > revision]
+        return [change for change in self._history if change.revision > revision]
 
     async def wait_for_change(self, wait_s: float) -> None:
         """Wait until something changes, at most ``wait_s`` seconds."""
@@ -217,16 +219,26 @@
         return True
 
     def _take(self, changes: Changes) -> None:
-        reached = max(self.reached_revision, changes.revision)
-        for key, item in changes.items:
-            self._apply(key, item)
-            self._remember(reached if item is None else item.revision, key, item)
-        self._reach(reached, bool(changes.items))
-
-    def _remember(self, revision: int, key: str, item: StoredItem | None) -> None:
+        newer = [change for change in changes.items if self._is_newer(change)]
+        for change in sorted(newer, key=lambda change: change.revision):
+            self._apply(change)
+            self._remember(change)
+        self._reach(max(self.reached_revision, changes.revision), bool(newer))
+
+    def _is_newer(self, change: KeyChange) -> bool:
+        """Whether a change is newer than what is known of its key.
+
+        All changes up to the revision reached are known, and a listing may hold some newer ones.
+        Without this a removal undoes the entry that came after it.
+        """
+        known = self.items.get(change.key)
+        known_revision = 0 if known is None else known.revision
+        return change.revision > max(self.reached_revision, known_revision)
+
+    def _remember(self, change: KeyChange) -> None:
         if len(self._history) == MAX_HISTORY:
-            self._history_from = self._history[0][0]
-        self._history.append((revision, key, item))
+            self._history_from = max(self._history_from, self._history[0].revision)
+        self._history.append(change)
 
     def _reach(self, revision: int, has_changed: bool) -> None:
         self.reached_revision = revision
@@ -251,20 +263,26 @@
 
     def _replace(self, listing: Listing) -> None:
         present = {item.key for item in listing.items}
-        for key in [key for key in self.items if key not in present]:
-            self._apply(key, None)
+        gone = [
+            RemovedKey(key, listing.revision)
+            for key, item in self.items.items()
+            if key not in present and item.revision <= listing.revision
+        ]
+        for change in gone:
+            self._apply(change)
         for item in listing.items:
             known = self.items.get(item.key)
             if known is None or known.revision < item.revision:
-                self._apply(item.key, item)
+                self._apply(item)
         self.is_loaded.set()
         self._history.clear()
         self._history_from = listing.revision
         self._reach(listing.revision, True)
 
-    def _apply(self, key: str, item: StoredItem | None) -> None:
-        if item is None:
-            self.items.pop(key, None)
+    def _apply(self, change: KeyChange) -> None:
+        if isinstance(change, RemovedKey):
+            self.items.pop(change.key, None)
+            self._on_change(change.key, None)
         else:
-            self.items[key] = item
-        self._on_change(key, item)
+            self.items[change.key] = change
+            self._on_change(change.key, change)
--- a/src/hollowrack/coordination/mirror_feed.py
+++ b/src/hollowrack/coordination/mirror_feed.py
@@ -4,7 +4,6 @@
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.mirror import PrefixMirror
-from hollowrack.coordination.store import StoredItem
 from hollowrack.coordination.watch_messages import SharedChange, SharedChanges, WatchRequest
 
 # How often a held watch looks whether its mirror has become too old to answer it.
@@ -31,7 +30,7 @@
         if mirror is None or not self._is_fresh(mirror, request):
             return SharedChanges(is_stale=True)
         if request.wants_listing:
-            items = tuple(_shared(item.key, item) for item in mirror.items.values())
+            items = tuple(SharedChange.of(item) for item in mirror.items.values())
             return self._answer(items, mirror, request, began_s)
         end_s = began_s + request.wait_s
         found = mirror.changes_after(request.after_revision)
@@ -42,7 +41,7 @@
             found = mirror.changes_after(request.after_revision)
         if found is None:
             return SharedChanges(is_history_gone=True)
-        changes = tuple(_shared(key, item) for key, item in found)
+        changes = tuple(SharedChange.of(change) for change in found)
         return self._answer(changes, mirror, request, began_s)
 
     def _answer(
@@ -62,9 +61,3 @@
     def _is_fresh(self, mirror: PrefixMirror, request: WatchRequest) -> bool:
         is_young = now_s() - self._heard_s(request.prefix) <= request.max_age_s
         return is_young and mirror.is_loaded.is_set()
-
-
-def _shared(key: str, item: StoredItem | None) -> SharedChange:
-    if item is None:
-        return SharedChange(key, None)
-    return SharedChange(key, item.value, item.revision, item.lease)
--- a/src/hollowrack/coordination/sharing.py
+++ b/src/hollowrack/coordination/sharing.py
@@ -33,6 +33,7 @@
     WriteOutcome,
 )
 from hollowrack.coordination.watch_messages import MAX_MIRROR_AGE_S, SharedChanges, WatchRequest
+from hollowrack.results import ResultCode
 
 # What a node that asks another one may lag: one more short watch and its pause.
 MAX_RELAYED_AGE_S = 1.7
@@ -146,9 +147,8 @@
         request = WatchRequest(prefix, reached, 0.0, self._max_age_s(), wants_listing=True)
         shared = await self._ask_sources(request)
         if shared is not None:
-            items = tuple(item for _, item in shared.items() if item is not None)
             self._reach(prefix, shared.revision)
-            return Listing(items, shared.revision)
+            return shared.listed()
         if self._must_probe() and not self._begin_probe():
             return NotDone("no node answers for the store")
         sent_s = now_s()
@@ -252,4 +252,5 @@
         return "its mirror is old"
     if request.wants_listing and shared.revision < request.after_revision:
         return f"its listing is of revision {shared.revision}, {request.after_revision} is known"
-    return None
+    fault = shared.fault(request.wants_listing)
+    return None if fault is None else f"[{int(ResultCode.MESSAGE_INVALID)}] {fault}"
--- a/src/hollowrack/coordination/store.py
+++ b/src/hollowrack/coordination/store.py
@@ -42,17 +42,34 @@
     revision: int
 
 
+@message("store.removed")
+@dataclass(frozen=True)
+class RemovedKey:
+    """One key that the store holds no longer.
+
+    Attributes:
+        key: Its name.
+        revision: Store revision of its removal.
+    """
+
+    key: str
+    revision: int
+
+
+KeyChange = StoredItem | RemovedKey
+
+
 @message("store.changes")
 @dataclass(frozen=True)
 class Changes:
-    """Changes below a prefix, oldest first.
+    """Changes below a prefix, in any order: each one's revision tells what it is newer than.
 
     Attributes:
-        items: Keys written, and keys removed (``None`` in place of the item).
-        revision: Continue watching after this store revision.
+        items: Keys written and keys removed.
+        revision: All changes up to this store revision are included; continue watching after it.
     """
 
-    items: tuple[tuple[str, StoredItem | None], ...]
+    items: tuple[KeyChange, ...]
     revision: int
 
 
--- a/src/hollowrack/coordination/watch_messages.py
+++ b/src/hollowrack/coordination/watch_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from hollowrack.coordination.store import StoredItem
+from hollowrack.coordination.store import KeyChange, Listing, RemovedKey, StoredItem
 from hollowrack.messages.codec import message
 
 # What a node that itself asks the store may lag behind it: one short watch, its pause and a margin.
@@ -32,13 +32,33 @@
 @message("feed.change")
 @dataclass(frozen=True)
 class SharedChange:
-    """A key as it was written, or removed (``value`` is ``None``)."""
+    """A key as it was written, or removed (``value`` is ``None``).
+
+    Attributes:
+        key: Its name.
+        value: Its value.
+        revision: Store revision of the change; 0 from a node that does not tell it.
+        lease: Lease the key goes with.
+    """
 
     key: str
     value: bytes | None
     revision: int = 0
     lease: int = 0
 
+    @staticmethod
+    def of(change: KeyChange) -> "SharedChange":
+        """Return a change as nodes tell it to each other."""
+        if isinstance(change, RemovedKey):
+            return SharedChange(change.key, None, change.revision)
+        return SharedChange(change.key, change.value, change.revision, change.lease)
+
+    def as_stored(self) -> KeyChange:
+        """Return the change as the store would tell it."""
+        if self.value is None:
+            return RemovedKey(self.key, self.revision)
+        return StoredItem(self.key, self.value, self.revision, self.lease)
+
 
 @message("feed.changes")
 @dataclass(frozen=True)
@@ -70,14 +90,24 @@
         # The answer was made after the time that it was held, at the earliest.
         return asked_s + self.held_s - self.age_s
 
-    def items(self) -> tuple[tuple[str, StoredItem | None], ...]:
+    def items(self) -> tuple[KeyChange, ...]:
         """Return the changes as the store would tell them."""
-        return tuple(
-            (
-                change.key,
-                None
-                if change.value is None
-                else StoredItem(change.key, change.value, change.revision, change.lease),
-            )
-            for change in self.changes
-        )
+        return tuple(change.as_stored() for change in self.changes)
+
+    def listed(self) -> Listing:
+        """Return the keys of an answer to a question for all keys."""
+        items = tuple(item for item in self.items() if isinstance(item, StoredItem))
+        return Listing(items, self.revision)
+
+    def fault(self, is_listing: bool) -> str | None:
+        """What makes the answer unusable; ``None`` if nothing does.
+
+        Args:
+            is_listing: Whether all keys were asked for: some may be newer than the listing.
+        """
+        for change in self.changes:
+            if change.revision <= 0:
+                return f"the change of {change.key} has no revision"
+            if change.revision > self.revision and not is_listing:
+                return f"the change of {change.key} is newer than revision {self.revision}"
+        return None
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -321,7 +321,14 @@
 
     def worker_gone(self, worker_id: str) -> None:
         """Forget a worker."""
+        worker = self.workers.get(worker_id)
         self.workers.remove(worker_id)
+        if worker is not None and not self.workers.serving(worker.service):
+            logging.warning(
+                "worker %s: its entry is gone, and no other of service %s is known",
+                worker_id,
+                worker.service,
+            )
 
     def version_named(self, model: str, version: int) -> None:
         """Take in a named version; versions only rise."""
--- a/src/hollowrack/jobs/job_reader.py
+++ b/src/hollowrack/jobs/job_reader.py
@@ -8,6 +8,7 @@
     Changes,
     CoordinationStore,
     HistoryGone,
+    StoredItem,
     Unavailable,
 )
 from hollowrack.jobs.job_log import JobLog, StoredJob, decode_batch, log_prefix
@@ -119,9 +120,11 @@
             return await self._reload(cached)
         if not isinstance(changes, Changes):
             return changes
-        for key, item in changes.items:
-            if item is not None and int(key.rpartition("/")[2]) == len(cached.results):
-                cached.results.extend(decode_batch(item.value))
+        for change in sorted(changes.items, key=lambda change: change.revision):
+            if not isinstance(change, StoredItem):
+                continue
+            if int(change.key.rpartition("/")[2]) == len(cached.results):
+                cached.results.extend(decode_batch(change.value))
         cached.revision = max(cached.revision, changes.revision)
         return None
 
--- a/src/hollowrack/platform/store_client.py
+++ b/src/hollowrack/platform/store_client.py
@@ -17,10 +17,12 @@
     Conflict,
     GrantedLease,
     HistoryGone,
+    KeyChange,
     LeaseGone,
     Listing,
     NotDone,
     Put,
+    RemovedKey,
     StoredItem,
     Unavailable,
     Unknown,
@@ -100,10 +102,7 @@
             return HistoryGone()
         if status != HTTPStatus.OK:
             return Unknown(f"status {status}")
-        events = [
-            (entry["key"], None if entry.get("gone") else _item(entry)) for entry in body["events"]
-        ]
-        return Changes(tuple(events), int(body["at"]))
+        return Changes(tuple(_change(entry) for entry in body["events"]), int(body["at"]))
 
     async def transact(
         self,
@@ -204,6 +203,12 @@
     return bool(entry.get("revision")) and "value" in entry
 
 
+def _change(entry: dict[str, Any]) -> KeyChange:
+    if entry.get("gone"):
+        return RemovedKey(entry["key"], int(entry["revision"]))
+    return _item(entry)
+
+
 def _item(entry: dict[str, Any]) -> StoredItem:
     return StoredItem(
         entry["key"],
--- a/tests/coordination/test_removals.py
+++ b/tests/coordination/test_removals.py
@@ -16,18 +16,23 @@
     11.310 [301 NO_BACK_END] no worker took the request (no worker is known)
 """
 
+import asyncio
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from hollowrack.clock import now_s
+from hollowrack.coordination.anti_entropy import AntiEntropy
 from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.mirror_feed import MirrorFeed
-from hollowrack.coordination.store import Changes, Listing, Put
-from hollowrack.coordination.watch_messages import WatchRequest
+from hollowrack.coordination.sharing import SharedStore, StoreAccess
+from hollowrack.coordination.store import Changes, Listing, Put, RemovedKey, StoredItem
+from hollowrack.coordination.watch_messages import SharedChange, SharedChanges, WatchRequest
+from hollowrack.messages import codec
 from hollowrack_bench.virtual_time import run_virtual
-from hollowrack_standins.coordination_store import CoordinationStoreCore
+from hollowrack_standins.coordination_store import CoordinationStoreCore, StoreFaults
 
 PREFIX = "k/"
 NUM_MIRRORS = 3
@@ -169,3 +174,63 @@
             fleet.check()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_listing", "is_refused"),
+    [
+        ((SharedChange("k/a", None),), False, True),
+        ((SharedChange("k/a", b"1", 0),), False, True),
+        ((SharedChange("k/a", b"1", 0),), True, True),
+        ((SharedChange("k/a", b"1", 8),), False, True),
+        ((SharedChange("k/a", b"1", 8),), True, False),
+        ((SharedChange("k/b", b"1", 7), SharedChange("k/a", None, 3)), False, False),
+    ],
+    ids=str,
+)
+def test_an_answer_whose_changes_do_not_fit_its_revision_is_refused(
+    changes: tuple[SharedChange, ...], is_listing: bool, is_refused: bool
+) -> None:
+    answer = SharedChanges(changes, revision=7)
+    assert (answer.fault(is_listing) is not None) == is_refused
+
+
+class _FaultyPeers:
+    """Other nodes, all of whose answers lack a revision."""
+
+    async def watch(self, address: str, request: WatchRequest) -> SharedChanges:
+        del address, request
+        return SharedChanges((SharedChange("k/a", None),), revision=99)
+
+
+def test_a_node_that_is_told_a_removal_without_a_revision_asks_the_store() -> None:
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("k/a", b"1")], [])
+        faults = StoreFaults()
+        shared = SharedStore(
+            core.view(faults), _FaultyPeers(), lambda: ["n1"], lambda: StoreAccess.FOLLOWER
+        )
+        mirror = PrefixMirror(shared, PREFIX, lambda key, item: None, 0.3, random.Random(1))
+        mirror.start()
+        neighbours = AntiEntropy(
+            {PREFIX: mirror}, _FaultyPeers(), lambda: ["n1"], shared, random.Random(1)
+        )
+        neighbours.start()
+        await asyncio.sleep(5.0)
+        faults.is_silent = True
+        await asyncio.sleep(5.0)
+        assert set(mirror.items) == {"k/a"}
+        faults.is_silent = False
+        core.transact([], [Put("k/b", b"1")], [])
+        await asyncio.sleep(5.0)
+        assert set(mirror.items) == {"k/a", "k/b"}
+        await neighbours.stop()
+        await mirror.stop()
+
+    run_virtual(main())
+
+
+def test_relayed_changes_keep_their_kinds_and_revisions() -> None:
+    changes = Changes((StoredItem("k/a", b"1", 5, 3), RemovedKey("k/b", 6)), 7)
+    assert codec.decode(codec.encode(changes)).unwrap() == changes
