--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -141,12 +141,16 @@
         Raises:
             RunEndedError: If the run cannot be finished.
         """
+        is_whole = False
         try:
             async with contextlib.aclosing(self._attempts()) as events:
                 async for event in events:
                     yield event
+            is_whole = True
         finally:
             self._faster.close()
+            if not is_whole:
+                self._quarantine.note_left(self._fingerprint)
 
     async def _attempts(self) -> AsyncGenerator[VersionedEvent]:
         while True:
--- a/src/hollowrack/quarantine/quarantine.py
+++ b/src/hollowrack/quarantine/quarantine.py
@@ -43,6 +43,10 @@
         """A worker answered a request well."""
         self.register.note_good(fingerprint)
 
+    def note_left(self, fingerprint: str) -> None:
+        """This node stopped running a request that is not whole: it may go on elsewhere."""
+        self.register.note_left(fingerprint)
+
     def verdict(self, fingerprint: str) -> Verdict | None:
         """Why a request must not be sent to a worker; ``None`` if it may be."""
         return self.register.verdict(fingerprint)
--- a/src/hollowrack/quarantine/register.py
+++ b/src/hollowrack/quarantine/register.py
@@ -91,6 +91,13 @@
         suspect.must_tell |= not goes_on or len(suspect.ended) >= NUM_ENDS_TOLD_AT_ONCE
         self.changed.set()
 
+    def note_left(self, fingerprint: str) -> None:
+        """This node stopped running a request that is not whole: it may go on elsewhere."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and not suspect.is_cleared:
+            suspect.must_tell = True
+            self.changed.set()
+
     def note_good(self, fingerprint: str) -> None:
         """A worker answered a request well: it is sound."""
         self._good_s[fingerprint] = now_s()
@@ -98,14 +105,8 @@
         if len(self._good_s) > MAX_GOOD:
             self._good_s.popitem(last=False)
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.is_cleared:
-            return
-        if suspect.revision == ABSENT_REVISION:
-            self._forget(fingerprint)
-        else:
-            suspect.is_cleared = True
-            self._lift()
-        self.changed.set()
+        if suspect is not None and not suspect.is_cleared:
+            self._clear(fingerprint)
 
     def verdict(self, fingerprint: str) -> Verdict | None:
         """Why a request must not be sent to a worker; ``None`` if it may be."""
@@ -157,7 +158,7 @@
         return [
             SuspectChange(fingerprint, frozenset(), suspect.revision)
             for fingerprint, suspect in self._suspects.items()
-            if suspect.revision != ABSENT_REVISION and now_s() - suspect.since_s > QUARANTINE_S
+            if suspect.revision != ABSENT_REVISION and _is_over(suspect)
         ]
 
     def _of(self, fingerprint: str) -> _Suspect:
@@ -165,24 +166,34 @@
         if suspect is None:
             suspect = self._suspects[fingerprint] = _Suspect(since_s=now_s())
             self._make_room()
+        elif _is_over(suspect):
+            # After a quarantine ends count anew; the record is replaced with the next one.
+            suspect.ended.clear()
+            suspect.must_tell = False
+            suspect.since_s = now_s()
         return suspect
 
     def _make_room(self) -> None:
-        """Forget the oldest, one that is not quarantined if there is such a one."""
-        if len(self._suspects) <= MAX_SUSPECTS:
+        """Leave out the oldest, one that is not quarantined if there is such a one."""
+        if self.num_suspects <= MAX_SUSPECTS:
             return
-        oldest = next(iter(self._suspects))
-        newest = next(reversed(self._suspects))
-        chosen = next(
-            (
-                fingerprint
-                for fingerprint in self._suspects
-                if fingerprint != newest and self.verdict(fingerprint) is None
-            ),
-            oldest,
+        *older, _ = (
+            fingerprint for fingerprint, suspect in self._suspects.items() if not suspect.is_cleared
         )
-        logging.warning("quarantine is full: the request with fingerprint %s is forgotten", chosen)
-        self._forget(chosen)
+        free = (fingerprint for fingerprint in older if self.verdict(fingerprint) is None)
+        chosen = next(free, older[0])
+        logging.warning("quarantine is full: the request with fingerprint %s is left out", chosen)
+        self._clear(chosen)
+
+    def _clear(self, fingerprint: str) -> None:
+        """Suspect a request no longer, here and in the store."""
+        suspect = self._suspects[fingerprint]
+        if suspect.revision == ABSENT_REVISION:
+            self._forget(fingerprint)
+        else:
+            suspect.is_cleared = True
+            self._lift()
+        self.changed.set()
 
     def _forget(self, fingerprint: str) -> None:
         del self._suspects[fingerprint]
@@ -205,6 +216,10 @@
             )
 
 
+def _is_over(suspect: _Suspect) -> bool:
+    return now_s() - suspect.since_s >= QUARANTINE_S
+
+
 def _change(fingerprint: str, suspect: _Suspect) -> SuspectChange | None:
     if suspect.is_cleared:
         return SuspectChange(fingerprint, frozenset(), suspect.revision)
