--- a/src/hollowrack_standins/users_platform.py
+++ b/src/hollowrack_standins/users_platform.py
@@ -176,6 +176,7 @@
         num_short: The next plain answers end early.
         ignores_orders: The next orders get no answer and are carried out.
         delay_s: Time of a plain request, in seconds.
+        crashes_on: A request with this body ends the worker; empty for none.
     """
 
     sheds: bool = False
@@ -185,6 +186,7 @@
     num_short: int = 0
     ignores_orders: int = 0
     delay_s: float = 0.0
+    crashes_on: bytes = b""
 
 
 @dataclass
@@ -221,6 +223,8 @@
         self.advertised_address = ""
         self.num_events = 6
         self.switches = WorkerSwitches()
+        # The task that ends it, once a request does.
+        self.crashing: asyncio.Task[None] | None = None
         self.server = StandinServer(
             [
                 Route(names.REPORT_PATH, self._report, methods=["GET"]),
@@ -285,6 +289,11 @@
         self.ledger.executions[request_id] += 1
         self.ledger.headers[request_id] = dict(request.headers)
         self.ledger.bodies[request_id] = body
+        if self.switches.crashes_on and body == self.switches.crashes_on:
+            if self.crashing is None:
+                self.crashing = asyncio.create_task(self.server.crash())
+            await asyncio.shield(self.crashing)
+            return StreamingResponse(_broken(b""), headers=self._headers(request_id))
         headers = self._headers("another" if self.switches.wrong_id else request_id)
         if self.switches.num_errors:
             self.switches.num_errors -= 1
--- /dev/null
+++ b/tests/platform/test_quarantine.py
@@ -0,0 +1,120 @@
+"""A request that ends its workers, through real edge processes over loopback."""
+
+import asyncio
+import itertools
+from dataclasses import replace
+
+import aiohttp
+
+from hollowrack_standins.users_platform import WorkerSwitches
+from tests.platform.helpers import Answer, System, run_system, until
+
+CRASHING = b"ends each worker that begins to run it"
+NUM_ENDS = 3
+_numbers = itertools.count()
+
+
+async def come_back(system: System) -> None:
+    """Start all workers again that have ended, as new incarnations at their addresses."""
+    for name, worker in list(system.workers.items()):
+        if worker.crashing is not None:
+            await worker.crashing
+            worker.crashing = None
+            system.store.remove(f"servers/{worker.id}")
+            worker.id = f"{name}.{next(_numbers)}"
+            await worker.server.start()
+            system.store.put(f"servers/{worker.id}", worker.entry())
+    ids = {worker.id for worker in system.workers.values()}
+    for edge in system.edges.values():
+        await until(lambda node=edge.node: {one.id for one in node.workers.all()} == ids)
+
+
+async def send(system: System, node: str, path: str, body: bytes) -> Answer:
+    return await system.send(path, body=body, node=node, request_id=f"q{next(_numbers)}")
+
+
+def num_runs(system: System) -> int:
+    """How often a worker began to run the crashing request."""
+    return sum(
+        count
+        for request_id, count in system.ledger.executions.items()
+        if system.ledger.bodies[request_id] == CRASHING
+    )
+
+
+async def metric(system: System, node: str, name: str) -> float:
+    address = system.edges[node].peers_address
+    url = f"http://{address}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        lines = (await response.text()).splitlines()
+    return next(float(line.split()[-1]) for line in lines if line.startswith(f"{name} "))
+
+
+def test_all_nodes_refuse_a_request_under_which_three_workers_ended() -> None:
+    async def scenario(system: System) -> None:
+        for name in ("s0", "s1"):
+            system.workers[name].switches = WorkerSwitches(crashes_on=CRASHING)
+        nodes = itertools.cycle(system.edges)
+        while num_runs(system) < NUM_ENDS:
+            assert (await send(system, next(nodes), "/plain/x", CRASHING)).status in (502, 503)
+            await come_back(system)
+        registers = [edge.node.quarantine.register for edge in system.edges.values()]
+        await until(lambda: all(one.num_quarantined == 1 for one in registers))
+        num_before = num_runs(system)
+        for node in system.edges:
+            answer = await send(system, node, "/plain/x", CRASHING)
+            assert answer.status == 503
+            assert float(answer.headers["Retry-After"]) > 60.0
+            assert answer.json()["error"]["code"] == 310
+            assert (await send(system, node, "/plain/x", b"sound")).status == 200
+            assert await metric(system, node, "hollowrack_requests_quarantined") == 1.0
+        assert num_runs(system) == num_before <= NUM_ENDS + 1
+
+        await system.start_edge("late")
+        await system.wait_until_ready("late")
+        register = system.edges["late"].node.quarantine.register
+        await until(lambda: register.num_quarantined == 1)
+        assert (await send(system, "late", "/plain/x", CRASHING)).status == 503
+        assert num_runs(system) == num_before
+
+    run_system(scenario, num_edges=3)
+
+
+def test_a_stream_that_ends_its_workers_is_refused() -> None:
+    async def scenario(system: System) -> None:
+        for name in ("e0", "e1"):
+            system.workers[name].switches = WorkerSwitches(crashes_on=CRASHING)
+        headers = {"Token-Count": "1,2"}
+
+        async def stream(node: str) -> int:
+            request_id = f"q{next(_numbers)}"
+            try:
+                async with asyncio.timeout(2.0):
+                    sent = system.send("/stream/x", "POST", CRASHING, headers, node, request_id)
+                    return (await sent).status
+            except TimeoutError:
+                return 0
+
+        nodes = itertools.cycle(system.edges)
+        while num_runs(system) < NUM_ENDS:
+            await stream(next(nodes))
+            await come_back(system)
+        registers = [edge.node.quarantine.register for edge in system.edges.values()]
+        await until(lambda: all(one.num_quarantined == 1 for one in registers))
+        num_before = num_runs(system)
+        assert [await stream(node) for node in system.edges] == [503, 503]
+        assert num_runs(system) == num_before
+
+    run_system(scenario, num_edges=2)
+
+
+def test_a_worker_that_breaks_answers_off_condemns_nobody() -> None:
+    async def scenario(system: System) -> None:
+        for name in ("s0", "s1"):
+            system.workers[name].switches = replace(WorkerSwitches(), num_short=20)
+        for _ in range(8):
+            await send(system, "n0", "/plain/x", b"unlucky")
+        assert system.edges["n0"].node.quarantine.register.num_suspects == 0
+        assert (await send(system, "n0", "/plain/x", b"unlucky")).status in (200, 502)
+
+    run_system(scenario)
