--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -5,7 +5,7 @@
 a moment before. All callers bear one tenant's key and claim to be another one; those that ask for
 plain answers keep their connections open until the process at the other end is gone. What callers,
 workers and the service for duties saw is checked, and what nodes logged of a broken promise is told
-with it.
+with it. Some requests end each worker that begins them; their workers come back after a while.
 
 Not covered: links between nodes, clocks, weights that are loaded slowly, leaving workers.
 """
@@ -24,6 +24,7 @@
 from hollowrack.clock import now_s
 from hollowrack.observability.log_search import account_of
 from hollowrack.platform import names
+from hollowrack.results import ResultCode
 from hollowrack.tasks import cancel_all
 from hollowrack_bench.edge_processes import EdgeProcesses
 from hollowrack_bench.free_ports import free_address
@@ -41,7 +42,9 @@
     configuration,
 )
 from hollowrack_bench.soak_checks import TENANT, SoakChecks, count_unsure_attempts
-from hollowrack_bench.soak_faults import FaultInjector, SoakSystem
+from hollowrack_bench.soak_crashes import PATH as CRASHING_PATH
+from hollowrack_bench.soak_crashes import CrashingRequests
+from hollowrack_bench.soak_faults import FaultInjector, SoakFault, SoakSystem
 from hollowrack_bench.soak_operator import SoakOperator
 from hollowrack_bench.soak_plan import SoakPlan
 from hollowrack_standins.duty_service import DutyServiceStandin
@@ -60,6 +63,7 @@
 USAGE_WINDOW_S = 2.0
 MAX_EVIDENCE_LINES = 40
 US_PER_S = 1_000_000
+QUARANTINED = ResultCode.REQUEST_QUARANTINED.name.encode()
 PERCENTILES = (50.0, 99.0, 100.0)
 
 
@@ -88,7 +92,16 @@
             self._workers,
             self._operator,
         )
-        self._injector = FaultInjector(self._system, list(plan.faults), self._rng)
+        kinds: list[SoakFault] = [
+            fault for fault in plan.faults if fault is not SoakFault.CRASHING_REQUESTS
+        ]
+        self._num_fault_loops = NUM_FAULT_LOOPS if kinds else 0
+        self._injector = FaultInjector(self._system, kinds, self._rng)
+        self._crashing: CrashingRequests | None = None
+        if SoakFault.CRASHING_REQUESTS in plan.faults:
+            self._crashing = CrashingRequests(
+                self._system, self._workers, self._send_crashing, random.Random(plan.seed)
+            )
         self._sessions: dict[str, aiohttp.ClientSession] = {}
         self._checks = SoakChecks(self.ledger, self.outcome.broken)
         self._num_unsafe = 0
@@ -125,8 +138,10 @@
             asyncio.create_task(self._send_plain_requests()),
             asyncio.create_task(self._send_unsafe_requests()),
             asyncio.create_task(self._write_entries()),
-            *(asyncio.create_task(self._injector.run()) for _ in range(NUM_FAULT_LOOPS)),
+            *(asyncio.create_task(self._injector.run()) for _ in range(self._num_fault_loops)),
         ]
+        if self._crashing is not None:
+            beside.append(asyncio.create_task(self._crashing.run()))
         num_steps = 0
         end_s = now_s() + self._plan.duration_s
         try:
@@ -156,9 +171,17 @@
             "orders given": str(len(self.ledger.orders)),
             "holders of orders": str(len({holder for _, holder, *_ in self.ledger.orders})),
             "windows of usage reported": str(len(self._duties.core.reports)),
+            "crashing requests": self._crashing_row(),
             "latency, s (p50/p99/p100)": str(latencies),
         }
 
+    def _crashing_row(self) -> str:
+        if self._crashing is None:
+            return "none"
+        num_calm = sum(one.is_calm for one in self._crashing.tries)
+        num_ends = len(self.ledger.crashes)
+        return f"{len(self._crashing.tries)} tries, {num_calm} at calm nodes, {num_ends} ends"
+
     def _note_latency(self, kind: str, latency_s: float) -> None:
         histogram = self._latencies.setdefault(kind, latency_histogram())
         histogram.record_value(max(1, int(latency_s * US_PER_S)))
@@ -263,6 +286,8 @@
                 self._note_latency("plain", now_s() - started_s)
                 if not body.startswith(f"{request_id} by ".encode()):
                     self.outcome.broken.append(f"{request_id}: another request's answer")
+            elif QUARANTINED in body:
+                self.outcome.broken.append(f"{request_id}: a sound request was quarantined")
             self._note_status(request_id, status)
             await asyncio.sleep(RETRY_S / 4)
 
@@ -277,6 +302,9 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0, b""
 
+    async def _send_crashing(self, node: str, request_id: str, body: bytes) -> None:
+        await self._call_at(node, "POST", CRASHING_PATH, request_id, body)
+
     def _note_status(self, request_id: str, status: int) -> None:
         if status in HTTP_WRONGLY_DENIED:
             self.outcome.broken.append(f"{request_id}: answered {status}")
@@ -334,6 +362,8 @@
         self._checks.check_unsafe()
         self._checks.check_orders()
         self._checks.check_tenants()
+        if self._crashing is not None:
+            self._checks.check_crashing(self._crashing.tries)
         self._checks.check_duties(self._duties.core, num_unsure)
 
     def _collect_evidence(self) -> None:
--- a/src/hollowrack_bench/soak_checks.py
+++ b/src/hollowrack_bench/soak_checks.py
@@ -5,6 +5,7 @@
 
 from hollowrack.platform import names
 from hollowrack_bench.platform_demo import QUEUE_TTL_S
+from hollowrack_bench.soak_crashes import MAX_LATE_RUNS, CrashingTry, late_runs
 from hollowrack_standins.duty_service import DutyServiceCore
 from hollowrack_standins.users_platform import WorkerLedger
 
@@ -72,6 +73,16 @@
             if self._ledger.executions[request_id]:
                 self._broken.append(f"{request_id}: refused as not run, and ran")
 
+    def check_crashing(self, tries: list[CrashingTry]) -> None:
+        """Check that workers stop getting a request under which three of them ended."""
+        for body, num_runs in late_runs(tries, self._ledger).items():
+            if num_runs > MAX_LATE_RUNS:
+                ids = [one.request_id for one in tries if one.body == body]
+                last = next(name for name in reversed(ids) if self._ledger.executions[name])
+                self._broken.append(
+                    f"{last}: {body.decode()} was run {num_runs} times after its third end"
+                )
+
     def check_tenants(self) -> None:
         """Check that workers ran everything for the tenant of its key, and saw no key."""
         for request_id, headers in self._ledger.headers.items():
