--- a/tests/bench/test_platform_soak.py
+++ b/tests/bench/test_platform_soak.py
@@ -1,6 +1,7 @@
 """The soak of real edge processes: a short one, and whether its checks find what they are for."""
 
 import asyncio
+from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
@@ -73,6 +74,14 @@
     assert place in raised.value.problem.place
 
 
+def test_the_logs_of_a_run_are_never_overwritten(tmp_path: Path) -> None:
+    plan = SoakPlan(1.0, 7, folder=tmp_path)
+    folders = [plan.new_log_folder() for _ in range(3)]
+    assert len(set(folders)) == 3
+    assert all(folder is not None and folder.is_dir() for folder in folders)
+    assert SoakPlan(1.0, 7).new_log_folder() is None
+
+
 def test_an_unknown_fault_is_refused_with_the_names_of_all() -> None:
     result = CliRunner().invoke(hollowrack, ["platform-soak", "--faults", "kill,flood"])
     assert result.exit_code != 0
