--- a/src/hollowrack/cli/commands.py
+++ b/src/hollowrack/cli/commands.py
@@ -17,6 +17,7 @@
 from hollowrack.results import Problem, ProblemError, code_table
 from hollowrack.settings.load import check_environment, read_settings
 from hollowrack.settings.model import NodeSettings
+from hollowrack.suspension import run_on_boot_time
 
 
 @click.group()
@@ -49,7 +50,7 @@
     checked = read_settings(settings_file, pairs).bind(check_environment)
     if isinstance(checked, Failure):
         exit_with_problem(checked.failure())
-    problem = asyncio.run(_run_node(checked.unwrap()))
+    problem = run_on_boot_time(_run_node(checked.unwrap()))
     if problem is not None:
         exit_with_problem(problem)
 
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -244,7 +244,7 @@
         """The final answer when no further worker may end under the request."""
         if self.ran_at or self.failed_answer is not None:
             return self.give_up()
-        return refusal(verdict, self.request_id)
+        return refusal(verdict, self.fingerprint, self.request_id)
 
     def out_of_time(self) -> ForwardOutcome:
         """The final answer when the time is up."""
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -126,9 +126,10 @@
         except RunEndedError as error:
             if has_begun:
                 raise BrokenAnswerError(str(error)) from error
-            verdict = self._quarantine.verdict(fingerprint_of(request.call))
+            fingerprint = fingerprint_of(request.call)
+            verdict = self._quarantine.verdict(fingerprint)
             if verdict is not None and run.num_attempts == 0:
-                yield refusal(verdict, request.call.request_id)
+                yield refusal(verdict, fingerprint, request.call.request_id)
             else:
                 yield Problem(ResultCode.BACK_END_FAILED, str(error), request.call.request_id)
 
@@ -138,9 +139,10 @@
     async def _once(
         self, request: ForwardRequest, after_event: int | None
     ) -> AsyncGenerator[StreamPart]:
-        verdict = self._quarantine.verdict(fingerprint_of(request.call))
+        fingerprint = fingerprint_of(request.call)
+        verdict = self._quarantine.verdict(fingerprint)
         if verdict is not None:
-            yield refusal(verdict, request.call.request_id)
+            yield refusal(verdict, fingerprint, request.call.request_id)
             return
         service = self._routes.choose_service(request.route)
         refused: set[str] = set()
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -30,10 +30,16 @@
         answers: Answers of this node's own by the name of their result code; workers' answers
             count as ``OK``.
         store_calls: Calls to the platform's store by kind.
+        suspended_s: How long the machine was suspended while the process ran, in seconds.
     """
 
     answers: Counter[str] = field(default_factory=Counter)
     store_calls: Counter[str] = field(default_factory=Counter)
+    suspended_s: float = 0.0
+
+    def note_suspended(self, seconds: float) -> None:
+        """The machine was suspended."""
+        self.suspended_s += seconds
 
 
 class EdgeCollector:
@@ -85,6 +91,11 @@
         for (service, state), count in self._workers().items():
             workers.add_metric([service, state], count)
         yield workers
+        yield CounterMetricFamily(
+            "hollowrack_suspended_seconds",
+            "How long the machine was suspended while this process ran",
+            value=self._counts.suspended_s,
+        )
         for name, text, value in self._gauges():
             yield GaugeMetricFamily(name, text, value=value)
 
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -35,6 +35,7 @@
     announced_version,
     worker_session,
 )
+from hollowrack.suspension import SuspensionWatch
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.peers import HttpUsagePeers, usage_routes
 
@@ -141,6 +142,8 @@
         )
         self._store = store
         self._report_task = asyncio.create_task(self._report_calls())
+        self._suspension_watch = SuspensionWatch(counts.note_suspended)
+        self._suspension_watch.start()
         self._peers: HttpServer | None = None
         if settings.listen.control_plane:
             jobs = self.node.jobs
@@ -199,6 +202,7 @@
         # Callers' last requests and owned jobs end side by side.
         await asyncio.gather(self._frontend.stop(), self.node.finish())
         await cancel_all(self._report_task)
+        await self._suspension_watch.stop()
         await self._feed.stop()
         await self._readiness.stop()
         if self._peers is not None:
@@ -211,6 +215,7 @@
     async def kill(self) -> None:
         """End at once, as a crash would; for tests."""
         await cancel_all(self._report_task)
+        await self._suspension_watch.stop()
         await self.node.abandon()
         await self._feed.stop()
         await self._frontend.abort()
--- a/src/hollowrack/platform/program.py
+++ b/src/hollowrack/platform/program.py
@@ -31,6 +31,7 @@
     from hollowrack.platform.settings import read_process_settings  # noqa: PLC0415
     from hollowrack.results import ProblemError, exit_status  # noqa: PLC0415
     from hollowrack.settings.model import Logging  # noqa: PLC0415
+    from hollowrack.suspension import run_on_boot_time  # noqa: PLC0415
 
     settings = read_process_settings()
     if isinstance(settings, Failure):
@@ -40,7 +41,7 @@
     setup_logging(Logging(), checked.node_name, checked.zone)
     bounded = bound_logging()
     try:
-        asyncio.run(serve_edge(checked))
+        run_on_boot_time(serve_edge(checked))
     except ProblemError as error:
         sys.stderr.write(f"{error.problem}\n")
         return exit_status(error.problem.code)
--- a/src/hollowrack/quarantine/quarantine.py
+++ b/src/hollowrack/quarantine/quarantine.py
@@ -56,9 +56,11 @@
         await self.register.wait_until_lifted(fingerprint)
 
 
-def refusal(verdict: Verdict, request_id: str) -> Problem:
+def refusal(verdict: Verdict, fingerprint: str, request_id: str) -> Problem:
     """Return what a caller is told whose try has been sent to no worker."""
-    detail = f"{verdict.num_ended} workers have ended under this request"
+    detail = (
+        f"{verdict.num_ended} workers have ended under the request of fingerprint {fingerprint}"
+    )
     return Problem(
         ResultCode.REQUEST_QUARANTINED, detail, request_id, round(verdict.remaining_s, 1)
     )
