--- a/src/hollowrack/forwarding/types.py
+++ b/src/hollowrack/forwarding/types.py
@@ -40,6 +40,8 @@
         priority: Rank, 0 first.
         is_resumable: Whether a stream may be continued at another worker.
         queue_ttl_s: How long after its job's acceptance an item may be given up, in seconds.
+        result_deadline_s: Time after a job was sent in which its results are worth most, in
+            seconds; ``None`` if none is stated.
         needs_single_version: Whether all tokens of a sample must come from one weight version.
         is_public: Whether its requests need no key.
     """
@@ -55,6 +57,7 @@
     priority: int
     is_resumable: bool = False
     queue_ttl_s: float | None = None
+    result_deadline_s: float | None = None
     needs_single_version: bool = False
     is_public: bool = False
 
@@ -121,18 +124,35 @@
     tenants: TenantDirectory = field(default_factory=TenantDirectory)
 
 
+@dataclass(frozen=True, order=True)
+class WorkerLife:
+    """One incarnation of a back end: an identity may return with nothing of what it held.
+
+    Attributes:
+        worker_id: Identity of the worker.
+        started_ms: When this incarnation started, in milliseconds since 1970; 0 if not told.
+    """
+
+    worker_id: str
+    started_ms: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.worker_id}@{self.started_ms}" if self.started_ms else self.worker_id
+
+
 @dataclass(frozen=True)
 class Worker:
-    """One incarnation of a back end.
+    """What is known of one incarnation of a back end.
 
     Attributes:
-        id: Identity of the incarnation.
+        id: Identity of the worker; a later incarnation may have the same.
         service: Service it belongs to.
         address: ``IP:PORT``.
         zone: Its zone.
         capacity: Requests it works on at once.
         is_leaving: Whether it takes no new work.
         model_versions: Weight version of each model it holds.
+        started_ms: When this incarnation started, in milliseconds since 1970; 0 if not told.
     """
 
     id: str
@@ -142,3 +162,9 @@
     capacity: int
     is_leaving: bool = False
     model_versions: Mapping[str, int] = field(default_factory=dict)
+    started_ms: int = 0
+
+    @property
+    def life(self) -> WorkerLife:
+        """What everything that remembers something of a worker remembers it by."""
+        return WorkerLife(self.id, self.started_ms)
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -132,6 +132,7 @@
 def _route(entry: dict[str, Any]) -> Route:
     timeout_ms = entry.get("timeout-ms")
     queue_ttl_s = entry.get("queue-ttl-s")
+    result_deadline_ms = entry.get("result-deadline-ms")
     return Route(
         name=str(entry.get("name", "")),
         host=str(entry["hostname"]).lower(),
@@ -144,6 +145,7 @@
         priority=_rank(entry.get("priority") or 0),
         is_resumable=bool(entry.get("resumable")),
         queue_ttl_s=float(queue_ttl_s) if queue_ttl_s else None,
+        result_deadline_s=result_deadline_ms / MS_PER_S if result_deadline_ms else None,
         needs_single_version=bool(entry.get("on-policy")),
         is_public=bool(entry.get("public")),
     )
