--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -6,8 +6,10 @@
 plain answers keep their connections open until the process at the other end is gone. What callers,
 workers and the service for duties saw is checked, and what nodes logged of a broken promise is told
 with it. Some requests end each worker that begins them; their workers come back after a while.
+Workers start again under their identities, and entries of other writers stand beside theirs.
 
-Not covered: links between nodes, clocks, weights that are loaded slowly, leaving workers.
+Not covered: links between nodes, clocks, weights that are loaded slowly, leaving workers, callers
+that read slowly, machines that are suspended.
 """
 
 import asyncio
@@ -32,6 +34,7 @@
     HOST,
     HTTP_OK,
     JOBS_PREFIX,
+    MODEL,
     NUM_ITEMS,
     RETRY_S,
     PlatformDemo,
@@ -63,6 +66,8 @@
 US_PER_S = 1_000_000
 QUARANTINED = ResultCode.REQUEST_QUARANTINED.name.encode()
 PERCENTILES = (50.0, 99.0, 100.0)
+# A leader may have to be found (2 s of lease, 3.6 s of handover), and a process to start before.
+CALM_BOUND_S = 12.0
 
 
 class PlatformSoak(PlatformDemo):
@@ -115,6 +120,7 @@
         """Run it and return what was seen; no process stays, however it ends."""
         try:
             await self._duties.server.start()
+            await self._injector.workers.decoy.server.start()
             await self._start()
             num_steps = await self._take_steps()
         finally:
@@ -137,10 +143,10 @@
             asyncio.create_task(self._send_plain_requests()),
             asyncio.create_task(self._send_unsafe_requests()),
             asyncio.create_task(self._write_entries()),
-            *(asyncio.create_task(self._injector.run()) for _ in range(self._num_fault_loops)),
         ]
+        faults = [asyncio.create_task(self._injector.run()) for _ in range(self._num_fault_loops)]
         if self._crashing is not None:
-            beside.append(asyncio.create_task(self._crashing.run()))
+            faults.append(asyncio.create_task(self._crashing.run()))
         num_steps = 0
         end_s = now_s() + self._plan.duration_s
         try:
@@ -150,9 +156,29 @@
         except TimeoutError:
             self.outcome.broken.append(f"step-{num_steps - 1}: not whole in time")
         finally:
+            await cancel_all(*faults)
+            await self._injector.calm()
+            await self._check_restarted_workers()
             await cancel_all(*beside)
         return num_steps
 
+    async def _check_restarted_workers(self) -> None:
+        """Check that workers which have started again get the newest weights once all is calm."""
+        lives = {(life.worker_id, life.started_ms) for life in self._injector.workers.restarted}
+        behind = [
+            worker
+            for worker in self._workers
+            if worker.model and (worker.id, worker.started_ms) in lives
+        ]
+        entry = self._store.read(names.NAMED_VERSION_PREFIX + MODEL)
+        newest = 1 if entry is None else entry["version"]
+        end_s = now_s() + CALM_BOUND_S
+        while behind and now_s() < end_s:
+            await asyncio.sleep(RETRY_S)
+            behind = [worker for worker in behind if worker.version < newest]
+        for worker in behind:
+            self.outcome.broken.append(f"{worker.id}: has stayed at version {worker.version}")
+
     def _rows(self, num_steps: int) -> dict[str, str]:
         return {
             "steps taken": str(num_steps),
@@ -162,6 +188,7 @@
             "unsafe requests": str(self._num_unsafe),
             "orders given": str(len(self.ledger.orders)),
             "holders of orders": str(len({holder for _, holder, *_ in self.ledger.orders})),
+            "workers restarted": str(len(self._injector.workers.restarted)),
             "windows of usage reported": str(len(self._duties.core.reports)),
             "crashing requests": self._crashing_row(),
             "latency, s (p50/p99/p100)": str(self._latencies.told()),
@@ -241,6 +268,7 @@
             await worker.server.crash()
         await self._store.server.crash()
         await self._duties.server.crash()
+        await self._injector.workers.decoy.server.crash()
 
     # -- callers ----------------------------------------------------------------------------
 
@@ -350,6 +378,7 @@
         self._checks.check_unsafe()
         self._checks.check_orders()
         self._checks.check_tenants()
+        self._checks.check_decoy(self._injector.workers.decoy.ledger)
         if self._crashing is not None:
             self._checks.check_crashing(self._crashing.tries)
         self._checks.check_duties(self._duties.core, num_unsure)
--- a/src/hollowrack_bench/soak_checks.py
+++ b/src/hollowrack_bench/soak_checks.py
@@ -92,6 +92,11 @@
             if names.CREDENTIALS.lower() in headers:
                 self._broken.append(f"{request_id}: a worker saw its key")
 
+    def check_decoy(self, ledger: WorkerLedger) -> None:
+        """Check that a worker which only unreadable entries name got nothing."""
+        for request_id in ledger.executions:
+            self._broken.append(f"{request_id}: sent to a worker that no readable entry names")
+
     def check_duties(self, service: DutyServiceCore, num_unsure: int = 0) -> None:
         """Check the calls that one node makes for all against what workers ran.
 
--- a/src/hollowrack_bench/soak_faults.py
+++ b/src/hollowrack_bench/soak_faults.py
@@ -16,8 +16,13 @@
 from hollowrack_bench.edge_processes import EdgeProcesses
 from hollowrack_bench.loopback_proxy import LinkFault, LoopbackProxy
 from hollowrack_bench.soak_operator import SoakOperator
+from hollowrack_bench.soak_worker_faults import WorkerFaults
 from hollowrack_standins.duty_service import DutyServiceStandin
-from hollowrack_standins.users_platform import PlatformStoreStandin, PlatformWorkerStandin
+from hollowrack_standins.users_platform import (
+    PlatformFaults,
+    PlatformStoreStandin,
+    PlatformWorkerStandin,
+)
 
 MIN_PAUSE_S = 0.5
 MAX_PAUSE_S = 3.0
@@ -62,6 +67,10 @@
     CLIENT_LINK = "client-link"
     ROUTES = "routes"
     CRASHING_REQUESTS = "crashing-requests"
+    WORKER_RESTARTS = "worker-restarts"
+    WORKER_SLOW = "worker-slow"
+    FOREIGN_ENTRIES = "foreign-entries"
+    OPEN_CONNECTIONS = "open-connections"
 
 
 @dataclass
@@ -105,6 +114,7 @@
 
     Attributes:
         counts: How often each fault struck.
+        workers: The faults that concern workers.
     """
 
     def __init__(self, system: SoakSystem, kinds: list[SoakFault], rng: random.Random) -> None:
@@ -112,6 +122,7 @@
         self._system = system
         self._kinds = kinds
         self._rng = rng
+        self.workers = WorkerFaults(system.workers, system.store, rng, self._last)
         self._strikes: dict[SoakFault, Callable[[], Awaitable[None]]] = {
             SoakFault.KILL: lambda: self._end_for_a_while(signal.SIGKILL),
             SoakFault.STOP: lambda: self._end_for_a_while(signal.SIGTERM),
@@ -129,6 +140,10 @@
             ),
             SoakFault.CLIENT_LINK: lambda: self._harm_some(system.client_links),
             SoakFault.ROUTES: self._change_routes,
+            SoakFault.WORKER_RESTARTS: self.workers.restart,
+            SoakFault.WORKER_SLOW: self.workers.slow_down,
+            SoakFault.FOREIGN_ENTRIES: self.workers.write_foreign_entries,
+            SoakFault.OPEN_CONNECTIONS: self._silence_open_connections,
         }
 
     async def run(self) -> None:
@@ -140,6 +155,21 @@
             logging.info("fault: %s", kind.value)
             await self._strikes[kind]()
 
+    async def calm(self) -> None:
+        """End every fault that lasts; the loops must have been cancelled."""
+        system = self._system
+        system.store.faults = PlatformFaults()
+        for links in (system.store_links, system.client_links, system.worker_links):
+            for link in links.values():
+                link.harm(LinkFault.NONE)
+        ended = system.processes.ended_by_themselves()
+        for name in sorted(system.disturbed):
+            if name in ended:
+                self._start_again(name)
+            else:
+                system.processes.send(name, signal.SIGCONT)
+        await self.workers.calm()
+
     async def _last(self, longest_s: float = MAX_FAULT_S) -> None:
         await asyncio.sleep(self._rng.uniform(MIN_FAULT_S, longest_s))
 
@@ -256,6 +286,14 @@
         for link in harmed:
             link.harm(LinkFault.NONE)
 
+    async def _silence_open_connections(self) -> None:
+        """Have all open connections of some links fall silent, while new ones work."""
+        system = self._system
+        links = self._rng.choice([system.store_links, system.worker_links])
+        for name in self._rng.sample(sorted(links), self._rng.randint(1, len(links))):
+            links[name].harm(LinkFault.OPEN_SILENCED)
+            links[name].harm(LinkFault.NONE)
+
     # -- the operator -----------------------------------------------------------------------
 
     async def _change_routes(self) -> None:
--- a/src/hollowrack_standins/users_platform.py
+++ b/src/hollowrack_standins/users_platform.py
@@ -34,6 +34,7 @@
 LOAD_S = 0.05
 EVENT_PAUSE_S = 0.002
 PAGE_SIZE = 3
+FIRST_START_MS = 1_700_000_000_000
 
 
 @dataclass
@@ -73,6 +74,10 @@
         """Write a key, as operators, trainers and workers do."""
         self.core.transact([], [Put(key, json.dumps(content).encode())], [])
 
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Write a key with content that need not be readable."""
+        self.core.transact([], [Put(key, value)], [])
+
     def remove(self, key: str) -> None:
         """Remove a key."""
         self.core.transact([], [], [key])
@@ -219,6 +224,7 @@
         self.ledger = ledger
         self.model = model
         self.version = 1
+        self.started_ms = FIRST_START_MS
         self.num_orders = 0
         self.is_busy = False
         # Where others are told to reach it; its own address if empty.
@@ -235,6 +241,13 @@
             ]
         )
 
+    def begin_new_life(self) -> None:
+        """Forget everything, as a worker does that starts again under its identity."""
+        self.started_ms += 1
+        self.version = 1
+        self.num_orders = 0
+        self.is_busy = False
+
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return what the worker writes into the store."""
         return {
@@ -247,6 +260,7 @@
             "cold-remaining-ms": 0,
             "models": self._models(),
             "sequence": 1,
+            "born": self.started_ms,
         }
 
     def _models(self) -> list[dict[str, object]]:
@@ -256,7 +270,12 @@
 
     async def _report(self, request: Request) -> Response:
         del request
-        content = {"models": self._models(), "busy": self.is_busy, "sequence": self.num_orders}
+        content = {
+            "models": self._models(),
+            "busy": self.is_busy,
+            "sequence": self.num_orders,
+            "born": self.started_ms,
+        }
         return JSONResponse(content)
 
     async def _order(self, request: Request) -> Response:
@@ -270,13 +289,17 @@
             (self.id, body["holder"], body["fence"], body["model"], body["version"])
         )
         self.is_busy = True
-        asyncio.get_running_loop().call_later(LOAD_S, self._loaded, body["version"])
+        asyncio.get_running_loop().call_later(
+            LOAD_S, self._loaded, body["version"], self.started_ms
+        )
         if self.switches.ignores_orders:
             self.switches.ignores_orders -= 1
             raise ConnectionResetError("the answer is lost")
         return JSONResponse({}, status_code=202)
 
-    def _loaded(self, version: int) -> None:
+    def _loaded(self, version: int, started_ms: int) -> None:
+        if started_ms != self.started_ms:
+            return
         self.version = version
         self.is_busy = False
 
