--- a/src/hollowrack/forwarding/back_end.py
+++ b/src/hollowrack/forwarding/back_end.py
@@ -108,7 +108,8 @@
         """
 
     async def has_ended(self, worker: Worker) -> bool:
-        """Whether a worker is certainly over: its machine says that nothing listens there.
+        """Whether a life of a worker is certainly over.
 
-        ``False`` if it listens, or if nothing can be told.
+        ``True`` if its machine says that nothing listens there, or if a later life answers;
+        ``False`` if it listens itself, or if nothing can be told.
         """
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -4,7 +4,7 @@
 import itertools
 from dataclasses import dataclass, field
 
-from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.types import Worker, WorkerLife
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 
 # Pauses of workers end without notice, so that waiting items look again now and then.
@@ -19,7 +19,7 @@
     number: int
     service: str = field(compare=False)
     is_eligible: Eligible = field(compare=False)
-    avoided: frozenset[str] = field(compare=False)
+    avoided: frozenset[WorkerLife] = field(compare=False)
     place: "asyncio.Future[Worker]" = field(compare=False)
 
 
@@ -43,7 +43,7 @@
         return len(self._waiters)
 
     async def acquire(
-        self, service: str, rank: Rank, is_eligible: Eligible, avoided: frozenset[str]
+        self, service: str, rank: Rank, is_eligible: Eligible, avoided: frozenset[WorkerLife]
     ) -> Worker:
         """Wait for a place at a worker; it counts as begun and must be given back.
 
@@ -51,7 +51,7 @@
             service: The service.
             rank: Lower ranks go first.
             is_eligible: Which of its workers will do.
-            avoided: Workers taken only if there is no other.
+            avoided: Lives of workers taken only if there is no other.
         """
         place: asyncio.Future[Worker] = asyncio.get_running_loop().create_future()
         waiter = _Waiter(rank, next(self._numbers), service, is_eligible, avoided, place)
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -21,7 +21,7 @@
     OpenAnswer,
 )
 from hollowrack.forwarding.route_table import RouteTable
-from hollowrack.forwarding.types import Route, RouteKind, Worker
+from hollowrack.forwarding.types import Route, RouteKind, Worker, WorkerLife
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, refusal
@@ -205,8 +205,8 @@
         self.request = request
         self.request_id = request.call.request_id
         self.fingerprint = fingerprint_of(request.call)
-        self.tried: set[str] = set()
-        self.ran_at: set[str] = set()
+        self.tried: set[WorkerLife] = set()
+        self.ran_at: set[WorkerLife] = set()
         self.failed_answer: WholeAnswer | None = None
         self._num_refusals = 0
         self._history: list[str] = []
@@ -222,18 +222,18 @@
 
     def begin(self, worker: Worker) -> None:
         """The request goes to a worker, which counts as having run it until proved otherwise."""
-        self.tried.add(worker.id)
-        self.ran_at.add(worker.id)
+        self.tried.add(worker.life)
+        self.ran_at.add(worker.life)
 
     def failed(self, worker: Worker, reason: str) -> None:
         """A worker may have run the request, and gave no good answer."""
-        self._history.append(f"{worker.id}: {reason}")
-        logging.info("request %s: worker %s: %s", self.request_id, worker.id, reason)
+        self._history.append(f"{worker.life}: {reason}")
+        logging.info("request %s: worker %s: %s", self.request_id, worker.life, reason)
 
     def did_not_run(self, worker: Worker, reason: NotRunReason) -> None:
         """A worker certainly did not run the request."""
-        self._history.append(f"{worker.id}: {reason.value}")
-        self.ran_at.discard(worker.id)
+        self._history.append(f"{worker.life}: {reason.value}")
+        self.ran_at.discard(worker.life)
         self._num_refusals += 1
 
     def give_up(self) -> ForwardOutcome:
@@ -262,7 +262,9 @@
     def _told(self) -> str:
         """What became of the attempts, for the log."""
         at_work = sorted(
-            worker for worker in self.ran_at if not any(worker in entry for entry in self._history)
+            life
+            for life in map(str, self.ran_at)
+            if not any(life in entry for entry in self._history)
         )
-        entries = [*self._history, *(f"{worker}: no answer yet" for worker in at_work)]
+        entries = [*self._history, *(f"{life}: no answer yet" for life in at_work)]
         return "; ".join(entries) or "no worker is known"
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -20,7 +20,7 @@
 from hollowrack.forwarding.event_stream import EventStreamError, EventStreamParser, StreamEvent
 from hollowrack.forwarding.faster_place import FasterPlace, MovePolicy
 from hollowrack.forwarding.patience import FirstEventPatience
-from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.types import Worker, WorkerLife
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine
@@ -81,7 +81,7 @@
     time_left_s: float
 
 
-AcquireWorker = Callable[[frozenset[str]], Awaitable[Worker]]
+AcquireWorker = Callable[[frozenset[WorkerLife]], Awaitable[Worker]]
 ReadVersion = Callable[[StreamEvent], int | None]
 AcceptVersion = Callable[[int | None], bool]
 
@@ -132,7 +132,7 @@
         self._num_failures = 0
         self._num_moves = 0
         self._num_escapes = 0
-        self._avoided: frozenset[str] = frozenset()
+        self._avoided: frozenset[WorkerLife] = frozenset()
         self._faster = FasterPlace(workers, moves)
 
     async def events(self) -> AsyncGenerator[VersionedEvent]:
@@ -169,7 +169,7 @@
                 logging.info(
                     "run %s: leaves slower worker %s after event %s",
                     self._call.request_id,
-                    worker.id,
+                    worker.life,
                     self._last_number,
                 )
             except (BrokenAnswerError, EventStreamError, TimeoutError) as error:
@@ -177,7 +177,7 @@
                 logging.info(
                     "run %s: worker %s: %s after event %s",
                     self._call.request_id,
-                    worker.id,
+                    worker.life,
                     str(error) or "silent",
                     self._last_number,
                 )
@@ -187,7 +187,7 @@
                     )
             finally:
                 self._leave(worker)
-            self._avoided = frozenset({worker.id})
+            self._avoided = frozenset({worker.life})
             await asyncio.sleep(MIN_PAUSE_S)
 
     async def _next_allowed_place(self) -> Worker:
@@ -202,14 +202,14 @@
             worker = await self._next_place()
             places = self._quarantine.places
             # Others may have been placed there since the place was chosen.
-            if self._is_allowed() and places.allows(self._fingerprint, worker.id):
-                places.begin(self._fingerprint, worker.id)
+            if self._is_allowed() and places.allows(self._fingerprint, worker.life):
+                places.begin(self._fingerprint, worker.life)
                 return worker
             self._workers.end(worker)
             await asyncio.sleep(MIN_PAUSE_S)
 
     def _leave(self, worker: Worker) -> None:
-        self._quarantine.places.end(self._fingerprint, worker.id)
+        self._quarantine.places.end(self._fingerprint, worker.life)
         self._workers.end(worker)
 
     def _is_allowed(self) -> bool:
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -24,7 +24,7 @@
 from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.resumable_run import ResumableRun, RunEndedError, RunLimits
 from hollowrack.forwarding.route_table import RouteTable
-from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.types import Worker, WorkerLife
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, refusal
@@ -93,7 +93,7 @@
         service = self._routes.choose_service(request.route)
         end_s = end_of_request_s(request)
 
-        async def acquire(avoided: frozenset[str]) -> Worker:
+        async def acquire(avoided: frozenset[WorkerLife]) -> Worker:
             rank = (request.route.priority,)
             return await self._queue.acquire(service, rank, lambda _: True, avoided)
 
@@ -145,7 +145,7 @@
             yield refusal(verdict, fingerprint, request.call.request_id)
             return
         service = self._routes.choose_service(request.route)
-        refused: set[str] = set()
+        refused: set[WorkerLife] = set()
         while len(refused) < MAX_REFUSALS:
             worker = self._workers.choose(service, refused)
             if worker is None:
@@ -159,7 +159,7 @@
                         yield piece
                 return
             except NotRunError as error:
-                refused.add(worker.id)
+                refused.add(worker.life)
                 self._workers.note_not_run(worker, error.reason)
             finally:
                 self._workers.end(worker)
--- a/src/hollowrack/forwarding/types.py
+++ b/src/hollowrack/forwarding/types.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from hollowrack.tenants.types import TenantDirectory
 
@@ -164,7 +165,8 @@
     model_versions: Mapping[str, int] = field(default_factory=dict)
     started_ms: int = 0
 
-    @property
+    # Made once: each choice of a worker asks it of all candidates.
+    @cached_property
     def life(self) -> WorkerLife:
         """What everything that remembers something of a worker remembers it by."""
         return WorkerLife(self.id, self.started_ms)
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass, field
 from statistics import median
 
+from absl import logging
+
 from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import NotRunReason
-from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.types import Worker, WorkerLife
 
 BUSY_PAUSE_S = 0.06
 MAX_BUSY_PAUSE_S = 0.24
@@ -36,7 +38,7 @@
 
 @dataclass
 class _Evidence:
-    """What this node has seen of one worker."""
+    """What this node has seen of one life of a worker."""
 
     num_in_flight: int = 0
     paused_until_s: float = -float("inf")
@@ -55,6 +57,8 @@
 class WorkerDirectory:
     """Workers by service, with the load and the failures seen from this node.
 
+    One life of each identity is known. All that was seen belongs to the life in which it was seen.
+
     Args:
         zone: This node's zone; near workers are preferred when equally loaded.
         rng: Breaks ties.
@@ -64,7 +68,7 @@
         self._zone = zone
         self._rng = rng
         self._workers: dict[str, Worker] = {}
-        self._evidence: dict[str, _Evidence] = {}
+        self._evidence: dict[WorkerLife, _Evidence] = {}
         self._best_paces_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -73,19 +77,25 @@
         self._listeners.append(listener)
 
     def put(self, worker: Worker) -> None:
-        """Take in a worker's newest state."""
+        """Take in a worker's newest state; that of a life before the known one is ignored."""
+        known = self._workers.get(worker.id)
+        if known is not None and worker.started_ms < known.started_ms:
+            logging.info("worker %s: ignored, %s is known", worker.life, known.life)
+            return
         self._workers[worker.id] = worker
-        self._evidence.setdefault(worker.id, _Evidence())
+        self._evidence.setdefault(worker.life, _Evidence())
+        if known is not None and known.life != worker.life:
+            logging.info("worker %s: started again as %s", known.life, worker.life)
+            self._drop_evidence_at_rest(known)
         self._best_paces_s.clear()
         self._notify()
 
     def remove(self, worker_id: str) -> None:
         """Forget a worker that is gone."""
-        self._workers.pop(worker_id, None)
+        worker = self._workers.pop(worker_id, None)
         self._best_paces_s.clear()
-        evidence = self._evidence.get(worker_id)
-        if evidence is not None and evidence.num_in_flight == 0:
-            del self._evidence[worker_id]
+        if worker is not None:
+            self._drop_evidence_at_rest(worker)
 
     def get(self, worker_id: str) -> Worker | None:
         """Return a worker by its identity."""
@@ -106,20 +116,20 @@
     def choose(
         self,
         service: str,
-        excluded: Collection[str] = (),
+        excluded: Collection[WorkerLife] = (),
     ) -> Worker | None:
         """Choose the least loaded worker of a service for a request.
 
         Args:
             service: The service.
-            excluded: Identities of workers not to be chosen.
+            excluded: Lives of workers not to be chosen.
         """
-        candidates = [worker for worker in self.serving(service) if worker.id not in excluded]
+        candidates = [worker for worker in self.serving(service) if worker.life not in excluded]
         ready = [worker for worker in candidates if not self._is_paused(worker)]
         return min(ready or candidates, key=self._cost, default=None)
 
     def choose_place(
-        self, service: str, excluded: Collection[str], is_eligible: Eligible
+        self, service: str, excluded: Collection[WorkerLife], is_eligible: Eligible
     ) -> Worker | None:
         """Choose the fastest worker of a service that has room for a run.
 
@@ -128,13 +138,13 @@
 
         Args:
             service: The service.
-            excluded: Identities of workers not to be chosen.
+            excluded: Lives of workers not to be chosen.
             is_eligible: Further condition.
         """
         candidates = [
             worker
             for worker in self.serving(service)
-            if worker.id not in excluded and is_eligible(worker)
+            if worker.life not in excluded and is_eligible(worker)
         ]
         ready = [worker for worker in candidates if not self._is_paused(worker)]
         if any(not self.is_much_slower(worker) for worker in candidates):
@@ -144,14 +154,14 @@
 
     def begin(self, worker: Worker) -> None:
         """A request goes to a worker."""
-        self._of(worker).num_in_flight += 1
+        self._evidence.setdefault(worker.life, _Evidence()).num_in_flight += 1
 
     def end(self, worker: Worker) -> None:
         """A request at a worker is over."""
         evidence = self._of(worker)
         evidence.num_in_flight -= 1
-        if worker.id not in self._workers and evidence.num_in_flight <= 0:
-            self._evidence.pop(worker.id, None)
+        if not self._is_known(worker):
+            self._drop_evidence_at_rest(worker)
         self._notify()
 
     def note_success(self, worker: Worker) -> None:
@@ -225,14 +235,25 @@
 
     def note_replaced(self, worker: Worker) -> None:
         """Another incarnation answers at a worker's address: this one is gone."""
-        self.remove(worker.id)
+        if self._is_known(worker):
+            self.remove(worker.id)
 
     def num_in_flight(self, worker: Worker) -> int:
         """Return how many requests this node has at a worker."""
         return self._of(worker).num_in_flight
 
     def _of(self, worker: Worker) -> _Evidence:
-        return self._evidence.setdefault(worker.id, _Evidence())
+        """What was seen of a worker; of one that is gone and at rest nothing is remembered."""
+        return self._evidence.get(worker.life) or _Evidence()
+
+    def _is_known(self, worker: Worker) -> bool:
+        known = self._workers.get(worker.id)
+        return known is not None and known.life == worker.life
+
+    def _drop_evidence_at_rest(self, worker: Worker) -> None:
+        """Forget a life that is over, unless requests are still in flight there."""
+        if self._of(worker).num_in_flight <= 0:
+            self._evidence.pop(worker.life, None)
 
     def _pause(self, worker: Worker, pause_s: float) -> None:
         evidence = self._of(worker)
--- a/src/hollowrack/jobs/item_moves.py
+++ b/src/hollowrack/jobs/item_moves.py
@@ -52,7 +52,7 @@
                 worker, other, num_events
             )
 
-        avoided = frozenset({worker.id})
+        avoided = frozenset({worker.life})
         return await self._queue.acquire(self._service, self._rank, is_faster, avoided)
 
     def _saves_enough(self, worker: Worker, other: Worker | None, num_events: int) -> bool:
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -22,7 +22,7 @@
     VersionedEvent,
 )
 from hollowrack.forwarding.route_table import RouteTable
-from hollowrack.forwarding.types import Route, Worker
+from hollowrack.forwarding.types import Route, Worker, WorkerLife
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.item_moves import ItemMoves
 from hollowrack.jobs.lengths import LengthEstimate
@@ -249,10 +249,10 @@
         fingerprint = fingerprint_of(self._call())
 
         def is_eligible(worker: Worker) -> bool:
-            is_apart = services.quarantine.places.allows(fingerprint, worker.id)
+            is_apart = services.quarantine.places.allows(fingerprint, worker.life)
             return is_apart and self._has_weights(worker)
 
-        async def acquire(avoided: frozenset[str]) -> Worker:
+        async def acquire(avoided: frozenset[WorkerLife]) -> Worker:
             return await services.queue.acquire(service, self._rank, is_eligible, avoided)
 
         limits = RunLimits(route.max_attempts, services.patience, SILENCE_TIMEOUT_S, RUN_TIME_S)
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -58,6 +58,18 @@
     return {str(entry["name"]): int(entry["version"]) for entry in entries or ()}
 
 
+def started_ms(account: dict[str, Any]) -> int:
+    """Read when a worker's life started from what it says of itself; 0 if it does not tell.
+
+    Raises:
+        TypeError: If that is no whole number.
+    """
+    started = account.get(names.STARTED_MS, 0)
+    if type(started) is not int:
+        raise TypeError(f"{names.STARTED_MS} is no whole number: {started!r}")
+    return started
+
+
 def retirement_status(node: str) -> tuple[str, bytes]:
     """Return the key and value that say a machine has been emptied."""
     value = json.dumps({"state": names.RETIREMENT_COMPLETE}).encode()
@@ -177,4 +189,5 @@
         int(entry.get("capacity") or DEFAULT_CAPACITY),
         entry.get("state") == names.DRAINING,
         model_versions(entry.get("models")),
+        started_ms(entry),
     )
--- a/src/hollowrack/platform/names.py
+++ b/src/hollowrack/platform/names.py
@@ -50,6 +50,7 @@
 RETIREMENT_STATUS_PREFIX = "status/retire/"
 WORKERS_PREFIX = "servers/"
 
+STARTED_MS = "born"
 DRAINING = "draining"
 RETIREMENT_COMPLETE = "complete"
 RESULT_COMPLETE = "complete"
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -23,7 +23,7 @@
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.types import Worker
 from hollowrack.platform import names
-from hollowrack.platform.configuration import model_versions
+from hollowrack.platform.configuration import model_versions, started_ms
 from hollowrack.platform.http_session import client_session
 from hollowrack.weights.order_giver import OrderOutcome, VersionOrder, WorkerReport
 
@@ -237,7 +237,7 @@
         return WorkerAnswer(response)
 
     async def has_ended(self, worker: Worker) -> bool:
-        """Whether nothing listens at a worker's address; see :class:`BackEndClient`."""
+        """Whether a worker's life is over; see :class:`BackEndClient`."""
         host, _, port = worker.address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -245,10 +245,17 @@
         except ConnectionRefusedError:
             return True
         except (OSError, ValueError) as error:
-            logging.info("worker %s: not known whether it listens: %s", worker.id, error)
+            logging.info("worker %s: not known whether it listens: %s", worker.life, error)
             return False
         writer.close()
-        return False
+        return await self._has_started_again(worker)
+
+    async def _has_started_again(self, worker: Worker) -> bool:
+        """Whether a later life of a worker answers at its address: the one asked is over."""
+        if not worker.started_ms:
+            return False
+        report = await self.report(worker)
+        return report is not None and report.started_ms > worker.started_ms
 
     async def report(self, worker: Worker) -> WorkerReport | None:
         """Read a worker's report."""
@@ -257,9 +264,13 @@
             if status != HTTPStatus.OK:
                 return None
             versions = model_versions(body.get("models"))
-            return WorkerReport(int(body["sequence"]), bool(body["busy"]), versions)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
-            return None
+            num_orders, is_busy = int(body["sequence"]), bool(body["busy"])
+            return WorkerReport(num_orders, is_busy, versions, started_ms(body))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            logging.info("worker %s: no report: %s", worker.life, type(error).__name__)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            logging.warning("worker %s: its report cannot be read: %r", worker.life, error)
+        return None
 
     async def give(self, order: VersionOrder) -> OrderOutcome:
         """Give an order."""
--- a/src/hollowrack/quarantine/places.py
+++ b/src/hollowrack/quarantine/places.py
@@ -7,6 +7,7 @@
 
 from collections import Counter, defaultdict
 
+from hollowrack.forwarding.types import WorkerLife
 from hollowrack.quarantine.register import NUM_ENDS, SuspectRegister
 
 # One end more condemns such a request.
@@ -22,29 +23,29 @@
 
     def __init__(self, register: SuspectRegister) -> None:
         self._register = register
-        self._suspects_at: defaultdict[str, Counter[str]] = defaultdict(Counter)
+        self._suspects_at: defaultdict[WorkerLife, Counter[str]] = defaultdict(Counter)
 
-    def allows(self, fingerprint: str, worker_id: str) -> bool:
+    def allows(self, fingerprint: str, worker: WorkerLife) -> bool:
         """Whether a request may begin at a worker beside those that are there."""
         num_ended = self._register.num_ended(fingerprint)
-        if num_ended == 0 or worker_id not in self._suspects_at:
+        if num_ended == 0 or worker not in self._suspects_at:
             return True
-        others = [other for other in self._suspects_at[worker_id] if other != fingerprint]
+        others = [other for other in self._suspects_at[worker] if other != fingerprint]
         most_ended = max((self._register.num_ended(other) for other in others), default=0)
         return most_ended == 0 or max(num_ended, most_ended) < NUM_ENDS_KEPT_APART
 
-    def begin(self, fingerprint: str, worker_id: str) -> None:
+    def begin(self, fingerprint: str, worker: WorkerLife) -> None:
         """A request begins at a worker."""
         if self._register.num_ended(fingerprint) > 0:
-            self._suspects_at[worker_id][fingerprint] += 1
+            self._suspects_at[worker][fingerprint] += 1
 
-    def end(self, fingerprint: str, worker_id: str) -> None:
+    def end(self, fingerprint: str, worker: WorkerLife) -> None:
         """A request is over at a worker."""
-        suspects = self._suspects_at.get(worker_id)
+        suspects = self._suspects_at.get(worker)
         if suspects is None or fingerprint not in suspects:
             return
         suspects[fingerprint] -= 1
         if suspects[fingerprint] <= 0:
             del suspects[fingerprint]
         if not suspects:
-            del self._suspects_at[worker_id]
+            del self._suspects_at[worker]
--- a/src/hollowrack/quarantine/register.py
+++ b/src/hollowrack/quarantine/register.py
@@ -13,6 +13,7 @@
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import ABSENT_REVISION
+from hollowrack.forwarding.types import WorkerLife
 from hollowrack.quarantine.types import SuspectChange, Verdict
 
 # Sound requests are caught in the end of a worker once or, beside a crashing one, twice.
@@ -34,7 +35,7 @@
     """One request under which workers ended.
 
     Attributes:
-        ended: All workers that did.
+        ended: All lives of workers that did, as texts.
         shared: Those that the store's record names.
         revision: Revision of that record.
         must_tell: Whether what the record lacks is to be written.
@@ -73,12 +74,12 @@
         """How many requests are not sent to workers."""
         return sum(self.verdict(fingerprint) is not None for fingerprint in self._suspects)
 
-    def note_ended(self, fingerprint: str, worker_id: str, goes_on: bool) -> None:
+    def note_ended(self, fingerprint: str, worker: WorkerLife, goes_on: bool) -> None:
         """A worker ended while it ran a request.
 
         Args:
             fingerprint: The request's.
-            worker_id: The worker.
+            worker: The life of the worker.
             goes_on: Whether this node runs the request until it is whole, so that others need not
                 know of a first end.
         """
@@ -87,7 +88,7 @@
             return
         suspect = self._of(fingerprint)
         suspect.is_cleared = False
-        self._add(fingerprint, suspect, {worker_id})
+        self._add(fingerprint, suspect, {str(worker)})
         suspect.must_tell |= not goes_on or len(suspect.ended) >= NUM_ENDS_TOLD_AT_ONCE
         self.changed.set()
 
--- a/src/hollowrack/quarantine/types.py
+++ b/src/hollowrack/quarantine/types.py
@@ -11,7 +11,7 @@
     """The workers that ended while they ran one request.
 
     Attributes:
-        ended_workers: Identities of their incarnations.
+        ended_workers: Their lives as texts; see :class:`hollowrack.forwarding.types.WorkerLife`.
     """
 
     ended_workers: tuple[str, ...]
@@ -36,7 +36,7 @@
 
     Attributes:
         fingerprint: The request's.
-        ended_workers: All workers known to have ended under it; empty to remove its record.
+        ended_workers: Lives of workers known to have ended under it; empty to remove its record.
         revision: Revision of its record as this node has seen it last.
     """
 
--- a/src/hollowrack/weights/order_giver.py
+++ b/src/hollowrack/weights/order_giver.py
@@ -1,7 +1,9 @@
 """Gives workers the orders that move them onto named versions, while this node leads.
 
-Every order names the worker's incarnation and the number of orders it has taken, as read just
-before. So an order that arrives late, after a newer one or after a restart, does nothing.
+Every order names the worker and the number of orders it has taken, as read just before. So an
+order that arrives late, after a newer one, does nothing. A worker that starts again counts its
+orders anew and may take one that was meant for its life before: that counts for nothing here, and
+the new life is ordered by what it reports itself.
 """
 
 import asyncio
@@ -16,7 +18,7 @@
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
-from hollowrack.forwarding.types import Service, Worker
+from hollowrack.forwarding.types import Service, Worker, WorkerLife
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.tasks import cancel_all
 from hollowrack.weights.plan import (
@@ -55,11 +57,13 @@
         num_orders: Orders it has taken since its start.
         is_busy: Whether an order is under way.
         model_versions: Version of each model it holds.
+        started_ms: When the life that answers started, in milliseconds since 1970; 0 if not told.
     """
 
     num_orders: int
     is_busy: bool
     model_versions: Mapping[str, int]
+    started_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -116,9 +120,9 @@
         self._services = services
         self._named_versions = named_versions
         self._client = client
-        self._confirmed: dict[tuple[str, str], int] = {}
-        self._moves: dict[str, asyncio.Task[None]] = {}
-        self._loading: dict[str, str] = {}
+        self._confirmed: dict[tuple[WorkerLife, str], int] = {}
+        self._moves: dict[WorkerLife, asyncio.Task[None]] = {}
+        self._loading: dict[WorkerLife, str] = {}
         self._load_times_s: deque[float] = deque(maxlen=NUM_LOAD_TIMES_KEPT)
         self._has_ended = asyncio.Event()
         self._ripe_from_s: dict[tuple[str, int], float] = {}
@@ -148,6 +152,7 @@
             return
 
     def _start_moves(self) -> None:
+        self._drop_ended_lives()
         held = self._held_versions()
         ripe = {model for model in self._named_versions if self._is_ripe(model)}
         for service in self._services():
@@ -164,9 +169,9 @@
 
     def _start_move(self, move: VersionMove) -> None:
         task = asyncio.create_task(self._carry_out(move))
-        self._moves[move.worker.id] = task
-        self._loading[move.worker.id] = move.model
-        task.add_done_callback(partial(self._forget, move.worker.id))
+        self._moves[move.worker.life] = task
+        self._loading[move.worker.life] = move.model
+        task.add_done_callback(partial(self._forget, move.worker.life))
 
     def _is_ripe(self, model: str) -> bool:
         """Whether the newest version was named some time ago.
@@ -177,25 +182,37 @@
         key = (model, self._named_versions[model])
         return now_s() >= self._ripe_from_s.setdefault(key, now_s() + LOAD_DELAY_S)
 
-    def _forget(self, worker_id: str, _: asyncio.Task[None]) -> None:
-        self._moves.pop(worker_id, None)
-        self._loading.pop(worker_id, None)
+    def _forget(self, life: WorkerLife, _: asyncio.Task[None]) -> None:
+        self._moves.pop(life, None)
+        self._loading.pop(life, None)
         self._has_ended.set()
 
-    def _held_versions(self) -> dict[tuple[str, str], int]:
-        held = dict(self._confirmed)
+    def _drop_ended_lives(self) -> None:
+        """Forget lives that are over: their loads take no place from those of the new ones."""
+        for life in list(self._moves):
+            if self._has_started_again(life):
+                logging.info("worker %s: its order is dropped, it has started again", life)
+                self._moves.pop(life).cancel()
+                self._loading.pop(life, None)
+        for life, model in list(self._confirmed):
+            if self._has_started_again(life):
+                del self._confirmed[life, model]
+
+    def _has_started_again(self, life: WorkerLife) -> bool:
+        known = self._workers.get(life.worker_id)
+        return known is not None and known.life != life
+
+    def _held_versions(self) -> dict[tuple[WorkerLife, str], int]:
+        """Versions by life; within one life they only rise, so an entry that tells less is old."""
         for worker in self._workers.all():
-            for model, version in worker.model_versions.items():
-                key = (worker.id, model)
-                held[key] = max(version, held.get(key, 0))
-        return held
+            self._confirm_all(worker, worker.model_versions)
+        return dict(self._confirmed)
 
     async def _carry_out(self, move: VersionMove) -> None:
-        report = await self._client.report(move.worker)
+        report = await self._report(move.worker)
         if report is None:
             await asyncio.sleep(FAILURE_PAUSE_S)
             return
-        self._note(move, report)
         if report.is_busy:
             await asyncio.sleep(REPORT_POLL_S)
             return
@@ -217,7 +234,7 @@
         outcome = await self._client.give(order)
         logging.info(
             "order to worker %s: %s version %d: %s",
-            move.worker.id,
+            move.worker.life,
             move.model,
             move.version,
             outcome.value,
@@ -233,10 +250,9 @@
         given_s = now_s()
         await asyncio.sleep(LOAD_TIME_SHARE * self._expected_load_time_s())
         for num_polls in range(MAX_REPORT_POLLS):
-            report = await self._client.report(move.worker)
+            report = await self._report(move.worker)
             if report is None:
                 return
-            self._note(move, report)
             if not report.is_busy:
                 # A load that was over before the first look may have been much shorter.
                 share = 1.0 if num_polls else UNSEEN_LOAD_SHARE
@@ -244,10 +260,25 @@
                 return
             await asyncio.sleep(REPORT_POLL_S)
 
-    def _note(self, move: VersionMove, report: WorkerReport) -> None:
-        for model, version in report.model_versions.items():
-            self._confirm(move.worker, model, version)
+    async def _report(self, worker: Worker) -> WorkerReport | None:
+        """Read and note a worker's report; ``None`` if it does not answer, or in another life."""
+        report = await self._client.report(worker)
+        if report is None:
+            return None
+        if report.started_ms != worker.started_ms:
+            logging.info(
+                "worker %s: its report counts for nothing, it is of a start at %d",
+                worker.life,
+                report.started_ms,
+            )
+            return None
+        self._confirm_all(worker, report.model_versions)
+        return report
+
+    def _confirm_all(self, worker: Worker, model_versions: Mapping[str, int]) -> None:
+        for model, version in model_versions.items():
+            self._confirm(worker, model, version)
 
     def _confirm(self, worker: Worker, model: str, version: int) -> None:
-        key = (worker.id, model)
+        key = (worker.life, model)
         self._confirmed[key] = max(version, self._confirmed.get(key, 0))
--- a/src/hollowrack/weights/plan.py
+++ b/src/hollowrack/weights/plan.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from math import ceil
 
-from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.types import Worker, WorkerLife
 
 # Each model is kept current on at least this many workers, so that one may fail.
 MIN_WORKERS_PER_MODEL = 2
@@ -21,8 +21,8 @@
 # A version serves two steps, so half of the workers may skip each version.
 NUM_STEPS_SERVED = 2
 
-# Version by worker identity and model.
-HeldVersions = Mapping[tuple[str, str], int]
+# Version by life of a worker and model.
+HeldVersions = Mapping[tuple[WorkerLife, str], int]
 
 
 @dataclass(frozen=True)
@@ -88,39 +88,39 @@
     names: Sequence[str], workers: Sequence[Worker], held_versions: HeldVersions, share: int
 ) -> dict[str, tuple[Worker, ...]]:
     max_models = ceil(share * len(names) / len(workers))
-    num_models: Counter[str] = Counter()
+    num_models: Counter[WorkerLife] = Counter()
     assigned: dict[str, list[Worker]] = {}
     # Those that hold a model already are counted for all models before any gap is filled.
     for name in names:
         incumbents = _incumbents(name, workers, held_versions)
         # A few more than planned, so that the loss of a worker does not move models elsewhere.
         assigned[name] = incumbents[: share + share // INCUMBENTS_PER_SPARE]
-        num_models.update(worker.id for worker in assigned[name])
+        num_models.update(worker.life for worker in assigned[name])
     for name in names:
         others = [worker for worker in workers if worker not in assigned[name]]
         while len(assigned[name]) < share:
             best = min(
                 others,
                 key=lambda worker: (
-                    num_models[worker.id] >= max_models,
-                    num_models[worker.id],
-                    worker.id,
+                    num_models[worker.life] >= max_models,
+                    num_models[worker.life],
+                    worker.life,
                 ),
             )
             others.remove(best)
             assigned[name].append(best)
-            num_models[best.id] += 1
+            num_models[best.life] += 1
     return {name: tuple(holders) for name, holders in assigned.items()}
 
 
 def _incumbents(model: str, workers: Sequence[Worker], held_versions: HeldVersions) -> list[Worker]:
     """Workers that were kept current for a model, newest version first; none at the beginning."""
-    versions = {worker.id: held_versions.get((worker.id, model), 0) for worker in workers}
+    versions = {worker.life: held_versions.get((worker.life, model), 0) for worker in workers}
     newest = max(versions.values())
     if newest == min(versions.values()):
         return []
-    current = [worker for worker in workers if versions[worker.id] > newest - NUM_STEPS_SERVED]
-    return sorted(current, key=lambda worker: (-versions[worker.id], worker.id))
+    current = [worker for worker in workers if versions[worker.life] > newest - NUM_STEPS_SERVED]
+    return sorted(current, key=lambda worker: (-versions[worker.life], worker.life))
 
 
 def next_moves(
@@ -128,7 +128,7 @@
     ripe_models: Collection[str],
     plan: LoadPlan,
     held_versions: HeldVersions,
-    loading: Mapping[str, str],
+    loading: Mapping[WorkerLife, str],
     max_concurrent: int = MIN_CONCURRENT_LOADS,
 ) -> list[VersionMove]:
     """Return the moves to start now.
@@ -142,7 +142,7 @@
         ripe_models: Models whose current workers may be moved on.
         plan: Where models are kept.
         held_versions: Versions as far as known.
-        loading: The model that each worker is loading, by worker identity.
+        loading: The model that each worker is loading, by its life.
         max_concurrent: Most workers loading at a time.
     """
     moves: list[VersionMove] = []
@@ -153,7 +153,7 @@
             break
         num_holders = len(plan.holders[model])
         num_ahead = loaded_by_model[model] + sum(
-            held_versions.get((holder.id, model), 0) >= named_versions[model]
+            held_versions.get((holder.life, model), 0) >= named_versions[model]
             for holder in plan.holders[model]
         )
         may_move = not is_useful or (
@@ -161,9 +161,9 @@
             and loaded_by_model[model] < max(1, num_holders // 2)
             and num_ahead < plan.num_wanted(model)
         )
-        if worker.id in taken or not may_move:
+        if worker.life in taken or not may_move:
             continue
-        taken.add(worker.id)
+        taken.add(worker.life)
         loaded_by_model[model] += 1
         moves.append(VersionMove(worker, model, named_versions[model]))
     return moves
@@ -175,14 +175,14 @@
     held_versions: HeldVersions,
 ) -> list[tuple[bool, str, Worker]]:
     """Workers behind, as (still useful, model, worker): useless ones and bare models first."""
-    entries: list[tuple[tuple[bool, int, str, str], tuple[bool, str, Worker]]] = []
+    entries: list[tuple[tuple[bool, int, str, WorkerLife], tuple[bool, str, Worker]]] = []
     for model, version in named_versions.items():
-        versions = [held_versions.get((worker.id, model), 0) for worker in holders.get(model, ())]
+        versions = [held_versions.get((worker.life, model), 0) for worker in holders.get(model, ())]
         num_useful = sum(held >= version - 1 for held in versions)
         for worker, held in zip(holders.get(model, ()), versions, strict=True):
             if held < version:
                 is_useful = held >= version - 1
-                order = (is_useful, num_useful, model, worker.id)
+                order = (is_useful, num_useful, model, worker.life)
                 entries.append((order, (is_useful, model, worker)))
     entries.sort(key=lambda entry: entry[0])
     return [entry for _, entry in entries]
--- a/src/hollowrack_standins/back_ends.py
+++ b/src/hollowrack_standins/back_ends.py
@@ -13,7 +13,7 @@
     NotRunError,
     NotRunReason,
 )
-from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.types import Worker, WorkerLife
 
 SILENCE_S = 1_000_000.0
 CRASH_AFTER_S = 0.06
@@ -71,7 +71,8 @@
     crashing_bodies: set[bytes] = field(default_factory=set)
     ends: list["WorkerEnd"] = field(default_factory=list)
     on_end: Callable[[Worker], None] = lambda _: None
-    _ended: dict[str, asyncio.Event] = field(default_factory=dict)
+    _ended: dict[WorkerLife, asyncio.Event] = field(default_factory=dict)
+    _restarted: dict[str, Worker] = field(default_factory=dict)
 
     async def open(
         self,
@@ -85,7 +86,8 @@
         del is_repeatable
         behaviour = self.behaviours.setdefault(worker.id, WorkerBehaviour())
         await asyncio.sleep(0.001)
-        if self._end_of(worker.id).is_set():
+        worker = self._restarted.get(worker.id, worker)
+        if self._end_of(worker).is_set():
             raise NotRunError(NotRunReason.UNREACHABLE)
         if behaviour.refusal is not None:
             raise NotRunError(behaviour.refusal)
@@ -110,9 +112,9 @@
         if behaviour.is_silent:
             await asyncio.sleep(SILENCE_S)
         if call.body in self.crashing_bodies:
-            await self.work(worker.id, CRASH_AFTER_S)
+            await self.work(worker, CRASH_AFTER_S)
             self.end(worker, call.body)
-        await self.work(worker.id, behaviour.work_s)
+        await self.work(worker, behaviour.work_s)
         if behaviour.num_broken:
             behaviour.num_broken -= 1
             raise BrokenAnswerError("reset")
@@ -123,18 +125,22 @@
         return AnswerStandin(self, worker, call, behaviour, status, after_event or 0)
 
     async def has_ended(self, worker: Worker) -> bool:
-        """Whether nothing listens at a worker's address."""
+        """Whether a life of a worker is over."""
         await asyncio.sleep(0.001)
-        return self._end_of(worker.id).is_set()
+        return self._end_of(worker).is_set()
 
     def end(self, worker: Worker, body: bytes = b"") -> None:
         """End a worker with all that it runs."""
-        if not self._end_of(worker.id).is_set():
-            self._end_of(worker.id).set()
+        if not self._end_of(worker).is_set():
+            self._end_of(worker).set()
             self.ends.append(WorkerEnd(worker, now_s(), body))
             self.on_end(worker)
 
-    async def work(self, worker_id: str, seconds: float) -> None:
+    def restart(self, worker: Worker) -> None:
+        """Start a worker again: from now on this life takes all that is sent to its identity."""
+        self._restarted[worker.id] = worker
+
+    async def work(self, worker: Worker, seconds: float) -> None:
         """Pass time at a worker.
 
         Raises:
@@ -142,13 +148,13 @@
         """
         try:
             async with asyncio.timeout(seconds):
-                await self._end_of(worker_id).wait()
+                await self._end_of(worker).wait()
         except TimeoutError:
             return
         raise BrokenAnswerError("the worker has ended")
 
-    def _end_of(self, worker_id: str) -> asyncio.Event:
-        return self._ended.setdefault(worker_id, asyncio.Event())
+    def _end_of(self, worker: Worker) -> asyncio.Event:
+        return self._ended.setdefault(worker.life, asyncio.Event())
 
 
 @dataclass(frozen=True)
@@ -196,7 +202,7 @@
     async def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the events of the request that are still missing."""
         for number in range(self._after_event + 1, self._back_ends.num_events + 1):
-            await self._back_ends.work(self._worker.id, self._behaviour.work_s)
+            await self._back_ends.work(self._worker, self._behaviour.work_s)
             breaks_after = self._behaviour.breaks_after_events
             if breaks_after is not None and number > breaks_after:
                 yield b"id: "
--- /dev/null
+++ b/tests/forwarding/test_worker_lives.py
@@ -0,0 +1,149 @@
+"""A worker that starts again under its identity: nothing of its life before counts for it."""
+
+import asyncio
+from dataclasses import replace
+
+from hollowrack.clock import now_s
+from hollowrack.forwarding.back_end import NotRunReason
+from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.forwarder import WholeAnswer
+from hollowrack.forwarding.types import RouteKind, Worker, WorkerLife
+from hollowrack.results import Problem, ResultCode
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.back_ends import BackEndsStandin, WorkerBehaviour
+from tests.forwarding.helpers import (
+    make_directory,
+    make_forwarder,
+    make_request,
+    make_route,
+    make_worker,
+)
+
+FIRST = replace(make_worker("w0"), started_ms=1000)
+SECOND = replace(FIRST, started_ms=2000)
+
+
+def test_an_entry_of_an_earlier_life_is_ignored() -> None:
+    async def main() -> None:
+        directory = make_directory(
+            FIRST, SECOND, replace(FIRST, is_leaving=True), make_worker("w0")
+        )
+        assert directory.all() == [SECOND]
+        changed = replace(SECOND, capacity=9)
+        directory.put(changed)
+        assert directory.all() == [changed]
+        directory.remove("w0")
+        assert directory.all() == []
+
+    run_virtual(main())
+
+
+def test_nothing_seen_in_one_life_counts_for_the_next() -> None:
+    async def main() -> None:
+        other = make_worker("w1")
+        directory = make_directory(FIRST, other)
+        for _ in range(8):
+            directory.note_pace(FIRST, 1.0)
+            directory.note_pace(other, 0.1)
+        for _ in range(FIRST.capacity):
+            directory.begin(FIRST)
+        directory.note_unreachable(FIRST)
+        assert directory.is_much_slower(FIRST)
+        directory.put(SECOND)
+        assert not directory.is_much_slower(SECOND)
+        assert directory.num_in_flight(SECOND) == 0
+        assert directory.choose("svc", (other.life,)) == SECOND
+        assert directory.choose_place("svc", (other.life, FIRST.life), lambda _: True) == SECOND
+        # What the first life still tells is late.
+        directory.note_unreachable(FIRST)
+        directory.note_not_run(FIRST, NotRunReason.REPLACED)
+        assert directory.choose_place("svc", (other.life,), lambda _: True) == SECOND
+
+    run_virtual(main())
+
+
+def test_what_is_in_flight_in_an_old_life_counts_there_until_it_ends() -> None:
+    async def main() -> None:
+        directory = make_directory(FIRST)
+        directory.begin(FIRST)
+        directory.put(SECOND)
+        directory.begin(SECOND)
+        assert (directory.num_in_flight(FIRST), directory.num_in_flight(SECOND)) == (1, 1)
+        directory.end(FIRST)
+        directory.note_success(FIRST)
+        assert (directory.num_in_flight(FIRST), directory.num_in_flight(SECOND)) == (0, 1)
+        assert set(directory._evidence) == {SECOND.life}
+
+    run_virtual(main())
+
+
+def test_a_repeatable_request_may_go_to_a_new_life_of_the_worker_that_broke_it_off() -> None:
+    async def main() -> None:
+        route = make_route(max_attempts=2)
+        back_ends = BackEndsStandin({"w0": WorkerBehaviour(num_broken=1)})
+        forwarder, directory = make_forwarder(route, back_ends, num_workers=1)
+        directory.put(FIRST)
+        forwarding = asyncio.create_task(forwarder.forward(make_request(route)))
+        await asyncio.sleep(0.01)
+        directory.put(SECOND)
+        assert isinstance(await forwarding, WholeAnswer)
+        assert back_ends.ran_at["q1"] == ["w0", "w0"]
+
+    run_virtual(main())
+
+
+def test_both_lives_of_a_worker_count_as_attempts() -> None:
+    async def main() -> None:
+        route = make_route(max_attempts=2)
+        back_ends = BackEndsStandin({"w0": WorkerBehaviour(num_broken=9)})
+        forwarder, directory = make_forwarder(route, back_ends, num_workers=1)
+        directory.put(FIRST)
+        forwarding = asyncio.create_task(forwarder.forward(make_request(route)))
+        for started_ms in (2000, 3000, 4000):
+            await asyncio.sleep(0.01)
+            directory.put(replace(FIRST, started_ms=started_ms))
+        assert isinstance(await forwarding, Problem)
+        assert back_ends.executions["q1"] == 2
+
+    run_virtual(main())
+
+
+def test_an_unsafe_request_that_a_life_broke_off_is_not_sent_to_the_next_one() -> None:
+    async def main() -> None:
+        route = make_route(RouteKind.UNSAFE)
+        back_ends = BackEndsStandin({"w0": WorkerBehaviour(num_broken=1)})
+        forwarder, directory = make_forwarder(route, back_ends, num_workers=1)
+        directory.put(FIRST)
+        forwarding = asyncio.create_task(forwarder.forward(make_request(route)))
+        await asyncio.sleep(0.01)
+        directory.put(SECOND)
+        outcome = await forwarding
+        assert isinstance(outcome, Problem)
+        assert outcome.code is ResultCode.OUTCOME_UNKNOWN
+        assert back_ends.executions["q1"] == 1
+
+    run_virtual(main())
+
+
+def test_a_waiting_run_gets_a_place_at_the_new_life_of_the_worker_it_avoids() -> None:
+    async def main() -> None:
+        directory = make_directory(FIRST, replace(make_worker("w1"), capacity=0))
+        for _ in range(FIRST.capacity):
+            directory.begin(FIRST)
+        queue = DispatchQueue(directory)
+        avoided = frozenset({FIRST.life})
+
+        async def acquire() -> tuple[Worker, float]:
+            return await queue.acquire("svc", (0,), lambda w: w.id == "w0", avoided), now_s()
+
+        waiting = asyncio.create_task(acquire())
+        await asyncio.sleep(1.0)
+        directory.put(SECOND)
+        assert await waiting == (SECOND, 1.0)
+
+    run_virtual(main())
+
+
+def test_a_life_is_named_in_logs_with_its_start_if_that_is_told() -> None:
+    assert str(WorkerLife("w0", 1000)) == "w0@1000"
+    assert str(WorkerLife("w0")) == "w0"
