--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -29,6 +29,7 @@
     StoredItem,
     Unavailable,
 )
+from hollowrack.observability.line_limit import LineLimit
 from hollowrack.tasks import cancel_all
 
 # Shorter than the history that the store keeps, so that a quiet watch can go on from its revision.
@@ -40,6 +41,8 @@
 MAX_RESTING_PAUSE_S = 4.0
 LATE_ANSWER_S = 0.5
 MAX_HISTORY = 512
+# A key is another writer's text; the store takes longer ones than a log line should hold.
+MAX_LOGGED_KEY_LENGTH = 200
 
 OnChange = Callable[[str, StoredItem | None], None]
 
@@ -93,6 +96,7 @@
         self._watching: asyncio.Task[Changes | HistoryGone | Unavailable] | None = None
         self._task: asyncio.Task[None] | None = None
         self._is_failing = False
+        self._fault_lines = LineLimit()
 
     def start(self) -> None:
         """Start following the store."""
@@ -150,7 +154,7 @@
         if self._starts_after is not None:
             await self._starts_after.wait()
         while True:
-            if await self._step():
+            if await self._step_whatever_happens():
                 self._backoff.reset()
                 await asyncio.sleep(self._pace_s)
             else:
@@ -165,6 +169,15 @@
         except TimeoutError:
             return
 
+    async def _step_whatever_happens(self) -> bool:
+        """List or watch once; a fault counts as no answer, so that the mirror goes on."""
+        try:
+            return await self._step()
+        except Exception:
+            if self._fault_lines.allows():
+                logging.exception("mirror of %s: an answer could not be taken in", self._prefix)
+            return False
+
     async def _step(self) -> bool:
         """List or watch once; returns whether there was an answer."""
         if not self.is_loaded.is_set() or self._must_list:
@@ -282,7 +295,22 @@
     def _apply(self, change: KeyChange) -> None:
         if isinstance(change, RemovedKey):
             self.items.pop(change.key, None)
-            self._on_change(change.key, None)
+            self._tell(change.key, None)
         else:
             self.items[change.key] = change
-            self._on_change(change.key, change)
+            self._tell(change.key, change)
+
+    def _tell(self, key: str, item: StoredItem | None) -> None:
+        """Report one change; a fault over one key must not keep the others from the listener."""
+        try:
+            self._on_change(key, item)
+        except Exception:
+            if self._fault_lines.allows():
+                logging.exception(
+                    "mirror of %s: the change of key %.*a was not taken in (%d such lines left "
+                    "out before)",
+                    self._prefix,
+                    MAX_LOGGED_KEY_LENGTH,
+                    key,
+                    self._fault_lines.take_left_out(),
+                )
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -30,11 +30,13 @@
         answers: Answers of this node's own by the name of their result code; workers' answers
             count as ``OK``.
         store_calls: Calls to the platform's store by kind.
+        unreadable_entries: Changes of the store that could not be read, by prefix of their keys.
         suspended_s: How long the machine was suspended while the process ran, in seconds.
     """
 
     answers: Counter[str] = field(default_factory=Counter)
     store_calls: Counter[str] = field(default_factory=Counter)
+    unreadable_entries: Counter[str] = field(default_factory=Counter)
     suspended_s: float = 0.0
 
     def note_suspended(self, seconds: float) -> None:
@@ -73,6 +75,14 @@
         for kind, count in self._counts.store_calls.items():
             calls.add_metric([kind], count)
         yield calls
+        unreadable = CounterMetricFamily(
+            "hollowrack_unreadable_entries",
+            "Changes of the store that could not be read, by prefix",
+            labels=["prefix"],
+        )
+        for prefix, count in self._counts.unreadable_entries.items():
+            unreadable.add_metric([prefix], count)
+        yield unreadable
         given_up = CounterMetricFamily(
             "hollowrack_items_given_up", "Items given up here by reason", labels=["reason"]
         )
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -17,14 +17,25 @@
     Worker,
 )
 from hollowrack.platform import names
+from hollowrack.platform.strict_json import parse_object
+from hollowrack.platform.worker_entry import (
+    MAX_WHOLE_NUMBER,
+    WorkerEntry,
+    check_worker_entry,
+    check_worker_id,
+)
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tenants.types import Tenant, TenantDirectory, digest_key
 
 MS_PER_S = 1000
-DEFAULT_CAPACITY = 1
 DEFAULT_MAX_CONNECTIONS = 100
 DEFAULT_TARGET_LATENCY_MS = 1000
 LOWEST_PRIORITY = 9
+# Workers hold this one before any is named.
+FIRST_VERSION = 1
+# What another writer can put into one line of a log, in characters.
+MAX_DETAIL_LENGTH = 300
+MAX_PLACE_LENGTH = 200
 
 Value = TypeVar("Value")
 
@@ -43,14 +54,26 @@
 
 
 def decode_worker(key: str, value: bytes) -> Result[Worker, Problem]:
-    """Decode a worker's entry; fails with ``PLATFORM_ANSWER_INVALID``."""
-    worker_id = key.removeprefix(names.WORKERS_PREFIX)
-    return _decode(value, key, lambda entry: _worker(worker_id, entry))
+    """Decode a worker's entry; fails with ``ENTRY_UNREADABLE``."""
+
+    def build(content: dict[str, Any]) -> Worker:
+        worker_id = check_worker_id(key.removeprefix(names.WORKERS_PREFIX))
+        return _worker(worker_id, check_worker_entry(content))
+
+    return _decode(value, key, build, ResultCode.ENTRY_UNREADABLE)
 
 
 def decode_named_version(key: str, value: bytes) -> Result[tuple[str, int], Problem]:
-    """Decode a trainer's newest version: model and version."""
-    return _decode(value, key, lambda entry: (str(entry["model"]), int(entry["version"])))
+    """Decode a trainer's newest version: model and version; fails with ``ENTRY_UNREADABLE``."""
+    return _decode(value, key, _named_version, ResultCode.ENTRY_UNREADABLE)
+
+
+def check_retirement(key: str, value: bytes) -> Result[float, Problem]:
+    """Return how long a machine may take to be emptied, in seconds; 0 if that is not told.
+
+    Fails with ``ENTRY_UNREADABLE``.
+    """
+    return _decode(value, key, _retirement_s, ResultCode.ENTRY_UNREADABLE)
 
 
 def model_versions(entries: Any) -> dict[str, int]:
@@ -65,13 +88,22 @@
 
 
 def _decode(
-    value: bytes, place: str, build: Callable[[dict[str, Any]], Value]
+    value: bytes,
+    place: str,
+    build: Callable[[dict[str, Any]], Value],
+    code: ResultCode = ResultCode.PLATFORM_ANSWER_INVALID,
 ) -> Result[Value, Problem]:
     try:
-        return Success(build(json.loads(value)))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        detail = f"{type(error).__name__}: {error}"
-        return Failure(Problem(ResultCode.PLATFORM_ANSWER_INVALID, detail, place))
+        return Success(build(parse_object(value)))
+    except (ValueError, LookupError, TypeError, AttributeError, ArithmeticError) as error:
+        detail = _bounded(f"{type(error).__name__}: {error}", MAX_DETAIL_LENGTH)
+        return Failure(Problem(code, f"{detail}.", _bounded(place, MAX_PLACE_LENGTH)))
+
+
+def _bounded(text: str, max_length: int) -> str:
+    """A text of another writer as it may stand in one line of a log."""
+    shown = ascii(text)[1:-1]
+    return shown if len(shown) <= max_length else f"{shown[:max_length]}..."
 
 
 def _configuration(content: dict[str, Any]) -> RoutingConfiguration:
@@ -168,13 +200,29 @@
     )
 
 
-def _worker(worker_id: str, entry: dict[str, Any]) -> Worker:
+def _worker(worker_id: str, entry: WorkerEntry) -> Worker:
     return Worker(
         worker_id,
-        str(entry["service"]),
-        str(entry["address"]),
-        str(entry.get("zone", "")),
-        int(entry.get("capacity") or DEFAULT_CAPACITY),
-        entry.get("state") == names.DRAINING,
-        model_versions(entry.get("models")),
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.capacity,
+        entry.is_draining,
+        entry.model_versions,
     )
+
+
+def _named_version(entry: dict[str, Any]) -> tuple[str, int]:
+    model, version = entry["model"], entry["version"]
+    if not isinstance(model, str) or type(version) is not int:
+        raise ValueError("the model is no text, or the version no whole number")
+    if not FIRST_VERSION <= version <= MAX_WHOLE_NUMBER:
+        raise ValueError("the version is no whole number from 1 on that all can tell")
+    return model, version
+
+
+def _retirement_s(entry: dict[str, Any]) -> float:
+    duration_s = entry.get("duration-s", 0.0)
+    if isinstance(duration_s, bool) or not isinstance(duration_s, int | float) or duration_s < 0:
+        raise ValueError("duration-s is no time in seconds")
+    return float(duration_s)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -116,7 +116,9 @@
         )
         self._feed = follow_platform(self.node, self._rng)
         feed = answer_watches(self.node, self._feed)
-        counts = EdgeCounts(store_calls=store.num_calls)
+        counts = EdgeCounts(
+            store_calls=store.num_calls, unreadable_entries=self._feed.unreadable.num_by_prefix
+        )
         streams = StreamForwarder(
             self.node.routes,
             self.node.workers,
--- a/src/hollowrack/platform/feed.py
+++ b/src/hollowrack/platform/feed.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
-from typing import Protocol
+from collections.abc import Callable
+from typing import Protocol, TypeVar
 
 from absl import logging
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from hollowrack.coordination.anti_entropy import AntiEntropy
 from hollowrack.coordination.mirror import PrefixMirror
@@ -13,12 +14,15 @@
 from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.edge_node import EdgeNode
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
+from hollowrack.observability.line_limit import LineLimit
 from hollowrack.platform import names
 from hollowrack.platform.configuration import (
+    check_retirement,
     decode_configuration,
     decode_named_version,
     decode_worker,
 )
+from hollowrack.platform.unreadable_entries import UnreadableEntries
 from hollowrack.results import Problem, ResultCode
 
 # Only the leader's watches reach the store, so that they may be close.
@@ -28,6 +32,8 @@
 OPERATOR_WAIT_S = 0.5
 WORKER_WAIT_S = 1.0
 
+Value = TypeVar("Value")
+
 
 class FeedListener(Protocol):
     """Takes in what the platform tells."""
@@ -68,6 +74,7 @@
         operators: Mirror of operators' keys; the sentinel of all others.
         workers: Mirror of workers' entries.
         anti_entropy: Asks neighbours while watches are silent; ``None`` for never.
+        unreadable: Entries that cannot be read.
     """
 
     def __init__(
@@ -83,6 +90,7 @@
     ) -> None:
         self._listener = listener
         self.anti_entropy: AntiEntropy | None = None
+        self.unreadable = UnreadableEntries(LineLimit())
         self.operators = PrefixMirror(
             store,
             names.OPERATOR_PREFIX,
@@ -142,33 +150,55 @@
 
     def _on_operator_key(self, key: str, item: StoredItem | None) -> None:
         if item is None:
-            if key == names.CONFIGURATION_KEY:
-                detail = "the key was removed"
-                logging.error("%s", Problem(ResultCode.CONFIGURATION_IGNORED, detail, key))
+            self._on_removed_operator_key(key)
             return
+        problem = self._take_operator_key(key, item.value)
+        if problem is None:
+            self.unreadable.forget(key)
+        else:
+            self.unreadable.note(names.OPERATOR_PREFIX, key, problem)
+
+    def _on_removed_operator_key(self, key: str) -> None:
+        self.unreadable.forget(key)
+        if key == names.CONFIGURATION_KEY:
+            detail = "the key was removed"
+            logging.error("%s", Problem(ResultCode.CONFIGURATION_IGNORED, detail, key))
+
+    def _take_operator_key(self, key: str, value: bytes) -> Problem | None:
+        """Hand an operator's or trainer's entry on; returns why it cannot be read, if it cannot."""
         if key == names.CONFIGURATION_KEY:
-            decoded = decode_configuration(item.value)
-            if isinstance(decoded, Failure):
-                logging.error("%s", decoded.failure())
-            else:
-                self._listener.configuration_changed(decoded.unwrap())
-        elif key.startswith(names.NAMED_VERSION_PREFIX):
-            named = decode_named_version(key, item.value)
-            if isinstance(named, Failure):
-                logging.error("%s", named.failure())
-            else:
-                self._listener.version_named(*named.unwrap())
-        elif key.startswith(names.RETIREMENT_PREFIX):
-            self._listener.retirement_asked(key.removeprefix(names.RETIREMENT_PREFIX))
+            return self._take(decode_configuration(value), self._listener.configuration_changed)
+        if key.startswith(names.NAMED_VERSION_PREFIX):
+            named = decode_named_version(key, value)
+            return self._take(named, lambda version: self._listener.version_named(*version))
+        if key.startswith(names.RETIREMENT_PREFIX):
+            machine = key.removeprefix(names.RETIREMENT_PREFIX)
+            asked = check_retirement(key, value)
+            return self._take(asked, lambda _: self._listener.retirement_asked(machine))
+        return None
+
+    @staticmethod
+    def _take(decoded: Result[Value, Problem], listener: Callable[[Value], None]) -> Problem | None:
+        """Hand on what could be decoded; returns the problem otherwise."""
+        if isinstance(decoded, Failure):
+            problem: Problem = decoded.failure()
+            return problem
+        listener(decoded.unwrap())
+        return None
 
     def _on_worker_key(self, key: str, item: StoredItem | None) -> None:
+        worker_id = key.removeprefix(names.WORKERS_PREFIX)
         if item is None:
-            self._listener.worker_gone(key.removeprefix(names.WORKERS_PREFIX))
+            self.unreadable.forget(key)
+            self._listener.worker_gone(worker_id)
             return
         worker = decode_worker(key, item.value)
         if isinstance(worker, Failure):
-            logging.error("%s", worker.failure())
+            self.unreadable.note(names.WORKERS_PREFIX, key, worker.failure())
+            # Its address may be another worker's by now.
+            self._listener.worker_gone(worker_id)
         else:
+            self.unreadable.forget(key)
             self._listener.worker_changed(worker.unwrap())
 
 
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -108,6 +108,7 @@
     ORDER_FENCED = 804
     SWAP_FAILED = 805
     CONFIGURATION_IGNORED = 806
+    ENTRY_UNREADABLE = 807
 
     INTERNAL_ERROR = 900
 
@@ -396,6 +397,13 @@
         "A configuration is older than the one in force, or its key is gone: that one stays.",
         "Write a newer version.",
     ),
+    ResultCode.ENTRY_UNREADABLE: CodeDescription(
+        _N,
+        _CHANGE,
+        502,
+        "An entry of the store cannot be read: it names nothing, and all others hold.",
+        "Write the named field anew, or remove the key.",
+    ),
     ResultCode.ORDER_FENCED: CodeDescription(
         _N, _NO, 409, "An engine saw a newer fencing token.", "None; a newer leader is in charge."
     ),
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -4,8 +4,10 @@
 import random
 from collections.abc import Callable
 
+import pytest
+
 from hollowrack.coordination.mirror import PrefixMirror
-from hollowrack.coordination.store import Put
+from hollowrack.coordination.store import Listing, Put, StoredItem, Unavailable
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.coordination_store import (
     CoordinationStoreCore,
@@ -138,3 +140,55 @@
         await mirror.stop()
 
     run_virtual(main())
+
+
+def test_a_fault_of_the_listener_over_one_key_keeps_no_other_key_from_it(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    heard: list[str] = []
+
+    def take(key: str, item: StoredItem | None) -> None:
+        if item is not None and item.value == b"bad":
+            raise OverflowError("cannot convert float infinity to integer")
+        heard.append(key)
+
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("k/a", b"bad"), Put("k/b", b"1")], [])
+        mirror = PrefixMirror(core.view(), PREFIX, take, 0.3, random.Random(1))
+        mirror.start()
+        await mirror.is_loaded.wait()
+        assert heard == ["k/b"]
+        core.transact([], [Put("k/c", b"bad"), Put("k/d", b"1")], [])
+        await asyncio.sleep(1.0)
+        assert heard == ["k/b", "k/d"]
+        core.transact([], [Put("k/c", b"1")], ["k/a"])
+        await asyncio.sleep(1.0)
+        assert heard in (["k/b", "k/d", "k/c", "k/a"], ["k/b", "k/d", "k/a", "k/c"])
+        await mirror.stop()
+
+    run_virtual(main())
+    assert "key 'k/a'" in caplog.text
+    assert "key 'k/c'" in caplog.text
+
+
+def test_an_answer_that_cannot_be_taken_in_ends_no_mirror() -> None:
+    class OneBadAnswer(CoordinationStoreStandin):
+        is_bad = True
+
+        async def list_prefix(self, prefix: str) -> Listing | Unavailable:
+            if self.is_bad:
+                self.is_bad = False
+                raise KeyError("requests")
+            return await super().list_prefix(prefix)
+
+    async def main() -> None:
+        core = CoordinationStoreCore()
+        core.transact([], [Put("k/a", b"1")], [])
+        mirror = make_mirror(OneBadAnswer(core, StoreFaults()))
+        mirror.start()
+        await asyncio.sleep(2.0)
+        assert value(mirror, "k/a") == b"1"
+        await mirror.stop()
+
+    run_virtual(main())
