--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -15,7 +15,7 @@
 from absl import logging
 
 from hollowrack.clock import now_s
-from hollowrack.coordination.session import Session, node_of_owner
+from hollowrack.coordination.session import Session, node_of_owner, owner_in
 from hollowrack.coordination.store import (
     ABSENT_REVISION,
     Committed,
@@ -130,7 +130,7 @@
             self._free_from(ABSENT_REVISION, self._handover_s)
             return
         self._free_since_s = float("inf")
-        holder = item.value.decode()
+        holder = owner_in(item.value)
         if holder == self._owner:
             return
         self.fencing_token = None
@@ -154,7 +154,7 @@
         """Whether this node led last, in this process or an earlier one."""
         if self._last is None:
             return False
-        return node_of_owner(self._last.value.decode()) == node_of_owner(self._owner)
+        return node_of_owner(owner_in(self._last.value)) == node_of_owner(self._owner)
 
     def _free_from(self, revision: int, wait_s: float) -> None:
         self._free_revision = revision
@@ -206,7 +206,7 @@
         self.note_last(current.get(self.last_key))
         item = current.get(self.key)
         # A lost answer of an earlier attempt shows as a key that already names this process.
-        if item is not None and item.value.decode() == self._owner and item.lease == lease:
+        if item is not None and owner_in(item.value) == self._owner and item.lease == lease:
             self._win(lease, item.revision, now_s() + self._handover_s)
         else:
             self.note(item)
--- a/src/hollowrack/coordination/session.py
+++ b/src/hollowrack/coordination/session.py
@@ -31,6 +31,20 @@
     return f"{node}{_OWNER_SEPARATOR}{incarnation}"
 
 
+def owner_in(value: bytes) -> str:
+    """Return the owner that a key's value names.
+
+    Bytes that are no text name an owner that nobody is: its keys are taken over as those of a
+    process that has ended.
+    """
+    return value.decode(errors="backslashreplace")
+
+
+def is_owner(value: bytes) -> bool:
+    """Whether a key's value can be read as an owner."""
+    return bool(value) and owner_in(value).encode() == value
+
+
 def node_of_owner(owner: str) -> str:
     """Return the node whose process an owner is."""
     return owner.rsplit(_OWNER_SEPARATOR, 1)[0]
--- a/src/hollowrack/jobs/job_log.py
+++ b/src/hollowrack/jobs/job_log.py
@@ -12,6 +12,9 @@
 from typing import TypeVar
 from urllib.parse import quote, unquote
 
+from absl import logging
+
+from hollowrack.coordination.session import owner_in
 from hollowrack.coordination.store import (
     Committed,
     Condition,
@@ -125,7 +128,10 @@
         return CreateOutcome.UNKNOWN if isinstance(outcome, Unknown) else CreateOutcome.NOT_DONE
 
     async def load(self, job_id: str) -> StoredJob | Unavailable | None:
-        """Read a job with its results; ``None`` if there is no such job."""
+        """Read a job with its results; ``None`` if there is no such job.
+
+        A job whose records cannot be read is not absent: what it is stays unknown.
+        """
         prefix = f"{JOBS_PREFIX}{quote(job_id, safe='')}/"
         listing = await self._store.list_prefix(prefix)
         if not isinstance(listing, Listing):
@@ -134,17 +140,21 @@
         if not parts:
             return None
         data = b"".join(item.value for item in sorted(parts, key=lambda item: item.key))
-        stored = StoredJob(_decode(data, Job), revision=listing.revision)
         batches = [item for item in listing.items if item.key.startswith(f"{prefix}log/")]
-        stored.results = chain(batches)
-        return stored
+        try:
+            return StoredJob(_decode(data, Job), chain(batches), listing.revision)
+        except ProblemError as error:
+            return unreadable(job_id, error)
 
     async def read_results(self, job_id: str) -> list[ItemResult] | Unavailable:
         """Read all results of a job in order."""
         listing = await self._store.list_prefix(log_prefix(job_id))
         if not isinstance(listing, Listing):
             return listing
-        return chain(listing.items)
+        try:
+            return chain(listing.items)
+        except ProblemError as error:
+            return unreadable(job_id, error)
 
     async def append(
         self,
@@ -206,7 +216,7 @@
         """Read who owns an unfinished job; ``None`` if it is finished, ended or unknown."""
         item = await self._store.get(_open_key(job_id))
         if isinstance(item, StoredItem):
-            return item.value.decode()
+            return owner_in(item.value)
         return item
 
     async def claim(self, job: OpenJob) -> bool:
@@ -223,8 +233,12 @@
 
 
 def chain(batches: Sequence[StoredItem]) -> list[ItemResult]:
-    """Join stored batches in order, up to the first gap."""
-    by_position = {int(item.key.rpartition("/")[2]): item for item in batches}
+    """Join stored batches in order, up to the first gap.
+
+    Raises:
+        ProblemError: ``MESSAGE_INVALID`` if one of them is something else.
+    """
+    by_position = {position_of(item.key): item for item in batches}
     results: list[ItemResult] = []
     while len(results) in by_position:
         batch = decode_batch(by_position[len(results)].value)
@@ -234,6 +248,18 @@
     return results
 
 
+def position_of(key: str) -> int | None:
+    """Return the position of the first result of a stored batch; ``None`` if its key names none."""
+    position = key.rpartition("/")[2]
+    return int(position) if position.isascii() and position.isdigit() else None
+
+
+def unreadable(job_id: str, error: ProblemError) -> Unknown:
+    """Return what is known of a job when a record of it cannot be read: nothing."""
+    logging.error("job %s: a record of it cannot be read: %s", job_id, error.problem)
+    return Unknown("a record of the job cannot be read")
+
+
 def job_id_of(key: str, prefix: str) -> str:
     """Return the job that a key below a prefix is about."""
     return unquote(key.removeprefix(prefix))
--- a/src/hollowrack/jobs/job_reader.py
+++ b/src/hollowrack/jobs/job_reader.py
@@ -11,8 +11,16 @@
     StoredItem,
     Unavailable,
 )
-from hollowrack.jobs.job_log import JobLog, StoredJob, decode_batch, log_prefix
+from hollowrack.jobs.job_log import (
+    JobLog,
+    StoredJob,
+    decode_batch,
+    log_prefix,
+    position_of,
+    unreadable,
+)
 from hollowrack.jobs.types import ItemResult, Job
+from hollowrack.results import ProblemError
 
 MAX_CACHED_JOBS = 64
 
@@ -123,8 +131,11 @@
         for change in sorted(changes.items, key=lambda change: change.revision):
             if not isinstance(change, StoredItem):
                 continue
-            if int(change.key.rpartition("/")[2]) == len(cached.results):
-                cached.results.extend(decode_batch(change.value))
+            if position_of(change.key) == len(cached.results):
+                try:
+                    cached.results.extend(decode_batch(change.value))
+                except ProblemError as error:
+                    return unreadable(cached.job.id, error)
         cached.revision = max(cached.revision, changes.revision)
         return None
 
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -9,15 +9,18 @@
 from collections.abc import Callable
 
 import xxhash
+from absl import logging
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
-from hollowrack.coordination.session import node_of_owner
+from hollowrack.coordination.session import is_owner, node_of_owner, owner_in
 from hollowrack.coordination.store import StoredItem
 from hollowrack.jobs.job_log import ENDS_PREFIX, OPEN_PREFIX, OpenJob, job_id_of
 from hollowrack.jobs.placement import NodeEntry, preferred_owner
 from hollowrack.jobs.types import Job
 from hollowrack.messages import codec
+from hollowrack.observability.line_limit import LineLimit
+from hollowrack.results import Problem, ResultCode
 
 LIVE_PREFIX = "hollowrack/live/"
 LEADER_KEY = LIVE_PREFIX + "leader"
@@ -32,6 +35,7 @@
 MAX_FORMER_NODES = 64
 # Finished jobs whose last owner is remembered: it still holds their results for readers.
 MAX_FINISHED_JOBS = 256
+MAX_LOGGED_KEY_LENGTH = 200
 
 
 class LiveState:
@@ -71,11 +75,12 @@
         self._on_owned = on_owned
         self._leader: str | None = None
         self._job_seen = asyncio.Event()
+        self._lines = LineLimit()
 
     def take(self, key: str, item: StoredItem | None) -> None:
         """Take in a key that was written, or removed (``None``)."""
         if key == LEADER_KEY:
-            self._leader = None if item is None else item.value.decode()
+            self._leader = None if item is None else self._read_owner(key, item.value)
             self._leadership.note(item)
         elif key == self._leadership.last_key:
             self._leadership.note_last(item)
@@ -101,12 +106,26 @@
         if item is None:
             self._forget_open_job(job_id)
         else:
-            job = OpenJob(job_id, item.value.decode(), item.revision)
+            job = OpenJob(job_id, self._read_job_owner(job_id, item.value), item.revision)
             self.open_jobs[job_id] = job
             self._job_seen.set()
             self._job_seen = asyncio.Event()
             self._on_owned(job)
 
+    def _read_job_owner(self, job_id: str, value: bytes) -> str:
+        """Return whom a job's entry names; if that cannot be read, whoever was known to own it."""
+        owner = self._read_owner(OPEN_PREFIX + job_id, value)
+        known = self.open_jobs.get(job_id)
+        return known.owner if known is not None and not is_owner(value) else owner
+
+    def _read_owner(self, key: str, value: bytes) -> str:
+        """Return whom a key names; one that cannot be read is nobody, and is logged."""
+        if not is_owner(value) and self._lines.allows():
+            detail = "the owner is no text."
+            place = ascii(key)[:MAX_LOGGED_KEY_LENGTH]
+            logging.error("%s", Problem(ResultCode.ENTRY_UNREADABLE, detail, place))
+        return owner_in(value)
+
     def _forget_open_job(self, job_id: str) -> None:
         job = self.open_jobs.pop(job_id, None)
         if job is None:
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -125,6 +125,14 @@
                 await self._take_over(job)
 
     async def _take_over(self, job: OpenJob) -> None:
+        """Claim a job and run it; a fault over one job keeps no other from being taken over."""
+        try:
+            await self._claim_and_load(job)
+        except Exception:
+            logging.exception("job %s: not taken over now", job.job_id)
+            self._scan_due_s = min(self._scan_due_s, now_s() + ASSIGNED_RETRY_S)
+
+    async def _claim_and_load(self, job: OpenJob) -> None:
         # The view may lag behind the store: only the claim proves that the job is open.
         if await self._log.claim(job):
             await self._load(job)
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -107,10 +107,13 @@
 
 
 def _configuration(content: dict[str, Any]) -> RoutingConfiguration:
+    # What is left out would end all routes: a configuration is written in full.
+    if type(content["version"]) is not int or not isinstance(content["routes"], list):
+        raise ValueError("the version is no whole number, or the routes are no list")
     services = {entry["name"]: _service(entry) for entry in content.get("services", ())}
-    routes = tuple(_route(entry) for entry in content.get("routes", ()))
+    routes = tuple(_route(entry) for entry in content["routes"])
     return RoutingConfiguration(
-        int(content["version"]),
+        content["version"],
         routes,
         services,
         _limits(content.get("limits") or {}),
--- a/src/hollowrack/platform/store_client.py
+++ b/src/hollowrack/platform/store_client.py
@@ -1,11 +1,13 @@
 """The platform's key-value service as the product's coordination store."""
 
 import base64
+import functools
 import json
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 from yarl import URL
@@ -38,6 +40,18 @@
 MS_PER_S = 1000
 
 
+Built = TypeVar("Built")
+
+
+@dataclass(frozen=True)
+class _Page:
+    """One page of a listing."""
+
+    items: tuple[StoredItem, ...]
+    revision: int
+    has_more: bool
+
+
 class PlatformStore:
     """Calls the platform's store over HTTP; see :class:`CoordinationStore`.
 
@@ -61,7 +75,7 @@
             return None
         if status != HTTPStatus.OK:
             return Unknown(f"status {status}")
-        return _item(body)
+        return _checked(lambda: _item(body))
 
     async def list_prefix(self, prefix: str) -> Listing | Unavailable:
         """Read all keys below a prefix, page by page."""
@@ -75,13 +89,15 @@
             status, body = answer
             if status != HTTPStatus.OK:
                 return Unknown(f"status {status}")
+            page = _checked(functools.partial(_page, body))
+            if isinstance(page, Unknown):
+                return page
             # The pages are no snapshot: changes are followed from the first page on.
-            revision = body["at"] if revision is None else revision
-            page = [_item(entry) for entry in body["requests"]]
-            items.extend(page)
-            if not body.get("more") or not page:
-                return Listing(tuple(items), int(revision or 0))
-            query = {"path-prefix": prefix, "after-revision": page[-1].key}
+            revision = page.revision if revision is None else revision
+            items.extend(page.items)
+            if not page.has_more or not page.items:
+                return Listing(tuple(items), revision)
+            query = {"path-prefix": prefix, "after-revision": page.items[-1].key}
 
     async def watch(
         self, prefix: str, after_revision: int, wait_s: float
@@ -102,7 +118,9 @@
             return HistoryGone()
         if status != HTTPStatus.OK:
             return Unknown(f"status {status}")
-        return Changes(tuple(_change(entry) for entry in body["events"]), int(body["at"]))
+        return _checked(
+            lambda: Changes(tuple(_change(entry) for entry in body["events"]), int(body["at"]))
+        )
 
     async def transact(
         self,
@@ -123,9 +141,13 @@
             return answer
         status, body = answer
         if status == HTTPStatus.OK:
-            return Committed(int(body["revision"]))
+            return _checked(lambda: Committed(int(body["revision"])))
         if status == HTTPStatus.PRECONDITION_FAILED:
-            return Conflict(tuple(_item(entry) for entry in body["requests"] if _exists(entry)))
+            return _checked(
+                lambda: Conflict(
+                    tuple(_item(entry) for entry in body["requests"] if _exists(entry))
+                )
+            )
         if status == HTTPStatus.NOT_FOUND:
             return LeaseGone()
         return Unknown(f"status {status}")
@@ -139,7 +161,7 @@
         status, body = answer
         if status != HTTPStatus.OK:
             return Unknown(f"status {status}")
-        return GrantedLease(int(body["lease"]), body["ttl-ms"] / MS_PER_S)
+        return _checked(lambda: GrantedLease(int(body["lease"]), body["ttl-ms"] / MS_PER_S))
 
     async def renew_lease(self, lease: int) -> GrantedLease | LeaseGone | Unavailable:
         """Renew a lease."""
@@ -151,7 +173,7 @@
             return LeaseGone()
         if status != HTTPStatus.OK:
             return Unknown(f"status {status}")
-        return GrantedLease(lease, body["ttl-ms"] / MS_PER_S)
+        return _checked(lambda: GrantedLease(lease, body["ttl-ms"] / MS_PER_S))
 
     async def end_lease(self, lease: int) -> None:
         """End a lease."""
@@ -183,7 +205,7 @@
                 return response.status, json.loads(data) if data else {}
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotDone(type(error).__name__)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, RecursionError) as error:
             return Unknown(type(error).__name__)
 
 
@@ -209,10 +231,31 @@
     return _item(entry)
 
 
+def _page(body: Any) -> _Page:
+    items = tuple(_item(entry) for entry in body["requests"])
+    return _Page(items, int(body["at"]), bool(body.get("more")))
+
+
+def _checked(build: Callable[[], Built]) -> Built | Unknown:
+    """Build the store's answer; ``Unknown``, as the callers log, if it is not one of the store."""
+    try:
+        return build()
+    except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
+        return Unknown(f"a malformed answer: {type(error).__name__}")
+
+
+def _value(entry: dict[str, Any]) -> bytes:
+    """An entry's bytes; none if they cannot be read, so that only this entry cannot be."""
+    try:
+        return base64.b64decode(entry["value"])
+    except (ValueError, TypeError):
+        return b""
+
+
 def _item(entry: dict[str, Any]) -> StoredItem:
     return StoredItem(
         entry["key"],
-        base64.b64decode(entry["value"]),
+        _value(entry),
         int(entry["revision"]),
         int(entry.get("lease") or 0),
     )
