--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -20,8 +20,9 @@
 from hollowrack.forwarding.event_stream import EventStreamError, EventStreamParser, StreamEvent
 from hollowrack.forwarding.faster_place import FasterPlace, MovePolicy
 from hollowrack.forwarding.patience import FirstEventPatience
+from hollowrack.forwarding.run_places import RunPlaces
 from hollowrack.forwarding.types import Worker
-from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine
 
@@ -73,15 +74,18 @@
         patience: Longest wait for the head of an answer.
         silence_s: Longest pause inside an answer, in seconds.
         time_left_s: Time handed to a worker, in seconds.
+        max_workers: Most workers that the run may begin at, without those that are gone; ``None``
+            for any number.
     """
 
     max_failures: int
     patience: FirstEventPatience
     silence_s: float
     time_left_s: float
+    max_workers: int | None = None
 
 
-AcquireWorker = Callable[[frozenset[str]], Awaitable[Worker]]
+AcquireWorker = Callable[[frozenset[str], Eligible], Awaitable[Worker]]
 ReadVersion = Callable[[StreamEvent], int | None]
 AcceptVersion = Callable[[int | None], bool]
 
@@ -93,8 +97,8 @@
         call: The call.
         back_ends: Sends it.
         workers: Takes evidence about workers.
-        acquire: Returns a worker with a place for the run, avoiding the given ones; the place is
-            given back through ``workers.end``.
+        acquire: Returns a worker with a place for the run, avoiding the given ones, of those that
+            are eligible; the place is given back through ``workers.end``.
         read_version: Reads the weight version that an event announces.
         accepts_version: Whether an answer that begins under a version may be used.
         limits: Bounds.
@@ -134,6 +138,12 @@
         self._num_escapes = 0
         self._avoided: frozenset[str] = frozenset()
         self._faster = FasterPlace(workers, moves)
+        self._places = RunPlaces(
+            limits.max_failures,
+            limits.max_workers,
+            lambda worker_id: workers.get(worker_id) is not None,
+            workers.rng,
+        )
 
     async def events(self) -> AsyncGenerator[VersionedEvent]:
         """Iterate over all events in order.
@@ -156,15 +166,20 @@
         while True:
             worker = await self._next_allowed_place()
             self.num_attempts += 1
+            is_fruitless = True
             try:
                 async with contextlib.aclosing(self._events_of(worker)) as events:
                     async for event in events:
+                        is_fruitless = False
+                        self._places.note_progress()
                         yield event
                 self._workers.note_success(worker)
                 self._quarantine.note_good(self._fingerprint)
                 return
             except NotRunError as error:
                 self._workers.note_not_run(worker, error.reason)
+                if error.reason is NotRunReason.UNREACHABLE:
+                    self._places.note_unreachable(worker)
             except _SlowWorkerError:
                 logging.info(
                     "run %s: leaves slower worker %s after event %s",
@@ -174,6 +189,9 @@
                 )
             except (BrokenAnswerError, EventStreamError, TimeoutError) as error:
                 self._workers.note_failure(worker)
+                self._places.note_begun(worker)
+                if is_fruitless:
+                    self._places.note_fruitless(worker)
                 logging.info(
                     "run %s: worker %s: %s after event %s",
                     self._call.request_id,
@@ -223,12 +241,17 @@
         """The faster place that the run has asked for, or else the first that is free."""
         faster = self._faster.take()
         if faster is not None:
-            return faster
+            if self._may_begin(faster):
+                return faster
+            self._workers.end(faster)
         began_waiting_s = now_s()
-        worker = await self._acquire(self._avoided)
+        worker = await self._acquire(self._avoided, self._may_begin)
         self.waited_for_places_s += now_s() - began_waiting_s
         return worker
 
+    def _may_begin(self, worker: Worker) -> bool:
+        return self._places.may_begin(worker)
+
     async def _events_of(self, worker: Worker) -> AsyncGenerator[VersionedEvent]:
         answer: OpenAnswer | None = None
         try:
@@ -238,6 +261,7 @@
                     worker, self._call, self._limits.time_left_s, self._last_number
                 )
             self._limits.patience.note(now_s() - sent_s)
+            self._places.note_begun(worker)
             self._check_status(answer)
             if not self._accepts_version(answer.weight_version):
                 raise NotRunError(NotRunReason.BUSY)
--- /dev/null
+++ b/src/hollowrack/forwarding/run_places.py
@@ -0,0 +1,83 @@
+"""Where one run may go next after workers broke it off before they made anything of it."""
+
+import random
+from collections.abc import Callable
+
+from hollowrack.backoff import Backoff
+from hollowrack.clock import now_s
+from hollowrack.forwarding.types import Worker
+
+# A connection that broke for a moment costs a run no more than this, in seconds.
+FIRST_PAUSE_S = 0.05
+# A run that every worker breaks off is sent again every two seconds at most; a caller whose workers
+# are sound again waits no longer than that, and an item is never long at no worker.
+MAX_PAUSE_S = 2.0
+# A worker that has not broken the run off is no worse for what others did, in seconds.
+MAX_PAUSE_BEFORE_OTHERS_S = 0.3
+
+
+class RunPlaces:
+    """Paces one run: pauses grow while no worker makes an event of it.
+
+    A worker that has not broken the run off may have it soon, until so many different ones have:
+    then the run is likely to be the cause.
+
+    Args:
+        max_suspects: How many workers must have broken the run off for that.
+        max_workers: Most workers that the run may begin at, without those that are gone; ``None``
+            for any number.
+        is_known: Whether a worker of an identity is there.
+        rng: Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        max_suspects: int,
+        max_workers: int | None,
+        is_known: Callable[[str], bool],
+        rng: random.Random,
+    ) -> None:
+        self._max_suspects = max_suspects
+        self._max_workers = max_workers
+        self._is_known = is_known
+        self._backoff = Backoff(FIRST_PAUSE_S, MAX_PAUSE_S, rng)
+        self._began_at: set[str] = set()
+        self._broke_off: set[str] = set()
+        self._any_from_s = -float("inf")
+        self._others_from_s = -float("inf")
+
+    def note_begun(self, worker: Worker) -> None:
+        """The run may have begun at a worker."""
+        self._began_at.add(worker.id)
+
+    def note_unreachable(self, worker: Worker) -> None:
+        """A worker is gone, or cut off: nothing of the run is left there."""
+        self._began_at.discard(worker.id)
+
+    def note_progress(self) -> None:
+        """A worker has made an event: earlier breaks say nothing about the run."""
+        if self._broke_off:
+            self._backoff.reset()
+            self._broke_off.clear()
+
+    def note_fruitless(self, worker: Worker) -> None:
+        """A worker broke the run off, or fell silent, before it made an event."""
+        self._broke_off.add(worker.id)
+        pause_s = self._backoff.next_pause_s()
+        self._any_from_s = now_s() + pause_s
+        self._others_from_s = now_s() + min(pause_s, MAX_PAUSE_BEFORE_OTHERS_S)
+
+    def may_begin(self, worker: Worker) -> bool:
+        """Whether the run may begin at a worker now."""
+        if not self._has_workers_left(worker):
+            return False
+        is_other = worker.id not in self._broke_off
+        if is_other and len(self._broke_off) < self._max_suspects:
+            return now_s() >= self._others_from_s
+        return now_s() >= self._any_from_s
+
+    def _has_workers_left(self, worker: Worker) -> bool:
+        if self._max_workers is None or worker.id in self._began_at:
+            return True
+        num_there = sum(self._is_known(worker_id) for worker_id in self._began_at)
+        return num_there < self._max_workers
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -25,7 +25,7 @@
 from hollowrack.forwarding.resumable_run import ResumableRun, RunEndedError, RunLimits
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Worker
-from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, refusal
 from hollowrack.results import Problem, ResultCode
@@ -93,15 +93,16 @@
         service = self._routes.choose_service(request.route)
         end_s = end_of_request_s(request)
 
-        async def acquire(avoided: frozenset[str]) -> Worker:
+        async def acquire(avoided: frozenset[str], may_begin: Eligible) -> Worker:
             rank = (request.route.priority,)
-            return await self._queue.acquire(service, rank, lambda _: True, avoided)
+            return await self._queue.acquire(service, rank, may_begin, avoided)
 
         limits = RunLimits(
             request.route.max_attempts,
             self._patience,
             SILENCE_TIMEOUT_S,
             end_s - now_s(),
+            request.route.max_attempts,
         )
         run = ResumableRun(
             request.call,
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -68,6 +68,11 @@
         self._best_paces_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
 
+    @property
+    def rng(self) -> random.Random:
+        """Source of the random choices about workers."""
+        return self._rng
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call a listener whenever a worker may have become available."""
         self._listeners.append(listener)
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -23,7 +23,7 @@
 )
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Route, Worker
-from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.jobs.item_moves import ItemMoves
 from hollowrack.jobs.lengths import LengthEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
@@ -252,8 +252,10 @@
             is_apart = services.quarantine.places.allows(fingerprint, worker.id)
             return is_apart and self._has_weights(worker)
 
-        async def acquire(avoided: frozenset[str]) -> Worker:
-            return await services.queue.acquire(service, self._rank, is_eligible, avoided)
+        async def acquire(avoided: frozenset[str], may_begin: Eligible) -> Worker:
+            return await services.queue.acquire(
+                service, self._rank, lambda w: is_eligible(w) and may_begin(w), avoided
+            )
 
         limits = RunLimits(route.max_attempts, services.patience, SILENCE_TIMEOUT_S, RUN_TIME_S)
         run = ResumableRun(
