--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -72,6 +72,11 @@
         self._best_paces_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
 
+    @property
+    def rng(self) -> random.Random:
+        """Source of the random choices about workers."""
+        return self._rng
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call a listener whenever a worker may have become available."""
         self._listeners.append(listener)
@@ -101,6 +106,11 @@
         """Return a worker by its identity."""
         return self._workers.get(worker_id)
 
+    def knows(self, life: WorkerLife) -> bool:
+        """Whether a life of a worker is the one that is there."""
+        worker = self._workers.get(life.worker_id)
+        return worker is not None and worker.life == life
+
     def all(self) -> list[Worker]:
         """Return all workers, leaving ones included."""
         return list(self._workers.values())
@@ -160,7 +170,7 @@
         """A request at a worker is over."""
         evidence = self._of(worker)
         evidence.num_in_flight -= 1
-        if not self._is_known(worker):
+        if not self.knows(worker.life):
             self._drop_evidence_at_rest(worker)
         self._notify()
 
@@ -235,7 +245,7 @@
 
     def note_replaced(self, worker: Worker) -> None:
         """Another incarnation answers at a worker's address: this one is gone."""
-        if self._is_known(worker):
+        if self.knows(worker.life):
             self.remove(worker.id)
 
     def num_in_flight(self, worker: Worker) -> int:
@@ -246,10 +256,6 @@
         """What was seen of a worker; of one that is gone and at rest nothing is remembered."""
         return self._evidence.get(worker.life) or _Evidence()
 
-    def _is_known(self, worker: Worker) -> bool:
-        known = self._workers.get(worker.id)
-        return known is not None and known.life == worker.life
-
     def _drop_evidence_at_rest(self, worker: Worker) -> None:
         """Forget a life that is over, unless requests are still in flight there."""
         if self._of(worker).num_in_flight <= 0:
