--- /dev/null
+++ b/src/hollowrack/forwarding/attempt_history.py
@@ -0,0 +1,74 @@
+"""What has become of the attempts of one request, and what may be told to its caller by that."""
+
+from absl import logging
+
+from hollowrack.forwarding.back_end import BackEndCall, NotRunReason
+from hollowrack.forwarding.types import Route, Worker
+from hollowrack.results import Problem, ResultCode
+
+MAX_REFUSALS = 6
+RETRY_AFTER_S = 0.5
+
+
+class AttemptHistory:
+    """The attempts of one request; several may be under way at once.
+
+    Args:
+        call: The request.
+        route: Its route.
+
+    Attributes:
+        tried: Identities of workers that it was sent to.
+        ran_at: Those among them that may have run it.
+    """
+
+    def __init__(self, call: BackEndCall, route: Route) -> None:
+        self.tried: set[str] = set()
+        self.ran_at: set[str] = set()
+        self._request_id = call.request_id
+        self._max_attempts = route.max_attempts if route.is_idempotent else 1
+        self._num_refusals = 0
+        self._entries: list[str] = []
+
+    def may_go_on(self) -> bool:
+        """Whether another worker may be tried."""
+        return len(self.ran_at) < self._max_attempts and self._num_refusals < MAX_REFUSALS
+
+    def begin(self, worker: Worker) -> None:
+        """The request goes to a worker, which counts as having run it until proved otherwise."""
+        self.tried.add(worker.id)
+        self.ran_at.add(worker.id)
+
+    def failed(self, worker: Worker, reason: str) -> None:
+        """A worker may have run the request, and gave no good answer."""
+        self._entries.append(f"{worker.id}: {reason}")
+        logging.info("request %s: worker %s: %s", self._request_id, worker.id, reason)
+
+    def did_not_run(self, worker: Worker, reason: NotRunReason) -> None:
+        """A worker certainly did not run the request."""
+        self._entries.append(f"{worker.id}: {reason.value}")
+        self.ran_at.discard(worker.id)
+        self._num_refusals += 1
+
+    def no_worker_left(self) -> Problem:
+        """What the caller is told when no worker may be tried any more."""
+        return self._problem("no whole answer came", "no worker took the request")
+
+    def out_of_time(self) -> Problem:
+        """What the caller is told when the time is up."""
+        return self._problem("the time is up", "the time is up")
+
+    def _problem(self, reason_if_run: str, reason_if_not_run: str) -> Problem:
+        if self.ran_at:
+            detail = f"{reason_if_run} ({self._told()})"
+            return Problem(ResultCode.OUTCOME_UNKNOWN, detail, self._request_id)
+        detail = f"{reason_if_not_run} ({self._told()})"
+        return Problem(ResultCode.NO_BACK_END, detail, self._request_id, RETRY_AFTER_S)
+
+    def _told(self) -> str:
+        """What became of the attempts, for the log."""
+        at_work = sorted(
+            worker for worker in self.ran_at if not any(worker in entry for entry in self._entries)
+        )
+        entries = [*self._entries, *(f"{worker}: no answer yet" for worker in at_work)]
+        return "; ".join(entries) or "no worker is known"
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -1,4 +1,4 @@
-"""Forwards one request to a worker, within its attempts and its time.
+"""Forwards one plain request to workers, within its attempts and its time.
 
 The states of :mod:`hollowrack.requests.lifecycle` decide what may be told to the caller: "not run"
 only while no worker may have run the request. A request that is not repeatable is never sent again
@@ -11,6 +11,7 @@
 from absl import logging
 
 from hollowrack.clock import now_s
+from hollowrack.forwarding.attempt_history import AttemptHistory
 from hollowrack.forwarding.back_end import (
     BackEndCall,
     BackEndClient,
@@ -20,22 +21,19 @@
     NotRunReason,
     OpenAnswer,
 )
+from hollowrack.forwarding.call_places import CallPlaces
+from hollowrack.forwarding.hedged_run import HedgedRun
+from hollowrack.forwarding.hedging import HedgePolicy
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Route, RouteKind, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, refusal
 from hollowrack.quarantine.types import Verdict
-from hollowrack.results import Problem, ResultCode
+from hollowrack.results import Problem
 from hollowrack.usage.meter import UsageMeter
 
-MAX_REFUSALS = 6
 REFUSAL_PAUSE_S = 0.05
-RETRY_AFTER_S = 0.5
-# A first attempt of a repeatable request may take this many times the route's target latency
-# before another worker is tried.
-PATIENCE_IN_TARGETS = 1.5
-MIN_PATIENCE_S = 0.25
 HTTP_SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
 
@@ -87,6 +85,10 @@
         back_ends: Sends requests to workers.
         usage: Counts what workers begin.
         quarantine: Keeps requests that end their workers from further workers.
+
+    Attributes:
+        hedging: Decides on second attempts.
+        call_places: Places for calls of the system's own.
     """
 
     def __init__(
@@ -102,94 +104,165 @@
         self._back_ends = back_ends
         self._usage = usage
         self._quarantine = quarantine
+        self.hedging = HedgePolicy()
+        self.call_places = CallPlaces(workers)
 
     async def forward(self, request: ForwardRequest) -> ForwardOutcome:
         """Return a worker's answer, or the problem that stands in its place."""
         end_s = end_of_request_s(request)
-        attempts = _Attempts(request)
-        service = self._routes.choose_service(request.route)
+        attempts = _PlainAttempts(
+            self._workers,
+            self._back_ends,
+            self._usage,
+            self._quarantine,
+            self.hedging,
+            request,
+            self._routes.choose_service(request.route),
+            end_s,
+        )
+        self.hedging.budget.note_request()
         try:
             async with asyncio.timeout_at(end_s):
-                return await self._attempt_until_answered(service, attempts, end_s)
+                answer = await HedgedRun(attempts, end_s).first_answer()
         except TimeoutError:
-            return attempts.out_of_time()
-
-    async def _attempt_until_answered(
-        self, service: str, attempts: "_Attempts", end_s: float
-    ) -> ForwardOutcome:
-        while attempts.may_go_on():
-            # Asked before each worker: the request may have ended others at other nodes meanwhile.
-            verdict = self._quarantine.verdict(attempts.fingerprint)
-            if verdict is not None:
-                return attempts.stopped_by(verdict)
-            worker = self._workers.choose(service, attempts.tried)
-            if worker is None and attempts.tried:
-                worker = self._workers.choose(service, attempts.ran_at)
-            if worker is None:
-                break
-            outcome = await self._attempt(worker, attempts, end_s)
-            if outcome is not None:
-                return outcome
-        return attempts.give_up()
-
-    async def _attempt(
-        self, worker: Worker, attempts: "_Attempts", end_s: float
-    ) -> WholeAnswer | None:
-        """Try one worker; ``None`` sends the request on to another one."""
-        route = attempts.request.route
-        patience_s = end_s - now_s()
-        if route.kind is RouteKind.SAFE and attempts.num_left() > 1:
-            patience_s = min(
-                patience_s, max(MIN_PATIENCE_S, PATIENCE_IN_TARGETS * route.target_latency_s)
-            )
+            return attempts.failed_answer or attempts.history.out_of_time()
+        return answer or attempts.final_failure()
+
+
+class _PlainAttempts:
+    """Makes the attempts of one request; see :class:`AttemptSource`.
+
+    Args:
+        workers: The workers known.
+        back_ends: Sends requests to workers.
+        usage: Counts what workers begin.
+        quarantine: Keeps requests that end their workers from further workers.
+        hedging: Decides on second attempts.
+        request: The request.
+        service: The service that runs it.
+        end_s: When it has to be over, on the loop's clock.
+
+    Attributes:
+        history: What has become of the attempts.
+        failed_answer: The latest answer that says that the worker failed.
+    """
+
+    def __init__(
+        self,
+        workers: WorkerDirectory,
+        back_ends: BackEndClient,
+        usage: UsageMeter,
+        quarantine: Quarantine,
+        hedging: HedgePolicy,
+        request: ForwardRequest,
+        service: str,
+        end_s: float,
+    ) -> None:
+        self._workers = workers
+        self._back_ends = back_ends
+        self._usage = usage
+        self._quarantine = quarantine
+        self._hedging = hedging
+        self._call = request.call
+        self._route = request.route
+        self._service = service
+        self._end_s = end_s
+        self._fingerprint = fingerprint_of(request.call)
+        self._verdict: Verdict | None = None
+        self.history = AttemptHistory(request.call, request.route)
+        self.failed_answer: WholeAnswer | None = None
+
+    def next_worker(self) -> Worker | None:
+        """Return the worker of the next attempt; ``None`` if there may be none."""
+        if not self._may_go_on():
+            return None
+        worker = self._workers.choose(self._service, self.history.tried)
+        if worker is None and self.history.tried:
+            worker = self._workers.choose(self._service, self.history.ran_at)
+        return worker
+
+    def next_worker_beside(self) -> Worker | None:
+        """The same for an attempt beside one that is late; takes it from the budget."""
+        if self._route.kind is not RouteKind.SAFE or not self._may_go_on():
+            return None
+        worker = self._workers.choose_ready(self._service, self.history.tried)
+        if worker is None or not self._hedging.budget.take_retry():
+            return None
+        return worker
+
+    def _may_go_on(self) -> bool:
+        # Asked before each worker: the request may have ended others at other nodes meanwhile.
+        self._verdict = self._quarantine.verdict(self._fingerprint)
+        return self._verdict is None and self.history.may_go_on()
+
+    def late_after_s(self) -> float:
+        """How long an attempt that begins now may take until it is late, in seconds."""
+        time_left_s = self._end_s - now_s()
+        return self._hedging.delay_s(self._service, self._route.target_latency_s, time_left_s)
+
+    def note_late(self, worker: Worker, seconds: float) -> None:
+        """An attempt has not ended within the time of nearly all others."""
+        logging.info(
+            "request %s: worker %s is late after %.3f s", self._call.request_id, worker.id, seconds
+        )
+        self._workers.loads.note_late(worker, self._route.name, seconds)
+
+    def note_given_up(self, worker: Worker) -> None:
+        """A late attempt is cut off for another one."""
+        self._workers.note_failure(worker)
+        self.history.failed(worker, "silent")
+
+    async def attempt(self, worker: Worker) -> WholeAnswer | None:
+        """Try one worker; ``None`` if the request needs another one."""
         self._workers.begin(worker)
-        attempts.begin(worker)
+        self.history.begin(worker)
         sent_s = now_s()
+        num_turns = self._workers.num_turns(worker)
         begun_s = self._usage.time_s()
         may_have_begun = True
         try:
-            async with asyncio.timeout(patience_s):
-                answer = await self._exchange(worker, attempts, end_s)
+            answer = await self._exchange(worker)
         except NotRunError as error:
             may_have_begun = False
             self._workers.note_not_run(worker, error.reason)
-            attempts.did_not_run(worker, error.reason)
+            self.history.did_not_run(worker, error.reason)
             if error.reason is NotRunReason.BUSY:
                 await asyncio.sleep(REFUSAL_PAUSE_S)
             return None
         except BrokenAnswerError as error:
             self._workers.note_failure(worker)
-            attempts.failed(worker, str(error))
-            self._quarantine.note_break(attempts.request_id, attempts.fingerprint, worker)
-            return None
-        except TimeoutError:
-            self._workers.note_failure(worker)
-            self._workers.note_pace(worker, now_s() - sent_s)
-            attempts.failed(worker, "silent")
+            self.history.failed(worker, str(error))
+            self._quarantine.note_break(self._call.request_id, self._fingerprint, worker)
             return None
         finally:
             self._workers.end(worker)
             if may_have_begun:
                 # A worker that gave no answer has most likely begun: it had taken the request.
-                self._usage.note_begun(attempts.request.call.tenant, begun_s)
+                self._usage.note_begun(self._call.tenant, begun_s)
         if answer.status < FIRST_SERVER_ERROR:
-            self._workers.note_success(worker)
-            self._workers.note_pace(worker, now_s() - sent_s)
-            if answer.status in HTTP_SUCCESS:
-                self._quarantine.note_good(attempts.fingerprint)
+            seconds = now_s() - sent_s
+            self._hedging.note_answer(self._service, seconds)
+            # This node's own requests before it say nothing of the worker's speed.
+            self._note_good(worker, answer, seconds / num_turns)
             return answer
-        attempts.failed_answer = answer
-        attempts.failed(worker, f"status {answer.status}")
+        self.failed_answer = answer
+        self.history.failed(worker, f"status {answer.status}")
         return None
 
-    async def _exchange(self, worker: Worker, attempts: "_Attempts", end_s: float) -> WholeAnswer:
+    def _note_good(self, worker: Worker, answer: WholeAnswer, pace_s: float) -> None:
+        self._workers.note_success(worker)
+        self._workers.note_pace(worker, pace_s, self._route.name)
+        if answer.status in HTTP_SUCCESS:
+            self._quarantine.note_good(self._fingerprint)
+
+    async def _exchange(self, worker: Worker) -> WholeAnswer:
         opened: OpenAnswer | None = None
         try:
             opened = await self._back_ends.open(
                 worker,
-                attempts.request.call,
-                end_s - now_s(),
-                is_repeatable=attempts.request.route.is_idempotent,
+                self._call,
+                self._end_s - now_s(),
+                is_repeatable=self._route.is_idempotent,
             )
             body = await opened.read()
             return WholeAnswer(opened.status, opened.headers, body, opened.signature)
@@ -197,72 +270,10 @@
             if opened is not None:
                 opened.abort()
 
-
-class _Attempts:
-    """What has become of one request so far."""
-
-    def __init__(self, request: ForwardRequest) -> None:
-        self.request = request
-        self.request_id = request.call.request_id
-        self.fingerprint = fingerprint_of(request.call)
-        self.tried: set[str] = set()
-        self.ran_at: set[str] = set()
-        self.failed_answer: WholeAnswer | None = None
-        self._num_refusals = 0
-        self._history: list[str] = []
-
-    def num_left(self) -> int:
-        """How many more workers may run the request."""
-        allowed = self.request.route.max_attempts if self.request.route.is_idempotent else 1
-        return allowed - len(self.ran_at)
-
-    def may_go_on(self) -> bool:
-        """Whether another worker may be tried."""
-        return self.num_left() > 0 and self._num_refusals < MAX_REFUSALS
-
-    def begin(self, worker: Worker) -> None:
-        """The request goes to a worker, which counts as having run it until proved otherwise."""
-        self.tried.add(worker.id)
-        self.ran_at.add(worker.id)
-
-    def failed(self, worker: Worker, reason: str) -> None:
-        """A worker may have run the request, and gave no good answer."""
-        self._history.append(f"{worker.id}: {reason}")
-        logging.info("request %s: worker %s: %s", self.request_id, worker.id, reason)
-
-    def did_not_run(self, worker: Worker, reason: NotRunReason) -> None:
-        """A worker certainly did not run the request."""
-        self._history.append(f"{worker.id}: {reason.value}")
-        self.ran_at.discard(worker.id)
-        self._num_refusals += 1
-
-    def give_up(self) -> ForwardOutcome:
-        """The final answer when no worker may be tried any more."""
-        return self._final("no whole answer came", "no worker took the request")
-
-    def stopped_by(self, verdict: Verdict) -> ForwardOutcome:
-        """The final answer when no further worker may end under the request."""
-        if self.ran_at or self.failed_answer is not None:
-            return self.give_up()
-        return refusal(verdict, self.fingerprint, self.request_id)
-
-    def out_of_time(self) -> ForwardOutcome:
-        """The final answer when the time is up."""
-        return self._final("the time is up", "the time is up")
-
-    def _final(self, reason_if_run: str, reason_if_not_run: str) -> ForwardOutcome:
+    def final_failure(self) -> ForwardOutcome:
+        """What the caller is told when no worker may be tried any more."""
         if self.failed_answer is not None:
             return self.failed_answer
-        if self.ran_at:
-            detail = f"{reason_if_run} ({self._told()})"
-            return Problem(ResultCode.OUTCOME_UNKNOWN, detail, self.request_id)
-        detail = f"{reason_if_not_run} ({self._told()})"
-        return Problem(ResultCode.NO_BACK_END, detail, self.request_id, RETRY_AFTER_S)
-
-    def _told(self) -> str:
-        """What became of the attempts, for the log."""
-        at_work = sorted(
-            worker for worker in self.ran_at if not any(worker in entry for entry in self._history)
-        )
-        entries = [*self._history, *(f"{worker}: no answer yet" for worker in at_work)]
-        return "; ".join(entries) or "no worker is known"
+        if self._verdict is not None and not self.history.ran_at:
+            return refusal(self._verdict, self._fingerprint, self._call.request_id)
+        return self.history.no_worker_left()
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from hollowrack.clock import now_s
+from hollowrack.forwarding.attempt_history import MAX_REFUSALS, RETRY_AFTER_S
 from hollowrack.forwarding.back_end import (
     BackEndClient,
     BrokenAnswerError,
@@ -16,8 +17,6 @@
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import (
     HTTP_SUCCESS,
-    MAX_REFUSALS,
-    RETRY_AFTER_S,
     ForwardRequest,
     end_of_request_s,
 )
--- /dev/null
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -0,0 +1,205 @@
+"""How soon each worker should answer, by what this node has seen of it, and a choice by that.
+
+Load answered: workers of one service that differ in speed, or turn slow for seconds, and that many
+nodes use at once without seeing each other's requests.
+"""
+
+import math
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from hollowrack.clock import now_s
+from hollowrack.forwarding.types import Worker, WorkerLife
+
+# What is known of a worker's speed fades within this time, in seconds: workers turn slow for
+# seconds, and one that is avoided shows in no other way that it is fast again.
+SLOWNESS_FADE_S = 6.0
+# Share of the newest answer in a worker's slowness. Speeds that change with each answer even out.
+ANSWER_SHARE = 0.3
+# Share of a request that is late: it tells more, as nearly all answers come sooner.
+LATE_SHARE = 0.7
+# Share of the newest answer in the usual time of a route, which changes rarely; the first answers
+# share evenly.
+USUAL_TIME_SHARE = 0.05
+# Differences below this factor are chance, and a preference for them would fill single workers.
+MIN_SLOWNESS = 1.3
+# One extreme answer, a request that was suspended or a cached one, counts no more than this factor.
+MAX_SLOWNESS = 10.0
+# A failure makes a worker look this many times slower, fading like slowness.
+FAILURE_SLOWNESS = 4.0
+# Load that a worker tells holds for about as long as its requests last, in seconds.
+REPORT_FADE_S = 0.5
+# An answer from another zone takes a few milliseconds longer and crosses metered links.
+REMOTE_FACTOR = 1.25
+# Routes whose usual time is remembered: those in use lately, out of possibly thousands.
+MAX_ROUTES = 64
+MIN_TIME_S = 0.001
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """Load that a worker told with an answer.
+
+    Attributes:
+        num_running: Requests it works on.
+        num_waiting: Requests that wait inside it.
+        num_slots: Requests it can work on at once.
+        pace: How long work takes there at this moment, as a multiple of the usual time.
+    """
+
+    num_running: int
+    num_waiting: int
+    num_slots: int
+    pace: float = 1.0
+
+
+@dataclass
+class _Seen:
+    """What this node has seen of one worker.
+
+    Attributes:
+        log_slowness: Logarithm of its times against the usual ones.
+        slowness_at_s: When that was noted.
+        num_of_others: Requests of other nodes there, by its latest report.
+        report_at_s: When that came.
+    """
+
+    log_slowness: float = 0.0
+    slowness_at_s: float = 0.0
+    num_of_others: int = 0
+    report_at_s: float = -math.inf
+
+
+@dataclass
+class _UsualTime:
+    """How long answers of one route take at all workers of a service, as a logarithm."""
+
+    log_s: float = 0.0
+    num_answers: int = 0
+
+    def note(self, log_s: float) -> None:
+        self.num_answers += 1
+        share = max(USUAL_TIME_SHARE, 1.0 / self.num_answers)
+        self.log_s += share * (log_s - self.log_s)
+
+
+class WorkerLoads:
+    """What one node knows of the speed and the load of workers.
+
+    Args:
+        zone: This node's zone; near workers are preferred between equals.
+        rng: Source of all random choices.
+        num_in_flight: How many requests this node has at a worker.
+    """
+
+    def __init__(
+        self, zone: str, rng: random.Random, num_in_flight: Callable[[Worker], int]
+    ) -> None:
+        self._zone = zone
+        self._rng = rng
+        self._num_in_flight = num_in_flight
+        self._seen: dict[WorkerLife, _Seen] = {}
+        self._usual_times: OrderedDict[tuple[str, str], _UsualTime] = OrderedDict()
+
+    def forget(self, life: WorkerLife) -> None:
+        """A worker is gone."""
+        self._seen.pop(life, None)
+
+    def note_answer(self, worker: Worker, route: str, seconds: float) -> None:
+        """A worker took this long for one unit of a route's work, in seconds.
+
+        Args:
+            worker: The worker.
+            route: The route's name; times are compared with others of the same work only.
+            seconds: How long it took.
+        """
+        log_s = math.log(max(MIN_TIME_S, seconds))
+        key = (worker.service, route)
+        usual = self._usual_times.setdefault(key, _UsualTime())
+        usual.note(log_s)
+        self._usual_times.move_to_end(key)
+        if len(self._usual_times) > MAX_ROUTES:
+            self._usual_times.popitem(last=False)
+        self._take_in(worker, log_s - usual.log_s, ANSWER_SHARE)
+
+    def note_late(self, worker: Worker, route: str, seconds: float) -> None:
+        """A worker has not answered after this long, in seconds, when nearly all others have."""
+        usual = self._usual_times.get((worker.service, route))
+        log_ratio = math.log(MAX_SLOWNESS)
+        if usual is not None:
+            log_ratio = math.log(max(MIN_TIME_S, seconds)) - usual.log_s
+        self._take_in(worker, log_ratio, LATE_SHARE)
+
+    def note_failure(self, worker: Worker) -> None:
+        """A worker broke an answer off, gave none or could not be reached."""
+        self._take_in(worker, math.log(FAILURE_SLOWNESS), 1.0)
+
+    def note_report(self, worker: Worker, report: LoadReport) -> None:
+        """A worker told its load."""
+        seen = self._of(worker)
+        num_all = report.num_running + report.num_waiting
+        seen.num_of_others = max(0, num_all - self._num_in_flight(worker))
+        seen.report_at_s = now_s()
+
+    def choose(self, workers: Sequence[Worker]) -> Worker | None:
+        """Choose a worker: the better of two drawn, each the likelier the sooner it should answer.
+
+        Drawing keeps nodes that know the same from going to the same worker together.
+        """
+        if len(workers) <= 1:
+            return workers[0] if workers else None
+        times = [self._relative_time(worker) for worker in workers]
+        first = self._draw(times, None)
+        second = self._draw(times, first)
+        return workers[first if times[first] <= times[second] else second]
+
+    def expected_wait_s(self, worker: Worker, route: str) -> float | None:
+        """How long a request would wait for a slot, in seconds; ``None`` if that is not known."""
+        usual = self._usual_times.get((worker.service, route))
+        if usual is None:
+            return None
+        num_ahead = self._num_at(worker) + 1 - max(1, worker.capacity)
+        turns = max(0.0, num_ahead) / max(1, worker.capacity)
+        return turns * math.exp(usual.log_s) * self._slowness(worker)
+
+    def _draw(self, times: Sequence[float], excluded: int | None) -> int:
+        weights = [0.0 if index == excluded else 1.0 / time_ for index, time_ in enumerate(times)]
+        return self._rng.choices(range(len(times)), weights)[0]
+
+    def _relative_time(self, worker: Worker) -> float:
+        """Expected time of an answer as a multiple of an idle worker's usual one."""
+        load = self._num_at(worker) / max(1, worker.capacity)
+        distance = 1.0 if worker.zone == self._zone else REMOTE_FACTOR
+        return (1.0 + load) * self._slowness(worker) * distance
+
+    def _num_at(self, worker: Worker) -> float:
+        """Requests at a worker, of this node and, as far as known, of others."""
+        num_own = self._num_in_flight(worker)
+        seen = self._seen.get(worker.life)
+        if seen is None:
+            return num_own
+        fading = math.exp(-(now_s() - seen.report_at_s) / REPORT_FADE_S)
+        return num_own + seen.num_of_others * fading
+
+    def _slowness(self, worker: Worker) -> float:
+        seen = self._seen.get(worker.life)
+        if seen is None:
+            return 1.0
+        log_slowness = _faded(seen)
+        return math.exp(log_slowness) if abs(log_slowness) >= math.log(MIN_SLOWNESS) else 1.0
+
+    def _take_in(self, worker: Worker, log_ratio: float, share: float) -> None:
+        seen = self._of(worker)
+        bounded = max(-math.log(MAX_SLOWNESS), min(math.log(MAX_SLOWNESS), log_ratio))
+        known = _faded(seen)
+        seen.log_slowness = known + share * (bounded - known)
+        seen.slowness_at_s = now_s()
+
+    def _of(self, worker: Worker) -> _Seen:
+        return self._seen.setdefault(worker.life, _Seen())
+
+
+def _faded(seen: _Seen) -> float:
+    return seen.log_slowness * math.exp(-(now_s() - seen.slowness_at_s) / SLOWNESS_FADE_S)
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -10,6 +10,7 @@
 from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import NotRunReason
 from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.worker_load import WorkerLoads
 
 BUSY_PAUSE_S = 0.06
 MAX_BUSY_PAUSE_S = 0.24
@@ -57,7 +58,10 @@
 
     Args:
         zone: This node's zone; near workers are preferred when equally loaded.
-        rng: Breaks ties.
+        rng: Source of all random choices.
+
+    Attributes:
+        loads: How soon each worker should answer a plain request.
     """
 
     def __init__(self, zone: str, rng: random.Random) -> None:
@@ -65,6 +69,7 @@
         self._rng = rng
         self._workers: dict[str, Worker] = {}
         self._evidence: dict[str, _Evidence] = {}
+        self.loads = WorkerLoads(zone, rng, self.num_in_flight)
         self._best_paces_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -81,7 +86,9 @@
 
     def remove(self, worker_id: str) -> None:
         """Forget a worker that is gone."""
-        self._workers.pop(worker_id, None)
+        worker = self._workers.pop(worker_id, None)
+        if worker is not None:
+            self.loads.forget(worker.life)
         self._best_paces_s.clear()
         evidence = self._evidence.get(worker_id)
         if evidence is not None and evidence.num_in_flight == 0:
@@ -108,7 +115,7 @@
         service: str,
         excluded: Collection[str] = (),
     ) -> Worker | None:
-        """Choose the least loaded worker of a service for a request.
+        """Choose a worker of a service that should answer a request soon.
 
         Args:
             service: The service.
@@ -116,7 +123,12 @@
         """
         candidates = [worker for worker in self.serving(service) if worker.id not in excluded]
         ready = [worker for worker in candidates if not self._is_paused(worker)]
-        return min(ready or candidates, key=self._cost, default=None)
+        return self.loads.choose(ready or candidates)
+
+    def choose_ready(self, service: str, excluded: Collection[str]) -> Worker | None:
+        """The same among workers that have not failed or refused a moment ago."""
+        worker = self.choose(service, excluded)
+        return None if worker is None or self._is_paused(worker) else worker
 
     def choose_place(
         self, service: str, excluded: Collection[str], is_eligible: Eligible
@@ -161,8 +173,15 @@
         evidence.num_refusals_in_a_row = 0
         evidence.failure_score *= FAILURE_DECAY
 
-    def note_pace(self, worker: Worker, seconds: float) -> None:
-        """A worker took this long for one unit of its work: a request, or an event of a stream."""
+    def note_pace(self, worker: Worker, seconds: float, work: str = "") -> None:
+        """A worker took this long for one unit of its work: a request, or an event of a stream.
+
+        Args:
+            worker: The worker.
+            seconds: How long it took.
+            work: What kind of work it was; times of one kind are compared with each other.
+        """
+        self.loads.note_answer(worker, work, seconds)
         evidence = self._of(worker)
         evidence.paces_s.append(seconds)
         evidence.pace_noted_s = now_s()
@@ -201,6 +220,7 @@
 
     def note_failure(self, worker: Worker) -> None:
         """A worker broke an answer off or gave none."""
+        self.loads.note_failure(worker)
         evidence = self._of(worker)
         evidence.num_failures_in_a_row += 1
         evidence.failure_score = evidence.failure_score * FAILURE_DECAY + 1.0
@@ -208,6 +228,7 @@
 
     def note_unreachable(self, worker: Worker) -> None:
         """No connection to a worker could be made."""
+        self.loads.note_failure(worker)
         evidence = self._of(worker)
         evidence.num_failures_in_a_row += 1
         evidence.failure_score = evidence.failure_score * FAILURE_DECAY + 1.0
@@ -231,6 +252,13 @@
         """Return how many requests this node has at a worker."""
         return self._of(worker).num_in_flight
 
+    def num_turns(self, worker: Worker) -> float:
+        """How often a worker's slots are filled by what this node has there; 1 while they suffice.
+
+        So many times longer than usual a request takes that is the last one sent there.
+        """
+        return max(1.0, self._load(worker))
+
     def _of(self, worker: Worker) -> _Evidence:
         return self._evidence.setdefault(worker.id, _Evidence())
 
@@ -271,14 +299,6 @@
             self._best_paces_s[service] = min(known, default=float("inf"))
         return self._best_paces_s[service]
 
-    def _cost(self, worker: Worker) -> tuple[float, float]:
-        evidence = self._of(worker)
-        load = (evidence.num_in_flight + 1) / max(1, worker.capacity)
-        cost = load * self._slowness(worker) + FAILURE_WEIGHT * evidence.failure_score
-        if worker.zone != self._zone:
-            cost += REMOTE_ZONE_PENALTY
-        return (cost, self._rng.random())
-
     def _placing_cost(self, worker: Worker) -> tuple[float, float]:
         evidence = self._of(worker)
         load = (evidence.num_in_flight + 1) / max(1, worker.capacity)
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -316,8 +316,9 @@
         while True:
             # No configuration ends an item by lacking the route of its scorer: its time does.
             route = await self._services.routes.lookup_until_found(scorer.host, scorer.target)
-            request = _scorer_request(scorer, route)
-            answer = await self._services.forwarder.forward(request)
+            async with self._services.forwarder.call_places.place(route):
+                request = _scorer_request(scorer, route)
+                answer = await self._services.forwarder.forward(request)
             if isinstance(answer, WholeAnswer):
                 if answer.status in HTTP_SUCCESS and answer.signature is not None:
                     return ItemResult(self._item.id, True, text, versions, answer.signature)
--- a/src/hollowrack_standins/back_ends.py
+++ b/src/hollowrack_standins/back_ends.py
@@ -1,8 +1,10 @@
 """Workers in memory, on the loop's clock, that count what they run; for tests on virtual time."""
 
 import asyncio
+import contextlib
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 
 from hollowrack.clock import now_s
@@ -32,6 +34,7 @@
         status: Status of the other answers.
         work_s: Time of a plain request or an event, in seconds.
         weight_version: Version that makes its events.
+        num_slots: Plain requests it works on at once, the others wait; ``None`` for all.
     """
 
     refusal: NotRunReason | None = None
@@ -42,6 +45,7 @@
     status: int = 200
     work_s: float = 0.02
     weight_version: int = 1
+    num_slots: int | None = None
 
 
 @dataclass
@@ -59,6 +63,8 @@
             it, and all that runs there is broken off.
         ends: Workers that ended, with the time and the body that ended each, in order.
         on_end: Called with each worker that has ended.
+        work_factors: By body, how many times longer than others a plain request takes.
+        num_cut: Requests whose senders left while they were at a worker.
     """
 
     behaviours: dict[str, WorkerBehaviour] = field(default_factory=dict)
@@ -71,7 +77,10 @@
     crashing_bodies: set[bytes] = field(default_factory=set)
     ends: list["WorkerEnd"] = field(default_factory=list)
     on_end: Callable[[Worker], None] = lambda _: None
+    work_factors: dict[bytes, float] = field(default_factory=dict)
+    num_cut: int = 0
     _ended: dict[str, asyncio.Event] = field(default_factory=dict)
+    _slots: dict[str, asyncio.Semaphore] = field(default_factory=dict)
 
     async def open(
         self,
@@ -96,7 +105,8 @@
         self.running[worker.id] += 1
         try:
             return await self._answer(worker, call, behaviour, after_event)
-        except BaseException:
+        except BaseException as error:
+            self.num_cut += isinstance(error, asyncio.CancelledError)
             self.running[worker.id] -= 1
             raise
 
@@ -112,7 +122,9 @@
         if call.body in self.crashing_bodies:
             await self.work(worker.id, CRASH_AFTER_S)
             self.end(worker, call.body)
-        await self.work(worker.id, behaviour.work_s)
+        async with self._slots_of(worker.id, behaviour):
+            factor = self.work_factors.get(call.body, 1.0)
+            await self.work(worker.id, behaviour.work_s * factor)
         if behaviour.num_broken:
             behaviour.num_broken -= 1
             raise BrokenAnswerError("reset")
@@ -147,6 +159,13 @@
             return
         raise BrokenAnswerError("the worker has ended")
 
+    def _slots_of(
+        self, worker_id: str, behaviour: WorkerBehaviour
+    ) -> AbstractAsyncContextManager[None]:
+        if behaviour.num_slots is None:
+            return contextlib.nullcontext()
+        return self._slots.setdefault(worker_id, asyncio.Semaphore(behaviour.num_slots))
+
     def _end_of(self, worker_id: str) -> asyncio.Event:
         return self._ended.setdefault(worker_id, asyncio.Event())
 
