--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -33,6 +33,8 @@
 REPORT_FADE_S = 0.5
 # An answer from another zone takes a few milliseconds longer and crosses metered links.
 REMOTE_FACTOR = 1.25
+# What remains of faded knowledge must not decide: expected times within this factor are equal.
+NEARLY_EQUAL = 1.05
 # Routes whose usual time is remembered: those in use lately, out of possibly thousands.
 MAX_ROUTES = 64
 MIN_TIME_S = 0.001
@@ -153,7 +155,8 @@
         times = [self._relative_time(worker) for worker in workers]
         first = self._draw(times, None)
         second = self._draw(times, first)
-        return workers[first if times[first] <= times[second] else second]
+        is_better = times[second] * NEARLY_EQUAL < times[first]
+        return workers[second if is_better else first]
 
     def expected_wait_s(self, worker: Worker, route: str) -> float | None:
         """How long a request would wait for a slot, in seconds; ``None`` if that is not known."""
