--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -12,6 +12,7 @@
 from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import NotRunReason
 from hollowrack.forwarding.types import Worker, WorkerLife
+from hollowrack.forwarding.worker_load import WorkerLoads
 
 BUSY_PAUSE_S = 0.06
 MAX_BUSY_PAUSE_S = 0.24
@@ -61,7 +62,10 @@
 
     Args:
         zone: This node's zone; near workers are preferred when equally loaded.
-        rng: Breaks ties.
+        rng: Source of all random choices.
+
+    Attributes:
+        loads: How soon each worker should answer a plain request.
     """
 
     def __init__(self, zone: str, rng: random.Random) -> None:
@@ -69,6 +73,7 @@
         self._rng = rng
         self._workers: dict[str, Worker] = {}
         self._evidence: dict[WorkerLife, _Evidence] = {}
+        self.loads = WorkerLoads(zone, rng, self.num_in_flight)
         self._best_paces_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -91,6 +96,7 @@
         self._evidence.setdefault(worker.life, _Evidence())
         if known is not None and known.life != worker.life:
             logging.info("worker %s: started again as %s", known.life, worker.life)
+            self.loads.forget(known.life)
             self._drop_evidence_at_rest(known)
         self._best_paces_s.clear()
         self._notify()
@@ -100,6 +106,7 @@
         worker = self._workers.pop(worker_id, None)
         self._best_paces_s.clear()
         if worker is not None:
+            self.loads.forget(worker.life)
             self._drop_evidence_at_rest(worker)
 
     def get(self, worker_id: str) -> Worker | None:
@@ -128,7 +135,7 @@
         service: str,
         excluded: Collection[WorkerLife] = (),
     ) -> Worker | None:
-        """Choose the least loaded worker of a service for a request.
+        """Choose a worker of a service that should answer a request soon.
 
         Args:
             service: The service.
@@ -136,7 +143,12 @@
         """
         candidates = [worker for worker in self.serving(service) if worker.life not in excluded]
         ready = [worker for worker in candidates if not self._is_paused(worker)]
-        return min(ready or candidates, key=self._cost, default=None)
+        return self.loads.choose(ready or candidates)
+
+    def choose_ready(self, service: str, excluded: Collection[WorkerLife]) -> Worker | None:
+        """The same among workers that have not failed or refused a moment ago."""
+        worker = self.choose(service, excluded)
+        return None if worker is None or self._is_paused(worker) else worker
 
     def choose_place(
         self, service: str, excluded: Collection[WorkerLife], is_eligible: Eligible
@@ -181,8 +193,15 @@
         evidence.num_refusals_in_a_row = 0
         evidence.failure_score *= FAILURE_DECAY
 
-    def note_pace(self, worker: Worker, seconds: float) -> None:
-        """A worker took this long for one unit of its work: a request, or an event of a stream."""
+    def note_pace(self, worker: Worker, seconds: float, work: str = "") -> None:
+        """A worker took this long for one unit of its work: a request, or an event of a stream.
+
+        Args:
+            worker: The worker.
+            seconds: How long it took.
+            work: What kind of work it was; times of one kind are compared with each other.
+        """
+        self.loads.note_answer(worker, work, seconds)
         evidence = self._of(worker)
         evidence.paces_s.append(seconds)
         evidence.pace_noted_s = now_s()
@@ -221,6 +240,7 @@
 
     def note_failure(self, worker: Worker) -> None:
         """A worker broke an answer off or gave none."""
+        self.loads.note_failure(worker)
         evidence = self._of(worker)
         evidence.num_failures_in_a_row += 1
         evidence.failure_score = evidence.failure_score * FAILURE_DECAY + 1.0
@@ -228,6 +248,7 @@
 
     def note_unreachable(self, worker: Worker) -> None:
         """No connection to a worker could be made."""
+        self.loads.note_failure(worker)
         evidence = self._of(worker)
         evidence.num_failures_in_a_row += 1
         evidence.failure_score = evidence.failure_score * FAILURE_DECAY + 1.0
@@ -252,6 +273,13 @@
         """Return how many requests this node has at a worker."""
         return self._of(worker).num_in_flight
 
+    def num_turns(self, worker: Worker) -> float:
+        """How often a worker's slots are filled by what this node has there; 1 while they suffice.
+
+        So many times longer than usual a request takes that is the last one sent there.
+        """
+        return max(1.0, self._load(worker))
+
     def _of(self, worker: Worker) -> _Evidence:
         """What was seen of a worker; of one that is gone and at rest nothing is remembered."""
         return self._evidence.get(worker.life) or _Evidence()
@@ -298,14 +326,6 @@
             self._best_paces_s[service] = min(known, default=float("inf"))
         return self._best_paces_s[service]
 
-    def _cost(self, worker: Worker) -> tuple[float, float]:
-        evidence = self._of(worker)
-        load = (evidence.num_in_flight + 1) / max(1, worker.capacity)
-        cost = load * self._slowness(worker) + FAILURE_WEIGHT * evidence.failure_score
-        if worker.zone != self._zone:
-            cost += REMOTE_ZONE_PENALTY
-        return (cost, self._rng.random())
-
     def _placing_cost(self, worker: Worker) -> tuple[float, float]:
         evidence = self._of(worker)
         load = (evidence.num_in_flight + 1) / max(1, worker.capacity)
