--- a/src/hollowrack/edge_connections.py
+++ b/src/hollowrack/edge_connections.py
@@ -11,6 +11,7 @@
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.jobs.peers import PeerJobs
+from hollowrack.slots.types import SlotPeers
 from hollowrack.usage.types import UsageClient, UsagePeers
 from hollowrack.weights.order_giver import OrderClient
 
@@ -57,6 +58,7 @@
         seeds: Addresses of a few nodes, which may be down.
         usage: What reporting usage takes; ``None`` where it is not reported.
         capacity: Gives orders of capacity; ``None`` where none are given.
+        slots: Reports to other nodes on slots of workers; ``None`` where these are not shared.
     """
 
     store: CoordinationStore
@@ -74,3 +76,4 @@
     seeds: tuple[str, ...] = ()
     usage: UsageConnections | None = None
     capacity: CapacityClient | None = None
+    slots: SlotPeers | None = None
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -45,6 +45,7 @@
 from hollowrack.node_duties import NodeDuties, usage_meter
 from hollowrack.quarantine.quarantine import Quarantine
 from hollowrack.quarantine.sharing import SuspectSharing
+from hollowrack.slots.sharing import SlotSharing
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.types import ProcessCounts
 from hollowrack.weights.order_giver import OrderGiver
@@ -82,6 +83,7 @@
         feed_client: Asks other nodes for changes.
         usage: Counts the requests of tenants that workers began.
         quarantine: Keeps requests that end their workers from further workers.
+        slots: Shares the slots of workers with other nodes.
         may_follow: Set once what operators and workers write may be followed.
     """
 
@@ -206,6 +208,16 @@
             connections.usage,
             connections.capacity,
         )
+        self.slots = SlotSharing(
+            self.owner,
+            self.leadership,
+            self.live,
+            self.routes,
+            self.workers,
+            self.jobs,
+            self.queue,
+            connections.slots,
+        )
         self._rng = rng
         self._retirement = MachineRetirement(self.leadership, connections.complete_retirement)
         self._finish_by_s = 0.0
@@ -240,6 +252,7 @@
         self._order_giver.start()
         self._duties.start()
         self._suspects.start()
+        self.slots.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._note_first_leader()),
@@ -276,6 +289,7 @@
         await self.jobs.drain(self._finish_by_s - now_s(), self._hand_over_s)
         await self._duties.stop()
         await self._suspects.stop()
+        await self.slots.stop()
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
         # A lease that the store does not end now ends by itself.
@@ -289,6 +303,7 @@
         await self._order_giver.stop()
         await self._duties.abandon()
         await self._suspects.stop()
+        await self.slots.stop()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -4,6 +4,7 @@
 import itertools
 from dataclasses import dataclass, field
 
+from hollowrack.forwarding.slot_limits import SlotLimits, WholeCapacity
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 
@@ -28,14 +29,20 @@
 
     Args:
         workers: The workers known.
+
+    Attributes:
+        limits: How many requests this node may have in flight at each worker.
     """
 
     def __init__(self, workers: WorkerDirectory) -> None:
+        self.limits: SlotLimits = WholeCapacity()
         self._workers = workers
+        # Number of the newest waiter that found no place when it was first looked at.
+        self._newest_unplaced = -1
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
-        workers.on_change(self._schedule_now)
+        workers.on_change(self.look_again)
 
     @property
     def num_waiting(self) -> int:
@@ -57,7 +64,7 @@
         waiter = _Waiter(rank, next(self._numbers), service, is_eligible, avoided, place)
         self._waiters.append(waiter)
         self._waiters.sort()
-        self._schedule_now()
+        self.look_again()
         try:
             return await place
         except asyncio.CancelledError:
@@ -68,7 +75,8 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
-    def _schedule_now(self) -> None:
+    def look_again(self) -> None:
+        """Look for places at once: there may be new ones."""
         self._schedule(0.0)
 
     def _schedule(self, delay_s: float) -> None:
@@ -83,16 +91,35 @@
 
     def _grant(self) -> None:
         self._timer = None
+        full_services: set[str] = set()
         for waiter in list(self._waiters):
+            if waiter.service in full_services:
+                continue
             worker = self._choose(waiter)
-            if worker is not None and not waiter.place.done():
+            if worker is None:
+                if not self._workers.has_room(waiter.service, self.limits.limit):
+                    full_services.add(waiter.service)
+            elif not waiter.place.done():
                 self._waiters.remove(waiter)
                 self._workers.begin(worker)
                 waiter.place.set_result(worker)
+        self._note_unplaced()
         self._schedule(LOOK_AGAIN_S)
 
+    def _note_unplaced(self) -> None:
+        """Tell once of each waiter that finds no place."""
+        newest = max((waiter.number for waiter in self._waiters), default=-1)
+        if newest > self._newest_unplaced:
+            self._newest_unplaced = newest
+            self.limits.note_waiting()
+
     def _choose(self, waiter: _Waiter) -> Worker | None:
-        preferred = self._workers.choose_place(waiter.service, waiter.avoided, waiter.is_eligible)
+        preferred = self._choose_beside(waiter, waiter.avoided)
         if preferred is not None or not waiter.avoided:
             return preferred
-        return self._workers.choose_place(waiter.service, (), waiter.is_eligible)
+        return self._choose_beside(waiter, frozenset())
+
+    def _choose_beside(self, waiter: _Waiter, avoided: frozenset[str]) -> Worker | None:
+        return self._workers.choose_place(
+            waiter.service, avoided, waiter.is_eligible, self.limits.limit
+        )
--- a/src/hollowrack/forwarding/types.py
+++ b/src/hollowrack/forwarding/types.py
@@ -168,3 +168,7 @@
     def life(self) -> WorkerLife:
         """What everything that remembers something of a worker remembers it by."""
         return WorkerLife(self.id, self.started_ms)
+
+    def holds(self, model: str, min_version: int) -> bool:
+        """Whether its weights of a model are at least of a version; true of an empty model."""
+        return not model or self.model_versions.get(model, 0) >= min_version
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -119,7 +119,11 @@
         return min(ready or candidates, key=self._cost, default=None)
 
     def choose_place(
-        self, service: str, excluded: Collection[str], is_eligible: Eligible
+        self,
+        service: str,
+        excluded: Collection[str],
+        is_eligible: Eligible,
+        limit: Callable[[Worker], int] | None = None,
     ) -> Worker | None:
         """Choose the fastest worker of a service that has room for a run.
 
@@ -130,18 +134,25 @@
             service: The service.
             excluded: Identities of workers not to be chosen.
             is_eligible: Further condition.
+            limit: Returns how many requests this node may have in flight at a worker; ``None`` for
+                its capacity.
         """
         candidates = [
             worker
             for worker in self.serving(service)
             if worker.id not in excluded and is_eligible(worker)
         ]
-        ready = [worker for worker in candidates if not self._is_paused(worker)]
-        if any(not self.is_much_slower(worker) for worker in candidates):
-            ready = [worker for worker in ready if not self.is_much_slower(worker)]
-        with_room = [worker for worker in ready if self._load(worker) < 1.0]
+        with_room = [worker for worker in self._usable(candidates) if self._has_room(worker, limit)]
         return min(with_room, key=self._placing_cost, default=None)
 
+    def placeable(self, service: str) -> list[Worker]:
+        """Return a service's workers at which runs are placed now, full ones included."""
+        return self._usable(self.serving(service))
+
+    def has_room(self, service: str, limit: Callable[[Worker], int]) -> bool:
+        """Whether this node may place anything at any worker of a service."""
+        return any(self._has_room(worker, limit) for worker in self.serving(service))
+
     def begin(self, worker: Worker) -> None:
         """A request goes to a worker."""
         self._of(worker).num_in_flight += 1
@@ -241,8 +252,16 @@
     def _is_paused(self, worker: Worker) -> bool:
         return now_s() < self._of(worker).paused_until_s
 
-    def _load(self, worker: Worker) -> float:
-        return self._of(worker).num_in_flight / max(1, worker.capacity)
+    def _usable(self, workers: list[Worker]) -> list[Worker]:
+        """Those of some workers that answer, without much slower ones if there are others."""
+        ready = [worker for worker in workers if not self._is_paused(worker)]
+        if any(not self.is_much_slower(worker) for worker in workers):
+            return [worker for worker in ready if not self.is_much_slower(worker)]
+        return ready
+
+    def _has_room(self, worker: Worker, limit: Callable[[Worker], int] | None) -> bool:
+        max_in_flight = max(1, worker.capacity) if limit is None else limit(worker)
+        return self._of(worker).num_in_flight < max_in_flight
 
     def _slowness(self, worker: Worker) -> float:
         """A worker's recent pace as a multiple of the best of its service."""
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -114,6 +114,9 @@
         events: What has been generated so far.
         num_restarts: How often generation began again from nothing.
         is_generated: Whether the text is whole.
+        route: Route of its job, once that is known.
+        generates_at: Service at which it is to be generated now; ``None`` while it is not.
+        is_waiting: Whether it waits for a slot there.
     """
 
     def __init__(
@@ -127,6 +130,9 @@
         self.events: list[VersionedEvent] = list(kept)
         self.num_restarts = 0
         self.is_generated = False
+        self.route: Route | None = None
+        self.generates_at: str | None = None
+        self.is_waiting = False
         self._services = services
         self._job = job
         self._item = item
@@ -141,7 +147,7 @@
 
     async def run(self) -> ItemResult:
         """Run the item; the result says whether it is whole or given up."""
-        job_route = await self._route_of(self._job.target)
+        job_route = self.route = await self._route_of(self._job.target)
         if job_route is not None:
             sequence, _, num_left = self._rank
             self._rank = (sequence, job_route.priority, num_left)
@@ -253,7 +259,11 @@
             return is_apart and self._has_weights(worker)
 
         async def acquire(avoided: frozenset[str]) -> Worker:
-            return await services.queue.acquire(service, self._rank, is_eligible, avoided)
+            self.is_waiting = True
+            try:
+                return await services.queue.acquire(service, self._rank, is_eligible, avoided)
+            finally:
+                self.is_waiting = False
 
         limits = RunLimits(route.max_attempts, services.patience, SILENCE_TIMEOUT_S, RUN_TIME_S)
         run = ResumableRun(
@@ -270,8 +280,12 @@
         )
         started_s = now_s()
         num_kept = len(self.events)
-        async for event in run.events():
-            self.events.append(event)
+        self.generates_at = service
+        try:
+            async for event in run.events():
+                self.events.append(event)
+        finally:
+            self.generates_at = None
         services.lengths.note(self._item.expected_tokens, len(self.events))
         logging.info(
             "item %s of job %s: %d events (%d kept, %d tokens expected) by %d attempts in %.2f s, "
@@ -301,9 +315,7 @@
         )
 
     def _has_weights(self, worker: Worker) -> bool:
-        if not self._job.model:
-            return True
-        return worker.model_versions.get(self._job.model, 0) >= self._job.min_version
+        return worker.holds(self._job.model, self._job.min_version)
 
     def _accepts(self, version: int | None) -> bool:
         return version is None or version >= self._job.min_version
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from absl import logging
 
@@ -10,6 +10,7 @@
 from hollowrack.coordination.store import NotDone, Unknown
 from hollowrack.jobs.item_runner import ItemRunner, ItemServices
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
+from hollowrack.jobs.open_work import open_work_of
 from hollowrack.jobs.progress import (
     ItemProgress,
     JobRemainder,
@@ -19,6 +20,7 @@
 )
 from hollowrack.jobs.progress_saver import ProgressSaver
 from hollowrack.jobs.types import ItemResult, Job
+from hollowrack.slots.types import OpenWork
 from hollowrack.tasks import cancel_all
 
 # Results that finish close together are listed by one write. A trainer uses whole groups, so those
@@ -79,6 +81,7 @@
         self._kept = kept or {}
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._item_runners: dict[str, ItemRunner] = {}
+        self._owned_s = now_s()
         self._saver = ProgressSaver(job.id, progress, self._item_runners.values)
         self._listing = asyncio.Lock()
         self._follow_task: asyncio.Task[None] | None = None
@@ -158,6 +161,17 @@
         """Save what running items have generated, for the job's next owner."""
         await self._saver.save()
 
+    def open_work(self, service: str, lives: Mapping[str, int]) -> OpenWork | None:
+        """Return what is left to generate at a service; ``None`` if nothing is.
+
+        Args:
+            service: The service.
+            lives: Position of each life of a worker by its text.
+        """
+        runners = list(self._item_runners.values())
+        workers = self._services.workers
+        return open_work_of(self.job, self._owned_s, runners, service, lives, workers)
+
     def remainder(self) -> JobRemainder:
         """Return what this owner holds that may not be in the store."""
         items = [
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -22,6 +22,7 @@
 from hollowrack.jobs.progress import JobRemainder, KeptEvents, ProgressLog
 from hollowrack.jobs.types import ItemResult, Job, JobItem
 from hollowrack.results import Problem, ResultCode
+from hollowrack.slots.types import OpenWork
 from hollowrack.tasks import cancel_all
 
 END_PAUSE_S = 0.25
@@ -279,6 +280,11 @@
             return runner.remainder()
         return self._left.get(job_id, JobRemainder())
 
+    def open_work(self, service: str, lives: Mapping[str, int]) -> list[OpenWork]:
+        """Return what is left to generate of the jobs owned here; see :class:`OpenWorkSource`."""
+        works = (runner.open_work(service, lives) for runner in self._runners.values())
+        return [work for work in works if work is not None]
+
     # -- stopping ---------------------------------------------------------------------------
 
     def refuse_new(self) -> None:
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -122,6 +122,11 @@
         self.ended_jobs.setdefault(job_id, now_s())
         self._on_ended(job_id)
 
+    def job_owners(self) -> set[str]:
+        """Return the live processes that own unfinished jobs, this one included."""
+        owners = {job.owner for job in self.open_jobs.values()}
+        return {owner for owner in owners if owner in self.nodes or owner == self._owner}
+
     def leader(self) -> str | None:
         """The process that leads; ``None`` if none is known to."""
         return self._leader
--- /dev/null
+++ b/src/hollowrack/jobs/open_work.py
@@ -0,0 +1,58 @@
+"""The unfinished generations of one job, as the arbiter of slots hears of them."""
+
+from collections.abc import Iterable, Mapping
+
+from hollowrack.clock import now_s
+from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.jobs.item_runner import ItemRunner
+from hollowrack.jobs.types import Job
+from hollowrack.slots.types import OpenWork
+
+# Where the route is not known yet its items have not begun either.
+UNKNOWN_PRIORITY = 0
+
+
+def open_work_of(
+    job: Job,
+    owned_s: float,
+    runners: Iterable[ItemRunner],
+    service: str,
+    lives: Mapping[str, int],
+    workers: WorkerDirectory,
+) -> OpenWork | None:
+    """Return a job's open work at a service; ``None`` if it has none there.
+
+    Args:
+        job: The job.
+        owned_s: Since when this node has owned it, on the loop's clock.
+        runners: Its unfinished items.
+        service: The service.
+        lives: Position of each life in the report by its text.
+        workers: The workers known.
+    """
+    here = [runner for runner in runners if runner.generates_at == service]
+    if not here:
+        return None
+    num_waiting = sum(runner.is_waiting for runner in here)
+    route = here[0].route
+    due_in_s = None
+    if route is not None and route.result_deadline_s is not None:
+        due_in_s = owned_s + route.result_deadline_s - now_s()
+    return OpenWork(
+        UNKNOWN_PRIORITY if route is None else route.priority,
+        due_in_s,
+        len(here) - num_waiting,
+        num_waiting,
+        _eligible(job, workers.placeable(service), lives),
+    )
+
+
+def _eligible(job: Job, workers: Iterable[Worker], lives: Mapping[str, int]) -> tuple[int, ...]:
+    """Positions of the lives at which a job may run."""
+    positions = (
+        lives.get(str(worker.life))
+        for worker in workers
+        if worker.holds(job.model, job.min_version)
+    )
+    return tuple(position for position in positions if position is not None)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -35,6 +35,7 @@
     announced_version,
     worker_session,
 )
+from hollowrack.slots.peers import HttpSlotPeers, slot_routes
 from hollowrack.suspension import SuspensionWatch
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.peers import HttpUsagePeers, usage_routes
@@ -111,6 +112,7 @@
                 settings.seeds,
                 self._usage_connections(),
                 self._duty_client(names.DUTY_CAPACITY),
+                HttpSlotPeers(self._sessions[3]) if settings.shares_slots else None,
             ),
             self._rng,
         )
@@ -152,6 +154,7 @@
                 *relay_routes(store),
                 *peer_routes(jobs.submit_here, jobs.answer_peer, jobs.remainder),
                 *usage_routes(self.node.take_usage),
+                *slot_routes(self.node.slots.answer),
                 *metrics_routes(self.node, counts),
             ]
             self._peers = HttpServer(
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -75,6 +75,8 @@
     platform: StoreSettings
     cloud: DutySettings | None = None
     metrics: str | None = None
+    # Whether nodes that own jobs share the slots of workers that hold several models.
+    shares_slots: bool = Field(default=True, alias="slot-sharing", strict=True)
 
 
 def read_process_settings(path: Path | None = None) -> Result[ProcessSettings, Problem]:
--- /dev/null
+++ b/src/hollowrack/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Sharing the slots of workers among the nodes that run jobs."""
--- /dev/null
+++ b/src/hollowrack/slots/holder.py
@@ -0,0 +1,290 @@
+"""An owner's side: how many requests it may have in flight at each worker."""
+
+import itertools
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from absl import logging
+
+from hollowrack.clock import now_s
+from hollowrack.forwarding.types import Worker, WorkerLife
+from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.results import Problem, ResultCode
+from hollowrack.slots.log_pace import LogPace
+from hollowrack.slots.shares import equal_share
+from hollowrack.slots.types import (
+    OpenWorkSource,
+    SlotGrant,
+    SlotReport,
+    grant_problem,
+)
+
+# The first grant takes one message to the leader and its answer. Work that began before it would
+# overfill workers whose slots others have; without a leader it must not wait for long.
+FIRST_GRANT_WAIT_S = 0.3
+# A busy queue asks thousands of times a second; owners become known a few times a second at most.
+SHARES_KEPT_S = 0.1
+SHARE_LOG_INTERVAL_S = 1.0
+
+
+@dataclass(frozen=True)
+class _HeldGrant:
+    """The grant in force.
+
+    Attributes:
+        fencing_token: Of the arbiter.
+        number: Number of the report that it answers.
+        limits: By life.
+        from_s: When that report was sent, in seconds.
+        ends_s: When it ends, in seconds.
+        is_contended: Whether there is more work than slots.
+    """
+
+    fencing_token: int
+    number: int
+    limits: dict[WorkerLife, int]
+    from_s: float
+    ends_s: float
+    is_contended: bool
+
+
+@dataclass
+class _ServiceState:
+    """What is held for one service.
+
+    Attributes:
+        joined_s: Since when this node has had jobs, in seconds.
+        grant: The last grant.
+        asked: The last report, if it may still be answered.
+        asked_lives: The lives that it names.
+        asked_s: When it was sent, in seconds.
+    """
+
+    joined_s: float
+    grant: _HeldGrant | None = None
+    asked: SlotReport | None = None
+    asked_lives: tuple[WorkerLife, ...] = ()
+    asked_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class SlotUse:
+    """How this node uses a service's slots, for figures.
+
+    Attributes:
+        granted: Slots that it may use; 0 without a grant.
+        used: Requests in flight.
+        is_contended: Whether there is more work than slots.
+        grant_age_s: Age of the grant in force, in seconds; infinite without one.
+    """
+
+    granted: int
+    used: int
+    is_contended: bool
+    grant_age_s: float
+
+
+class SlotHolder:
+    """The grants that this node holds; see :class:`hollowrack.forwarding.slot_limits.SlotLimits`.
+
+    Args:
+        owner: Name of this process.
+        workers: The workers known.
+        is_shared: Whether a service's slots are shared among owners.
+        known_owners: Returns the processes that own unfinished jobs.
+        source: Tells this node's work.
+
+    Attributes:
+        num_refused: How many grants were refused as void.
+    """
+
+    def __init__(
+        self,
+        owner: str,
+        workers: WorkerDirectory,
+        is_shared: Callable[[str], bool],
+        known_owners: Callable[[], Collection[str]],
+        source: OpenWorkSource,
+    ) -> None:
+        self.num_refused = 0
+        self._owner = owner
+        self._workers = workers
+        self._is_shared = is_shared
+        self._known_owners = known_owners
+        self._source = source
+        self._numbers = itertools.count(1)
+        self._newest_token = 0
+        self._states: dict[str, _ServiceState] = {}
+        self._shares: dict[WorkerLife, int] = {}
+        self._shares_until_s = -float("inf")
+        self._granted_listeners: list[Callable[[], None]] = []
+        self._waiting_listeners: list[Callable[[], None]] = []
+        self._shares_logged = LogPace(SHARE_LOG_INTERVAL_S)
+        self._refusals_logged = LogPace(SHARE_LOG_INTERVAL_S)
+        self._logged_shares: dict[str, tuple[int, bool]] = {}
+
+    def on_granted(self, listener: Callable[[], None]) -> None:
+        """Call a listener with each new grant."""
+        self._granted_listeners.append(listener)
+
+    def on_waiting(self, listener: Callable[[], None]) -> None:
+        """Call a listener when work comes that has no slot."""
+        self._waiting_listeners.append(listener)
+
+    def note_waiting(self) -> None:
+        """Work has come that has no slot."""
+        for listener in self._waiting_listeners:
+            listener()
+
+    # -- limits -----------------------------------------------------------------------------
+
+    def limit(self, worker: Worker) -> int:
+        """Return how many requests this node may have in flight at a worker."""
+        if not self.takes_part(worker.service):
+            return worker.capacity
+        now = now_s()
+        state = self._state(worker.service)
+        if state.grant is not None and now < state.grant.ends_s:
+            granted = state.grant.limits.get(worker.life)
+            # A life that the arbiter has not seen yet is new and empty.
+            return self._equal_share(worker) if granted is None else granted
+        if state.grant is None and now < state.joined_s + FIRST_GRANT_WAIT_S:
+            return 0
+        return self._equal_share(worker)
+
+    def takes_part(self, service: str) -> bool:
+        """Whether this node spends slots of a service that are shared."""
+        return self._source.num_running > 0 and self._is_shared(service)
+
+    def _equal_share(self, worker: Worker) -> int:
+        now = now_s()
+        if now >= self._shares_until_s:
+            self._shares.clear()
+            self._shares_until_s = now + SHARES_KEPT_S
+        life = worker.life
+        if life not in self._shares:
+            owners = self._known_owners()
+            self._shares[life] = equal_share(str(life), worker.capacity, self._owner, owners)
+        return self._shares[life]
+
+    def _state(self, service: str) -> _ServiceState:
+        state = self._states.get(service)
+        if state is None:
+            state = self._states[service] = _ServiceState(now_s())
+        return state
+
+    # -- reports ----------------------------------------------------------------------------
+
+    def is_busy(self, service: str) -> bool:
+        """Whether slots move: work waits for them, here or at another owner."""
+        state = self._state(service)
+        is_contended = state.grant is not None and state.grant.is_contended
+        has_waiting = state.asked is not None and any(
+            work.num_waiting > 0 for work in state.asked.work
+        )
+        return is_contended or has_waiting
+
+    def report(self, service: str) -> SlotReport:
+        """Return a report as of now; only its answer is accepted from now on."""
+        state = self._state(service)
+        workers = self._workers.serving(service)
+        lives = tuple(worker.life for worker in workers)
+        texts = tuple(str(life) for life in lives)
+        grant = state.grant
+        is_in_force = grant is not None and now_s() < grant.ends_s
+        state.asked = SlotReport(
+            self._owner,
+            service,
+            next(self._numbers),
+            grant.fencing_token if grant is not None and is_in_force else None,
+            grant.number if grant is not None and is_in_force else 0,
+            texts,
+            tuple(max(0, self._workers.num_in_flight(worker)) for worker in workers),
+            tuple(self.limit(worker) for worker in workers),
+            tuple(
+                self._source.open_work(service, {text: index for index, text in enumerate(texts)})
+            ),
+        )
+        state.asked_lives = lives
+        state.asked_s = now_s()
+        return state.asked
+
+    def leave(self, service: str) -> SlotReport | None:
+        """Give up the slots of a service; returns the report that says so, if any are held."""
+        if self._states.pop(service, None) is None:
+            return None
+        return SlotReport(
+            self._owner, service, next(self._numbers), None, 0, (), (), (), (), is_leaving=True
+        )
+
+    def accept(self, grant: SlotGrant) -> bool:
+        """Put a grant in force; returns whether it is."""
+        state = self._states.get(grant.service)
+        if state is None or state.asked is None:
+            return self._refuse(grant, "no report of this node waits for it")
+        problem = grant_problem(grant, state.asked)
+        if problem is not None:
+            return self._refuse(grant, str(problem))
+        if grant.fencing_token < self._newest_token:
+            problem = Problem(
+                ResultCode.ORDER_FENCED, f"token {self._newest_token} was there before"
+            )
+            return self._refuse(grant, str(problem))
+        self._newest_token = grant.fencing_token
+        state.grant = _HeldGrant(
+            grant.fencing_token,
+            grant.number,
+            {
+                life: limit
+                for life, limit in zip(state.asked_lives, grant.limits, strict=True)
+                if limit is not None
+            },
+            state.asked_s,
+            state.asked_s + grant.ttl_s,
+            grant.is_contended,
+        )
+        self._log_share(grant.service, state.grant, grant.arbiter)
+        for listener in self._granted_listeners:
+            listener()
+        return True
+
+    def _refuse(self, grant: SlotGrant, reason: str) -> bool:
+        self.num_refused += 1
+        if self._refusals_logged.is_due(now_s()):
+            logging.warning(
+                "slots: grant %d of %.64s under token %d refused, %d so far: %s",
+                grant.number,
+                grant.arbiter,
+                grant.fencing_token,
+                self.num_refused,
+                reason,
+            )
+        return False
+
+    def _log_share(self, service: str, grant: _HeldGrant, arbiter: str) -> None:
+        share = (sum(grant.limits.values()), grant.is_contended)
+        if self._logged_shares.get(service) == share or not self._shares_logged.is_due(now_s()):
+            return
+        self._logged_shares[service] = share
+        logging.info(
+            "slots of %s: %d granted at %d workers by %s, %s, report %d of %.3f s ago",
+            service,
+            share[0],
+            len(grant.limits),
+            arbiter,
+            "more work than slots" if grant.is_contended else "enough for all work",
+            grant.number,
+            now_s() - grant.from_s,
+        )
+
+    # -- figures ----------------------------------------------------------------------------
+
+    def use(self, service: str) -> SlotUse:
+        """Return how this node uses a service's slots."""
+        used = sum(self._workers.num_in_flight(worker) for worker in self._workers.serving(service))
+        state = self._states.get(service)
+        grant = None if state is None else state.grant
+        if grant is None or now_s() >= grant.ends_s:
+            return SlotUse(0, used, False, float("inf"))
+        age_s = now_s() - grant.from_s
+        return SlotUse(sum(grant.limits.values()), used, grant.is_contended, age_s)
--- /dev/null
+++ b/src/hollowrack/slots/reporter.py
@@ -0,0 +1,122 @@
+"""Reports to the arbiter as often as slots move."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from absl import logging
+
+from hollowrack.clock import now_s
+from hollowrack.slots.arbiter import SlotArbiter
+from hollowrack.slots.holder import SlotHolder
+from hollowrack.slots.log_pace import LogPace
+from hollowrack.slots.types import SlotAnswer, SlotGrant, SlotPeers, SlotReport
+from hollowrack.tasks import cancel_all
+
+# While work waits a freed slot stands idle until its owner has reported it and the next one has.
+BUSY_INTERVAL_S = 0.2
+# Otherwise a report only renews the grant, which lasts three times as long.
+QUIET_INTERVAL_S = 1.0
+# Items of a job come one by one: those that come together are reported together.
+MIN_INTERVAL_S = 0.05
+FAILURE_LOG_INTERVAL_S = 1.0
+
+
+class SlotReporter:
+    """Keeps the grants of one node fresh.
+
+    Args:
+        holder: Holds them.
+        arbiter: Answers if this node leads.
+        services: Returns the services whose slots are shared.
+        leader: Returns the process that leads, if that is known.
+        owner: Name of this process.
+        address_of: Returns where a process is reached, if that is known.
+        peers: Reports to other nodes.
+    """
+
+    def __init__(
+        self,
+        holder: SlotHolder,
+        arbiter: SlotArbiter,
+        services: Callable[[], list[str]],
+        leader: Callable[[], str | None],
+        owner: str,
+        address_of: Callable[[], str | None],
+        peers: SlotPeers,
+    ) -> None:
+        self._holder = holder
+        self._arbiter = arbiter
+        self._services = services
+        self._leader = leader
+        self._owner = owner
+        self._address_of = address_of
+        self._peers = peers
+        self._has_new_work = asyncio.Event()
+        self._last_s: dict[str, float] = {}
+        self._failures_logged = LogPace(FAILURE_LOG_INTERVAL_S)
+        self._task: asyncio.Task[None] | None = None
+        holder.on_waiting(self._has_new_work.set)
+
+    def start(self) -> None:
+        """Start reporting."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop reporting; what is granted ends by itself."""
+        await cancel_all(self._task)
+
+    async def _run(self) -> None:
+        while True:
+            has_new_work = self._has_new_work.is_set()
+            self._has_new_work.clear()
+            try:
+                self._arbiter.note_leadership(now_s())
+                await self._report_all(has_new_work)
+            except Exception:
+                logging.exception("slots: a fault of the program, goes on")
+            await asyncio.sleep(MIN_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(BUSY_INTERVAL_S - MIN_INTERVAL_S):
+                    await self._has_new_work.wait()
+
+    async def _report_all(self, has_new_work: bool) -> None:
+        reports = [
+            report
+            for service in self._services()
+            if (report := self._due_report(service, has_new_work)) is not None
+        ]
+        await asyncio.gather(*(self._send(report) for report in reports))
+
+    def _due_report(self, service: str, has_new_work: bool) -> SlotReport | None:
+        if not self._holder.takes_part(service):
+            self._last_s.pop(service, None)
+            return self._holder.leave(service)
+        is_due = has_new_work or self._holder.is_busy(service)
+        age_s = now_s() - self._last_s.get(service, -float("inf"))
+        if not is_due and age_s < QUIET_INTERVAL_S:
+            return None
+        self._last_s[service] = now_s()
+        return self._holder.report(service)
+
+    async def _send(self, report: SlotReport) -> None:
+        answer = await self._ask(report)
+        if report.is_leaving:
+            return
+        if isinstance(answer, SlotGrant):
+            self._holder.accept(answer)
+        elif self._failures_logged.is_due(now_s()):
+            reason = "no answer" if answer is None else f"[{answer.code}] {answer.detail}"
+            logging.info(
+                "slots of %s: report %d to %s brought no grant: %s",
+                report.service,
+                report.number,
+                self._leader(),
+                reason,
+            )
+
+    async def _ask(self, report: SlotReport) -> SlotAnswer | None:
+        if self._leader() == self._owner:
+            return self._arbiter.answer(report, now_s())
+        address = self._address_of()
+        return None if address is None else await self._peers.report(address, report)
--- /dev/null
+++ b/tests/slots/test_fleet.py
@@ -0,0 +1,111 @@
+"""Nodes that own jobs before the same workers, from the arrival of the jobs to their end."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import pytest
+
+from hollowrack.clock import now_s
+from hollowrack.forwarding.types import Service, Worker
+from hollowrack.jobs.types import ItemResult, Job
+from hollowrack_bench.virtual_time import run_virtual
+from hollowrack_standins.back_ends import WorkerBehaviour
+from tests.jobs.helpers import Fleet, configuration, make_job
+from tests.jobs.test_job_service import read_all
+
+MODELS = ("m1", "m2", "m3")
+WORKERS = [
+    Worker(f"e{index}", "engines", "127.0.0.1:1", "z1", 4, False, dict.fromkeys(MODELS, 1))
+    for index in range(3)
+]
+CAPACITY = sum(worker.capacity for worker in WORKERS)
+ITEM_S = 0.5
+NUM_EVENTS = 10
+LEADS_FROM_S = 6.0
+STEP_S = 0.01
+
+
+def model_job(name: str, model: str, num_items: int = 24) -> Job:
+    job = make_job(name, num_items)
+    items = tuple(replace(item, scorer=None) for item in job.items)
+    return replace(job, model=model, items=items)
+
+
+class SlotFleet(Fleet):
+    """A fleet before workers that hold several models, which notes how full they get.
+
+    Attributes:
+        most_running: The most that ran at one worker at once.
+
+    """
+
+    def __init__(self, shares_slots: bool, num_nodes: int = 3) -> None:
+        super().__init__(num_nodes, shares_slots=shares_slots)
+        self.most_running = 0
+        self.back_ends.num_events = NUM_EVENTS
+        self.configure()
+
+    def configure(self) -> None:
+        base = configuration(2)
+        services = {**base.services, "engines": Service("engines", 100, MODELS)}
+        for node in self.nodes.values():
+            node.configuration_changed(replace(base, services=services))
+            for worker in WORKERS:
+                self.back_ends.behaviours[worker.id] = WorkerBehaviour(work_s=ITEM_S / NUM_EVENTS)
+                node.worker_changed(worker)
+
+    async def watch(self) -> None:
+        """Note how full workers are."""
+        while True:
+            for worker in WORKERS:
+                self.most_running = max(self.most_running, self.back_ends.running[worker.id])
+            await asyncio.sleep(STEP_S)
+
+    def running(self) -> int:
+        """Return how many items run."""
+        return sum(self.back_ends.running[worker.id] for worker in WORKERS)
+
+
+def run_fleet(
+    scenario: Callable[[SlotFleet], Awaitable[None]], shares_slots: bool = True
+) -> SlotFleet:
+    async def main() -> SlotFleet:
+        fleet = SlotFleet(shares_slots)
+        watching = asyncio.create_task(fleet.watch())
+        await asyncio.sleep(LEADS_FROM_S)
+        await scenario(fleet)
+        watching.cancel()
+        await fleet.stop()
+        return fleet
+
+    return run_virtual(main())
+
+
+async def submit_one_each(fleet: SlotFleet) -> list[Job]:
+    jobs = [model_job(f"j{index}", model) for index, model in enumerate(MODELS)]
+    for name, job in zip(fleet.nodes, jobs, strict=True):
+        assert await fleet.nodes[name].jobs.submit(job) is None
+    return jobs
+
+
+async def run_three_jobs(fleet: SlotFleet) -> None:
+    jobs = await submit_one_each(fleet)
+    began_s = now_s()
+    for job in jobs:
+        check_whole_texts(job, await read_all(fleet, "n0", job.id, len(job.items)))
+    # Six rounds of the twelve slots, and a second for what is not in step.
+    assert now_s() - began_s < 6 * (ITEM_S + 0.1) + 1.0
+
+
+def check_whole_texts(job: Job, results: list[ItemResult]) -> None:
+    assert sorted(result.item_id for result in results) == sorted(item.id for item in job.items)
+    assert all(result.is_complete for result in results)
+
+
+@pytest.mark.parametrize(("shares_slots", "most_running"), [(True, 4), (False, 12)])
+def test_workers_are_as_full_as_they_may_be_and_no_fuller(
+    shares_slots: bool, most_running: int
+) -> None:
+    """Without sharing each of three owners fills every slot of each worker."""
+    assert run_fleet(run_three_jobs, shares_slots).most_running == most_running
