--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -67,11 +67,16 @@
         self._evidence: dict[str, _Evidence] = {}
         self._best_paces_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._end_listeners: list[Callable[[Worker], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call a listener whenever a worker may have become available."""
         self._listeners.append(listener)
 
+    def on_end(self, listener: Callable[[Worker], None]) -> None:
+        """Call a listener with the worker of each request that is over."""
+        self._end_listeners.append(listener)
+
     def put(self, worker: Worker) -> None:
         """Take in a worker's newest state."""
         self._workers[worker.id] = worker
@@ -163,6 +168,8 @@
         evidence.num_in_flight -= 1
         if worker.id not in self._workers and evidence.num_in_flight <= 0:
             self._evidence.pop(worker.id, None)
+        for listener in self._end_listeners:
+            listener(worker)
         self._notify()
 
     def note_success(self, worker: Worker) -> None:
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -161,6 +161,11 @@
         """Save what running items have generated, for the job's next owner."""
         await self._saver.save()
 
+    def has_waiting(self, service: str) -> bool:
+        """Whether any item waits for a slot at a service."""
+        runners = self._item_runners.values()
+        return any(runner.is_waiting and runner.generates_at == service for runner in runners)
+
     def open_work(self, service: str, lives: Mapping[str, int]) -> OpenWork | None:
         """Return what is left to generate at a service; ``None`` if nothing is.
 
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -280,6 +280,10 @@
             return runner.remainder()
         return self._left.get(job_id, JobRemainder())
 
+    def has_waiting(self, service: str) -> bool:
+        """Whether any item of the jobs owned here waits for a slot at a service."""
+        return any(runner.has_waiting(service) for runner in self._runners.values())
+
     def open_work(self, service: str, lives: Mapping[str, int]) -> list[OpenWork]:
         """Return what is left to generate of the jobs owned here; see :class:`OpenWorkSource`."""
         works = (runner.open_work(service, lives) for runner in self._runners.values())
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -123,9 +123,14 @@
         self._on_ended(job_id)
 
     def job_owners(self) -> set[str]:
-        """Return the live processes that own unfinished jobs, this one included."""
+        """Return the live processes that own unfinished jobs, this one included.
+
+        A node runs one process at a time: earlier ones of this node have ended.
+        """
+        node = node_of_owner(self._owner)
         owners = {job.owner for job in self.open_jobs.values()}
-        return {owner for owner in owners if owner in self.nodes or owner == self._owner}
+        others = {owner for owner in owners & self.nodes.keys() if node_of_owner(owner) != node}
+        return others | (owners & {self._owner})
 
     def leader(self) -> str | None:
         """The process that leads; ``None`` if none is known to."""
--- a/src/hollowrack/slots/arbiter.py
+++ b/src/hollowrack/slots/arbiter.py
@@ -106,9 +106,11 @@
             )
         book.expect(self._known_owners(), now_s)
         limits: tuple[int | None, ...] = ()
+        num_owed = 0
         if not report.is_leaving:
             book.update_plan(capacity, now_s)
             limits = book.grant(report.owner, capacity, now_s)
+            num_owed = book.num_owed(report.owner)
         self._log_shares(report.service, book, capacity, now_s)
         return SlotGrant(
             self._name,
@@ -118,6 +120,8 @@
             GRANT_TTL_S,
             limits,
             book.plan.is_contended,
+            book.num_waiting() > 0,
+            num_owed,
         )
 
     def _refuse(self, report: SlotReport, problem: Problem, now_s: float) -> SlotRefusal:
--- a/src/hollowrack/slots/book.py
+++ b/src/hollowrack/slots/book.py
@@ -5,8 +5,8 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 from hollowrack.results import Problem, ResultCode
 from hollowrack.slots.plan import OwnerDemand, SlotPlan, WorkDemand, plan_slots
@@ -130,9 +130,10 @@
             return None
         sent = [] if before is None else before.sent
         if report.fencing_token == fencing_token:
-            sent = [grant for grant in sent if grant.number >= report.grant_number]
-        owner = _Owner(report, now_s, _demand_of(report))
-        owner.sent = [grant for grant in sent if grant.ends_s > now_s]
+            # The report itself tells the limits by the grant in force.
+            sent = [grant for grant in sent if grant.number > report.grant_number]
+        sent = [grant for grant in sent if grant.ends_s > now_s]
+        owner = _Owner(report, now_s, _demand_of(report, sent), sent=sent)
         self._put(owner)
         return None
 
@@ -151,7 +152,6 @@
         }
         for name in known:
             if name not in self._owners and name not in self._unheard_until_s:
-                # A leader that did not have to wait may have owners with grants of the last one.
                 until_s = max(now_s + UNHEARD_WAIT_S, self._began_s + GRANT_TTL_S)
                 self._unheard_until_s[name] = until_s
 
@@ -169,6 +169,8 @@
             demands = {name: owner.demand for name, owner in self._owners.items()}
             self._plan = plan_slots(capacity, demands)
             self._planned_s = now_s
+            # Lives that have ended must not stay for ever.
+            self._totals += Counter()
 
     def grant(
         self, owner_name: str, capacity: Mapping[str, int], now_s: float
@@ -182,26 +184,54 @@
         """
         owner = self._owners[owner_name]
         unheard = [name for name, end_s in self._unheard_until_s.items() if now_s < end_s]
-        limits = {
-            life: self._limit(owner, life, in_flight, capacity[life], unheard)
-            for life, in_flight in zip(owner.report.lives, owner.report.in_flight, strict=True)
-            if life in capacity
-        }
+        lives = [life for life in owner.report.lives if life in capacity]
+        if self._may_meet_earlier_grants(unheard, now_s):
+            limits = {
+                life: min(owner.claims[life], self._left(owner, life, capacity)) for life in lives
+            }
+        elif unheard:
+            limits = {life: self._limit_beside(owner, life, capacity, unheard) for life in lives}
+        else:
+            limits = {
+                life: min(self._plan.at(owner_name, life), self._left(owner, life, capacity))
+                for life in lives
+            }
         owner.sent.append(_SentGrant(owner.report.number, limits, now_s + GRANT_TTL_S))
+        owner.demand = replace(owner.demand, held=limits)
         self._put(owner)
         return tuple(limits.get(life) for life in owner.report.lives)
 
-    def _limit(
-        self, owner: _Owner, life: str, in_flight: int, capacity: int, unheard: Collection[str]
+    def num_owed(self, owner_name: str) -> int:
+        """Return how many slots planned for an owner its last grant does not hold."""
+        owner = self._owners[owner_name]
+        limits = owner.sent[-1].limits if owner.sent else {}
+        planned = self._plan.slots.get(owner_name, {})
+        return sum(max(0, count - limits.get(life, 0)) for life, count in planned.items())
+
+    def _may_meet_earlier_grants(self, unheard: Collection[str], now_s: float) -> bool:
+        """Whether owners that are not heard of yet may spend grants of the leader before.
+
+        A leader that had to wait for its leadership is past that. One that did not has the owners
+        keep what they have meanwhile, which is what the leader before had granted.
+        """
+        age_s = now_s - self._began_s
+        return age_s < UNHEARD_WAIT_S or (bool(unheard) and age_s < GRANT_TTL_S)
+
+    def _limit_beside(
+        self, owner: _Owner, life: str, capacity: Mapping[str, int], unheard: Collection[str]
     ) -> int:
-        name = owner.report.owner
-        left = capacity - (self._totals[life] - owner.claims.get(life, 0))
-        planned = self._plan.at(name, life)
-        if unheard:
-            owners = [*self._owners, *unheard]
-            left -= sum(equal_share(life, capacity, other, owners) for other in unheard)
-            planned = max(in_flight, equal_share(life, capacity, name, owners))
-        return max(0, min(planned, left))
+        """An owner's limit while others that are known of use equal shares without a grant."""
+        owners = [*self._owners, *unheard]
+        slots = capacity[life]
+        left = self._left(owner, life, capacity)
+        left -= sum(equal_share(life, slots, other, owners) for other in unheard)
+        share = equal_share(life, slots, owner.report.owner, owners)
+        return max(0, min(max(owner.demand.in_flight[life], share), left))
+
+    def _left(self, owner: _Owner, life: str, capacity: Mapping[str, int]) -> int:
+        """How many slots of a life all others leave to an owner."""
+        spent_by_others = self._totals[life] - owner.claims.get(life, 0)
+        return max(0, capacity[life] - spent_by_others)
 
     def _put(self, owner: _Owner) -> None:
         """Keep what is known of an owner, and count anew what it may be spending."""
@@ -234,10 +264,11 @@
     return claims
 
 
-def _demand_of(report: SlotReport) -> OwnerDemand:
+def _demand_of(report: SlotReport, sent: Sequence[_SentGrant]) -> OwnerDemand:
     return OwnerDemand(
         dict(zip(report.lives, report.in_flight, strict=True)),
         [_work_demand(work, report.lives) for work in report.work],
+        sent[-1].limits if sent else dict(zip(report.lives, report.limits, strict=True)),
     )
 
 
--- a/src/hollowrack/slots/holder.py
+++ b/src/hollowrack/slots/holder.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from absl import logging
 
@@ -38,6 +38,8 @@
         from_s: When that report was sent, in seconds.
         ends_s: When it ends, in seconds.
         is_contended: Whether there is more work than slots.
+        has_waiting: Whether work of any owner waits for a slot.
+        num_owed: Slots planned for this node that others may still be spending.
     """
 
     fencing_token: int
@@ -46,6 +48,8 @@
     from_s: float
     ends_s: float
     is_contended: bool
+    has_waiting: bool
+    num_owed: int
 
 
 @dataclass
@@ -118,22 +122,36 @@
         self._shares: dict[WorkerLife, int] = {}
         self._shares_until_s = -float("inf")
         self._granted_listeners: list[Callable[[], None]] = []
-        self._waiting_listeners: list[Callable[[], None]] = []
+        self._urgent_listeners: list[Callable[[], None]] = []
         self._shares_logged = LogPace(SHARE_LOG_INTERVAL_S)
         self._refusals_logged = LogPace(SHARE_LOG_INTERVAL_S)
         self._logged_shares: dict[str, tuple[int, bool]] = {}
+        workers.on_end(self._note_end)
 
     def on_granted(self, listener: Callable[[], None]) -> None:
         """Call a listener with each new grant."""
         self._granted_listeners.append(listener)
 
-    def on_waiting(self, listener: Callable[[], None]) -> None:
-        """Call a listener when work comes that has no slot."""
-        self._waiting_listeners.append(listener)
+    def on_urgent(self, listener: Callable[[], None]) -> None:
+        """Call a listener when a report is due at once."""
+        self._urgent_listeners.append(listener)
 
     def note_waiting(self) -> None:
         """Work has come that has no slot."""
-        for listener in self._waiting_listeners:
+        self._note_urgent()
+
+    def _note_end(self, worker: Worker) -> None:
+        """A request is over: its slot may be free for another owner, who waits for it."""
+        state = self._states.get(worker.service)
+        if state is None or state.grant is None or not state.grant.has_waiting:
+            return
+        limit = state.grant.limits.get(worker.life, 0)
+        is_surplus = self._workers.num_in_flight(worker) >= limit
+        if is_surplus or not self._source.has_waiting(worker.service):
+            self._note_urgent()
+
+    def _note_urgent(self) -> None:
+        for listener in self._urgent_listeners:
             listener()
 
     # -- limits -----------------------------------------------------------------------------
@@ -142,16 +160,26 @@
         """Return how many requests this node may have in flight at a worker."""
         if not self.takes_part(worker.service):
             return worker.capacity
-        now = now_s()
+        granted = self.granted(worker)
+        if granted is not None:
+            return granted
         state = self._state(worker.service)
-        if state.grant is not None and now < state.grant.ends_s:
-            granted = state.grant.limits.get(worker.life)
-            # A life that the arbiter has not seen yet is new and empty.
-            return self._equal_share(worker) if granted is None else granted
-        if state.grant is None and now < state.joined_s + FIRST_GRANT_WAIT_S:
+        if state.grant is None and now_s() < state.joined_s + FIRST_GRANT_WAIT_S:
             return 0
         return self._equal_share(worker)
 
+    def granted(self, worker: Worker) -> int | None:
+        """Return the limit by the grant in force.
+
+        Returns:
+            The limit; ``None`` without a grant, and where the arbiter had not seen the worker's
+            life yet, which is new and empty then.
+        """
+        state = self._states.get(worker.service)
+        if state is None or state.grant is None or now_s() >= state.grant.ends_s:
+            return None
+        return state.grant.limits.get(worker.life)
+
     def takes_part(self, service: str) -> bool:
         """Whether this node spends slots of a service that are shared."""
         return self._source.num_running > 0 and self._is_shared(service)
@@ -175,14 +203,14 @@
 
     # -- reports ----------------------------------------------------------------------------
 
-    def is_busy(self, service: str) -> bool:
-        """Whether slots move: work waits for them, here or at another owner."""
+    def may_move_slots(self, service: str) -> bool:
+        """Whether slots may move soon: work waits for them, or another owner may need them."""
+        return _has_waiting(self._state(service)) or len(self._known_owners()) > 1
+
+    def is_owed_slots(self, service: str) -> bool:
+        """Whether work waits here for slots that others are about to free."""
         state = self._state(service)
-        is_contended = state.grant is not None and state.grant.is_contended
-        has_waiting = state.asked is not None and any(
-            work.num_waiting > 0 for work in state.asked.work
-        )
-        return is_contended or has_waiting
+        return state.grant is not None and state.grant.num_owed > 0 and _has_waiting(state)
 
     def report(self, service: str) -> SlotReport:
         """Return a report as of now; only its answer is accepted from now on."""
@@ -190,6 +218,10 @@
         workers = self._workers.serving(service)
         lives = tuple(worker.life for worker in workers)
         texts = tuple(str(life) for life in lives)
+        positions = {text: index for index, text in enumerate(texts)}
+        work = tuple(self._source.open_work(service, positions))
+        if not any(one.num_waiting for one in work):
+            self._give_up_unused(state, workers)
         grant = state.grant
         is_in_force = grant is not None and now_s() < grant.ends_s
         state.asked = SlotReport(
@@ -201,14 +233,27 @@
             texts,
             tuple(max(0, self._workers.num_in_flight(worker)) for worker in workers),
             tuple(self.limit(worker) for worker in workers),
-            tuple(
-                self._source.open_work(service, {text: index for index, text in enumerate(texts)})
-            ),
+            work,
         )
         state.asked_lives = lives
         state.asked_s = now_s()
         return state.asked
 
+    def _give_up_unused(self, state: _ServiceState, workers: list[Worker]) -> None:
+        """Give up slots that this node does not use while work of others waits for them.
+
+        They are free with this report, a message earlier than by a lower grant.
+        """
+        grant = state.grant
+        if grant is None or not grant.has_waiting:
+            return
+        limits = {
+            worker.life: min(grant.limits[worker.life], self._workers.num_in_flight(worker))
+            for worker in workers
+            if worker.life in grant.limits
+        }
+        state.grant = replace(grant, limits={**grant.limits, **limits})
+
     def leave(self, service: str) -> SlotReport | None:
         """Give up the slots of a service; returns the report that says so, if any are held."""
         if self._states.pop(service, None) is None:
@@ -231,6 +276,7 @@
             )
             return self._refuse(grant, str(problem))
         self._newest_token = grant.fencing_token
+        before = state.grant
         state.grant = _HeldGrant(
             grant.fencing_token,
             grant.number,
@@ -242,10 +288,15 @@
             state.asked_s,
             state.asked_s + grant.ttl_s,
             grant.is_contended,
+            grant.has_waiting,
+            grant.num_owed,
         )
         self._log_share(grant.service, state.grant, grant.arbiter)
         for listener in self._granted_listeners:
             listener()
+        if before is not None and _gives_up_slots(before, state.grant):
+            # Others get them once the arbiter knows that this grant is in force.
+            self._note_urgent()
         return True
 
     def _refuse(self, grant: SlotGrant, reason: str) -> bool:
@@ -288,3 +339,13 @@
             return SlotUse(0, used, False, float("inf"))
         age_s = now_s() - grant.from_s
         return SlotUse(sum(grant.limits.values()), used, grant.is_contended, age_s)
+
+
+def _has_waiting(state: _ServiceState) -> bool:
+    """Whether the last report told of waiting work."""
+    return state.asked is not None and any(work.num_waiting > 0 for work in state.asked.work)
+
+
+def _gives_up_slots(before: _HeldGrant, grant: _HeldGrant) -> bool:
+    """Whether a grant holds fewer slots than the one before at some life."""
+    return any(grant.limits.get(life, 0) < limit for life, limit in before.limits.items())
--- a/src/hollowrack/slots/plan.py
+++ b/src/hollowrack/slots/plan.py
@@ -41,10 +41,13 @@
     Attributes:
         in_flight: What it has in flight, by life.
         work: Its open work.
+        held: Its slots by the last grant, by life. Work stays with them: slots that move from one
+            owner to another and back stand idle on the way.
     """
 
     in_flight: Mapping[str, int]
     work: Sequence[WorkDemand]
+    held: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -90,6 +93,12 @@
     def num_open(self) -> int:
         return self.num_running + self.num_waiting
 
+    def note_placed(self, count: int) -> None:
+        """Some items have planned slots now: the running ones first."""
+        num_running = min(count, self.num_running)
+        self.num_running -= num_running
+        self.num_waiting -= count - num_running
+
 
 def plan_slots(capacity: Mapping[str, int], owners: Mapping[str, OwnerDemand]) -> SlotPlan:
     """Plan the slots of a service.
@@ -115,6 +124,13 @@
         self._planned: dict[str, dict[str, int]] = {name: {} for name in self._names}
         self._room = dict(capacity)
         self._free = dict(capacity)
+        # Each places up to some items of a demand, and returns how many it placed.
+        self._steps = (
+            self._keep_running_in_held,
+            self._keep_held,
+            self._keep_running,
+            self._place_anew,
+        )
         for owner in owners.values():
             for life, count in owner.in_flight.items():
                 if life in self._free:
@@ -151,7 +167,7 @@
         equal_division = sum(self._capacity.values()) / len(names)
         left = dict.fromkeys(names, max(MIN_FLOOR, int(FLOOR_SHARE * equal_division)))
         ordered = sorted(demands, key=lambda demand: len(demand.demand.lives))
-        for place in (self._keep_running, self._place_anew):
+        for place in self._steps:
             for demand in ordered:
                 left[demand.owner] -= place(demand, left[demand.owner])
 
@@ -159,27 +175,48 @@
         """Place work that is equally urgent: as evenly as it can be, then what is left."""
         level = _even_level([demand.num_open for demand in demands], sum(self._room.values()))
         left = [level] * len(demands)
-        for place in (self._keep_running, self._place_anew):
+        for place in self._steps:
             for position, demand in enumerate(demands):
                 left[position] -= place(demand, left[position])
         for demand in demands:
-            self._keep_running(demand, demand.num_running)
-            self._place_anew(demand, demand.num_open)
+            for place in self._steps:
+                place(demand, demand.num_open)
+
+    def _keep_running_in_held(self, demand: _OpenDemand, max_items: int) -> int:
+        """Plan slots that the owner holds for what runs there."""
+        owner = self._owners[demand.owner]
+        lives = [life for life in demand.demand.lives if owner.held.get(life, 0) > 0]
+        counts = {life: min(owner.held[life], owner.in_flight.get(life, 0)) for life in lives}
+        return self._keep(demand, counts, min(max_items, demand.num_running))
+
+    def _keep_held(self, demand: _OpenDemand, max_items: int) -> int:
+        """Plan slots that the owner holds, those at the emptiest workers first."""
+        held = self._owners[demand.owner].held
+        lives = [life for life in demand.demand.lives if held.get(life, 0) > 0]
+        lives.sort(key=lambda life: -self._free.get(life, 0))
+        return self._keep(demand, {life: held[life] for life in lives}, max_items)
 
     def _keep_running(self, demand: _OpenDemand, max_items: int) -> int:
-        """Plan slots for running items where they run: first where new ones could run as well."""
-        eligible = demand.demand.lives
-        elsewhere = self._owners[demand.owner].in_flight.keys() - set(eligible)
+        """Plan slots for what runs: first where new items could run as well."""
+        in_flight = self._owners[demand.owner].in_flight
+        elsewhere = sorted(in_flight.keys() - set(demand.demand.lives))
+        counts = {life: in_flight.get(life, 0) for life in [*demand.demand.lives, *elsewhere]}
+        return self._keep(demand, counts, min(max_items, demand.num_running))
+
+    def _keep(self, demand: _OpenDemand, counts: Mapping[str, int], max_items: int) -> int:
+        """Plan up to as many slots of the owner as are counted at each life."""
+        planned = self._planned[demand.owner]
+        num_left = min(max_items, demand.num_open)
         num_kept = 0
-        for life in [*eligible, *sorted(elsewhere)]:
-            num_left = min(max_items - num_kept, demand.num_running)
-            if num_left <= 0:
+        for life, count in counts.items():
+            if num_kept >= num_left:
                 break
-            num_here = min(num_left, self._num_unplanned_runs(demand.owner, life))
+            num_unplanned = min(count - planned.get(life, 0), self._room.get(life, 0))
+            num_here = min(num_unplanned, num_left - num_kept)
             if num_here > 0:
                 self._take(demand.owner, life, num_here)
-                demand.num_running -= num_here
                 num_kept += num_here
+        demand.note_placed(num_kept)
         return num_kept
 
     def _place_anew(self, demand: _OpenDemand, max_items: int) -> int:
@@ -200,17 +237,9 @@
             num_placed += 1
             if self._room[life] > 0:
                 heapq.heappush(heap, (-self._free[life], -self._room[life], position, life))
-        num_waiting = min(num_placed, demand.num_waiting)
-        demand.num_waiting -= num_waiting
-        demand.num_running -= num_placed - num_waiting
+        demand.note_placed(num_placed)
         return num_placed
 
-    def _num_unplanned_runs(self, owner: str, life: str) -> int:
-        """How many requests of an owner run at a life in slots that are not planned for it yet."""
-        num_running = self._owners[owner].in_flight.get(life, 0)
-        num_unplanned = num_running - self._planned[owner].get(life, 0)
-        return max(0, min(num_unplanned, self._room.get(life, 0)))
-
     def _take(self, owner: str, life: str, count: int) -> None:
         planned = self._planned[owner].get(life, 0)
         num_running = self._owners[owner].in_flight.get(life, 0)
--- a/src/hollowrack/slots/reporter.py
+++ b/src/hollowrack/slots/reporter.py
@@ -13,12 +13,15 @@
 from hollowrack.slots.types import SlotAnswer, SlotGrant, SlotPeers, SlotReport
 from hollowrack.tasks import cancel_all
 
-# While work waits a freed slot stands idle until its owner has reported it and the next one has.
-BUSY_INTERVAL_S = 0.2
+# A slot that another owner has freed stands idle until the next report of the one it is meant for.
+OWED_INTERVAL_S = 0.1
+# Slots that one owner does not need reach one whose work has just come within two reports.
+MOVING_INTERVAL_S = 0.2
 # Otherwise a report only renews the grant, which lasts three times as long.
 QUIET_INTERVAL_S = 1.0
 # Items of a job come one by one: those that come together are reported together.
 MIN_INTERVAL_S = 0.05
+TICK_TOLERANCE_S = 0.02
 FAILURE_LOG_INTERVAL_S = 1.0
 
 
@@ -52,11 +55,11 @@
         self._owner = owner
         self._address_of = address_of
         self._peers = peers
-        self._has_new_work = asyncio.Event()
+        self._is_urgent = asyncio.Event()
         self._last_s: dict[str, float] = {}
         self._failures_logged = LogPace(FAILURE_LOG_INTERVAL_S)
         self._task: asyncio.Task[None] | None = None
-        holder.on_waiting(self._has_new_work.set)
+        holder.on_urgent(self._is_urgent.set)
 
     def start(self) -> None:
         """Start reporting."""
@@ -68,37 +71,45 @@
 
     async def _run(self) -> None:
         while True:
-            has_new_work = self._has_new_work.is_set()
-            self._has_new_work.clear()
+            is_urgent = self._is_urgent.is_set()
+            self._is_urgent.clear()
             try:
                 self._arbiter.note_leadership(now_s())
-                await self._report_all(has_new_work)
+                await self._report_all(is_urgent)
             except Exception:
                 logging.exception("slots: a fault of the program, goes on")
             await asyncio.sleep(MIN_INTERVAL_S)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(BUSY_INTERVAL_S - MIN_INTERVAL_S):
-                    await self._has_new_work.wait()
+                async with asyncio.timeout(OWED_INTERVAL_S - MIN_INTERVAL_S):
+                    await self._is_urgent.wait()
 
-    async def _report_all(self, has_new_work: bool) -> None:
+    async def _report_all(self, is_urgent: bool) -> None:
         reports = [
             report
             for service in self._services()
-            if (report := self._due_report(service, has_new_work)) is not None
+            if (report := self._due_report(service, is_urgent)) is not None
         ]
         await asyncio.gather(*(self._send(report) for report in reports))
 
-    def _due_report(self, service: str, has_new_work: bool) -> SlotReport | None:
+    def _due_report(self, service: str, is_urgent: bool) -> SlotReport | None:
         if not self._holder.takes_part(service):
             self._last_s.pop(service, None)
             return self._holder.leave(service)
-        is_due = has_new_work or self._holder.is_busy(service)
-        age_s = now_s() - self._last_s.get(service, -float("inf"))
-        if not is_due and age_s < QUIET_INTERVAL_S:
+        due_s = self._last_s.get(service, -float("inf")) + self._interval_s(service)
+        # Ticks are not exact: one that comes a little early stands for its interval.
+        if not is_urgent and now_s() < due_s - TICK_TOLERANCE_S:
             return None
         self._last_s[service] = now_s()
         return self._holder.report(service)
 
+    def _interval_s(self, service: str) -> float:
+        """How long after a report the next one is due, in seconds."""
+        if self._holder.is_owed_slots(service):
+            return OWED_INTERVAL_S
+        if self._holder.may_move_slots(service):
+            return MOVING_INTERVAL_S
+        return QUIET_INTERVAL_S
+
     async def _send(self, report: SlotReport) -> None:
         answer = await self._ask(report)
         if report.is_leaving:
--- a/src/hollowrack/slots/types.py
+++ b/src/hollowrack/slots/types.py
@@ -54,7 +54,8 @@
         grant_number: Number of that grant.
         lives: Every life of a worker that the owner knows.
         in_flight: What it has in flight at each of them.
-        limits: How much it may have in flight at each of them now.
+        limits: How much it may have in flight at each of them from now on: the grant's limits, or
+            less if it gives slots up.
         work: Its open work.
         is_leaving: Whether it needs nothing more: whatever it was granted is free.
     """
@@ -85,6 +86,8 @@
         limits: Limit at each life in the report's list; ``None`` where the arbiter knows of no
             such life.
         is_contended: Whether there is more work than slots.
+        has_waiting: Whether work of any owner waits for a slot.
+        num_owed: Slots planned for the owner that others may still be spending.
     """
 
     arbiter: str
@@ -94,6 +97,8 @@
     ttl_s: float
     limits: tuple[int | None, ...]
     is_contended: bool
+    has_waiting: bool
+    num_owed: int
 
 
 @message("slots.refusal")
@@ -127,6 +132,9 @@
     def num_running(self) -> int:
         """How many unfinished jobs this node owns."""
 
+    def has_waiting(self, service: str) -> bool:
+        """Whether any item waits for a slot at a service."""
+
     def open_work(self, service: str, lives: Mapping[str, int]) -> list[OpenWork]:
         """Return the work at a service.
 
@@ -156,6 +164,8 @@
         return _invalid(f"{len(grant.limits)} limits of {len(report.lives)} lives", "limits")
     if not all(limit is None or 0 <= limit <= MAX_COUNT for limit in grant.limits):
         return _invalid("a limit is out of range", "limits")
+    if not 0 <= grant.num_owed <= MAX_COUNT:
+        return _invalid(f"num_owed is {grant.num_owed}", "num_owed")
     return None
 
 
--- /dev/null
+++ b/tests/slots/test_sharing_under_faults.py
@@ -0,0 +1,270 @@
+"""Owners and arbiters while messages are lost, late or doubled and nodes come and go.
+
+Within grants no worker gets more than its capacity. Beyond that it may get what owners run whose
+grant has ended: what they ran then, or the equal share that they go by since.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from hollowrack.clock import now_s
+from hollowrack.slots.arbiter import SlotArbiter
+from hollowrack.slots.types import SlotGrant, SlotReport
+from hollowrack_bench.virtual_time import VirtualTimeLoop
+from tests.slots.helpers import (
+    SERVICE,
+    FakeLeadership,
+    FakeOwner,
+    View,
+    make_arbiter,
+    make_worker,
+)
+
+CAPACITIES = (6, 3, 2)
+NUM_OWNERS = 3
+MAX_OWNERS = 5
+# What a new leader waits at the shortest lease that it is used with, and at the usual one.
+HANDOVERS_S = (2.1, 3.6)
+FATES = ("arrives", "report lost", "answer lost", "report late", "answer late", "report twice")
+SETTLED_S = 8.0
+ROUND_S = 0.2
+DEMAND = 30
+
+
+@dataclass
+class _Node:
+    """A node that may lead."""
+
+    leadership: FakeLeadership
+    arbiter: SlotArbiter
+    acts_from_s: float = 0.0
+
+
+@dataclass
+class _Runs:
+    """Requests of one owner that no grant covers any longer, by worker."""
+
+    uncovered: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+
+
+class SharingUnderFaults(RuleBasedStateMachine):
+    """Two nodes that may lead, and a few owners."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualTimeLoop()
+        self.view = View()
+        for index, capacity in enumerate(CAPACITIES):
+            worker = make_worker(f"e{index}", capacity)
+            self.view.workers[worker.id] = worker
+        self.num_workers = len(CAPACITIES)
+        self.token = 1
+        self.leader = "a"
+        self.nodes = {name: self._node(name) for name in "ab"}
+        self.nodes["a"].leadership.fencing_token = 1
+        self.nodes["a"].leadership.may_act = True
+        self.owners: dict[str, FakeOwner] = {}
+        self.runs: dict[str, _Runs] = {}
+        self.num_joined = 0
+        self.late: list[Callable[[], None]] = []
+        for _ in range(NUM_OWNERS):
+            self.join(is_seen=True)
+
+    def _node(self, name: str) -> _Node:
+        leadership = FakeLeadership()
+        return _Node(leadership, make_arbiter(name, leadership, self.view))
+
+    def _do(self, action: Callable[[], None]) -> None:
+        async def act() -> None:
+            action()
+
+        self.loop.run_until_complete(act())
+
+    # -- messages ---------------------------------------------------------------------------
+
+    def _deliver(self, node: str, report: SlotReport, answer_fate: str) -> None:
+        state = self.nodes[node]
+        state.leadership.may_act = node == self.leader and now_s() >= state.acts_from_s
+        answer = state.arbiter.answer(report, now_s())
+        if not isinstance(answer, SlotGrant) or report.is_leaving:
+            return
+        if answer_fate == "answer late":
+            self.late.append(lambda: self._accept(report.owner, answer))
+        elif answer_fate != "answer lost":
+            self._accept(report.owner, answer)
+
+    def _accept(self, owner_name: str, grant: SlotGrant) -> None:
+        owner = self.owners.get(owner_name)
+        if owner is not None:
+            owner.holder.accept(grant)
+
+    def _send(self, report: SlotReport, node: str, fate: str) -> None:
+        if fate == "report lost":
+            return
+        if fate == "report late":
+            self.late.append(lambda: self._deliver(node, report, "arrives"))
+            return
+        self._deliver(node, report, fate)
+        if fate == "report twice":
+            self.late.append(lambda: self._deliver(node, report, "arrives"))
+
+    def _pick(self, index: int) -> FakeOwner | None:
+        names = sorted(self.owners)
+        return self.owners[names[index % len(names)]] if names else None
+
+    @rule(index=st.integers(0, 4), fate=st.sampled_from(FATES), to_leader=st.booleans())
+    def report(self, index: int, fate: str, to_leader: bool) -> None:
+        owner = self._pick(index)
+        node = self.leader if to_leader else "b" if self.leader == "a" else "a"
+        if owner is not None:
+            self._do(lambda: self._send(owner.holder.report(SERVICE), node, fate))
+
+    @rule(index=st.integers(0, 4))
+    def late_message_arrives(self, index: int) -> None:
+        if self.late:
+            self._do(self.late.pop(index % len(self.late)))
+
+    # -- owners -----------------------------------------------------------------------------
+
+    @rule(index=st.integers(0, 4), num_items=st.integers(1, 20))
+    def work_comes(self, index: int, num_items: int) -> None:
+        owner = self._pick(index)
+        if owner is not None:
+            owner.num_waiting += num_items
+            self._do(owner.begin_all)
+
+    @rule(index=st.integers(0, 4))
+    def requests_end(self, index: int) -> None:
+        owner = self._pick(index)
+        if owner is not None:
+            self._do(owner.end_one_each)
+            self._do(owner.begin_all)
+
+    @rule(is_seen=st.booleans())
+    def join(self, is_seen: bool) -> None:
+        if len(self.owners) >= MAX_OWNERS:
+            return
+        name = f"o{self.num_joined}"
+        self.num_joined += 1
+        self.owners[name] = FakeOwner(name, self.view)
+        self.runs[name] = _Runs()
+        if is_seen:
+            self.view.owners.add(name)
+
+    @rule()
+    def view_is_refreshed(self) -> None:
+        self.view.owners.clear()
+        self.view.owners.update(self.owners)
+
+    @rule(index=st.integers(0, 4), fate=st.sampled_from(FATES))
+    def leave(self, index: int, fate: str) -> None:
+        owner = self._pick(index)
+        if owner is None or owner.total_in_flight():
+            return
+        owner.num_waiting = 0
+
+        def act() -> None:
+            report = owner.holder.leave(SERVICE)
+            if report is not None:
+                self._send(report, self.leader, fate)
+
+        self._do(act)
+
+    @rule(index=st.integers(0, 4))
+    def owner_dies(self, index: int) -> None:
+        owner = self._pick(index)
+        if owner is not None:
+            del self.owners[owner.name]
+
+    # -- leaders, workers, time -------------------------------------------------------------
+
+    @rule(handover_s=st.sampled_from(HANDOVERS_S))
+    def other_node_leads(self, handover_s: float) -> None:
+        """The former leader may not know yet, but its session has ended."""
+        self.leader = "b" if self.leader == "a" else "a"
+        self.token += 1
+        node = self.nodes[self.leader]
+        node.leadership.fencing_token = self.token
+        node.acts_from_s = self.loop.time() + handover_s
+        node.arbiter.note_leadership(self.loop.time())
+
+    @rule()
+    def leader_starts_again(self) -> None:
+        """It need not wait, and sees the fleet as it is."""
+        self.view_is_refreshed()
+        acts_from_s = self.nodes[self.leader].acts_from_s
+        self.token += 1
+        node = self.nodes[self.leader] = self._node(self.leader)
+        node.leadership.fencing_token = self.token
+        node.acts_from_s = max(acts_from_s, self.loop.time())
+        node.arbiter.note_leadership(self.loop.time())
+
+    @rule(index=st.integers(0, 2), capacity=st.sampled_from(CAPACITIES))
+    def worker_is_replaced(self, index: int, capacity: int) -> None:
+        name = sorted(self.view.workers)[index]
+        del self.view.workers[name]
+        worker = make_worker(f"e{self.num_workers}", capacity)
+        self.num_workers += 1
+        self.view.workers[worker.id] = worker
+        for owner in self.owners.values():
+            owner.workers.remove(name)
+            owner.workers.put(worker)
+
+    @rule(seconds=st.sampled_from([0.05, 0.2, 0.6, 1.0, 3.5]))
+    def time_passes(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    # -- promises ---------------------------------------------------------------------------
+
+    def _all_is_well_for_a_while(self) -> None:
+        self.view_is_refreshed()
+        for _ in range(int(SETTLED_S / ROUND_S)):
+            for owner in self.owners.values():
+                owner.num_waiting = DEMAND
+            for index in range(len(self.owners)):
+                self.requests_end(index)
+                self.report(index, "arrives", to_leader=True)
+            self.time_passes(ROUND_S)
+        self._do(self._check_settled)
+
+    def _check_settled(self) -> None:
+        for owner in self.owners.values():
+            assert owner.total_limit() >= 1
+        for worker in self.view.workers.values():
+            limits = [owner.holder.limit(worker) for owner in self.owners.values()]
+            assert not limits or sum(limits) == worker.capacity
+
+    @invariant()
+    def no_worker_gets_more_than_its_capacity_within_grants(self) -> None:
+        self._do(self._check_capacity)
+
+    def _check_capacity(self) -> None:
+        for worker in self.view.workers.values():
+            granted = [owner.holder.granted(worker) or 0 for owner in self.owners.values()]
+            assert sum(granted) <= worker.capacity
+            covered = 0
+            for name, owner in self.owners.items():
+                in_flight = owner.in_flight(worker)
+                uncovered = self.runs[name].uncovered
+                if owner.holder.granted(worker) is None:
+                    uncovered[worker.id] = in_flight
+                uncovered[worker.id] = min(uncovered[worker.id], in_flight)
+                covered += in_flight - uncovered[worker.id]
+            assert covered <= worker.capacity
+
+    def teardown(self) -> None:
+        self._all_is_well_for_a_while()
+        self.no_worker_gets_more_than_its_capacity_within_grants()
+        self.loop.close()
+
+
+SharingUnderFaults.TestCase.settings = settings(
+    max_examples=20, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestSharingUnderFaults = SharingUnderFaults.TestCase
