--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -76,6 +76,7 @@
         self.loads = WorkerLoads(zone, rng, self.num_in_flight)
         self._best_paces_s: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._end_listeners: list[Callable[[Worker], None]] = []
 
     @property
     def rng(self) -> random.Random:
@@ -86,6 +87,10 @@
         """Call a listener whenever a worker may have become available."""
         self._listeners.append(listener)
 
+    def on_end(self, listener: Callable[[Worker], None]) -> None:
+        """Call a listener with the worker of each request that is over."""
+        self._end_listeners.append(listener)
+
     def put(self, worker: Worker) -> None:
         """Take in a worker's newest state; that of a life before the known one is ignored."""
         known = self._workers.get(worker.id)
@@ -151,7 +156,11 @@
         return None if worker is None or self._is_paused(worker) else worker
 
     def choose_place(
-        self, service: str, excluded: Collection[WorkerLife], is_eligible: Eligible
+        self,
+        service: str,
+        excluded: Collection[WorkerLife],
+        is_eligible: Eligible,
+        limit: Callable[[Worker], int] | None = None,
     ) -> Worker | None:
         """Choose the fastest worker of a service that has room for a run.
 
@@ -162,18 +171,25 @@
             service: The service.
             excluded: Lives of workers not to be chosen.
             is_eligible: Further condition.
+            limit: Returns how many requests this node may have in flight at a worker; ``None`` for
+                its capacity.
         """
         candidates = [
             worker
             for worker in self.serving(service)
             if worker.life not in excluded and is_eligible(worker)
         ]
-        ready = [worker for worker in candidates if not self._is_paused(worker)]
-        if any(not self.is_much_slower(worker) for worker in candidates):
-            ready = [worker for worker in ready if not self.is_much_slower(worker)]
-        with_room = [worker for worker in ready if self._load(worker) < 1.0]
+        with_room = [worker for worker in self._usable(candidates) if self._has_room(worker, limit)]
         return min(with_room, key=self._placing_cost, default=None)
 
+    def placeable(self, service: str) -> list[Worker]:
+        """Return a service's workers at which runs are placed now, full ones included."""
+        return self._usable(self.serving(service))
+
+    def has_room(self, service: str, limit: Callable[[Worker], int]) -> bool:
+        """Whether this node may place anything at any worker of a service."""
+        return any(self._has_room(worker, limit) for worker in self.serving(service))
+
     def begin(self, worker: Worker) -> None:
         """A request goes to a worker."""
         self._evidence.setdefault(worker.life, _Evidence()).num_in_flight += 1
@@ -184,6 +200,8 @@
         evidence.num_in_flight -= 1
         if not self.knows(worker.life):
             self._drop_evidence_at_rest(worker)
+        for listener in self._end_listeners:
+            listener(worker)
         self._notify()
 
     def note_success(self, worker: Worker) -> None:
@@ -278,7 +296,7 @@
 
         So many times longer than usual a request takes that is the last one sent there.
         """
-        return max(1.0, self._load(worker))
+        return max(1.0, self.num_in_flight(worker) / max(1, worker.capacity))
 
     def _of(self, worker: Worker) -> _Evidence:
         """What was seen of a worker; of one that is gone and at rest nothing is remembered."""
@@ -296,8 +314,16 @@
     def _is_paused(self, worker: Worker) -> bool:
         return now_s() < self._of(worker).paused_until_s
 
-    def _load(self, worker: Worker) -> float:
-        return self._of(worker).num_in_flight / max(1, worker.capacity)
+    def _usable(self, workers: list[Worker]) -> list[Worker]:
+        """Those of some workers that answer, without much slower ones if there are others."""
+        ready = [worker for worker in workers if not self._is_paused(worker)]
+        if any(not self.is_much_slower(worker) for worker in workers):
+            return [worker for worker in ready if not self.is_much_slower(worker)]
+        return ready
+
+    def _has_room(self, worker: Worker, limit: Callable[[Worker], int] | None) -> bool:
+        max_in_flight = max(1, worker.capacity) if limit is None else limit(worker)
+        return self._of(worker).num_in_flight < max_in_flight
 
     def _slowness(self, worker: Worker) -> float:
         """A worker's recent pace as a multiple of the best of its service."""
