--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -21,6 +21,7 @@
 from hollowrack.coordination.store import Committed, Put, StoredItem
 from hollowrack.edge_connections import EdgeConnections
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_statistics import DispatchStatistics
 from hollowrack.forwarding.forwarder import Forwarder
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
@@ -107,7 +108,8 @@
         self.forwarder = Forwarder(
             self.routes, self.workers, connections.back_ends, self.usage, self.quarantine
         )
-        self.queue = DispatchQueue(self.workers)
+        statistics = DispatchStatistics()
+        self.queue = DispatchQueue(self.workers, statistics)
         self.session = Session(store, rng)
         self.leadership = Leadership(store, self.session, LEADER_KEY, self.owner, handover_s, rng)
         self._named_versions: dict[str, int] = {}
@@ -119,6 +121,7 @@
             self.queue,
             connections.read_version,
             self.quarantine,
+            statistics=statistics,
         )
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -1,26 +1,101 @@
 """Hands out places at workers to waiting items in the order of their rank."""
 
 import asyncio
+import bisect
 import itertools
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 
+from hollowrack.clock import now_s
+from hollowrack.forwarding.dispatch_rank import DispatchRank
+from hollowrack.forwarding.dispatch_statistics import DispatchStatistics, WaitPlace
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 
 # Pauses of workers end without notice, so that waiting items look again now and then.
 LOOK_AGAIN_S = 0.05
 
-Rank = tuple[int, ...]
+RankOf = Callable[[], DispatchRank]
 
 
-@dataclass(order=True)
+@dataclass(eq=False)
 class _Waiter:
-    rank: Rank
+    """One wait for a place.
+
+    Attributes:
+        rank_of: Returns its rank as it is now.
+        rank: Its rank when the queue was last sorted.
+        number: Breaks ties in the order of arrival.
+        since_s: When it began to wait, on the loop's clock.
+    """
+
+    rank_of: RankOf
+    rank: DispatchRank
     number: int
-    service: str = field(compare=False)
-    is_eligible: Eligible = field(compare=False)
-    avoided: frozenset[str] = field(compare=False)
-    place: "asyncio.Future[Worker]" = field(compare=False)
+    since_s: float
+    service: str
+    is_eligible: Eligible
+    avoided: frozenset[str]
+    place: "asyncio.Future[Worker]"
+
+    @property
+    def sort_key(self) -> tuple[DispatchRank, int]:
+        """Lower keys go first."""
+        return (self.rank, self.number)
+
+
+@dataclass(frozen=True)
+class WaitingLoad:
+    """What waits for the workers of one service.
+
+    Attributes:
+        num_waiting: How many runs wait.
+        oldest_wait_s: How long the one that came first has waited, in seconds.
+    """
+
+    num_waiting: int
+    oldest_wait_s: float
+
+
+class _PassMemory:
+    """What one pass over the waiters has found; room only becomes less while it lasts.
+
+    With hundreds of waiters and no room, a look for each of them at each change would take a whole
+    processor: 300 waiters before 44 full workers took 15 s of one for each second.
+
+    Args:
+        workers: The workers known.
+    """
+
+    def __init__(self, workers: WorkerDirectory) -> None:
+        self._workers = workers
+        self._has_room: dict[str, bool] = {}
+        self._without_place: set[tuple[str, Eligible, frozenset[str]]] = set()
+
+    def choose(self, waiter: _Waiter) -> Worker | None:
+        """Choose a place for a waiter, without a look if there can be none."""
+        if not self._has_room_in(waiter.service):
+            return None
+        worker = self._look(waiter, waiter.avoided)
+        if worker is None and waiter.avoided:
+            worker = self._look(waiter, frozenset())
+        if worker is not None:
+            self._has_room.pop(waiter.service)
+        return worker
+
+    def _has_room_in(self, service: str) -> bool:
+        if service not in self._has_room:
+            self._has_room[service] = self._workers.has_room(service)
+        return self._has_room[service]
+
+    def _look(self, waiter: _Waiter, avoided: frozenset[str]) -> Worker | None:
+        wish = (waiter.service, waiter.is_eligible, avoided)
+        if wish in self._without_place:
+            return None
+        worker = self._workers.choose_place(waiter.service, avoided, waiter.is_eligible)
+        if worker is None:
+            self._without_place.add(wish)
+        return worker
 
 
 class DispatchQueue:
@@ -28,13 +103,18 @@
 
     Args:
         workers: The workers known.
+        statistics: Counts how long places were waited for.
     """
 
-    def __init__(self, workers: WorkerDirectory) -> None:
+    def __init__(
+        self, workers: WorkerDirectory, statistics: DispatchStatistics | None = None
+    ) -> None:
         self._workers = workers
+        self._statistics = statistics or DispatchStatistics()
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
+        self._is_order_old = False
         workers.on_change(self._schedule_now)
 
     @property
@@ -42,21 +122,41 @@
         """How many items wait."""
         return len(self._waiters)
 
+    def waiting_by_service(self) -> dict[str, WaitingLoad]:
+        """Return what waits, by service."""
+        now = now_s()
+        loads: dict[str, WaitingLoad] = {}
+        for waiter in self._waiters:
+            load = loads.get(waiter.service, WaitingLoad(0, 0.0))
+            oldest_wait_s = max(load.oldest_wait_s, now - waiter.since_s)
+            loads[waiter.service] = WaitingLoad(load.num_waiting + 1, oldest_wait_s)
+        return loads
+
     async def acquire(
-        self, service: str, rank: Rank, is_eligible: Eligible, avoided: frozenset[str]
+        self, service: str, rank_of: RankOf, is_eligible: Eligible, avoided: frozenset[str]
     ) -> Worker:
         """Wait for a place at a worker; it counts as begun and must be given back.
 
         Args:
             service: The service.
-            rank: Lower ranks go first.
-            is_eligible: Which of its workers will do.
+            rank_of: Returns the rank; lower ranks go first. It is asked again after
+                :meth:`note_reordered`.
+            is_eligible: Which of its workers will do. Waiters whose conditions compare equal share
+                one look at the workers.
             avoided: Workers taken only if there is no other.
         """
         place: asyncio.Future[Worker] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(rank, next(self._numbers), service, is_eligible, avoided, place)
-        self._waiters.append(waiter)
-        self._waiters.sort()
+        waiter = _Waiter(
+            rank_of,
+            rank_of(),
+            next(self._numbers),
+            now_s(),
+            service,
+            is_eligible,
+            avoided,
+            place,
+        )
+        bisect.insort(self._waiters, waiter, key=lambda other: other.sort_key)
         self._schedule_now()
         try:
             return await place
@@ -68,6 +168,10 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
+    def note_reordered(self) -> None:
+        """Ranks of waiters may have changed: sort them before places are handed out again."""
+        self._is_order_old = True
+
     def _schedule_now(self) -> None:
         self._schedule(0.0)
 
@@ -81,18 +185,30 @@
             self._timer.cancel()
         self._timer = loop.call_later(delay_s, self._grant)
 
+    def _sort_again(self) -> None:
+        self._is_order_old = False
+        for waiter in self._waiters:
+            waiter.rank = waiter.rank_of()
+        self._waiters.sort(key=lambda waiter: waiter.sort_key)
+
     def _grant(self) -> None:
         self._timer = None
-        for waiter in list(self._waiters):
-            worker = self._choose(waiter)
-            if worker is not None and not waiter.place.done():
-                self._waiters.remove(waiter)
-                self._workers.begin(worker)
-                waiter.place.set_result(worker)
+        if self._is_order_old:
+            self._sort_again()
+        memory = _PassMemory(self._workers)
+        left: list[_Waiter] = []
+        for waiter in self._waiters:
+            if waiter.place.done():
+                continue
+            worker = memory.choose(waiter)
+            if worker is None:
+                left.append(waiter)
+            else:
+                self._give(waiter, worker)
+        self._waiters = left
         self._schedule(LOOK_AGAIN_S)
 
-    def _choose(self, waiter: _Waiter) -> Worker | None:
-        preferred = self._workers.choose_place(waiter.service, waiter.avoided, waiter.is_eligible)
-        if preferred is not None or not waiter.avoided:
-            return preferred
-        return self._workers.choose_place(waiter.service, (), waiter.is_eligible)
+    def _give(self, waiter: _Waiter, worker: Worker) -> None:
+        self._workers.begin(worker)
+        self._statistics.note_wait(WaitPlace.NODE_QUEUE, now_s() - waiter.since_s)
+        waiter.place.set_result(worker)
--- /dev/null
+++ b/src/hollowrack/forwarding/dispatch_rank.py
@@ -0,0 +1,37 @@
+"""The order in which waiting work is given places at workers."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+NEVER_DUE_S = float("inf")
+
+
+class WorkKind(IntEnum):
+    """Who waits for the work; lower values go first at equal priority."""
+
+    CALLER_STREAM = 0
+    JOB_ITEM = 1
+
+
+class DispatchRank(NamedTuple):
+    """What decides who goes first, compared field by field; the lowest goes first.
+
+    Attributes:
+        priority: Priority of the route, 0 first.
+        kind: A caller reads its stream now and goes before items.
+        is_surplus: Whether the job's trainer can do without the item's group.
+        due_s: When the job's results are due, on the loop's clock.
+        sequence: Number of the job on this node; of jobs that are due together the earlier goes
+            first.
+        group_place: Place of the item's group among those of its job.
+        minus_tokens_left: Tokens still expected, negated: the longest item of a group goes first,
+            as what starts last should not be what takes longest.
+    """
+
+    priority: int
+    kind: WorkKind = WorkKind.CALLER_STREAM
+    is_surplus: bool = False
+    due_s: float = NEVER_DUE_S
+    sequence: int = 0
+    group_place: int = 0
+    minus_tokens_left: int = 0
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -17,9 +17,11 @@
     NotRunReason,
     OpenAnswer,
 )
+from hollowrack.forwarding.dispatch_statistics import DispatchStatistics
 from hollowrack.forwarding.event_stream import EventStreamError, EventStreamParser, StreamEvent
 from hollowrack.forwarding.faster_place import FasterPlace, MovePolicy
 from hollowrack.forwarding.patience import FirstEventPatience
+from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
@@ -101,6 +103,7 @@
         quarantine: Keeps calls that end their workers from further workers.
         after_event: Begin behind this event; ``None`` for the beginning.
         moves: When the run should go on at a faster worker; ``None`` for never.
+        waits: Follows what the run waits for; ``None`` if nobody wants to know.
     """
 
     def __init__(
@@ -115,10 +118,12 @@
         quarantine: Quarantine,
         after_event: int | None = None,
         moves: MovePolicy | None = None,
+        waits: RunWaits | None = None,
     ) -> None:
         self.head: OpenAnswer | None = None
         self.num_attempts = 0
         self.waited_for_places_s = 0.0
+        self.waits = waits or RunWaits("", DispatchStatistics())
         self._call = call
         self._back_ends = back_ends
         self._workers = workers
@@ -154,8 +159,10 @@
 
     async def _attempts(self) -> AsyncGenerator[VersionedEvent]:
         while True:
+            waited_before_s = self.waited_for_places_s
             worker = await self._next_allowed_place()
             self.num_attempts += 1
+            self.waits.note_begin(worker.id, self.waited_for_places_s - waited_before_s)
             try:
                 async with contextlib.aclosing(self._events_of(worker)) as events:
                     async for event in events:
@@ -165,6 +172,7 @@
                 return
             except NotRunError as error:
                 self._workers.note_not_run(worker, error.reason)
+                self.waits.note_not_run(error.reason)
             except _SlowWorkerError:
                 logging.info(
                     "run %s: leaves slower worker %s after event %s",
@@ -186,6 +194,7 @@
                         self._call.request_id, self._fingerprint, worker, goes_on=True
                     )
             finally:
+                self.waits.note_end()
                 self._leave(worker)
             self._avoided = frozenset({worker.id})
             await asyncio.sleep(MIN_PAUSE_S)
@@ -278,6 +287,7 @@
                 break
             whole = parser.feed(chunk)
             if whole:
+                self.waits.note_event()
                 self._workers.note_pace(worker, (now_s() - last_s) / len(whole))
                 last_s = now_s()
                 num_events += len(whole)
--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from absl import logging
 
@@ -31,6 +31,7 @@
         self._configuration: RoutingConfiguration | None = None
         self._by_host: dict[str, list[Route]] = {}
         self._credits: dict[tuple[str, str], float] = {}
+        self._services_with_ranks: frozenset[str] = frozenset()
 
     @property
     def version(self) -> int | None:
@@ -77,6 +78,7 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._by_host = dict(by_host)
+        self._services_with_ranks = _services_with_ranks(configuration.routes)
         self._configuration = configuration
         self._changed.set()
         self._changed = asyncio.Event()
@@ -131,6 +133,19 @@
     def _routes_of(self, host: str) -> list[Route]:
         return self._by_host.get(host.partition(":")[0].lower(), [])
 
+    def worker_priority(self, priority: int, service: str) -> int | None:
+        """Return the priority that workers of a service should be told.
+
+        Args:
+            priority: Priority of the request's route.
+            service: The service.
+
+        Returns:
+            The priority; ``None`` if all routes of the service have the same, so that the workers'
+            default ranks them as well.
+        """
+        return priority if service in self._services_with_ranks else None
+
     def choose_service(self, route: Route) -> str:
         """Choose a route's service by weight: smooth weighted round robin."""
         if len(route.targets) == 1:
@@ -146,3 +161,12 @@
                 best, best_credit = target, credit
         self._credits[(route.name, best.service)] -= total
         return best.service
+
+
+def _services_with_ranks(routes: Iterable[Route]) -> frozenset[str]:
+    """The services whose routes have different priorities."""
+    priorities: defaultdict[str, set[int]] = defaultdict(set)
+    for route in routes:
+        for target in route.targets:
+            priorities[target.service].add(route.priority)
+    return frozenset(service for service, found in priorities.items() if len(found) > 1)
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -13,6 +13,7 @@
     OpenAnswer,
 )
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import (
     HTTP_SUCCESS,
@@ -92,10 +93,10 @@
     ) -> AsyncGenerator[StreamPart]:
         service = self._routes.choose_service(request.route)
         end_s = end_of_request_s(request)
+        rank = DispatchRank(request.route.priority, WorkKind.CALLER_STREAM)
 
         async def acquire(avoided: frozenset[str]) -> Worker:
-            rank = (request.route.priority,)
-            return await self._queue.acquire(service, rank, lambda _: True, avoided)
+            return await self._queue.acquire(service, lambda: rank, _any_worker, avoided)
 
         limits = RunLimits(
             request.route.max_attempts,
@@ -194,3 +195,9 @@
         finally:
             if answer is not None:
                 answer.abort()
+
+
+def _any_worker(worker: Worker) -> bool:
+    """Every worker of the service will do; one function for all, so that waiters share looks."""
+    del worker
+    return True
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -142,6 +142,13 @@
         with_room = [worker for worker in ready if self._load(worker) < 1.0]
         return min(with_room, key=self._placing_cost, default=None)
 
+    def has_room(self, service: str) -> bool:
+        """Whether a run might get a place at a worker of a service, whatever it needs."""
+        return any(
+            self._load(worker) < 1.0 and not self._is_paused(worker)
+            for worker in self.serving(service)
+        )
+
     def begin(self, worker: Worker) -> None:
         """A request goes to a worker."""
         self._of(worker).num_in_flight += 1
--- a/src/hollowrack/jobs/item_moves.py
+++ b/src/hollowrack/jobs/item_moves.py
@@ -1,6 +1,6 @@
 """When an item goes on at a faster worker: a pure estimate of the time that it saves."""
 
-from hollowrack.forwarding.dispatch_queue import DispatchQueue, Rank
+from hollowrack.forwarding.dispatch_queue import DispatchQueue, RankOf
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.lengths import LengthEstimate
@@ -19,7 +19,7 @@
         service: Service that runs the item.
         model: Model that makes its tokens; empty if versions do not bind it.
         expected_tokens: How many tokens its caller expects; 0 if that is not told.
-        rank: Its rank in the queue.
+        rank_of: Returns its rank in the queue.
     """
 
     def __init__(
@@ -30,7 +30,7 @@
         service: str,
         model: str,
         expected_tokens: int,
-        rank: Rank,
+        rank_of: RankOf,
     ) -> None:
         self._workers = workers
         self._queue = queue
@@ -38,7 +38,7 @@
         self._service = service
         self._model = model
         self._expected_tokens = expected_tokens
-        self._rank = rank
+        self._rank_of = rank_of
 
     def is_worthwhile(self, worker: Worker, num_events: int) -> bool:
         """Whether the fastest worker would end the item clearly sooner."""
@@ -53,7 +53,7 @@
             )
 
         avoided = frozenset({worker.id})
-        return await self._queue.acquire(self._service, self._rank, is_faster, avoided)
+        return await self._queue.acquire(self._service, self._rank_of, is_faster, avoided)
 
     def _saves_enough(self, worker: Worker, other: Worker | None, num_events: int) -> bool:
         num_left = self._lengths.num_events_left(self._expected_tokens, num_events)
--- /dev/null
+++ b/src/hollowrack/jobs/item_order.py
@@ -0,0 +1,76 @@
+"""Decides in which order the items of a job should run, from what its trainer waits for.
+
+Answers the load of several jobs on too little room: each trainer waits for most of its groups, but
+not for all, and a group is worth something to it only once it is whole. So groups are completed one
+after the other, those nearest to whole first, and those it can do without come last.
+"""
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from hollowrack.jobs.types import Job
+
+# Trainers bring unfinished groups back at the head of a later job, at most half of those that they
+# wait for, and need them whatever else is whole.
+MAX_RETURNED_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class ItemPlace:
+    """Place of an item in the order of its job.
+
+    Attributes:
+        is_surplus: Whether the trainer can do without the item's group.
+        group_place: Place of its group, 0 first.
+    """
+
+    is_surplus: bool = False
+    group_place: int = 0
+
+
+class _Nearness(NamedTuple):
+    """How far a group is from being whole; the lowest is nearest."""
+
+    num_tokens_left: int
+    num_items_left: int
+    position: int
+
+
+def order_items(job: Job, tokens_left: Mapping[str, int]) -> dict[str, ItemPlace]:
+    """Return the place of each unfinished item.
+
+    Args:
+        job: The job.
+        tokens_left: Tokens still expected of each unfinished item, by its identifier; 0 where that
+            is not known.
+    """
+    if not job.num_desired_groups:
+        return {item_id: ItemPlace() for item_id in tokens_left}
+    distances = _distances(job, tokens_left)
+    order = sorted(distances, key=lambda group: distances[group])
+    needed = _needed_groups(job, order, distances)
+    places = {group: ItemPlace(group not in needed, place) for place, group in enumerate(order)}
+    return {item.id: places[item.group] for item in job.items if item.id in tokens_left}
+
+
+def _distances(job: Job, tokens_left: Mapping[str, int]) -> dict[str, _Nearness]:
+    """How far each group is from being whole, in the order of the job."""
+    left: defaultdict[str, list[int]] = defaultdict(list)
+    for item in job.items:
+        left[item.group] += [tokens_left[item.id]] if item.id in tokens_left else []
+    return {
+        group: _Nearness(sum(tokens), len(tokens), position)
+        for position, (group, tokens) in enumerate(left.items())
+    }
+
+
+def _needed_groups(
+    job: Job, order: Sequence[str], distances: Mapping[str, _Nearness]
+) -> frozenset[str]:
+    """The groups that the trainer should get: the head of the job, then the nearest to whole."""
+    num_head = int(job.num_desired_groups * MAX_RETURNED_SHARE)
+    head = [group for group in order if distances[group].position < num_head]
+    others = [group for group in order if distances[group].position >= num_head]
+    return frozenset([*head, *others][: job.num_desired_groups])
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -10,7 +10,9 @@
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import BackEndCall, BackEndClient
-from hollowrack.forwarding.dispatch_queue import DispatchQueue, Rank
+from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_rank import NEVER_DUE_S, DispatchRank, WorkKind
+from hollowrack.forwarding.dispatch_statistics import DispatchStatistics, WaitPlace
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import Forwarder, ForwardRequest, WholeAnswer
 from hollowrack.forwarding.patience import FirstEventPatience
@@ -22,9 +24,12 @@
     VersionedEvent,
 )
 from hollowrack.forwarding.route_table import RouteTable
+from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Route, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.jobs.item_eligibility import ItemEligibility
 from hollowrack.jobs.item_moves import ItemMoves
+from hollowrack.jobs.item_order import ItemPlace
 from hollowrack.jobs.lengths import LengthEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
 from hollowrack.quarantine.fingerprint import fingerprint_of
@@ -84,6 +89,7 @@
         patience: Longest wait for the first event of a generation.
         lengths: How many events items will have.
         num_given_up: How many items were given up here, by reason.
+        statistics: Counts what runs, is refused and waits.
     """
 
     routes: RouteTable
@@ -98,6 +104,20 @@
     )
     lengths: LengthEstimate = field(default_factory=LengthEstimate)
     num_given_up: Counter[GiveUpReason] = field(default_factory=Counter)
+    statistics: DispatchStatistics = field(default_factory=DispatchStatistics)
+
+
+@dataclass(frozen=True)
+class JobStanding:
+    """What places a job among the others of this node.
+
+    Attributes:
+        sequence: Its number on this node; earlier jobs have lower ones.
+        owned_s: When this node began to own it, on the loop's clock.
+    """
+
+    sequence: int
+    owned_s: float
 
 
 class ItemRunner:
@@ -107,13 +127,15 @@
         services: What running takes.
         job: Its job.
         item: The item.
-        sequence: Number of the job on this node; items of earlier jobs go first.
+        standing: What places the job among the others of this node.
+        on_outgrown: Called whenever the item has outgrown the estimate of its length.
         kept: What an earlier owner of the job has generated of it, from its beginning.
 
     Attributes:
         events: What has been generated so far.
         num_restarts: How often generation began again from nothing.
         is_generated: Whether the text is whole.
+        place: Its place in the order of its job.
     """
 
     def __init__(
@@ -121,7 +143,8 @@
         services: ItemServices,
         job: Job,
         item: JobItem,
-        sequence: int,
+        standing: JobStanding,
+        on_outgrown: Callable[[], None],
         kept: Sequence[VersionedEvent] = (),
     ) -> None:
         self.events: list[VersionedEvent] = list(kept)
@@ -130,21 +153,36 @@
         self._services = services
         self._job = job
         self._item = item
-        # The longest first: what starts last should not be what takes longest.
-        num_left = services.lengths.num_tokens_left(item.expected_tokens, len(kept))
-        self._rank: Rank = (sequence, 0, -num_left)
+        self._standing = standing
+        self._on_outgrown = on_outgrown
+        self._priority = 0
+        self._due_s = NEVER_DUE_S
+        self.place = ItemPlace()
 
     @property
     def item_id(self) -> str:
         """The item's identifier."""
         return self._item.id
 
+    @property
+    def num_tokens_left(self) -> int:
+        """How many tokens it has before it, as far as known; 0 if that is not known."""
+        if self.is_generated:
+            return 0
+        return self._services.lengths.num_tokens_left(self._item.expected_tokens, len(self.events))
+
     async def run(self) -> ItemResult:
         """Run the item; the result says whether it is whole or given up."""
+        started_s = now_s()
+        result = await self._run_in_time()
+        self._services.statistics.note_wait(WaitPlace.WHOLE_ITEM, now_s() - started_s)
+        return result
+
+    async def _run_in_time(self) -> ItemResult:
         job_route = await self._route_of(self._job.target)
         if job_route is not None:
-            sequence, _, num_left = self._rank
-            self._rank = (sequence, job_route.priority, num_left)
+            self._priority = job_route.priority
+            self._due_s = self._standing.owned_s + (job_route.result_deadline_s or NEVER_DUE_S)
         limit = asyncio.timeout_at(_give_up_time_s(job_route))
         try:
             async with limit:
@@ -226,6 +264,18 @@
         )
         await self._services.quarantine.wait_until_lifted(fingerprint_of(self._call()))
 
+    def _rank(self) -> DispatchRank:
+        """The item's rank in the queue as it is now."""
+        return DispatchRank(
+            self._priority,
+            WorkKind.JOB_ITEM,
+            self.place.is_surplus,
+            self._due_s,
+            self._standing.sequence,
+            self.place.group_place,
+            -self.num_tokens_left,
+        )
+
     def _call(self) -> BackEndCall:
         return BackEndCall(
             self._item.id,
@@ -245,19 +295,17 @@
         """Generate whatever is missing."""
         services = self._services
         service = services.routes.choose_service(route)
-
-        fingerprint = fingerprint_of(self._call())
-
-        def is_eligible(worker: Worker) -> bool:
-            is_apart = services.quarantine.places.allows(fingerprint, worker.id)
-            return is_apart and self._has_weights(worker)
+        priority = services.routes.worker_priority(self._priority, service)
+        call = replace(self._call(), priority=priority)
+        fingerprint = fingerprint_of(call)
 
         async def acquire(avoided: frozenset[str]) -> Worker:
+            is_eligible = self._eligibility(fingerprint)
             return await services.queue.acquire(service, self._rank, is_eligible, avoided)
 
         limits = RunLimits(route.max_attempts, services.patience, SILENCE_TIMEOUT_S, RUN_TIME_S)
         run = ResumableRun(
-            self._call(),
+            call,
             services.back_ends,
             services.workers,
             acquire,
@@ -267,15 +315,15 @@
             services.quarantine,
             self.events[-1].event.number if self.events else None,
             moves=self._moves(service, route),
+            waits=RunWaits(service, services.statistics),
         )
         started_s = now_s()
         num_kept = len(self.events)
-        async for event in run.events():
-            self.events.append(event)
+        await self._take_events(run)
         services.lengths.note(self._item.expected_tokens, len(self.events))
         logging.info(
             "item %s of job %s: %d events (%d kept, %d tokens expected) by %d attempts in %.2f s, "
-            "%.2f s of it waiting",
+            "%.2f s of it waiting: %s",
             self._item.id,
             self._job.id,
             len(self.events),
@@ -284,8 +332,20 @@
             run.num_attempts,
             now_s() - started_s,
             run.waited_for_places_s,
+            run.waits.describe(),
         )
 
+    async def _take_events(self, run: ResumableRun) -> None:
+        """Take in all events of a run."""
+        lengths = self._services.lengths
+        expected_tokens = self._item.expected_tokens
+        next_estimate_at = lengths.next_estimate_at(expected_tokens, len(self.events))
+        async for event in run.events():
+            self.events.append(event)
+            if len(self.events) > next_estimate_at:
+                next_estimate_at = lengths.next_estimate_at(expected_tokens, len(self.events))
+                self._on_outgrown()
+
     def _moves(self, service: str, route: Route) -> ItemMoves | None:
         """When to move the item; never where a move could bring in a second version."""
         if route.needs_single_version:
@@ -300,10 +360,19 @@
             self._rank,
         )
 
-    def _has_weights(self, worker: Worker) -> bool:
-        if not self._job.model:
-            return True
-        return worker.model_versions.get(self._job.model, 0) >= self._job.min_version
+    def _eligibility(self, fingerprint: str) -> ItemEligibility:
+        """Which workers may run the item; an item under suspicion has a condition of its own.
+
+        One that comes under suspicion while it waits is checked again before it begins.
+        """
+        quarantine = self._services.quarantine
+        is_suspect = quarantine.register.num_ended(fingerprint) > 0
+        return ItemEligibility(
+            self._job.model,
+            self._job.min_version,
+            fingerprint if is_suspect else None,
+            quarantine.places,
+        )
 
     def _accepts(self, version: int | None) -> bool:
         return version is None or version >= self._job.min_version
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -8,7 +8,9 @@
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import NotDone, Unknown
-from hollowrack.jobs.item_runner import ItemRunner, ItemServices
+from hollowrack.forwarding.dispatch_statistics import WaitPlace
+from hollowrack.jobs.item_order import order_items
+from hollowrack.jobs.item_runner import ItemRunner, ItemServices, JobStanding
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
 from hollowrack.jobs.progress import (
     ItemProgress,
@@ -68,7 +70,7 @@
         self.changed = asyncio.Event()
         self._log = log
         self._services = services
-        self._sequence = sequence
+        self._standing = JobStanding(sequence, now_s())
         self._on_done = on_done
         listed = {result.item_id for result in results}
         self._finished = [result for result in unlisted if result.item_id not in listed]
@@ -79,6 +81,7 @@
         self._kept = kept or {}
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._item_runners: dict[str, ItemRunner] = {}
+        self._ended_s: dict[str, float] = {}
         self._saver = ProgressSaver(job.id, progress, self._item_runners.values)
         self._listing = asyncio.Lock()
         self._follow_task: asyncio.Task[None] | None = None
@@ -181,14 +184,32 @@
             if item.id in listed:
                 continue
             kept = self._kept.get(item.id, ())
-            runner = ItemRunner(self._services, self.job, item, self._sequence, kept)
+            runner = ItemRunner(
+                self._services, self.job, item, self._standing, self._order_items, kept
+            )
             self._item_runners[item.id] = runner
             self._item_tasks[item.id] = asyncio.create_task(self._run_item(runner))
+        self._order_items()
+
+    def _order_items(self) -> None:
+        """Decide anew in which order the items that wait should run."""
+        listed = {result.item_id for result in self.results}
+        open_runners = {
+            item_id: runner
+            for item_id, runner in self._item_runners.items()
+            if item_id not in listed
+        }
+        tokens_left = {item_id: runner.num_tokens_left for item_id, runner in open_runners.items()}
+        for item_id, place in order_items(self.job, tokens_left).items():
+            open_runners[item_id].place = place
+        self._services.queue.note_reordered()
 
     async def _run_item(self, runner: ItemRunner) -> None:
         result = await runner.run()
         self._item_runners.pop(runner.item_id, None)
         self._finished.append(result)
+        self._ended_s[result.item_id] = now_s()
+        self._order_items()
         self._has_finished.set()
         self._finished_another.set()
 
@@ -204,6 +225,7 @@
             if unsaved is not None:
                 self._saver.note_saved(unsaved)
             self._finished = self._finished[len(batch) :]
+            self._note_listed(batch)
             self._take_listed([*self.results, *batch])
             return True
         if outcome is AppendOutcome.OVERTAKEN:
@@ -211,6 +233,14 @@
         await asyncio.sleep(RETRY_PAUSE_S)
         return True
 
+    def _note_listed(self, batch: Sequence[ItemResult]) -> None:
+        """Count how long results that ended here waited until they were listed."""
+        for result in batch:
+            ended_s = self._ended_s.pop(result.item_id, None)
+            if ended_s is not None:
+                statistics = self._services.statistics
+                statistics.note_wait(WaitPlace.LISTING, now_s() - ended_s)
+
     async def _catch_up(self) -> bool:
         """Another writer, or an own write whose answer was lost, came first."""
         listed = await self._log.read_results(self.job.id)
--- a/src/hollowrack/jobs/lengths.py
+++ b/src/hollowrack/jobs/lengths.py
@@ -42,6 +42,20 @@
         tokens_an_event = self._num_tokens / self._num_events
         return round(tokens_an_event * self.num_events_left(expected_tokens, num_events))
 
+    def next_estimate_at(self, expected_tokens: int, num_events: int) -> float:
+        """Return at how many events an item will have outgrown its estimate.
+
+        Args:
+            expected_tokens: How many tokens its caller expects; 0 if that is not told.
+            num_events: How many events it has.
+
+        Returns:
+            A number of events; infinite while nothing is known of lengths.
+        """
+        if not self._num_items:
+            return float("inf")
+        return num_events + self.num_events_left(expected_tokens, num_events)
+
     def _num_expected(self, expected_tokens: int) -> float:
         if not self._num_items:
             return 0.0
