--- a/src/hollowrack/forwarding/run_waits.py
+++ b/src/hollowrack/forwarding/run_waits.py
@@ -54,11 +54,18 @@
         self._attempts: deque[_Attempt] = deque(maxlen=MAX_ATTEMPTS_TOLD)
         self._num_attempts = 0
         self._num_refusals = 0
+        self._is_at_worker = False
+
+    @property
+    def is_at_worker(self) -> bool:
+        """Whether an attempt has a place at a worker now."""
+        return self._is_at_worker
 
     def note_begin(self, worker_id: str, queued_s: float) -> None:
         """An attempt begins at a worker, whose place was waited for so many seconds."""
         self._attempts.append(_Attempt(worker_id, queued_s, now_s()))
         self._num_attempts += 1
+        self._is_at_worker = True
         self._statistics.num_running[self._service] += 1
 
     def note_event(self) -> None:
@@ -76,6 +83,7 @@
 
     def note_end(self) -> None:
         """The attempt has left its worker."""
+        self._is_at_worker = False
         self._statistics.num_running[self._service] -= 1
 
     def describe(self) -> str:
--- a/src/hollowrack/jobs/item_order.py
+++ b/src/hollowrack/jobs/item_order.py
@@ -1,8 +1,10 @@
 """Decides in which order the items of a job should run, from what its trainer waits for.
 
 Answers the load of several jobs on too little room: each trainer waits for most of its groups, but
-not for all, and a group is worth something to it only once it is whole. So groups are completed one
-after the other, those nearest to whole first, and those it can do without come last.
+not for all, and a group is worth most to it if it is whole when the job is due. If all groups that
+it waits for fit the time left, they run together, the longest item first, which ends them soonest.
+If not, none would be whole in time that way: then they are completed one after the other, those
+nearest to whole first. Groups that the trainer can do without come last.
 """
 
 from collections import defaultdict
@@ -23,7 +25,7 @@
 
     Attributes:
         is_surplus: Whether the trainer can do without the item's group.
-        group_place: Place of its group, 0 first.
+        group_place: Place of its group; 0 for all needed groups if they fit the time left.
     """
 
     is_surplus: bool = False
@@ -38,20 +40,29 @@
     position: int
 
 
-def order_items(job: Job, tokens_left: Mapping[str, int]) -> dict[str, ItemPlace]:
+def order_items(
+    job: Job, tokens_left: Mapping[str, int], num_tokens_in_time: float
+) -> dict[str, ItemPlace]:
     """Return the place of each unfinished item.
 
     Args:
         job: The job.
         tokens_left: Tokens still expected of each unfinished item, by its identifier; 0 where that
             is not known.
+        num_tokens_in_time: How many tokens of the job can be generated until it is due; infinite
+            if it is never due.
     """
     if not job.num_desired_groups:
         return {item_id: ItemPlace() for item_id in tokens_left}
     distances = _distances(job, tokens_left)
-    order = sorted(distances, key=lambda group: distances[group])
-    needed = _needed_groups(job, order, distances)
-    places = {group: ItemPlace(group not in needed, place) for place, group in enumerate(order)}
+    nearest_first = sorted(distances, key=lambda group: distances[group])
+    needed = _needed_groups(job, nearest_first, distances)
+    num_needed_tokens = sum(distances[group].num_tokens_left for group in needed)
+    fit_together = num_needed_tokens <= num_tokens_in_time
+    places = {
+        group: ItemPlace(group not in needed, 0 if fit_together and group in needed else place)
+        for place, group in enumerate(nearest_first, start=1)
+    }
     return {item.id: places[item.group] for item in job.items if item.id in tokens_left}
 
 
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -31,6 +31,7 @@
 from hollowrack.jobs.item_moves import ItemMoves
 from hollowrack.jobs.item_order import ItemPlace
 from hollowrack.jobs.lengths import LengthEstimate
+from hollowrack.jobs.pace import PaceEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine
@@ -88,6 +89,7 @@
         quarantine: Keeps generations that end their workers from further workers.
         patience: Longest wait for the first event of a generation.
         lengths: How many events items will have.
+        pace: How fast a place generates.
         num_given_up: How many items were given up here, by reason.
         statistics: Counts what runs, is refused and waits.
     """
@@ -103,6 +105,7 @@
         default_factory=lambda: FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
     )
     lengths: LengthEstimate = field(default_factory=LengthEstimate)
+    pace: PaceEstimate = field(default_factory=PaceEstimate)
     num_given_up: Counter[GiveUpReason] = field(default_factory=Counter)
     statistics: DispatchStatistics = field(default_factory=DispatchStatistics)
 
@@ -119,6 +122,12 @@
     sequence: int
     owned_s: float
 
+    def due_s(self, route: Route | None) -> float:
+        """Return when the job's results are due under its route, on the loop's clock."""
+        if route is None or route.result_deadline_s is None:
+            return NEVER_DUE_S
+        return self.owned_s + route.result_deadline_s
+
 
 class ItemRunner:
     """Runs one item until it has a result.
@@ -156,6 +165,7 @@
         self._standing = standing
         self._on_outgrown = on_outgrown
         self._priority = 0
+        self._waits: RunWaits | None = None
         self._due_s = NEVER_DUE_S
         self.place = ItemPlace()
 
@@ -171,6 +181,11 @@
             return 0
         return self._services.lengths.num_tokens_left(self._item.expected_tokens, len(self.events))
 
+    @property
+    def is_at_worker(self) -> bool:
+        """Whether it has a place at a worker now."""
+        return self._waits is not None and self._waits.is_at_worker
+
     async def run(self) -> ItemResult:
         """Run the item; the result says whether it is whole or given up."""
         started_s = now_s()
@@ -182,7 +197,7 @@
         job_route = await self._route_of(self._job.target)
         if job_route is not None:
             self._priority = job_route.priority
-            self._due_s = self._standing.owned_s + (job_route.result_deadline_s or NEVER_DUE_S)
+            self._due_s = self._standing.due_s(job_route)
         limit = asyncio.timeout_at(_give_up_time_s(job_route))
         try:
             async with limit:
@@ -295,6 +310,7 @@
         """Generate whatever is missing."""
         services = self._services
         service = services.routes.choose_service(route)
+        self._waits = RunWaits(service, services.statistics)
         priority = services.routes.worker_priority(self._priority, service)
         call = replace(self._call(), priority=priority)
         fingerprint = fingerprint_of(call)
@@ -315,12 +331,12 @@
             services.quarantine,
             self.events[-1].event.number if self.events else None,
             moves=self._moves(service, route),
-            waits=RunWaits(service, services.statistics),
+            waits=self._waits,
         )
         started_s = now_s()
         num_kept = len(self.events)
         await self._take_events(run)
-        services.lengths.note(self._item.expected_tokens, len(self.events))
+        self._note_generated(num_kept, now_s() - started_s - run.waited_for_places_s)
         logging.info(
             "item %s of job %s: %d events (%d kept, %d tokens expected) by %d attempts in %.2f s, "
             "%.2f s of it waiting: %s",
@@ -335,6 +351,13 @@
             run.waits.describe(),
         )
 
+    def _note_generated(self, num_kept: int, seconds: float) -> None:
+        """Learn from a text that is whole; all but the kept events took so many seconds."""
+        services, expected_tokens = self._services, self._item.expected_tokens
+        services.lengths.note(expected_tokens, len(self.events))
+        share = 1.0 - num_kept / max(1, len(self.events))
+        services.pace.note(share * expected_tokens, seconds)
+
     async def _take_events(self, run: ResumableRun) -> None:
         """Take in all events of a run."""
         lengths = self._services.lengths
