--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -21,8 +21,8 @@
 from hollowrack.coordination.store import Committed, Put, StoredItem
 from hollowrack.edge_connections import EdgeConnections
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
-from hollowrack.forwarding.dispatch_statistics import DispatchStatistics
 from hollowrack.forwarding.forwarder import Forwarder
+from hollowrack.forwarding.load_log import LoadLog
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
@@ -108,8 +108,8 @@
         self.forwarder = Forwarder(
             self.routes, self.workers, connections.back_ends, self.usage, self.quarantine
         )
-        statistics = DispatchStatistics()
-        self.queue = DispatchQueue(self.workers, statistics)
+        self.queue = DispatchQueue(self.workers)
+        self._load_log = LoadLog(self.queue)
         self.session = Session(store, rng)
         self.leadership = Leadership(store, self.session, LEADER_KEY, self.owner, handover_s, rng)
         self._named_versions: dict[str, int] = {}
@@ -121,7 +121,6 @@
             self.queue,
             connections.read_version,
             self.quarantine,
-            statistics=statistics,
         )
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
@@ -246,6 +245,7 @@
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._note_first_leader()),
+            asyncio.create_task(self._load_log.run()),
         ]
 
     async def turn_away(self, grace_s: float) -> None:
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -103,14 +103,14 @@
 
     Args:
         workers: The workers known.
-        statistics: Counts how long places were waited for.
+
+    Attributes:
+        statistics: What is counted of the runs that go through the queue.
     """
 
-    def __init__(
-        self, workers: WorkerDirectory, statistics: DispatchStatistics | None = None
-    ) -> None:
+    def __init__(self, workers: WorkerDirectory) -> None:
         self._workers = workers
-        self._statistics = statistics or DispatchStatistics()
+        self.statistics = DispatchStatistics()
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
@@ -210,5 +210,5 @@
 
     def _give(self, waiter: _Waiter, worker: Worker) -> None:
         self._workers.begin(worker)
-        self._statistics.note_wait(WaitPlace.NODE_QUEUE, now_s() - waiter.since_s)
+        self.statistics.note_wait(WaitPlace.NODE_QUEUE, now_s() - waiter.since_s)
         waiter.place.set_result(worker)
--- /dev/null
+++ b/src/hollowrack/forwarding/load_log.py
@@ -0,0 +1,60 @@
+"""Tells once a second what waits, runs and is refused at the workers of each service."""
+
+import asyncio
+from collections import Counter
+
+from absl import logging
+
+from hollowrack.forwarding.back_end import NotRunReason
+from hollowrack.forwarding.dispatch_queue import DispatchQueue, WaitingLoad
+
+# Often enough to see a queue grow before what is in it is due, a few seconds later.
+INTERVAL_S = 1.0
+
+_NOTHING_WAITS = WaitingLoad(0, 0.0)
+
+
+class LoadLog:
+    """Logs the load of the services that this node has work for.
+
+    Args:
+        queue: Where the work waits.
+    """
+
+    def __init__(self, queue: DispatchQueue) -> None:
+        self._queue = queue
+        self._told_refusals: Counter[tuple[str, NotRunReason]] = Counter()
+
+    async def run(self) -> None:
+        """Log until cancelled."""
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            for line in self.next_lines():
+                logging.info("%s", line)
+
+    def next_lines(self) -> list[str]:
+        """Return a line for each service with work, or with refusals since the last call."""
+        statistics = self._queue.statistics
+        waiting = self._queue.waiting_by_service()
+        refusals = statistics.num_refusals - self._told_refusals
+        self._told_refusals = statistics.num_refusals.copy()
+        running = {service for service, count in statistics.num_running.items() if count}
+        refused = {service for service, _ in refusals}
+        lines = []
+        for service in sorted(waiting.keys() | running | refused):
+            load = waiting.get(service, _NOTHING_WAITS)
+            lines.append(
+                f"service {service}: {load.num_waiting} runs wait, the oldest for "
+                f"{load.oldest_wait_s:.2f} s, {statistics.num_running[service]} run, "
+                f"refused since the last line: {_refusals_of(service, refusals)}"
+            )
+        return lines
+
+
+def _refusals_of(service: str, refusals: Counter[tuple[str, NotRunReason]]) -> str:
+    by_reason = [
+        f"{refusals[(service, reason)]} {reason.name}"
+        for reason in NotRunReason
+        if refusals[(service, reason)]
+    ]
+    return ", ".join(by_reason) or "none"
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -25,6 +25,7 @@
 from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.resumable_run import ResumableRun, RunEndedError, RunLimits
 from hollowrack.forwarding.route_table import RouteTable
+from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
@@ -114,6 +115,7 @@
             limits,
             self._quarantine,
             after_event,
+            waits=RunWaits(service, self._queue.statistics),
         )
         has_begun = False
         try:
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -12,7 +12,7 @@
 from hollowrack.forwarding.back_end import BackEndCall, BackEndClient
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.dispatch_rank import NEVER_DUE_S, DispatchRank, WorkKind
-from hollowrack.forwarding.dispatch_statistics import DispatchStatistics, WaitPlace
+from hollowrack.forwarding.dispatch_statistics import WaitPlace
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import Forwarder, ForwardRequest, WholeAnswer
 from hollowrack.forwarding.patience import FirstEventPatience
@@ -91,7 +91,6 @@
         lengths: How many events items will have.
         pace: How fast a place generates.
         num_given_up: How many items were given up here, by reason.
-        statistics: Counts what runs, is refused and waits.
     """
 
     routes: RouteTable
@@ -107,7 +106,6 @@
     lengths: LengthEstimate = field(default_factory=LengthEstimate)
     pace: PaceEstimate = field(default_factory=PaceEstimate)
     num_given_up: Counter[GiveUpReason] = field(default_factory=Counter)
-    statistics: DispatchStatistics = field(default_factory=DispatchStatistics)
 
 
 @dataclass(frozen=True)
@@ -190,7 +188,7 @@
         """Run the item; the result says whether it is whole or given up."""
         started_s = now_s()
         result = await self._run_in_time()
-        self._services.statistics.note_wait(WaitPlace.WHOLE_ITEM, now_s() - started_s)
+        self._services.queue.statistics.note_wait(WaitPlace.WHOLE_ITEM, now_s() - started_s)
         return result
 
     async def _run_in_time(self) -> ItemResult:
@@ -211,12 +209,13 @@
         """Return the result of an item that can never be whole; no other place makes one."""
         self._services.num_given_up[reason] += 1
         logging.warning(
-            "item %s of job %s: given up with %d events, %s (%s)",
+            "item %s of job %s: given up with %d events, %s (%s), last waiting: %s",
             self._item.id,
             self._job.id,
             len(self.events),
             reason.value,
             self._services.routes.describe(),
+            "nothing" if self._waits is None else self._waits.describe(),
         )
         return ItemResult(self._item.id, is_complete=False)
 
@@ -310,7 +309,7 @@
         """Generate whatever is missing."""
         services = self._services
         service = services.routes.choose_service(route)
-        self._waits = RunWaits(service, services.statistics)
+        self._waits = RunWaits(service, services.queue.statistics)
         priority = services.routes.worker_priority(self._priority, service)
         call = replace(self._call(), priority=priority)
         fingerprint = fingerprint_of(call)
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -255,7 +255,7 @@
         for result in batch:
             ended_s = self._ended_s.pop(result.item_id, None)
             if ended_s is not None:
-                statistics = self._services.statistics
+                statistics = self._services.queue.statistics
                 statistics.note_wait(WaitPlace.LISTING, now_s() - ended_s)
 
     async def _catch_up(self) -> bool:
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import accumulate
 from typing import TYPE_CHECKING
 
 from starlette.requests import Request
@@ -14,6 +15,7 @@
 
 from hollowrack.clock import now_s
 from hollowrack.edge_node import EdgeNode
+from hollowrack.forwarding.dispatch_statistics import BUCKET_BOUNDS_S, WaitHistogram
 
 if TYPE_CHECKING:
     from prometheus_client.metrics_core import Metric
@@ -96,9 +98,35 @@
             "How long the machine was suspended while this process ran",
             value=self._counts.suspended_s,
         )
+        yield self._refusals()
+        yield self._waits()
         for name, text, value in self._gauges():
             yield GaugeMetricFamily(name, text, value=value)
 
+    def _refusals(self) -> "Metric":
+        from prometheus_client.core import CounterMetricFamily  # noqa: PLC0415 (loaded when asked)
+
+        refusals = CounterMetricFamily(
+            "hollowrack_runs_refused",
+            "Runs that workers certainly did not begin",
+            labels=["service", "reason"],
+        )
+        for (service, reason), count in self._node.queue.statistics.num_refusals.items():
+            refusals.add_metric([service, reason.name], count)
+        return refusals
+
+    def _waits(self) -> "Metric":
+        from prometheus_client.core import (  # noqa: PLC0415 (loaded when asked)
+            HistogramMetricFamily,
+        )
+
+        waits = HistogramMetricFamily(
+            "hollowrack_wait_seconds", "How long runs and items wait, by place", labels=["place"]
+        )
+        for place, histogram in self._node.queue.statistics.waits.items():
+            waits.add_metric([place.value], _buckets(histogram), histogram.sum_s)
+        return waits
+
     def _workers(self) -> Counter[tuple[str, str]]:
         return Counter(
             (worker.service, "leaving" if worker.is_leaving else "serving")
@@ -140,6 +168,12 @@
         )
 
 
+def _buckets(histogram: WaitHistogram) -> list[tuple[str, float]]:
+    """The buckets as the metrics library wants them: each with all below it."""
+    bounds = [*(str(bound) for bound in BUCKET_BOUNDS_S), "+Inf"]
+    return list(zip(bounds, accumulate(map(float, histogram.counts)), strict=True))
+
+
 def metrics_routes(node: EdgeNode, counts: EdgeCounts) -> list[Route]:
     """Return the route that tells a node's figures in the Prometheus text format."""
 
--- a/src/hollowrack/observability/log_search.py
+++ b/src/hollowrack/observability/log_search.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 _JOB_OF_ITEM = re.compile(r"\bitem (\S+) of job (\S+?):")
+_WAITS = re.compile(r"\bitem \S+ of job \S+: .*\bwaiting: (.+)$")
 _WORKER = re.compile(r"\bworker (\S+?)[:,; ]")
 # What may have happened to a whole node while the subject was in progress.
 _CONTEXT = re.compile(
@@ -111,3 +112,13 @@
 def workers_named(lines: Iterable[LogLine]) -> list[str]:
     """Return the workers that lines name, sorted."""
     return sorted({match[1] for line in lines for match in _WORKER.finditer(line.message)})
+
+
+def waits_told(lines: Iterable[LogLine]) -> list[str]:
+    """Return the waits of items that lines tell, one a text, in the order of the lines."""
+    told: list[str] = []
+    for line in lines:
+        found = _WAITS.search(line.message)
+        if found is not None:
+            told.extend(found[1].split("; "))
+    return told
--- a/tests/observability/test_log_search.py
+++ b/tests/observability/test_log_search.py
@@ -56,6 +56,26 @@
     assert [line.time for line in account.context] == ["10:00:02", "10:00:04"]
 
 
+def test_the_command_shows_the_waits_of_an_item_in_order() -> None:
+    begun = "item i1 of job j1: given up with 3 events, its time is up (no configuration), "
+    ended = "item i1 of job j1: 9 events (0 kept, 9 tokens expected) by 1 attempts in 0.5 s, "
+    log = [
+        _line("10:00:09", "n2", ended + "0.2 s of it waiting: 0 refusals; queue 0.20 s, worker w3"),
+        _line(
+            "10:00:02", "n1", begun + "last waiting: 1 refusals; queue 0.50 s, worker w7 not run"
+        ),
+        _line("10:00:03", "n1", ended.replace("i1", "i2") + "0.9 s of it waiting: 4 refusals"),
+    ]
+    result = CliRunner().invoke(hollowrack, ["explain", "i1", "--logs", "-"], input="\n".join(log))
+    waits = result.output.split("waits in order\n")[1].split("\n\n")[0].splitlines()
+    assert [wait.strip() for wait in waits] == [
+        "1 refusals",
+        "queue 0.50 s, worker w7 not run",
+        "0 refusals",
+        "queue 0.20 s, worker w3",
+    ]
+
+
 def test_a_subject_that_no_line_names_has_an_empty_account() -> None:
     account = account_of("nobody", LOG)
     assert account.about == account.context == ()
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -101,6 +101,9 @@
             assert result["text"] == "\n".join(f"{result['id']}.{n}" for n in range(1, 7))
             assert result["versions"] == [1]
             assert result["score"].endswith(result["id"].replace(".i", ".s"))
+        # The service of the items has routes of two priorities; scorer calls name none.
+        assert system.ledger.headers["j1.i0"]["request-priority"] == "1"
+        assert "request-priority" not in system.ledger.headers["j1.s0"]
         item = await system.send("/api/items/j1?id=j1.i2", "GET", node="n1")
         assert item.body == b"prompt 2"
         for node in ("n0", "n1", "n1"):
