--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -30,6 +30,7 @@
 from hollowrack.jobs.item_eligibility import ItemEligibility
 from hollowrack.jobs.item_moves import ItemMoves
 from hollowrack.jobs.item_order import ItemPlace
+from hollowrack.jobs.job_standing import JobStanding
 from hollowrack.jobs.lengths import LengthEstimate
 from hollowrack.jobs.pace import PaceEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
@@ -46,9 +47,6 @@
 SCORER_PAUSE_S = 0.1
 # An unexpected error may come again at once, and would take the processor and fill the log.
 ERROR_PAUSE_S = 1.0
-# Results that are due have to be scored and listed before: a scorer's answer, the wait for others
-# that are listed by the same write, and the write.
-LISTING_RESERVE_S = 0.5
 SCORER_METHOD = "POST"
 HTTP_SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
@@ -111,25 +109,6 @@
     num_given_up: Counter[GiveUpReason] = field(default_factory=Counter)
 
 
-@dataclass(frozen=True)
-class JobStanding:
-    """What places a job among the others of this node.
-
-    Attributes:
-        sequence: Its number on this node; earlier jobs have lower ones.
-        owned_s: When this node began to own it, on the loop's clock.
-    """
-
-    sequence: int
-    owned_s: float
-
-    def due_s(self, route: Route | None) -> float:
-        """Return when the job's results are due under its route, on the loop's clock."""
-        if route is None or route.result_deadline_s is None:
-            return NEVER_DUE_S
-        return self.owned_s + route.result_deadline_s
-
-
 class ItemRunner:
     """Runs one item until it has a result.
 
@@ -138,6 +117,7 @@
         job: Its job.
         item: The item.
         standing: What places the job among the others of this node.
+        place_of: Returns the place of an item in the order of its job, as it is now.
         on_outgrown: Called whenever the item has outgrown the estimate of its length.
         kept: What an earlier owner of the job has generated of it, from its beginning.
 
@@ -145,7 +125,6 @@
         events: What has been generated so far.
         num_restarts: How often generation began again from nothing.
         is_generated: Whether the text is whole.
-        place: Its place in the order of its job.
     """
 
     def __init__(
@@ -154,6 +133,7 @@
         job: Job,
         item: JobItem,
         standing: JobStanding,
+        place_of: Callable[[str], ItemPlace],
         on_outgrown: Callable[[], None],
         kept: Sequence[VersionedEvent] = (),
     ) -> None:
@@ -164,11 +144,11 @@
         self._job = job
         self._item = item
         self._standing = standing
+        self._place_of = place_of
         self._on_outgrown = on_outgrown
         self._priority = 0
         self._waits: RunWaits | None = None
         self._due_s = NEVER_DUE_S
-        self.place = ItemPlace()
 
     @property
     def item_id(self) -> str:
@@ -283,13 +263,14 @@
 
     def _rank(self) -> DispatchRank:
         """The item's rank in the queue as it is now."""
+        place = self._place_of(self.item_id)
         return DispatchRank(
             self._priority,
             WorkKind.JOB_ITEM,
-            self.place.usefulness(self._due_s - LISTING_RESERVE_S - now_s()),
+            place.usefulness(self._due_s - now_s()),
             self._due_s,
             self._standing.sequence,
-            self.place.group_place,
+            place.group_place,
             -self.num_tokens_left,
         )
 
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -9,9 +9,10 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import NotDone, Unknown
 from hollowrack.forwarding.dispatch_statistics import WaitPlace
-from hollowrack.jobs.item_order import Outlook, order_items
-from hollowrack.jobs.item_runner import LISTING_RESERVE_S, ItemRunner, ItemServices, JobStanding
+from hollowrack.jobs.item_order import ItemPlace, Outlook, order_items
+from hollowrack.jobs.item_runner import ItemRunner, ItemServices
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
+from hollowrack.jobs.job_standing import JobStanding
 from hollowrack.jobs.progress import (
     ItemProgress,
     JobRemainder,
@@ -30,6 +31,8 @@
 # What items generate is saved with the results that are listed, but not more often than this.
 MIN_SAVE_AGE_S = 0.5
 RETRY_PAUSE_S = 0.25
+# Running items come nearer to their end meanwhile, so that their group would seem late too soon.
+MAX_ORDER_AGE_S = 0.25
 MAX_BATCH_BYTES = 500_000
 # Writes of an earlier owner may be done as late as this after the job was taken over.
 LATE_WRITES_S = 8.0
@@ -81,6 +84,8 @@
         self._kept = kept or {}
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._item_runners: dict[str, ItemRunner] = {}
+        self._places: dict[str, ItemPlace] = {}
+        self._ordered_s = -float("inf")
         self._ended_s: dict[str, float] = {}
         self._saver = ProgressSaver(job.id, progress, self._item_runners.values)
         self._listing = asyncio.Lock()
@@ -185,14 +190,31 @@
                 continue
             kept = self._kept.get(item.id, ())
             runner = ItemRunner(
-                self._services, self.job, item, self._standing, self._order_items, kept
+                self._services,
+                self.job,
+                item,
+                self._standing,
+                self._place_of,
+                self._reorder,
+                kept,
             )
             self._item_runners[item.id] = runner
             self._item_tasks[item.id] = asyncio.create_task(self._run_item(runner))
-        self._order_items()
 
-    def _order_items(self) -> None:
-        """Decide anew in which order the items that wait should run."""
+    def _reorder(self) -> None:
+        """Decide the order of items anew before places are handed out again."""
+        self._ordered_s = -float("inf")
+        self._services.queue.note_reordered()
+
+    def _place_of(self, item_id: str) -> ItemPlace:
+        """The place of an item in the order of the job."""
+        if now_s() - self._ordered_s > MAX_ORDER_AGE_S:
+            self._ordered_s = now_s()
+            self._places = self._order()
+        return self._places.get(item_id, ItemPlace())
+
+    def _order(self) -> dict[str, ItemPlace]:
+        """Decide in which order the items that wait should run."""
         listed = {result.item_id for result in self.results}
         open_runners = {
             item_id: runner
@@ -200,15 +222,12 @@
             if item_id not in listed
         }
         tokens_left = {item_id: runner.num_tokens_left for item_id, runner in open_runners.items()}
-        places = order_items(self.job, tokens_left, self._outlook(open_runners))
-        for item_id, place in places.items():
-            open_runners[item_id].place = place
-        self._services.queue.note_reordered()
+        return order_items(self.job, tokens_left, self._outlook(open_runners))
 
     def _outlook(self, open_runners: Mapping[str, ItemRunner]) -> Outlook:
         """What the places that the job has now generate until it is due."""
         route = self._services.routes.lookup(self.job.host, self.job.target)
-        time_left_s = self._standing.due_s(route) - LISTING_RESERVE_S - now_s()
+        time_left_s = self._standing.due_s(route) - now_s()
         # The item that has just ended leaves its place to the next one.
         num_places = 1 + sum(runner.is_at_worker for runner in open_runners.values())
         return Outlook(time_left_s, num_places, self._services.pace.tokens_per_s)
@@ -218,9 +237,9 @@
         self._item_runners.pop(runner.item_id, None)
         self._finished.append(result)
         self._ended_s[result.item_id] = now_s()
-        self._order_items()
         self._has_finished.set()
         self._finished_another.set()
+        self._reorder()
 
     async def _list_finished(self) -> bool:
         """List what has finished; returns whether the job still belongs to this node."""
--- a/tests/jobs/test_order_of_jobs.py
+++ b/tests/jobs/test_order_of_jobs.py
@@ -122,6 +122,25 @@
     run_virtual(main())
 
 
+def test_a_group_is_not_late_because_its_longest_item_has_been_running_for_a_while() -> None:
+    async def main() -> None:
+        site = Site(make_configuration(1, 1))
+        await asyncio.sleep(1.0)
+        # Teaches the node how fast a place generates.
+        await site.submit(make_job("taught", "first", [[50] * 8], 1))
+        await asyncio.sleep(3.0)
+        await site.submit(make_job("filler", "first", [[600] * 6 + [150]], 1))
+        await asyncio.sleep(0.1)
+        await site.submit(make_job("half", "first", [[300, 10]], 1))
+        await asyncio.sleep(0.1)
+        await site.submit(make_job("later", "first", [[10, 10]], 1))
+        await asyncio.sleep(3.5)
+        assert site.first_runs()[-4:] == ["half.0.0", "half.0.1", "later.0.0", "later.0.1"]
+        await site.fleet.stop()
+
+    run_virtual(main())
+
+
 def long_tailed_lengths(seed: int, mean_log: float) -> list[list[int]]:
     """Twelve groups of four."""
     rng = random.Random(seed)
