--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -22,6 +22,7 @@
 from hollowrack.edge_connections import EdgeConnections
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.forwarder import Forwarder
+from hollowrack.forwarding.load_log import LoadLog
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
@@ -110,6 +111,7 @@
             self.routes, self.workers, connections.back_ends, self.usage, self.quarantine
         )
         self.queue = DispatchQueue(self.workers)
+        self._load_log = LoadLog(self.queue)
         self.session = Session(store, rng)
         self.leadership = Leadership(store, self.session, LEADER_KEY, self.owner, handover_s, rng)
         self._named_versions: dict[str, int] = {}
@@ -256,6 +258,7 @@
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._note_first_leader()),
+            asyncio.create_task(self._load_log.run()),
         ]
 
     async def turn_away(self, grace_s: float) -> None:
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -1,9 +1,14 @@
 """Hands out places at workers to waiting items in the order of their rank."""
 
 import asyncio
+import bisect
 import itertools
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 
+from hollowrack.clock import now_s
+from hollowrack.forwarding.dispatch_rank import DispatchRank
+from hollowrack.forwarding.dispatch_statistics import DispatchStatistics, WaitPlace
 from hollowrack.forwarding.slot_limits import SlotLimits, WholeCapacity
 from hollowrack.forwarding.types import Worker, WorkerLife
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
@@ -11,17 +16,91 @@
 # Pauses of workers end without notice, so that waiting items look again now and then.
 LOOK_AGAIN_S = 0.05
 
-Rank = tuple[int, ...]
+RankOf = Callable[[], DispatchRank]
 
 
-@dataclass(order=True)
+@dataclass(eq=False)
 class _Waiter:
-    rank: Rank
+    """One wait for a place.
+
+    Attributes:
+        rank_of: Returns its rank as it is now.
+        rank: Its rank when the queue was last sorted.
+        number: Breaks ties in the order of arrival.
+        since_s: When it began to wait, on the loop's clock.
+    """
+
+    rank_of: RankOf
+    rank: DispatchRank
     number: int
-    service: str = field(compare=False)
-    is_eligible: Eligible = field(compare=False)
-    avoided: frozenset[WorkerLife] = field(compare=False)
-    place: "asyncio.Future[Worker]" = field(compare=False)
+    since_s: float
+    service: str
+    is_eligible: Eligible
+    avoided: frozenset[WorkerLife]
+    place: "asyncio.Future[Worker]"
+
+    @property
+    def sort_key(self) -> tuple[DispatchRank, int]:
+        """Lower keys go first."""
+        return (self.rank, self.number)
+
+
+@dataclass(frozen=True)
+class WaitingLoad:
+    """What waits for the workers of one service.
+
+    Attributes:
+        num_waiting: How many runs wait.
+        oldest_wait_s: How long the one that came first has waited, in seconds.
+    """
+
+    num_waiting: int
+    oldest_wait_s: float
+
+
+class _PassMemory:
+    """What one pass over the waiters has found; room only becomes less while it lasts.
+
+    With hundreds of waiters and no room, a look for each of them at each change would take a whole
+    processor: 300 waiters before 44 full workers took 15 s of one for each second.
+
+    Args:
+        workers: The workers known.
+        limits: How many requests this node may have in flight at each worker.
+    """
+
+    def __init__(self, workers: WorkerDirectory, limits: SlotLimits) -> None:
+        self._workers = workers
+        self._limits = limits
+        self._has_room: dict[str, bool] = {}
+        self._without_place: set[tuple[str, Eligible, frozenset[WorkerLife]]] = set()
+
+    def choose(self, waiter: _Waiter) -> Worker | None:
+        """Choose a place for a waiter, without a look if there can be none."""
+        if not self._has_room_in(waiter.service):
+            return None
+        worker = self._look(waiter, waiter.avoided)
+        if worker is None and waiter.avoided:
+            worker = self._look(waiter, frozenset())
+        if worker is not None:
+            self._has_room.pop(waiter.service)
+        return worker
+
+    def _has_room_in(self, service: str) -> bool:
+        if service not in self._has_room:
+            self._has_room[service] = self._workers.has_room(service, self._limits.limit)
+        return self._has_room[service]
+
+    def _look(self, waiter: _Waiter, avoided: frozenset[WorkerLife]) -> Worker | None:
+        wish = (waiter.service, waiter.is_eligible, avoided)
+        if wish in self._without_place:
+            return None
+        worker = self._workers.choose_place(
+            waiter.service, avoided, waiter.is_eligible, self._limits.limit
+        )
+        if worker is None:
+            self._without_place.add(wish)
+        return worker
 
 
 class DispatchQueue:
@@ -32,16 +111,19 @@
 
     Attributes:
         limits: How many requests this node may have in flight at each worker.
+        statistics: What is counted of the runs that go through the queue.
     """
 
     def __init__(self, workers: WorkerDirectory) -> None:
         self.limits: SlotLimits = WholeCapacity()
+        self.statistics = DispatchStatistics()
         self._workers = workers
-        # Number of the newest waiter that found no place when it was first looked at.
-        self._newest_unplaced = -1
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
+        self._is_order_old = False
+        # Number of the newest waiter that found no place when it was first looked at.
+        self._newest_unplaced = -1
         workers.on_change(self.look_again)
 
     @property
@@ -49,21 +131,45 @@
         """How many items wait."""
         return len(self._waiters)
 
+    def waiting_by_service(self) -> dict[str, WaitingLoad]:
+        """Return what waits, by service."""
+        now = now_s()
+        loads: dict[str, WaitingLoad] = {}
+        for waiter in self._waiters:
+            load = loads.get(waiter.service, WaitingLoad(0, 0.0))
+            oldest_wait_s = max(load.oldest_wait_s, now - waiter.since_s)
+            loads[waiter.service] = WaitingLoad(load.num_waiting + 1, oldest_wait_s)
+        return loads
+
     async def acquire(
-        self, service: str, rank: Rank, is_eligible: Eligible, avoided: frozenset[WorkerLife]
+        self,
+        service: str,
+        rank_of: RankOf,
+        is_eligible: Eligible,
+        avoided: frozenset[WorkerLife],
     ) -> Worker:
         """Wait for a place at a worker; it counts as begun and must be given back.
 
         Args:
             service: The service.
-            rank: Lower ranks go first.
-            is_eligible: Which of its workers will do.
+            rank_of: Returns the rank; lower ranks go first. It is asked again after
+                :meth:`note_reordered`.
+            is_eligible: Which of its workers will do. Waiters whose conditions compare equal share
+                one look at the workers.
             avoided: Lives of workers taken only if there is no other.
         """
         place: asyncio.Future[Worker] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(rank, next(self._numbers), service, is_eligible, avoided, place)
-        self._waiters.append(waiter)
-        self._waiters.sort()
+        waiter = _Waiter(
+            rank_of,
+            rank_of(),
+            next(self._numbers),
+            now_s(),
+            service,
+            is_eligible,
+            avoided,
+            place,
+        )
+        bisect.insort(self._waiters, waiter, key=lambda other: other.sort_key)
         self.look_again()
         try:
             return await place
@@ -75,6 +181,10 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
+    def note_reordered(self) -> None:
+        """Ranks of waiters may have changed: sort them before places are handed out again."""
+        self._is_order_old = True
+
     def look_again(self) -> None:
         """Look for places at once: there may be new ones."""
         self._schedule(0.0)
@@ -89,20 +199,27 @@
             self._timer.cancel()
         self._timer = loop.call_later(delay_s, self._grant)
 
+    def _sort_again(self) -> None:
+        self._is_order_old = False
+        for waiter in self._waiters:
+            waiter.rank = waiter.rank_of()
+        self._waiters.sort(key=lambda waiter: waiter.sort_key)
+
     def _grant(self) -> None:
         self._timer = None
-        full_services: set[str] = set()
-        for waiter in list(self._waiters):
-            if waiter.service in full_services:
+        if self._is_order_old:
+            self._sort_again()
+        memory = _PassMemory(self._workers, self.limits)
+        left: list[_Waiter] = []
+        for waiter in self._waiters:
+            if waiter.place.done():
                 continue
-            worker = self._choose(waiter)
+            worker = memory.choose(waiter)
             if worker is None:
-                if not self._workers.has_room(waiter.service, self.limits.limit):
-                    full_services.add(waiter.service)
-            elif not waiter.place.done():
-                self._waiters.remove(waiter)
-                self._workers.begin(worker)
-                waiter.place.set_result(worker)
+                left.append(waiter)
+            else:
+                self._give(waiter, worker)
+        self._waiters = left
         self._note_unplaced()
         self._schedule(LOOK_AGAIN_S)
 
@@ -113,13 +230,7 @@
             self._newest_unplaced = newest
             self.limits.note_waiting()
 
-    def _choose(self, waiter: _Waiter) -> Worker | None:
-        preferred = self._choose_beside(waiter, waiter.avoided)
-        if preferred is not None or not waiter.avoided:
-            return preferred
-        return self._choose_beside(waiter, frozenset())
-
-    def _choose_beside(self, waiter: _Waiter, avoided: frozenset[WorkerLife]) -> Worker | None:
-        return self._workers.choose_place(
-            waiter.service, avoided, waiter.is_eligible, self.limits.limit
-        )
+    def _give(self, waiter: _Waiter, worker: Worker) -> None:
+        self._workers.begin(worker)
+        self.statistics.note_wait(WaitPlace.NODE_QUEUE, now_s() - waiter.since_s)
+        waiter.place.set_result(worker)
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -17,10 +17,12 @@
     NotRunReason,
     OpenAnswer,
 )
+from hollowrack.forwarding.dispatch_statistics import DispatchStatistics
 from hollowrack.forwarding.event_stream import EventStreamError, EventStreamParser, StreamEvent
 from hollowrack.forwarding.faster_place import FasterPlace, MovePolicy
 from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.run_places import RunPlaces
+from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Worker, WorkerLife
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
@@ -85,7 +87,8 @@
     max_workers: int | None = None
 
 
-AcquireWorker = Callable[[frozenset[WorkerLife], Eligible], Awaitable[Worker]]
+# The lives to avoid, and a further condition on the worker, if there is one.
+AcquireWorker = Callable[[frozenset[WorkerLife], Eligible | None], Awaitable[Worker]]
 ReadVersion = Callable[[StreamEvent], int | None]
 AcceptVersion = Callable[[int | None], bool]
 
@@ -105,6 +108,7 @@
         quarantine: Keeps calls that end their workers from further workers.
         after_event: Begin behind this event; ``None`` for the beginning.
         moves: When the run should go on at a faster worker; ``None`` for never.
+        waits: Follows what the run waits for; ``None`` if nobody wants to know.
     """
 
     def __init__(
@@ -119,10 +123,12 @@
         quarantine: Quarantine,
         after_event: int | None = None,
         moves: MovePolicy | None = None,
+        waits: RunWaits | None = None,
     ) -> None:
         self.head: OpenAnswer | None = None
         self.num_attempts = 0
         self.waited_for_places_s = 0.0
+        self.waits = waits or RunWaits("", DispatchStatistics())
         self._call = call
         self._back_ends = back_ends
         self._workers = workers
@@ -164,8 +170,10 @@
 
     async def _attempts(self) -> AsyncGenerator[VersionedEvent]:
         while True:
+            waited_before_s = self.waited_for_places_s
             worker = await self._next_allowed_place()
             self.num_attempts += 1
+            self.waits.note_begin(worker.life, self.waited_for_places_s - waited_before_s)
             is_fruitless = True
             try:
                 async with contextlib.aclosing(self._events_of(worker)) as events:
@@ -178,6 +186,7 @@
                 return
             except NotRunError as error:
                 self._workers.note_not_run(worker, error.reason)
+                self.waits.note_not_run(error.reason)
                 if error.reason is NotRunReason.UNREACHABLE:
                     self._places.note_unreachable(worker)
             except _SlowWorkerError:
@@ -204,6 +213,7 @@
                         self._call.request_id, self._fingerprint, worker, goes_on=True
                     )
             finally:
+                self.waits.note_end()
                 self._leave(worker)
             self._avoided = frozenset({worker.life})
             await asyncio.sleep(MIN_PAUSE_S)
@@ -245,7 +255,8 @@
                 return faster
             self._workers.end(faster)
         began_waiting_s = now_s()
-        worker = await self._acquire(self._avoided, self._may_begin)
+        condition = self._may_begin if self._places.are_restricted else None
+        worker = await self._acquire(self._avoided, condition)
         self.waited_for_places_s += now_s() - began_waiting_s
         return worker
 
@@ -302,6 +313,7 @@
                 break
             whole = parser.feed(chunk)
             if whole:
+                self.waits.note_event()
                 self._workers.note_pace(worker, (now_s() - last_s) / len(whole))
                 last_s = now_s()
                 num_events += len(whole)
--- a/src/hollowrack/forwarding/run_places.py
+++ b/src/hollowrack/forwarding/run_places.py
@@ -46,6 +46,11 @@
         self._any_from_s = -float("inf")
         self._others_from_s = -float("inf")
 
+    @property
+    def are_restricted(self) -> bool:
+        """Whether there is a worker at which the run may not begin, or not yet."""
+        return self._max_workers is not None or bool(self._broke_off)
+
     def note_begun(self, worker: Worker) -> None:
         """The run may have begun at a worker."""
         self._began_at.add(worker.life)
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -14,6 +14,7 @@
     OpenAnswer,
 )
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import (
     HTTP_SUCCESS,
@@ -23,6 +24,7 @@
 from hollowrack.forwarding.patience import FirstEventPatience
 from hollowrack.forwarding.resumable_run import ResumableRun, RunEndedError, RunLimits
 from hollowrack.forwarding.route_table import RouteTable
+from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Worker, WorkerLife
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
@@ -91,10 +93,11 @@
     ) -> AsyncGenerator[StreamPart]:
         service = self._routes.choose_service(request.route)
         end_s = end_of_request_s(request)
+        rank = DispatchRank(request.route.priority, WorkKind.CALLER_STREAM)
 
-        async def acquire(avoided: frozenset[WorkerLife], may_begin: Eligible) -> Worker:
-            rank = (request.route.priority,)
-            return await self._queue.acquire(service, rank, may_begin, avoided)
+        async def acquire(avoided: frozenset[WorkerLife], may_begin: Eligible | None) -> Worker:
+            condition = may_begin or _any_worker
+            return await self._queue.acquire(service, lambda: rank, condition, avoided)
 
         limits = RunLimits(
             request.route.max_attempts,
@@ -113,6 +116,7 @@
             limits,
             self._quarantine,
             after_event,
+            waits=RunWaits(service, self._queue.statistics),
         )
         has_begun = False
         try:
@@ -194,3 +198,9 @@
         finally:
             if answer is not None:
                 answer.abort()
+
+
+def _any_worker(worker: Worker) -> bool:
+    """Every worker of the service will do; one function for all, so that waiters share looks."""
+    del worker
+    return True
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -55,6 +55,11 @@
 Eligible = Callable[[Worker], bool]
 
 
+def both(first: Eligible, second: Eligible) -> Eligible:
+    """Return the condition that two conditions hold."""
+    return lambda worker: first(worker) and second(worker)
+
+
 class WorkerDirectory:
     """Workers by service, with the load and the failures seen from this node.
 
@@ -187,8 +192,16 @@
         return self._usable(self.serving(service))
 
     def has_room(self, service: str, limit: Callable[[Worker], int]) -> bool:
-        """Whether this node may place anything at any worker of a service."""
-        return any(self._has_room(worker, limit) for worker in self.serving(service))
+        """Whether a run might get a place at a worker of a service, whatever it needs.
+
+        Args:
+            service: The service.
+            limit: Returns how many requests this node may have in flight at a worker.
+        """
+        return any(
+            self._has_room(worker, limit) and not self._is_paused(worker)
+            for worker in self.serving(service)
+        )
 
     def begin(self, worker: Worker) -> None:
         """A request goes to a worker."""
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -10,7 +10,9 @@
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import BackEndCall, BackEndClient
-from hollowrack.forwarding.dispatch_queue import DispatchQueue, Rank
+from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_rank import NEVER_DUE_S, DispatchRank, WorkKind
+from hollowrack.forwarding.dispatch_statistics import WaitPlace
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import Forwarder, ForwardRequest, WholeAnswer
 from hollowrack.forwarding.patience import FirstEventPatience
@@ -22,10 +24,15 @@
     VersionedEvent,
 )
 from hollowrack.forwarding.route_table import RouteTable
+from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Route, Worker, WorkerLife
-from hollowrack.forwarding.workers import Eligible, WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory, both
+from hollowrack.jobs.item_eligibility import ItemEligibility
 from hollowrack.jobs.item_moves import ItemMoves
+from hollowrack.jobs.item_order import ItemPlace
+from hollowrack.jobs.job_standing import JobStanding
 from hollowrack.jobs.lengths import LengthEstimate
+from hollowrack.jobs.pace import PaceEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine
@@ -83,6 +90,7 @@
         quarantine: Keeps generations that end their workers from further workers.
         patience: Longest wait for the first event of a generation.
         lengths: How many events items will have.
+        pace: How fast a place generates.
         num_given_up: How many items were given up here, by reason.
     """
 
@@ -97,6 +105,7 @@
         default_factory=lambda: FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
     )
     lengths: LengthEstimate = field(default_factory=LengthEstimate)
+    pace: PaceEstimate = field(default_factory=PaceEstimate)
     num_given_up: Counter[GiveUpReason] = field(default_factory=Counter)
 
 
@@ -107,7 +116,9 @@
         services: What running takes.
         job: Its job.
         item: The item.
-        sequence: Number of the job on this node; items of earlier jobs go first.
+        standing: What places the job among the others of this node.
+        place_of: Returns the place of an item in the order of its job, as it is now.
+        on_outgrown: Called whenever the item has outgrown the estimate of its length.
         kept: What an earlier owner of the job has generated of it, from its beginning.
 
     Attributes:
@@ -124,7 +135,9 @@
         services: ItemServices,
         job: Job,
         item: JobItem,
-        sequence: int,
+        standing: JobStanding,
+        place_of: Callable[[str], ItemPlace],
+        on_outgrown: Callable[[], None],
         kept: Sequence[VersionedEvent] = (),
     ) -> None:
         self.events: list[VersionedEvent] = list(kept)
@@ -136,21 +149,42 @@
         self._services = services
         self._job = job
         self._item = item
-        # The longest first: what starts last should not be what takes longest.
-        num_left = services.lengths.num_tokens_left(item.expected_tokens, len(kept))
-        self._rank: Rank = (sequence, 0, -num_left)
+        self._standing = standing
+        self._place_of = place_of
+        self._on_outgrown = on_outgrown
+        self._priority = 0
+        self._waits: RunWaits | None = None
+        self._due_s = NEVER_DUE_S
 
     @property
     def item_id(self) -> str:
         """The item's identifier."""
         return self._item.id
 
+    @property
+    def num_tokens_left(self) -> int:
+        """How many tokens it has before it, as far as known; 0 if that is not known."""
+        if self.is_generated:
+            return 0
+        return self._services.lengths.num_tokens_left(self._item.expected_tokens, len(self.events))
+
+    @property
+    def is_at_worker(self) -> bool:
+        """Whether it has a place at a worker now."""
+        return self._waits is not None and self._waits.is_at_worker
+
     async def run(self) -> ItemResult:
         """Run the item; the result says whether it is whole or given up."""
+        started_s = now_s()
+        result = await self._run_in_time()
+        self._services.queue.statistics.note_wait(WaitPlace.WHOLE_ITEM, now_s() - started_s)
+        return result
+
+    async def _run_in_time(self) -> ItemResult:
         job_route = self.route = await self._route_of(self._job.target)
         if job_route is not None:
-            sequence, _, num_left = self._rank
-            self._rank = (sequence, job_route.priority, num_left)
+            self._priority = job_route.priority
+            self._due_s = self._standing.due_s(job_route)
         limit = asyncio.timeout_at(_give_up_time_s(job_route))
         try:
             async with limit:
@@ -164,12 +198,13 @@
         """Return the result of an item that can never be whole; no other place makes one."""
         self._services.num_given_up[reason] += 1
         logging.warning(
-            "item %s of job %s: given up with %d events, %s (%s)",
+            "item %s of job %s: given up with %d events, %s (%s), last waiting: %s",
             self._item.id,
             self._job.id,
             len(self.events),
             reason.value,
             self._services.routes.describe(),
+            "nothing" if self._waits is None else self._waits.describe(),
         )
         return ItemResult(self._item.id, is_complete=False)
 
@@ -232,6 +267,19 @@
         )
         await self._services.quarantine.wait_until_lifted(fingerprint_of(self._call()))
 
+    def _rank(self) -> DispatchRank:
+        """The item's rank in the queue as it is now."""
+        place = self._place_of(self.item_id)
+        return DispatchRank(
+            self._priority,
+            WorkKind.JOB_ITEM,
+            place.usefulness(self._due_s - now_s()),
+            self._due_s,
+            self._standing.sequence,
+            place.group_place,
+            -self.num_tokens_left,
+        )
+
     def _call(self) -> BackEndCall:
         return BackEndCall(
             self._item.id,
@@ -251,25 +299,24 @@
         """Generate whatever is missing."""
         services = self._services
         service = services.routes.choose_service(route)
-
-        fingerprint = fingerprint_of(self._call())
-
-        def is_eligible(worker: Worker) -> bool:
-            is_apart = services.quarantine.places.allows(fingerprint, worker.life)
-            return is_apart and self._has_weights(worker)
-
-        async def acquire(avoided: frozenset[WorkerLife], may_begin: Eligible) -> Worker:
+        self._waits = RunWaits(service, services.queue.statistics)
+        priority = services.routes.worker_priority(self._priority, service)
+        call = replace(self._call(), priority=priority)
+        fingerprint = fingerprint_of(call)
+
+        async def acquire(avoided: frozenset[WorkerLife], may_begin: Eligible | None) -> Worker:
+            condition: Eligible = self._eligibility(fingerprint)
+            if may_begin is not None:
+                condition = both(condition, may_begin)
             self.is_waiting = True
             try:
-                return await services.queue.acquire(
-                    service, self._rank, lambda w: is_eligible(w) and may_begin(w), avoided
-                )
+                return await services.queue.acquire(service, self._rank, condition, avoided)
             finally:
                 self.is_waiting = False
 
         limits = RunLimits(route.max_attempts, services.patience, SILENCE_TIMEOUT_S, RUN_TIME_S)
         run = ResumableRun(
-            self._call(),
+            call,
             services.back_ends,
             services.workers,
             acquire,
@@ -279,19 +326,19 @@
             services.quarantine,
             self.events[-1].event.number if self.events else None,
             moves=self._moves(service, route),
+            waits=self._waits,
         )
         started_s = now_s()
         num_kept = len(self.events)
         self.generates_at = service
         try:
-            async for event in run.events():
-                self.events.append(event)
+            await self._take_events(run)
         finally:
             self.generates_at = None
-        services.lengths.note(self._item.expected_tokens, len(self.events))
+        self._note_generated(num_kept, now_s() - started_s - run.waited_for_places_s)
         logging.info(
             "item %s of job %s: %d events (%d kept, %d tokens expected) by %d attempts in %.2f s, "
-            "%.2f s of it waiting",
+            "%.2f s of it waiting: %s",
             self._item.id,
             self._job.id,
             len(self.events),
@@ -300,8 +347,27 @@
             run.num_attempts,
             now_s() - started_s,
             run.waited_for_places_s,
+            run.waits.describe(),
         )
 
+    def _note_generated(self, num_kept: int, seconds: float) -> None:
+        """Learn from a text that is whole; all but the kept events took so many seconds."""
+        services, expected_tokens = self._services, self._item.expected_tokens
+        services.lengths.note(expected_tokens, len(self.events))
+        share = 1.0 - num_kept / max(1, len(self.events))
+        services.pace.note(share * expected_tokens, seconds)
+
+    async def _take_events(self, run: ResumableRun) -> None:
+        """Take in all events of a run."""
+        lengths = self._services.lengths
+        expected_tokens = self._item.expected_tokens
+        next_estimate_at = lengths.next_estimate_at(expected_tokens, len(self.events))
+        async for event in run.events():
+            self.events.append(event)
+            if len(self.events) > next_estimate_at:
+                next_estimate_at = lengths.next_estimate_at(expected_tokens, len(self.events))
+                self._on_outgrown()
+
     def _moves(self, service: str, route: Route) -> ItemMoves | None:
         """When to move the item; never where a move could bring in a second version."""
         if route.needs_single_version:
@@ -316,8 +382,19 @@
             self._rank,
         )
 
-    def _has_weights(self, worker: Worker) -> bool:
-        return worker.holds(self._job.model, self._job.min_version)
+    def _eligibility(self, fingerprint: str) -> ItemEligibility:
+        """Which workers may run the item; an item under suspicion has a condition of its own.
+
+        One that comes under suspicion while it waits is checked again before it begins.
+        """
+        quarantine = self._services.quarantine
+        is_suspect = quarantine.register.num_ended(fingerprint) > 0
+        return ItemEligibility(
+            self._job.model,
+            self._job.min_version,
+            fingerprint if is_suspect else None,
+            quarantine.places,
+        )
 
     def _accepts(self, version: int | None) -> bool:
         return version is None or version >= self._job.min_version
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -8,8 +8,11 @@
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import NotDone, Unknown
+from hollowrack.forwarding.dispatch_statistics import WaitPlace
+from hollowrack.jobs.item_order import ItemPlace, Outlook, order_items
 from hollowrack.jobs.item_runner import ItemRunner, ItemServices
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
+from hollowrack.jobs.job_standing import JobStanding
 from hollowrack.jobs.open_work import open_work_of
 from hollowrack.jobs.progress import (
     ItemProgress,
@@ -30,6 +33,8 @@
 # What items generate is saved with the results that are listed, but not more often than this.
 MIN_SAVE_AGE_S = 0.5
 RETRY_PAUSE_S = 0.25
+# Running items come nearer to their end meanwhile, so that their group would seem late too soon.
+MAX_ORDER_AGE_S = 0.25
 MAX_BATCH_BYTES = 500_000
 # Writes of an earlier owner may be done as late as this after the job was taken over.
 LATE_WRITES_S = 8.0
@@ -70,7 +75,7 @@
         self.changed = asyncio.Event()
         self._log = log
         self._services = services
-        self._sequence = sequence
+        self._standing = JobStanding(sequence, now_s())
         self._on_done = on_done
         listed = {result.item_id for result in results}
         self._finished = [result for result in unlisted if result.item_id not in listed]
@@ -81,7 +86,9 @@
         self._kept = kept or {}
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._item_runners: dict[str, ItemRunner] = {}
-        self._owned_s = now_s()
+        self._places: dict[str, ItemPlace] = {}
+        self._ordered_s = -float("inf")
+        self._ended_s: dict[str, float] = {}
         self._saver = ProgressSaver(job.id, progress, self._item_runners.values)
         self._listing = asyncio.Lock()
         self._follow_task: asyncio.Task[None] | None = None
@@ -175,7 +182,7 @@
         """
         runners = list(self._item_runners.values())
         workers = self._services.workers
-        return open_work_of(self.job, self._owned_s, runners, service, lives, workers)
+        return open_work_of(self.job, self._standing, runners, service, lives, workers)
 
     def remainder(self) -> JobRemainder:
         """Return what this owner holds that may not be in the store."""
@@ -200,16 +207,57 @@
             if item.id in listed:
                 continue
             kept = self._kept.get(item.id, ())
-            runner = ItemRunner(self._services, self.job, item, self._sequence, kept)
+            runner = ItemRunner(
+                self._services,
+                self.job,
+                item,
+                self._standing,
+                self._place_of,
+                self._reorder,
+                kept,
+            )
             self._item_runners[item.id] = runner
             self._item_tasks[item.id] = asyncio.create_task(self._run_item(runner))
 
+    def _reorder(self) -> None:
+        """Decide the order of items anew before places are handed out again."""
+        self._ordered_s = -float("inf")
+        self._services.queue.note_reordered()
+
+    def _place_of(self, item_id: str) -> ItemPlace:
+        """The place of an item in the order of the job."""
+        if now_s() - self._ordered_s > MAX_ORDER_AGE_S:
+            self._ordered_s = now_s()
+            self._places = self._order()
+        return self._places.get(item_id, ItemPlace())
+
+    def _order(self) -> dict[str, ItemPlace]:
+        """Decide in which order the items that wait should run."""
+        listed = {result.item_id for result in self.results}
+        open_runners = {
+            item_id: runner
+            for item_id, runner in self._item_runners.items()
+            if item_id not in listed
+        }
+        tokens_left = {item_id: runner.num_tokens_left for item_id, runner in open_runners.items()}
+        return order_items(self.job, tokens_left, self._outlook(open_runners))
+
+    def _outlook(self, open_runners: Mapping[str, ItemRunner]) -> Outlook:
+        """What the places that the job has now generate until it is due."""
+        route = self._services.routes.lookup(self.job.host, self.job.target)
+        time_left_s = self._standing.due_s(route) - now_s()
+        # The item that has just ended leaves its place to the next one.
+        num_places = 1 + sum(runner.is_at_worker for runner in open_runners.values())
+        return Outlook(time_left_s, num_places, self._services.pace.tokens_per_s)
+
     async def _run_item(self, runner: ItemRunner) -> None:
         result = await runner.run()
         self._item_runners.pop(runner.item_id, None)
         self._finished.append(result)
+        self._ended_s[result.item_id] = now_s()
         self._has_finished.set()
         self._finished_another.set()
+        self._reorder()
 
     async def _list_finished(self) -> bool:
         """List what has finished; returns whether the job still belongs to this node."""
@@ -223,6 +271,7 @@
             if unsaved is not None:
                 self._saver.note_saved(unsaved)
             self._finished = self._finished[len(batch) :]
+            self._note_listed(batch)
             self._take_listed([*self.results, *batch])
             return True
         if outcome is AppendOutcome.OVERTAKEN:
@@ -230,6 +279,14 @@
         await asyncio.sleep(RETRY_PAUSE_S)
         return True
 
+    def _note_listed(self, batch: Sequence[ItemResult]) -> None:
+        """Count how long results that ended here waited until they were listed."""
+        for result in batch:
+            ended_s = self._ended_s.pop(result.item_id, None)
+            if ended_s is not None:
+                statistics = self._services.queue.statistics
+                statistics.note_wait(WaitPlace.LISTING, now_s() - ended_s)
+
     async def _catch_up(self) -> bool:
         """Another writer, or an own write whose answer was lost, came first."""
         listed = await self._log.read_results(self.job.id)
--- a/src/hollowrack/jobs/open_work.py
+++ b/src/hollowrack/jobs/open_work.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable, Mapping
 
 from hollowrack.clock import now_s
+from hollowrack.forwarding.dispatch_rank import NEVER_DUE_S
 from hollowrack.forwarding.types import Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.item_runner import ItemRunner
+from hollowrack.jobs.job_standing import JobStanding
 from hollowrack.jobs.types import Job
 from hollowrack.slots.types import OpenWork
 
@@ -15,7 +17,7 @@
 
 def open_work_of(
     job: Job,
-    owned_s: float,
+    standing: JobStanding,
     runners: Iterable[ItemRunner],
     service: str,
     lives: Mapping[str, int],
@@ -25,7 +27,7 @@
 
     Args:
         job: The job.
-        owned_s: Since when this node has owned it, on the loop's clock.
+        standing: When it is due.
         runners: Its unfinished items.
         service: The service.
         lives: Position of each life in the report by its text.
@@ -36,12 +38,10 @@
         return None
     num_waiting = sum(runner.is_waiting for runner in here)
     route = here[0].route
-    due_in_s = None
-    if route is not None and route.result_deadline_s is not None:
-        due_in_s = owned_s + route.result_deadline_s - now_s()
+    due_s = standing.due_s(route)
     return OpenWork(
         UNKNOWN_PRIORITY if route is None else route.priority,
-        due_in_s,
+        None if due_s == NEVER_DUE_S else due_s - now_s(),
         len(here) - num_waiting,
         num_waiting,
         _eligible(job, workers.placeable(service), lives),
