--- a/src/hollowrack_standins/users_platform.py
+++ b/src/hollowrack_standins/users_platform.py
@@ -34,6 +34,9 @@
 LOAD_S = 0.05
 EVENT_PAUSE_S = 0.002
 PAGE_SIZE = 3
+# Starts of workers, in milliseconds since 1970.
+FIRST_START_MS = 1_700_000_000_000
+RESTART_MS = 1000
 
 
 @dataclass
@@ -221,6 +224,7 @@
         self.version = 1
         self.num_orders = 0
         self.is_busy = False
+        self.started_ms = FIRST_START_MS
         # Where others are told to reach it; its own address if empty.
         self.advertised_address = ""
         self.num_events = 6
@@ -235,6 +239,13 @@
             ]
         )
 
+    def start_again(self, version: int) -> None:
+        """Begin a new life under the same identity, which knows nothing of the one before."""
+        self.started_ms += RESTART_MS
+        self.version = version
+        self.num_orders = 0
+        self.is_busy = False
+
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return what the worker writes into the store."""
         return {
@@ -247,6 +258,7 @@
             "cold-remaining-ms": 0,
             "models": self._models(),
             "sequence": 1,
+            names.STARTED_MS: self.started_ms,
         }
 
     def _models(self) -> list[dict[str, object]]:
@@ -256,7 +268,12 @@
 
     async def _report(self, request: Request) -> Response:
         del request
-        content = {"models": self._models(), "busy": self.is_busy, "sequence": self.num_orders}
+        content = {
+            "models": self._models(),
+            "busy": self.is_busy,
+            "sequence": self.num_orders,
+            names.STARTED_MS: self.started_ms,
+        }
         return JSONResponse(content)
 
     async def _order(self, request: Request) -> Response:
@@ -270,13 +287,17 @@
             (self.id, body["holder"], body["fence"], body["model"], body["version"])
         )
         self.is_busy = True
-        asyncio.get_running_loop().call_later(LOAD_S, self._loaded, body["version"])
+        asyncio.get_running_loop().call_later(
+            LOAD_S, self._loaded, self.started_ms, body["version"]
+        )
         if self.switches.ignores_orders:
             self.switches.ignores_orders -= 1
             raise ConnectionResetError("the answer is lost")
         return JSONResponse({}, status_code=202)
 
-    def _loaded(self, version: int) -> None:
+    def _loaded(self, started_ms: int, version: int) -> None:
+        if started_ms != self.started_ms:
+            return
         self.version = version
         self.is_busy = False
 
