--- a/src/hollowrack_bench/soak_worker_faults.py
+++ b/src/hollowrack_bench/soak_worker_faults.py
@@ -17,6 +17,8 @@
 # Up to several times the time after which a plain request is tried at another worker.
 MAX_SLOW_S = 1.2
 DEEP_NESTING = 20_000
+# Workers that start again may hold any older weights; the oldest are furthest behind.
+FIRST_VERSION = 1
 NUM_FOREIGN_KEYS = 5
 
 Pause = Callable[[], Awaitable[None]]
@@ -71,7 +73,7 @@
             self._write_entry(worker)
 
     async def _return(self, worker: PlatformWorkerStandin) -> None:
-        worker.begin_new_life()
+        worker.start_again(FIRST_VERSION)
         await worker.server.start()
         self._away.discard(worker.id)
         self.restarted.append(WorkerLife(worker.id, worker.started_ms))
