--- a/src/hollowrack/messages/node_http.py
+++ b/src/hollowrack/messages/node_http.py
@@ -9,6 +9,7 @@
 from starlette.routing import Route
 
 from hollowrack.messages import codec
+from hollowrack.messages.idle_connections import MIN_SILENCE_S, noticing_silence
 from hollowrack.results import DESCRIPTIONS, ResultCode
 
 # Nodes are a few milliseconds apart; one that is gone or cut off does not answer at all.
@@ -45,9 +46,13 @@
     """
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
     body = codec.encode(question)
+    url = f"http://{address}{path}"
+    # The node may take nearly all of the time: only the time-out itself shows that it is silent.
+    quiet_s = timeout_s - MIN_SILENCE_S
     try:
-        async with session.post(f"http://{address}{path}", data=body, timeout=timeout) as response:
-            return codec.decode(await response.read()).value_or(None)
+        with noticing_silence(session, url, quiet_s):
+            async with session.post(url, data=body, timeout=timeout) as response:
+                return codec.decode(await response.read()).value_or(None)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise NodeUnreachableError(type(error).__name__) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/src/hollowrack/platform/duty_client.py
+++ b/src/hollowrack/platform/duty_client.py
@@ -6,6 +6,7 @@
 
 from hollowrack.capacity.types import CapacityOrder
 from hollowrack.coordination.duty import DutyHolder, DutyOutcome
+from hollowrack.messages.idle_connections import noticing_silence
 from hollowrack.platform import names
 from hollowrack.usage.types import WindowReport
 
@@ -55,12 +56,13 @@
         }
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
         try:
-            async with self._session.post(
-                self._base + path, json=body, headers=headers, timeout=timeout
-            ) as response:
-                await response.read()
-                if response.status == HTTPStatus.OK:
-                    return DutyOutcome.ACCEPTED
-                return _OUTCOMES.get(HTTPStatus(response.status), DutyOutcome.REFUSED)
+            with noticing_silence(self._session, self._base):
+                async with self._session.post(
+                    self._base + path, json=body, headers=headers, timeout=timeout
+                ) as response:
+                    await response.read()
+            if response.status == HTTPStatus.OK:
+                return DutyOutcome.ACCEPTED
+            return _OUTCOMES.get(HTTPStatus(response.status), DutyOutcome.REFUSED)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return DutyOutcome.UNKNOWN
--- a/src/hollowrack/platform/http_session.py
+++ b/src/hollowrack/platform/http_session.py
@@ -2,6 +2,8 @@
 
 import aiohttp
 
+from hollowrack.messages.idle_connections import PeerConnector
+
 # Between nodes and to the store: questions follow each other within a second or two.
 KEPT_CONNECTION_S = 4.0
 NO_CONNECTION_LIMIT = 0
@@ -20,9 +22,9 @@
         kept_s: How long an idle connection is kept, in seconds.
     """
     if force_close:
-        connector = aiohttp.TCPConnector(limit=NO_CONNECTION_LIMIT, force_close=True)
+        connector = PeerConnector(limit=NO_CONNECTION_LIMIT, force_close=True)
     else:
-        connector = aiohttp.TCPConnector(limit=NO_CONNECTION_LIMIT, keepalive_timeout=kept_s)
+        connector = PeerConnector(limit=NO_CONNECTION_LIMIT, keepalive_timeout=kept_s)
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/src/hollowrack/platform/store_client.py
+++ b/src/hollowrack/platform/store_client.py
@@ -30,6 +30,7 @@
     Unknown,
     WriteOutcome,
 )
+from hollowrack.messages.idle_connections import noticing_silence
 from hollowrack.platform import names
 
 CALL_TIMEOUT_S = 1.2
@@ -109,7 +110,12 @@
             "wait-ms": str(int(wait_s * MS_PER_S)),
         }
         answer = await self._call(
-            f"watch {_family(prefix)}", "GET", names.KV_WATCH_PATH, query, wait_s + WATCH_GRACE_S
+            f"watch {_family(prefix)}",
+            "GET",
+            names.KV_WATCH_PATH,
+            query,
+            timeout_s=wait_s + WATCH_GRACE_S,
+            quiet_s=wait_s,
         )
         if isinstance(answer, NotDone | Unknown):
             return answer
@@ -187,22 +193,26 @@
         query: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
         body: object = None,
+        quiet_s: float = 0.0,
     ) -> tuple[int, Any] | Unavailable:
-        """Send one call, counted under a kind; the answer's status and decoded body."""
+        """Send one call, counted under a kind; the answer's status and decoded body.
+
+        The store may take ``quiet_s`` seconds of ``timeout_s`` by agreement.
+        """
         self.num_calls[kind] += 1
         url = URL(self._base + path)
         if query:
             url = url.with_query(query)
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
-            async with self._session.request(method, url, json=body, timeout=timeout) as response:
-                data = await response.read()
-                if response.status in (
-                    HTTPStatus.SERVICE_UNAVAILABLE,
-                    HTTPStatus.TOO_MANY_REQUESTS,
-                ):
-                    return NotDone(f"status {response.status}")
-                return response.status, json.loads(data) if data else {}
+            with noticing_silence(self._session, url, quiet_s):
+                async with self._session.request(
+                    method, url, json=body, timeout=timeout
+                ) as response:
+                    data = await response.read()
+            if response.status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS):
+                return NotDone(f"status {response.status}")
+            return response.status, json.loads(data) if data else {}
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotDone(type(error).__name__)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, RecursionError) as error:
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -22,6 +22,7 @@
 )
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.types import Worker
+from hollowrack.messages.idle_connections import noticing_silence
 from hollowrack.platform import names
 from hollowrack.platform.configuration import model_versions
 from hollowrack.platform.http_session import client_session
@@ -214,15 +215,16 @@
         """Send a request; see :class:`BackEndClient`."""
         session = self._session if is_repeatable else self._fresh_session
         try:
-            response = await session.request(
-                call.method,
-                URL(f"http://{worker.address}{call.target}", encoded=True),
-                data=call.body or None,
-                headers=_request_headers(worker, call, time_left_s, after_event),
-                skip_auto_headers=_NO_AUTOMATIC_HEADERS,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-            )
+            with noticing_silence(session, f"http://{worker.address}"):
+                response = await session.request(
+                    call.method,
+                    URL(f"http://{worker.address}{call.target}", encoded=True),
+                    data=call.body or None,
+                    headers=_request_headers(worker, call, time_left_s, after_event),
+                    skip_auto_headers=_NO_AUTOMATIC_HEADERS,
+                    allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotRunError(NotRunReason.UNREACHABLE) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -285,15 +287,17 @@
     async def _exchange(
         self, worker: Worker, method: str, path: str, timeout_s: float, body: object = None
     ) -> tuple[int, Any]:
-        async with self._session.request(
-            method,
-            f"http://{worker.address}{path}",
-            json=body,
-            headers={names.EXPECT_INSTANCE: worker.id},
-            timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S),
-        ) as response:
-            data = await response.read()
-            return response.status, json.loads(data) if data.startswith(b"{") else {}
+        url = f"http://{worker.address}{path}"
+        with noticing_silence(self._session, url):
+            async with self._session.request(
+                method,
+                url,
+                json=body,
+                headers={names.EXPECT_INSTANCE: worker.id},
+                timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S),
+            ) as response:
+                data = await response.read()
+        return response.status, json.loads(data) if data.startswith(b"{") else {}
 
 
 def _request_headers(
--- a/src/hollowrack_bench/loopback_proxy.py
+++ b/src/hollowrack_bench/loopback_proxy.py
@@ -53,6 +53,8 @@
         self._rng = rng
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
+        self._num_accepted = 0
+        self._num_silenced = 0
 
     async def start(self) -> str:
         """Start listening on a free port; returns the address."""
@@ -76,6 +78,10 @@
             for connection in self._connections:
                 connection.cancel()
 
+    def silence_open(self) -> None:
+        """Swallow from now on all bytes of the connections that are open; new ones work."""
+        self._num_silenced = self._num_accepted
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -86,19 +92,22 @@
             # Both ends of a harmed connection see a reset, as of a broken link.
             _reset(writer)
         finally:
+            writer.close()
             self._connections.discard(task)
 
     async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.fault is LinkFault.RESET:
             _reset(writer)
             return
+        self._num_accepted += 1
+        number = self._num_accepted
         is_lost = self.fault is LinkFault.LOSSY and self._rng.random() < LOST_SHARE
         host, _, port = self._target.rpartition(":")
         server_reader, server_writer = await asyncio.open_connection(host, int(port))
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pass(reader, server_writer, True, is_lost))
-                group.create_task(self._pass(server_reader, writer, False, is_lost))
+                group.create_task(self._pass(reader, server_writer, True, is_lost, number))
+                group.create_task(self._pass(server_reader, writer, False, is_lost, number))
         except* OSError:
             _reset(writer)
         finally:
@@ -110,10 +119,12 @@
         writer: asyncio.StreamWriter,
         is_request: bool,
         is_silenced: bool,
+        number: int,
     ) -> None:
         """Pass one direction on until its sender ends it."""
         while chunk := await reader.read(CHUNK_BYTES):
             is_silenced = is_silenced or self._swallows(is_request)
+            is_silenced = is_silenced or number <= self._num_silenced
             if is_silenced:
                 continue
             if self.fault is LinkFault.DELAYED:
--- a/tests/bench/test_loopback_proxy.py
+++ b/tests/bench/test_loopback_proxy.py
@@ -108,3 +108,19 @@
         writer.close()
 
     run_behind_proxy(scenario)
+
+
+def test_open_connections_can_be_silenced_for_good_while_new_ones_work() -> None:
+    async def scenario(proxy: LoopbackProxy) -> None:
+        url = f"http://{proxy.address}/"
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.get(url) as response:
+                assert await response.read() == BODY
+            proxy.silence_open()
+            with pytest.raises(TimeoutError):
+                await session.get(url)
+            async with session.get(url) as response:
+                assert await response.read() == BODY
+
+    run_behind_proxy(scenario)
--- /dev/null
+++ b/tests/platform/test_silent_connections.py
@@ -0,0 +1,191 @@
+"""Connections that fall silent for good while new ones work: one time-out a peer, no more."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import aiohttp
+import pytest
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+from yarl import URL
+
+from hollowrack.coordination.duty import DutyHolder, DutyOutcome
+from hollowrack.coordination.feed_http import FEED_PATH, HttpFeedClient
+from hollowrack.coordination.relay import Absent, RelayedGet
+from hollowrack.coordination.relay_http import HttpRelayClient, relay_routes
+from hollowrack.coordination.store import Changes
+from hollowrack.coordination.watch_messages import SharedChanges, WatchRequest
+from hollowrack.forwarding.back_end import BackEndCall
+from hollowrack.forwarding.types import Worker
+from hollowrack.jobs.peers import READ_PATH, HttpPeerJobs, JobPage, ReadJob
+from hollowrack.messages.idle_connections import PeerConnector
+from hollowrack.messages.node_http import question_route
+from hollowrack.platform import names
+from hollowrack.platform.duty_client import PlatformDutyClient
+from hollowrack.platform.http_session import client_session
+from hollowrack.platform.store_client import PlatformStore
+from hollowrack.platform.worker_client import PlatformWorkers, worker_session
+from hollowrack.usage.types import WindowReport
+from hollowrack_bench.loopback_proxy import LoopbackProxy
+from hollowrack_standins.coordination_store import CoordinationStoreCore
+from hollowrack_standins.server import StandinServer
+from hollowrack_standins.users_platform import PlatformStoreStandin
+
+NUM_KEPT = 5
+WORKER_PATIENCE_S = 0.3
+CALL = BackEndCall("q1", "POST", "/a", (), b"asked")
+
+Call = Callable[[], Awaitable[bool]]
+
+
+async def _worker_answer(request: Request) -> Response:
+    # Long enough that calls made together have a connection each.
+    await asyncio.sleep(0.02)
+    return PlainTextResponse(b"{}", headers={names.REQUEST_ID: CALL.request_id})
+
+
+async def _read_job(asked: ReadJob) -> JobPage:
+    del asked
+    await asyncio.sleep(0.02)
+    return JobPage(is_owner=True)
+
+
+async def _changes(asked: WatchRequest) -> SharedChanges:
+    del asked
+    await asyncio.sleep(0.02)
+    return SharedChanges()
+
+
+def _routes() -> list[Route]:
+    return [
+        *relay_routes(CoordinationStoreCore().view()),
+        question_route(READ_PATH, (ReadJob,), _read_job),
+        question_route(FEED_PATH, (WatchRequest,), _changes),
+        Route(names.USAGE_PATH, _worker_answer, methods=["POST"]),
+        Route(CALL.target, _worker_answer, methods=["POST"]),
+    ]
+
+
+@dataclass
+class Clients:
+    """Every client of the product, towards one peer."""
+
+    session: aiohttp.ClientSession
+    kept_session: aiohttp.ClientSession
+    address: str
+
+    async def get(self) -> bool:
+        return await PlatformStore(self.session, self.address).get("k") is None
+
+    async def watch(self) -> bool:
+        outcome = await PlatformStore(self.session, self.address).watch("k/", 0, 0.2)
+        return isinstance(outcome, Changes)
+
+    async def duty(self) -> bool:
+        client = PlatformDutyClient(self.session, self.address)
+        outcome = await client.report_usage(DutyHolder("n", 1), WindowReport(1, {}))
+        return outcome is DutyOutcome.ACCEPTED
+
+    async def relay(self) -> bool:
+        outcome = await HttpRelayClient(self.session).relay(self.address, RelayedGet("k"))
+        return isinstance(outcome, Absent)
+
+    async def feed(self) -> bool:
+        answer = await HttpFeedClient(self.session).watch(self.address, WatchRequest("k/", 0, 0.1))
+        return answer is not None
+
+    async def read_job(self) -> bool:
+        page = await HttpPeerJobs(self.session).read(self.address, ReadJob("j", 0, 0.1))
+        return page is not None
+
+    async def worker(self) -> bool:
+        workers = PlatformWorkers(self.kept_session, self.kept_session)
+        worker = Worker("w", "svc", self.address, "z", 1)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WORKER_PATIENCE_S):
+                answer = await workers.open(worker, CALL, 5.0)
+                return await answer.read() == b"{}"
+        return False
+
+
+@asynccontextmanager
+async def clients_behind(server: StandinServer) -> AsyncIterator[tuple[Clients, LoopbackProxy]]:
+    proxy = LoopbackProxy(await server.start(), random.Random(1))
+    address = await proxy.start()
+    try:
+        async with client_session() as session, worker_session() as kept_session:
+            yield Clients(session, kept_session, address), proxy
+    finally:
+        await proxy.stop()
+        await server.crash()
+
+
+async def time_to_an_answer(clients: Clients, proxy: LoopbackProxy, kind: str) -> tuple[int, float]:
+    """Silence all kept connections; the calls that fail after that, and how long they take."""
+    call: Call = getattr(clients, kind)
+    assert all(await asyncio.gather(*(call() for _ in range(NUM_KEPT))))
+    proxy.silence_open()
+    began_s = time.monotonic()
+    num_failed = 0
+    answered_s = began_s
+    while not await call():
+        num_failed += 1
+        answered_s = time.monotonic()
+    return num_failed, answered_s - began_s
+
+
+KINDS = ("get", "watch", "duty", "relay", "feed", "read_job", "worker")
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_one_silent_connection_is_enough(kind: str) -> None:
+    async def main() -> None:
+        is_store = kind in ("get", "watch")
+        server = PlatformStoreStandin().server if is_store else StandinServer(_routes())
+        async with clients_behind(server) as (clients, proxy):
+            num_failed, _ = await time_to_an_answer(clients, proxy, kind)
+            assert num_failed == 1
+
+    asyncio.run(main())
+
+
+def test_connections_that_were_used_since_stay_and_so_do_those_to_others() -> None:
+    async def main() -> None:
+        async with (
+            clients_behind(StandinServer(_routes())) as (clients, _),
+            clients_behind(StandinServer(_routes())) as (elsewhere, _),
+        ):
+            others = Clients(clients.session, clients.kept_session, elsewhere.address)
+            assert all(await asyncio.gather(*(clients.worker() for _ in range(3))))
+            assert all(await asyncio.gather(*(others.worker() for _ in range(3))))
+            connector = clients.kept_session.connector
+            assert isinstance(connector, PeerConnector)
+            since_s = time.monotonic()
+            assert await clients.worker()
+            url = URL(f"http://{clients.address}")
+            assert connector.drop_idle(url, since_s) == 2
+            assert connector.drop_idle(url, time.monotonic()) == 1
+            assert connector.drop_idle(URL(f"http://{others.address}"), since_s) == 3
+
+    asyncio.run(main())
+
+
+def test_a_caller_that_leaves_soon_drops_no_connection() -> None:
+    async def main() -> None:
+        async with clients_behind(StandinServer(_routes())) as (clients, _):
+            assert all(await asyncio.gather(*(clients.worker() for _ in range(3))))
+            leaving = asyncio.create_task(clients.worker())
+            await asyncio.sleep(0.005)
+            leaving.cancel()
+            await asyncio.gather(leaving, return_exceptions=True)
+            connector = clients.kept_session.connector
+            assert isinstance(connector, PeerConnector)
+            assert connector.drop_idle(URL(f"http://{clients.address}"), time.monotonic()) == 2
+
+    asyncio.run(main())
