--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -320,6 +320,8 @@
             raise BrokenAnswerError("the answer ends inside an event")
 
     def _should_move(self, worker: Worker) -> bool:
+        if not self._places.may_leave(worker):
+            return False
         if self._num_moves < MAX_MOVES and self._faster.look(worker, self._last_number or 0):
             self._num_moves += 1
             return True
--- a/src/hollowrack/forwarding/run_places.py
+++ b/src/hollowrack/forwarding/run_places.py
@@ -76,8 +76,17 @@
             return now_s() >= self._others_from_s
         return now_s() >= self._any_from_s
 
+    def may_leave(self, worker: Worker) -> bool:
+        """Whether the run may go on at another worker than this one."""
+        if self._max_workers is None:
+            return True
+        others = self._began_there() - {worker.id}
+        return bool(others) or self._max_workers > 1
+
     def _has_workers_left(self, worker: Worker) -> bool:
         if self._max_workers is None or worker.id in self._began_at:
             return True
-        num_there = sum(self._is_known(worker_id) for worker_id in self._began_at)
-        return num_there < self._max_workers
+        return len(self._began_there()) < self._max_workers
+
+    def _began_there(self) -> set[str]:
+        return {worker_id for worker_id in self._began_at if self._is_known(worker_id)}
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -70,6 +70,15 @@
 )
 _NOT_FORWARDED = _OF_ONE_CONNECTION | _SET_BY_SYSTEM
 _NOT_RETURNED = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
+# What reading another program's JSON may come to: a field is missing, or of another type or size.
+_UNREADABLE = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 _NO_AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
@@ -260,7 +269,12 @@
                 return None
             versions = model_versions(body.get("models"))
             return WorkerReport(int(body["sequence"]), bool(body["busy"]), versions)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        except _UNREADABLE as error:
+            logging.warning(
+                "worker %s: its report cannot be read: %s", worker.id, type(error).__name__
+            )
             return None
 
     async def give(self, order: VersionOrder) -> OrderOutcome:
@@ -278,7 +292,7 @@
             status, _ = await self._exchange(
                 order.move.worker, "POST", names.ORDER_PATH, ORDER_TIMEOUT_S, body
             )
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, RecursionError):
             return OrderOutcome.UNKNOWN
         if status == HTTPStatus.ACCEPTED:
             return OrderOutcome.ACCEPTED
--- a/tests/forwarding/test_resumable_run.py
+++ b/tests/forwarding/test_resumable_run.py
@@ -378,3 +378,23 @@
         assert all(directory.num_in_flight(worker) == 0 for worker in directory.all())
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(("max_workers", "num_runs"), [(1, 1), (2, 2)])
+def test_a_stream_that_may_go_nowhere_else_stays_at_a_slow_worker(
+    max_workers: int, num_runs: int
+) -> None:
+    async def main() -> None:
+        back_ends = BackEndsStandin({"w0": WorkerBehaviour(work_s=0.2)})
+        back_ends.num_events = 60
+        directory = make_directory(make_worker("w0"))
+        run = make_run(back_ends, directory, max_workers=max_workers)
+        events = asyncio.create_task(events_of(run))
+        await asyncio.sleep(1.0)
+        directory.put(make_worker("w1"))
+        for _ in range(8):
+            directory.note_pace(make_worker("w1"), 0.02)
+        assert len(await events) == 60
+        assert back_ends.executions["q1"] == num_runs
+
+    run_virtual(main())
--- a/tests/platform/test_store_entries.py
+++ b/tests/platform/test_store_entries.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import aiohttp
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -313,6 +314,9 @@
             assert answer.status == 200
             assert answer.body.endswith(b"by s1")
         assert workers.get("broken") is None
+        url = f"http://{system.edges['n0'].peers_address}/metrics"
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            assert 'unreadable_entries_total{prefix="servers/"} 2.0' in await response.text()
         system.store.put("servers/s0", system.workers["s0"].entry())
         await until(lambda: workers.get("s0") is not None)
 
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -105,3 +105,35 @@
     num_runs, error = asyncio.run(_run_twice_on_one_connection(method))
     assert num_runs == 2
     assert isinstance(error, BrokenAnswerError)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{}",
+        b"{",
+        b'{"models": 5, "sequence": 1, "busy": false}',
+        b'{"models": ["m"], "sequence": 1, "busy": false}',
+        b'{"models": [], "sequence": null, "busy": false}',
+        b'{"models": [], "sequence": Infinity, "busy": false}',
+        b'{"a":' * 100_000,
+    ],
+    ids=lambda body: body[:40].decode(),
+)
+def test_a_report_that_cannot_be_read_is_none(body: bytes) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body)
+        writer.write(head + body)
+        await writer.drain()
+        writer.close()
+
+    async def main() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        async with worker_session() as session, worker_session(force_close=True) as fresh:
+            workers = PlatformWorkers(session, fresh)
+            assert await workers.report(Worker("w", "svc", address, "z", 1)) is None
+        server.close()
+
+    asyncio.run(main())
