--- a/src/hollowrack/coordination/record.py
+++ b/src/hollowrack/coordination/record.py
@@ -21,6 +21,7 @@
     Unknown,
 )
 from hollowrack.messages import codec
+from hollowrack.results import Problem, ResultCode
 
 Value = TypeVar("Value")
 
@@ -55,12 +56,19 @@
         self._is_unsure = False
 
     def take(self, item: StoredItem | None) -> None:
-        """Take in what the store holds, as a mirror or a failed write shows it."""
-        if item is None or item.revision <= self._revision:
+        """Take in what the store holds, as a mirror or a failed write shows it.
+
+        The value outlives its key: what was decided stays so, and the next write names no revision.
+        """
+        if item is None:
+            self._revision = ABSENT_REVISION
+            return
+        if item.revision <= self._revision:
             return
         decoded = codec.decode(item.value)
         if isinstance(decoded, Failure) or not isinstance(decoded.unwrap(), self._kind):
-            logging.error("record %s cannot be read, and stays until its key is removed", self._key)
+            detail = "it is no record of its kind, and is not replaced."
+            logging.error("%s", Problem(ResultCode.ENTRY_UNREADABLE, detail, self._key))
             return
         self._revision = item.revision
         self.value = decoded.unwrap()
--- a/tests/coordination/test_record.py
+++ b/tests/coordination/test_record.py
@@ -85,3 +85,23 @@
         assert not await first.record.replace(DecidedUsage(2))
 
     run_writers(scenario)
+
+
+@pytest.mark.parametrize("is_told", [True, False])
+def test_a_record_goes_on_once_the_key_that_could_not_be_read_is_removed(is_told: bool) -> None:
+    async def scenario(core: CoordinationStoreCore, first: Writer, second: Writer) -> None:
+        assert await first.record.replace(DecidedUsage(1))
+        core.transact([], [Put(KEY, b"\xff")], [])
+        first.record.take(core.items[KEY])
+        assert not await first.record.replace(DecidedUsage(2))
+        core.transact([], [], [KEY])
+        if is_told:
+            first.record.take(None)
+        else:
+            assert not await first.record.replace(DecidedUsage(2))
+        # What was decided before stays decided.
+        assert first.record.value == DecidedUsage(1)
+        assert await first.record.replace(DecidedUsage(2))
+        assert first.seen == [1, 2]
+
+    run_writers(scenario)
