--- a/src/hollowrack/jobs/peers.py
+++ b/src/hollowrack/jobs/peers.py
@@ -154,7 +154,12 @@
 
 
 def _problem(answer: SubmitAnswer, address: str) -> Problem | None:
-    code = ResultCode(answer.code)
+    try:
+        code = ResultCode(answer.code)
+    except ValueError:
+        # A node of a later version: what it did with the job is not known here.
+        detail = f"a node answered with the unknown code {answer.code}"
+        return Problem(ResultCode.OUTCOME_UNKNOWN, detail, address)
     return None if code is ResultCode.OK else Problem(code, answer.detail, address)
 
 
--- a/src/hollowrack/platform/worker_entry.py
+++ b/src/hollowrack/platform/worker_entry.py
@@ -86,11 +86,9 @@
     capacity: Annotated[int, Field(ge=1, le=MAX_CAPACITY)]
     state: Literal["ready", "draining"]
     models: list[ModelEntry] | None = None
-    # Checked all the same: an entry that is wrong here is not a worker's.
+    # Their types are checked all the same: an entry that is wrong there is not a worker's.
     version: str | int | float | None = None
-    cold_remaining_ms: Annotated[float, Field(ge=0)] | None = Field(
-        default=None, alias="cold-remaining-ms"
-    )
+    cold_remaining_ms: float | None = Field(default=None, alias="cold-remaining-ms")
     sequence: _WholeNumber | None = None
     stage: str | None = None
 
--- /dev/null
+++ b/tests/jobs/test_peer_answers.py
@@ -0,0 +1,37 @@
+"""What a node makes of the answers of others about a job handed over."""
+
+import asyncio
+
+import pytest
+
+from hollowrack.jobs.peers import SUBMIT_PATH, HttpPeerJobs, SubmitAnswer
+from hollowrack.jobs.types import Job
+from hollowrack.messages.node_http import question_route
+from hollowrack.platform.http_session import client_session
+from hollowrack.results import ResultCode
+from hollowrack_standins.server import StandinServer
+from tests.jobs.helpers import make_job
+
+
+@pytest.mark.parametrize(
+    ("answered", "expected"),
+    [
+        (int(ResultCode.OK), None),
+        (int(ResultCode.JOB_NOT_STORED), ResultCode.JOB_NOT_STORED),
+        (99_999, ResultCode.OUTCOME_UNKNOWN),
+    ],
+)
+def test_the_code_of_the_answer_is_passed_on(answered: int, expected: ResultCode | None) -> None:
+    async def submit(job: Job) -> SubmitAnswer:
+        del job
+        return SubmitAnswer(answered)
+
+    async def main() -> None:
+        server = StandinServer([question_route(SUBMIT_PATH, (Job,), submit)])
+        address = await server.start()
+        async with client_session() as session:
+            problem = await HttpPeerJobs(session).submit(address, make_job(), 2.0)
+        assert (None if problem is None else problem.code) is expected
+        await server.crash()
+
+    asyncio.run(main())
