--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -22,6 +22,7 @@
 )
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.types import Worker
+from hollowrack.messages.idle_connections import noticing_silence
 from hollowrack.platform import names
 from hollowrack.platform.configuration import model_versions, started_ms
 from hollowrack.platform.http_session import client_session
@@ -69,6 +70,15 @@
 )
 _NOT_FORWARDED = _OF_ONE_CONNECTION | _SET_BY_SYSTEM
 _NOT_RETURNED = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
+# What reading another program's JSON may come to: a field is missing, or of another type or size.
+_UNREADABLE = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 _NO_AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
@@ -214,15 +224,16 @@
         """Send a request; see :class:`BackEndClient`."""
         session = self._session if is_repeatable else self._fresh_session
         try:
-            response = await session.request(
-                call.method,
-                URL(f"http://{worker.address}{call.target}", encoded=True),
-                data=call.body or None,
-                headers=_request_headers(worker, call, time_left_s, after_event),
-                skip_auto_headers=_NO_AUTOMATIC_HEADERS,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-            )
+            with noticing_silence(session, f"http://{worker.address}"):
+                response = await session.request(
+                    call.method,
+                    URL(f"http://{worker.address}{call.target}", encoded=True),
+                    data=call.body or None,
+                    headers=_request_headers(worker, call, time_left_s, after_event),
+                    skip_auto_headers=_NO_AUTOMATIC_HEADERS,
+                    allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotRunError(NotRunReason.UNREACHABLE) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -268,8 +279,10 @@
             return WorkerReport(num_orders, is_busy, versions, started_ms(body))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             logging.info("worker %s: no report: %s", worker.life, type(error).__name__)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            logging.warning("worker %s: its report cannot be read: %r", worker.life, error)
+        except _UNREADABLE as error:
+            logging.warning(
+                "worker %s: its report cannot be read: %s", worker.life, type(error).__name__
+            )
         return None
 
     async def give(self, order: VersionOrder) -> OrderOutcome:
@@ -287,7 +300,7 @@
             status, _ = await self._exchange(
                 order.move.worker, "POST", names.ORDER_PATH, ORDER_TIMEOUT_S, body
             )
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, RecursionError):
             return OrderOutcome.UNKNOWN
         if status == HTTPStatus.ACCEPTED:
             return OrderOutcome.ACCEPTED
@@ -296,15 +309,17 @@
     async def _exchange(
         self, worker: Worker, method: str, path: str, timeout_s: float, body: object = None
     ) -> tuple[int, Any]:
-        async with self._session.request(
-            method,
-            f"http://{worker.address}{path}",
-            json=body,
-            headers={names.EXPECT_INSTANCE: worker.id},
-            timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S),
-        ) as response:
-            data = await response.read()
-            return response.status, json.loads(data) if data.startswith(b"{") else {}
+        url = f"http://{worker.address}{path}"
+        with noticing_silence(self._session, url):
+            async with self._session.request(
+                method,
+                url,
+                json=body,
+                headers={names.EXPECT_INSTANCE: worker.id},
+                timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S),
+            ) as response:
+                data = await response.read()
+        return response.status, json.loads(data) if data.startswith(b"{") else {}
 
 
 def _request_headers(
