--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -105,7 +105,7 @@
         self.usage = usage_meter(self.owner, connections.usage)
         self.quarantine = Quarantine(connections.back_ends)
         self.forwarder = Forwarder(
-            self.routes, self.workers, connections.back_ends, self.usage, self.quarantine
+            self.routes, self.workers, connections.back_ends, self.usage, self.quarantine, rng
         )
         self.queue = DispatchQueue(self.workers)
         self.session = Session(store, rng)
--- a/src/hollowrack/forwarding/back_end.py
+++ b/src/hollowrack/forwarding/back_end.py
@@ -53,6 +53,19 @@
     """The request was sent and no whole, matching answer came: it may have run."""
 
 
+@dataclass(frozen=True)
+class LoadReport:
+    """Load that a worker told with an answer.
+
+    Attributes:
+        num_running: Requests it works on, of all nodes.
+        num_waiting: Requests that wait inside it.
+    """
+
+    num_running: int
+    num_waiting: int
+
+
 class OpenAnswer(Protocol):
     """An answer whose head has arrived.
 
@@ -61,12 +74,14 @@
         headers: The worker's headers without those of one connection.
         signature: The worker's signature of the answer; ``None`` if it has none.
         weight_version: Weight version at the beginning of the body; ``None`` if not told.
+        load_report: The worker's load when it answered; ``None`` if not told.
     """
 
     status: int
     headers: Headers
     signature: str | None
     weight_version: int | None
+    load_report: LoadReport | None
 
     async def read(self) -> bytes:
         """Read the whole body.
--- a/src/hollowrack/forwarding/call_places.py
+++ b/src/hollowrack/forwarding/call_places.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 from math import ceil
 
+from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Route
 from hollowrack.forwarding.workers import WorkerDirectory
 
@@ -23,11 +24,15 @@
 class CallPlaces:
     """Places for calls, handed out in the order in which they are asked for.
 
+    Calls whose workers serve no other plain requests are not bounded.
+
     Args:
+        routes: The routes in force.
         workers: The workers known, whose slots are shared.
     """
 
-    def __init__(self, workers: WorkerDirectory) -> None:
+    def __init__(self, routes: RouteTable, workers: WorkerDirectory) -> None:
+        self._routes = routes
         self._workers = workers
         self._num_taken: Counter[_Services] = Counter()
         self._waiting: dict[_Services, deque[asyncio.Future[None]]] = {}
@@ -41,6 +46,9 @@
     @contextlib.asynccontextmanager
     async def place(self, route: Route) -> AsyncIterator[None]:
         """Hold a place among the calls to a route's services; waits until there is one."""
+        if not self._routes.shares_workers(route):
+            yield
+            return
         services = tuple(target.service for target in route.targets)
         await self._take(services)
         try:
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from dataclasses import dataclass
 
 from absl import logging
@@ -22,6 +23,7 @@
     OpenAnswer,
 )
 from hollowrack.forwarding.call_places import CallPlaces
+from hollowrack.forwarding.early_refusal import EarlyRefusal
 from hollowrack.forwarding.hedged_run import HedgedRun
 from hollowrack.forwarding.hedging import HedgePolicy
 from hollowrack.forwarding.route_table import RouteTable
@@ -85,6 +87,7 @@
         back_ends: Sends requests to workers.
         usage: Counts what workers begin.
         quarantine: Keeps requests that end their workers from further workers.
+        rng: Source of all random choices.
 
     Attributes:
         hedging: Decides on second attempts.
@@ -98,18 +101,27 @@
         back_ends: BackEndClient,
         usage: UsageMeter,
         quarantine: Quarantine,
+        rng: random.Random,
     ) -> None:
         self._routes = routes
         self._workers = workers
         self._back_ends = back_ends
         self._usage = usage
         self._quarantine = quarantine
+        self._early_refusal = EarlyRefusal(workers, rng)
         self.hedging = HedgePolicy()
-        self.call_places = CallPlaces(workers)
+        self.call_places = CallPlaces(routes, workers)
 
     async def forward(self, request: ForwardRequest) -> ForwardOutcome:
         """Return a worker's answer, or the problem that stands in its place."""
         end_s = end_of_request_s(request)
+        service = self._routes.choose_service(request.route)
+        refused = self._early_refusal.problem(
+            request.call.request_id, request.route, service, end_s - now_s()
+        )
+        if refused is not None:
+            return refused
+        self.hedging.budget.note_request()
         attempts = _PlainAttempts(
             self._workers,
             self._back_ends,
@@ -117,10 +129,9 @@
             self._quarantine,
             self.hedging,
             request,
-            self._routes.choose_service(request.route),
+            service,
             end_s,
         )
-        self.hedging.budget.note_request()
         try:
             async with asyncio.timeout_at(end_s):
                 answer = await HedgedRun(attempts, end_s).first_answer()
@@ -181,14 +192,15 @@
             worker = self._workers.choose(self._service, self.history.ran_at)
         return worker
 
-    def next_worker_beside(self) -> Worker | None:
-        """The same for an attempt beside one that is late; takes it from the budget."""
+    def spare_worker(self) -> Worker | None:
+        """Return a worker with room that may run the request beside or instead of a late one."""
         if self._route.kind is not RouteKind.SAFE or not self._may_go_on():
             return None
-        worker = self._workers.choose_ready(self._service, self.history.tried)
-        if worker is None or not self._hedging.budget.take_retry():
-            return None
-        return worker
+        return self._workers.choose_with_room(self._service, self.history.tried)
+
+    def take_hedge(self) -> bool:
+        """Whether the budget allows an attempt beside a late one; spends it."""
+        return self._hedging.budget.take_retry()
 
     def _may_go_on(self) -> bool:
         # Asked before each worker: the request may have ended others at other nodes meanwhile.
@@ -264,6 +276,8 @@
                 self._end_s - now_s(),
                 is_repeatable=self._route.is_idempotent,
             )
+            if opened.load_report is not None:
+                self._workers.loads.note_report(worker, opened.load_report)
             body = await opened.read()
             return WholeAnswer(opened.status, opened.headers, body, opened.signature)
         finally:
--- a/src/hollowrack/forwarding/hedged_run.py
+++ b/src/hollowrack/forwarding/hedged_run.py
@@ -19,8 +19,11 @@
     def next_worker(self) -> Worker | None:
         """Return the worker of the next attempt; ``None`` if there may be none."""
 
-    def next_worker_beside(self) -> Worker | None:
-        """The same for an attempt beside one that is late; takes it from the budget."""
+    def spare_worker(self) -> Worker | None:
+        """Return a worker with room that may run the request beside or instead of a late one."""
+
+    def take_hedge(self) -> bool:
+        """Whether the budget allows an attempt beside a late one; spends it."""
 
     async def attempt(self, worker: Worker) -> Answer_co | None:
         """Try one worker; ``None`` if the request needs another one."""
@@ -107,23 +110,20 @@
         if not latest.is_late:
             latest.is_late = True
             self._source.note_late(latest.worker, now_s() - latest.begun_s)
-        beside = self._source.next_worker_beside()
-        if beside is not None:
-            self._begin(beside)
+        spare = self._source.spare_worker()
+        if spare is not None and self._source.take_hedge():
+            self._begin(spare)
             return
         give_up_s = latest.begun_s + GIVE_UP_SHARE * (self._end_s - latest.begun_s)
         if now_s() < give_up_s:
             self._next_look_s = give_up_s
             return
         self._next_look_s = None
-        if len(self._running) == 1:
-            await self._replace(latest)
+        if spare is not None and len(self._running) == 1:
+            await self._replace(latest, spare)
 
-    async def _replace(self, attempt: _Attempt[Answer]) -> None:
-        """Cut an attempt off for another worker, if there is one."""
-        worker = self._source.next_worker()
-        if worker is None:
-            return
+    async def _replace(self, attempt: _Attempt[Answer], worker: Worker) -> None:
+        """Cut an attempt off for another worker."""
         self._source.note_given_up(attempt.worker)
         self._running.remove(attempt)
         await cancel_all(attempt.task)
--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -1,7 +1,7 @@
 """Looks up the route of a request: the longest prefix among the routes of its host."""
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 
 from absl import logging
@@ -17,6 +17,8 @@
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tenants.types import TenantDirectory
 
+PLAIN_KINDS = frozenset({RouteKind.SAFE, RouteKind.UNSAFE})
+
 
 class RouteTable:
     """The routes in force on this node; the version only rises.
@@ -30,6 +32,7 @@
         self._changed = asyncio.Event()
         self._configuration: RoutingConfiguration | None = None
         self._by_host: dict[str, list[Route]] = {}
+        self._num_plain_routes: Counter[str] = Counter()
         self._credits: dict[tuple[str, str], float] = {}
 
     @property
@@ -77,6 +80,12 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._by_host = dict(by_host)
+        self._num_plain_routes = Counter(
+            target.service
+            for route in configuration.routes
+            if route.kind in PLAIN_KINDS
+            for target in route.targets
+        )
         self._configuration = configuration
         self._changed.set()
         self._changed = asyncio.Event()
@@ -122,6 +131,10 @@
                 return route
             await self._changed.wait()
 
+    def shares_workers(self, route: Route) -> bool:
+        """Whether other routes with plain answers lead to the same workers."""
+        return any(self._num_plain_routes[target.service] > 1 for target in route.targets)
+
     def has_public_jobs(self, host: str) -> bool:
         """Whether jobs may be submitted to a host without a key."""
         return any(
--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from hollowrack.clock import now_s
+from hollowrack.forwarding.back_end import LoadReport
 from hollowrack.forwarding.types import Worker, WorkerLife
 
 # What is known of a worker's speed fades within this time, in seconds: workers turn slow for
@@ -29,8 +30,8 @@
 MAX_SLOWNESS = 10.0
 # A failure makes a worker look this many times slower, fading like slowness.
 FAILURE_SLOWNESS = 4.0
-# Load that a worker tells holds for about as long as its requests last, in seconds.
-REPORT_FADE_S = 0.5
+# Load that a worker tells holds for about as long as a plain request lasts, in seconds.
+REPORT_FADE_S = 0.1
 # An answer from another zone takes a few milliseconds longer and crosses metered links.
 REMOTE_FACTOR = 1.25
 # What remains of faded knowledge must not decide: expected times within this factor are equal.
@@ -40,23 +41,6 @@
 MIN_TIME_S = 0.001
 
 
-@dataclass(frozen=True)
-class LoadReport:
-    """Load that a worker told with an answer.
-
-    Attributes:
-        num_running: Requests it works on.
-        num_waiting: Requests that wait inside it.
-        num_slots: Requests it can work on at once.
-        pace: How long work takes there at this moment, as a multiple of the usual time.
-    """
-
-    num_running: int
-    num_waiting: int
-    num_slots: int
-    pace: float = 1.0
-
-
 @dataclass
 class _Seen:
     """What this node has seen of one worker.
@@ -158,14 +142,20 @@
         is_better = times[second] * NEARLY_EQUAL < times[first]
         return workers[second if is_better else first]
 
-    def expected_wait_s(self, worker: Worker, route: str) -> float | None:
-        """How long a request would wait for a slot, in seconds; ``None`` if that is not known."""
+    def has_room(self, worker: Worker) -> bool:
+        """Whether a worker has a free slot, as far as known."""
+        return self._num_at(worker) < worker.capacity
+
+    def expected_time_s(self, worker: Worker, route: str) -> float | None:
+        """How long a request that comes now should take, in seconds; ``None`` if nothing is known.
+
+        That is its work and the wait for a slot behind what is in flight.
+        """
         usual = self._usual_times.get((worker.service, route))
         if usual is None:
             return None
-        num_ahead = self._num_at(worker) + 1 - max(1, worker.capacity)
-        turns = max(0.0, num_ahead) / max(1, worker.capacity)
-        return turns * math.exp(usual.log_s) * self._slowness(worker)
+        num_turns = max(1.0, (self._num_at(worker) + 1) / max(1, worker.capacity))
+        return num_turns * math.exp(usual.log_s) * self._slowness(worker)
 
     def _draw(self, times: Sequence[float], excluded: int | None) -> int:
         weights = [0.0 if index == excluded else 1.0 / time_ for index, time_ in enumerate(times)]
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -125,10 +125,30 @@
         ready = [worker for worker in candidates if not self._is_paused(worker)]
         return self.loads.choose(ready or candidates)
 
-    def choose_ready(self, service: str, excluded: Collection[str]) -> Worker | None:
-        """The same among workers that have not failed or refused a moment ago."""
-        worker = self.choose(service, excluded)
-        return None if worker is None or self._is_paused(worker) else worker
+    def choose_with_room(self, service: str, excluded: Collection[str]) -> Worker | None:
+        """The same among workers with a free slot that have not failed or refused a moment ago."""
+        candidates = [
+            worker
+            for worker in self.serving(service)
+            if worker.id not in excluded
+            and not self._is_paused(worker)
+            and self.loads.has_room(worker)
+        ]
+        return self.loads.choose(candidates)
+
+    def soonest_answer_s(self, service: str, work: str) -> float | None:
+        """How long the soonest worker should take for a request that comes now, in seconds.
+
+        Args:
+            service: The service.
+            work: What kind of work it is.
+
+        Returns:
+            The time; ``None`` if there is no worker or nothing is known.
+        """
+        times_s = [self.loads.expected_time_s(worker, work) for worker in self.serving(service)]
+        known_s = [time_s for time_s in times_s if time_s is not None]
+        return min(known_s) if known_s and len(known_s) == len(times_s) else None
 
     def choose_place(
         self, service: str, excluded: Collection[str], is_eligible: Eligible
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -17,6 +17,7 @@
     BackEndCall,
     BrokenAnswerError,
     Headers,
+    LoadReport,
     NotRunError,
     NotRunReason,
 )
@@ -25,6 +26,7 @@
 from hollowrack.platform import names
 from hollowrack.platform.configuration import model_versions
 from hollowrack.platform.http_session import client_session
+from hollowrack.platform.load_report import LoadReportDecoder
 from hollowrack.weights.order_giver import OrderOutcome, VersionOrder, WorkerReport
 
 CONNECT_TIMEOUT_S = 0.5
@@ -154,8 +156,9 @@
 class WorkerAnswer:
     """An answer whose head has arrived; see :class:`OpenAnswer`."""
 
-    def __init__(self, response: _TrackedResponse) -> None:
+    def __init__(self, response: _TrackedResponse, load_report: LoadReport | None) -> None:
         self._response = response
+        self.load_report = load_report
         self.status = response.status
         self.headers: Headers = tuple(
             (name, value)
@@ -195,6 +198,9 @@
     Args:
         session: HTTP session for repeatable requests, from :func:`worker_session`.
         fresh_session: Another that never reuses a connection, for the others.
+
+    Attributes:
+        load_reports: Decodes what workers tell of their load.
     """
 
     def __init__(
@@ -202,6 +208,7 @@
     ) -> None:
         self._session = session
         self._fresh_session = fresh_session
+        self.load_reports = LoadReportDecoder()
 
     async def open(
         self,
@@ -234,7 +241,8 @@
             raise
         if not isinstance(response, _TrackedResponse):
             raise TypeError("the session is not one for workers")
-        return WorkerAnswer(response)
+        told = response.headers.get(names.LOAD_REPORT)
+        return WorkerAnswer(response, self.load_reports.decode(told, worker.id))
 
     async def has_ended(self, worker: Worker) -> bool:
         """Whether nothing listens at a worker's address; see :class:`BackEndClient`."""
--- a/src/hollowrack_standins/back_ends.py
+++ b/src/hollowrack_standins/back_ends.py
@@ -12,6 +12,7 @@
     BackEndCall,
     BrokenAnswerError,
     Headers,
+    LoadReport,
     NotRunError,
     NotRunReason,
 )
@@ -35,6 +36,7 @@
         work_s: Time of a plain request or an event, in seconds.
         weight_version: Version that makes its events.
         num_slots: Plain requests it works on at once, the others wait; ``None`` for all.
+        tells_load: Whether its answers tell its load.
     """
 
     refusal: NotRunReason | None = None
@@ -46,6 +48,7 @@
     work_s: float = 0.02
     weight_version: int = 1
     num_slots: int | None = None
+    tells_load: bool = False
 
 
 @dataclass
@@ -207,6 +210,10 @@
         self.headers: Headers = (("Content-Type", "text/plain"),)
         self.signature: str | None = f"{worker.id}/{call.request_id}"
         self.weight_version: int | None = behaviour.weight_version
+        num_all = back_ends.running[worker.id]
+        num_slots = behaviour.num_slots or num_all
+        report = LoadReport(min(num_all, num_slots), max(0, num_all - num_slots))
+        self.load_report: LoadReport | None = report if behaviour.tells_load else None
 
     async def read(self) -> bytes:
         """Read the whole body."""
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from hollowrack.forwarding.back_end import BackEndCall, BrokenAnswerError, NotRunError
+from hollowrack.forwarding.back_end import BackEndCall, BrokenAnswerError, LoadReport, NotRunError
 from hollowrack.forwarding.types import Worker
 from hollowrack.platform.worker_client import PlatformWorkers, worker_session
 from tests.forwarding.helpers import make_worker
@@ -66,6 +66,35 @@
         asyncio.run(_answer(0.05, is_reset=True))
 
 
+@pytest.mark.parametrize(
+    ("header", "expected"),
+    [
+        (b"Load-Report: 5,12,6,350\r\n", LoadReport(5, 12)),
+        (b"Load-Report: 5\r\n", None),
+        (b"", None),
+    ],
+)
+def test_an_answer_tells_the_load_of_its_worker(header: bytes, expected: LoadReport | None) -> None:
+    async def main() -> LoadReport | None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n" + header)
+            writer.write(b"Content-Length: 2\r\n\r\nok")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        async with worker_session() as session, worker_session(force_close=True) as fresh:
+            workers = PlatformWorkers(session, fresh)
+            call = BackEndCall("q1", "GET", "/a/x", (), b"")
+            opened = await workers.open(replace(make_worker("w0"), address=address), call, 1.0)
+            assert await opened.read() == b"ok"
+        server.close()
+        return opened.load_report
+
+    assert asyncio.run(main()) == expected
+
+
 async def _run_twice_on_one_connection(method: str) -> tuple[int, Exception | None]:
     """Send two requests over a kept connection; the worker breaks the second one off.
 
