--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -8,7 +8,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import LoadReport
@@ -16,7 +16,7 @@
 
 # What is known of a worker's speed fades within this time, in seconds: workers turn slow for
 # seconds, and one that is avoided shows in no other way that it is fast again.
-SLOWNESS_FADE_S = 6.0
+FADE_S = 6.0
 # Share of the newest answer in a worker's slowness. Speeds that change with each answer even out.
 ANSWER_SHARE = 0.3
 # Share of a request that is late: it tells more, as nearly all answers come sooner.
@@ -25,11 +25,12 @@
 # share evenly.
 USUAL_TIME_SHARE = 0.05
 # Differences below this factor are chance, and a preference for them would fill single workers.
-MIN_SLOWNESS = 1.3
+MIN_FACTOR = 1.3
 # One extreme answer, a request that was suspended or a cached one, counts no more than this factor.
-MAX_SLOWNESS = 10.0
-# A failure makes a worker look this many times slower, fading like slowness.
-FAILURE_SLOWNESS = 4.0
+MAX_FACTOR = 10.0
+# A worker that has just failed is avoided as if it were this many times slower. That is forgotten
+# within 8 s, as one that has failed for good is taken from the list of workers by then.
+FAILURE_PENALTY = 2.5
 # Load that a worker tells holds for about as long as a plain request lasts, in seconds.
 REPORT_FADE_S = 0.1
 # An answer from another zone takes a few milliseconds longer and crosses metered links.
@@ -41,19 +42,43 @@
 MIN_TIME_S = 0.001
 
 
+class _FadingFactor:
+    """A factor that fades to 1 while nothing new is taken in."""
+
+    def __init__(self) -> None:
+        self._log = 0.0
+        self._noted_s = -math.inf
+
+    @property
+    def value(self) -> float:
+        """The factor now; 1 if it is hardly different."""
+        log_factor = self._faded()
+        return math.exp(log_factor) if abs(log_factor) >= math.log(MIN_FACTOR) else 1.0
+
+    def take_in(self, factor: float, share: float) -> None:
+        """Move towards a new factor by a share of the way."""
+        bounded = max(1.0 / MAX_FACTOR, min(MAX_FACTOR, factor))
+        known = self._faded()
+        self._log = known + share * (math.log(bounded) - known)
+        self._noted_s = now_s()
+
+    def _faded(self) -> float:
+        return self._log * math.exp(-(now_s() - self._noted_s) / FADE_S)
+
+
 @dataclass
 class _Seen:
     """What this node has seen of one worker.
 
     Attributes:
-        log_slowness: Logarithm of its times against the usual ones.
-        slowness_at_s: When that was noted.
+        slowness: Its times against the usual ones.
+        penalty: Keeps requests from it after failures.
         num_of_others: Requests of other nodes there, by its latest report.
         report_at_s: When that came.
     """
 
-    log_slowness: float = 0.0
-    slowness_at_s: float = 0.0
+    slowness: _FadingFactor = field(default_factory=_FadingFactor)
+    penalty: _FadingFactor = field(default_factory=_FadingFactor)
     num_of_others: int = 0
     report_at_s: float = -math.inf
 
@@ -89,6 +114,11 @@
         self._seen: dict[WorkerLife, _Seen] = {}
         self._usual_times: OrderedDict[tuple[str, str], _UsualTime] = OrderedDict()
 
+    @property
+    def num_known(self) -> int:
+        """Of how many workers something is remembered."""
+        return len(self._seen)
+
     def forget(self, life: WorkerLife) -> None:
         """A worker is gone."""
         self._seen.pop(life, None)
@@ -108,19 +138,19 @@
         self._usual_times.move_to_end(key)
         if len(self._usual_times) > MAX_ROUTES:
             self._usual_times.popitem(last=False)
-        self._take_in(worker, log_s - usual.log_s, ANSWER_SHARE)
+        seen = self._of(worker)
+        seen.slowness.take_in(math.exp(log_s - usual.log_s), ANSWER_SHARE)
+        seen.penalty.take_in(1.0, ANSWER_SHARE)
 
     def note_late(self, worker: Worker, route: str, seconds: float) -> None:
         """A worker has not answered after this long, in seconds, when nearly all others have."""
         usual = self._usual_times.get((worker.service, route))
-        log_ratio = math.log(MAX_SLOWNESS)
-        if usual is not None:
-            log_ratio = math.log(max(MIN_TIME_S, seconds)) - usual.log_s
-        self._take_in(worker, log_ratio, LATE_SHARE)
+        factor = MAX_FACTOR if usual is None else seconds / math.exp(usual.log_s)
+        self._of(worker).slowness.take_in(factor, LATE_SHARE)
 
     def note_failure(self, worker: Worker) -> None:
         """A worker broke an answer off, gave none or could not be reached."""
-        self._take_in(worker, math.log(FAILURE_SLOWNESS), 1.0)
+        self._of(worker).penalty.take_in(FAILURE_PENALTY, 1.0)
 
     def note_report(self, worker: Worker, report: LoadReport) -> None:
         """A worker told its load."""
@@ -155,7 +185,9 @@
         if usual is None:
             return None
         num_turns = max(1.0, (self._num_at(worker) + 1) / max(1, worker.capacity))
-        return num_turns * math.exp(usual.log_s) * self._slowness(worker)
+        seen = self._seen.get(worker.life)
+        slowness = 1.0 if seen is None else seen.slowness.value
+        return num_turns * math.exp(usual.log_s) * slowness
 
     def _draw(self, times: Sequence[float], excluded: int | None) -> int:
         weights = [0.0 if index == excluded else 1.0 / time_ for index, time_ in enumerate(times)]
@@ -165,7 +197,9 @@
         """Expected time of an answer as a multiple of an idle worker's usual one."""
         load = self._num_at(worker) / max(1, worker.capacity)
         distance = 1.0 if worker.zone == self._zone else REMOTE_FACTOR
-        return (1.0 + load) * self._slowness(worker) * distance
+        seen = self._seen.get(worker.life)
+        avoidance = 1.0 if seen is None else seen.slowness.value * seen.penalty.value
+        return (1.0 + load) * avoidance * distance
 
     def _num_at(self, worker: Worker) -> float:
         """Requests at a worker, of this node and, as far as known, of others."""
@@ -176,23 +210,5 @@
         fading = math.exp(-(now_s() - seen.report_at_s) / REPORT_FADE_S)
         return num_own + seen.num_of_others * fading
 
-    def _slowness(self, worker: Worker) -> float:
-        seen = self._seen.get(worker.life)
-        if seen is None:
-            return 1.0
-        log_slowness = _faded(seen)
-        return math.exp(log_slowness) if abs(log_slowness) >= math.log(MIN_SLOWNESS) else 1.0
-
-    def _take_in(self, worker: Worker, log_ratio: float, share: float) -> None:
-        seen = self._of(worker)
-        bounded = max(-math.log(MAX_SLOWNESS), min(math.log(MAX_SLOWNESS), log_ratio))
-        known = _faded(seen)
-        seen.log_slowness = known + share * (bounded - known)
-        seen.slowness_at_s = now_s()
-
     def _of(self, worker: Worker) -> _Seen:
         return self._seen.setdefault(worker.life, _Seen())
-
-
-def _faded(seen: _Seen) -> float:
-    return seen.log_slowness * math.exp(-(now_s() - seen.slowness_at_s) / SLOWNESS_FADE_S)
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -79,6 +79,9 @@
 
     def put(self, worker: Worker) -> None:
         """Take in a worker's newest state."""
+        known = self._workers.get(worker.id)
+        if known is not None and known.life != worker.life:
+            self.loads.forget(known.life)
         self._workers[worker.id] = worker
         self._evidence.setdefault(worker.id, _Evidence())
         self._best_paces_s.clear()
@@ -137,18 +140,22 @@
         return self.loads.choose(candidates)
 
     def soonest_answer_s(self, service: str, work: str) -> float | None:
-        """How long the soonest worker should take for a request that comes now, in seconds.
+        """How long the soonest worker should take for a request that has to wait for a slot.
 
         Args:
             service: The service.
             work: What kind of work it is.
 
         Returns:
-            The time; ``None`` if there is no worker or nothing is known.
+            The time in seconds; ``None`` if a slot is free somewhere, or nothing is known.
         """
-        times_s = [self.loads.expected_time_s(worker, work) for worker in self.serving(service)]
-        known_s = [time_s for time_s in times_s if time_s is not None]
-        return min(known_s) if known_s and len(known_s) == len(times_s) else None
+        soonest_s: float | None = None
+        for worker in self.serving(service):
+            time_s = self.loads.expected_time_s(worker, work)
+            if time_s is None or self.loads.has_room(worker):
+                return None
+            soonest_s = time_s if soonest_s is None else min(soonest_s, time_s)
+        return soonest_s
 
     def choose_place(
         self, service: str, excluded: Collection[str], is_eligible: Eligible
@@ -184,6 +191,8 @@
         evidence.num_in_flight -= 1
         if worker.id not in self._workers and evidence.num_in_flight <= 0:
             self._evidence.pop(worker.id, None)
+        if not self._is_present(worker):
+            self.loads.forget(worker.life)
         self._notify()
 
     def note_success(self, worker: Worker) -> None:
@@ -282,6 +291,11 @@
     def _of(self, worker: Worker) -> _Evidence:
         return self._evidence.setdefault(worker.id, _Evidence())
 
+    def _is_present(self, worker: Worker) -> bool:
+        """Whether this life of a worker is the one that is known."""
+        present = self._workers.get(worker.id)
+        return present is not None and present.life == worker.life
+
     def _pause(self, worker: Worker, pause_s: float) -> None:
         evidence = self._of(worker)
         evidence.paused_until_s = max(evidence.paused_until_s, now_s() + pause_s)
--- a/tests/forwarding/test_workers.py
+++ b/tests/forwarding/test_workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -98,3 +99,20 @@
         assert place(directory) == "fast"
 
     run_virtual(main())
+
+
+def test_what_is_known_of_a_worker_ends_with_its_last_request_there() -> None:
+    async def main() -> None:
+        directory = make_directory(make_worker("w0"), make_worker("w1"))
+        earlier = make_worker("w0")
+        directory.begin(earlier)
+        directory.put(replace(earlier, started_ms=7))
+        directory.note_failure(earlier)
+        directory.end(earlier)
+        directory.begin(make_worker("w1"))
+        directory.remove("w1")
+        directory.note_failure(make_worker("w1"))
+        directory.end(make_worker("w1"))
+        assert directory.loads.num_known == 0
+
+    run_virtual(main())
