--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -97,11 +97,18 @@
         self._end_listeners.append(listener)
 
     def put(self, worker: Worker) -> None:
+<<<<<<< HEAD
         """Take in a worker's newest state; that of a life before the known one is ignored."""
         known = self._workers.get(worker.id)
         if known is not None and worker.started_ms < known.started_ms:
             logging.info("worker %s: ignored, %s is known", worker.life, known.life)
             return
+=======
+        """Take in a worker's newest state."""
+        known = self._workers.get(worker.id)
+        if known is not None and known.life != worker.life:
+            self.loads.forget(known.life)
+>>>>>>> lookups
         self._workers[worker.id] = worker
         self._evidence.setdefault(worker.life, _Evidence())
         if known is not None and known.life != worker.life:
@@ -155,10 +162,41 @@
         ready = [worker for worker in candidates if not self._is_paused(worker)]
         return self.loads.choose(ready or candidates)
 
+<<<<<<< HEAD
     def choose_ready(self, service: str, excluded: Collection[WorkerLife]) -> Worker | None:
         """The same among workers that have not failed or refused a moment ago."""
         worker = self.choose(service, excluded)
         return None if worker is None or self._is_paused(worker) else worker
+=======
+    def choose_with_room(self, service: str, excluded: Collection[str]) -> Worker | None:
+        """The same among workers with a free slot that have not failed or refused a moment ago."""
+        candidates = [
+            worker
+            for worker in self.serving(service)
+            if worker.id not in excluded
+            and not self._is_paused(worker)
+            and self.loads.has_room(worker)
+        ]
+        return self.loads.choose(candidates)
+
+    def soonest_answer_s(self, service: str, work: str) -> float | None:
+        """How long the soonest worker should take for a request that has to wait for a slot.
+
+        Args:
+            service: The service.
+            work: What kind of work it is.
+
+        Returns:
+            The time in seconds; ``None`` if a slot is free somewhere, or nothing is known.
+        """
+        soonest_s: float | None = None
+        for worker in self.serving(service):
+            time_s = self.loads.expected_time_s(worker, work)
+            if time_s is None or self.loads.has_room(worker):
+                return None
+            soonest_s = time_s if soonest_s is None else min(soonest_s, time_s)
+        return soonest_s
+>>>>>>> lookups
 
     def choose_place(
         self,
@@ -211,10 +249,17 @@
         """A request at a worker is over."""
         evidence = self._of(worker)
         evidence.num_in_flight -= 1
+<<<<<<< HEAD
         if not self.knows(worker.life):
             self._drop_evidence_at_rest(worker)
         for listener in self._end_listeners:
             listener(worker)
+=======
+        if worker.id not in self._workers and evidence.num_in_flight <= 0:
+            self._evidence.pop(worker.id, None)
+        if not self._is_present(worker):
+            self.loads.forget(worker.life)
+>>>>>>> lookups
         self._notify()
 
     def note_success(self, worker: Worker) -> None:
@@ -320,6 +365,11 @@
         if self._of(worker).num_in_flight <= 0:
             self._evidence.pop(worker.life, None)
 
+    def _is_present(self, worker: Worker) -> bool:
+        """Whether this life of a worker is the one that is known."""
+        present = self._workers.get(worker.id)
+        return present is not None and present.life == worker.life
+
     def _pause(self, worker: Worker, pause_s: float) -> None:
         evidence = self._of(worker)
         evidence.paused_until_s = max(evidence.paused_until_s, now_s() + pause_s)
