--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -18,6 +18,12 @@
 RankOf = Callable[[], DispatchRank]
 
 
+def any_worker(worker: Worker) -> bool:
+    """The condition of a run that every worker of its service suits."""
+    del worker
+    return True
+
+
 @dataclass(eq=False)
 class _Waiter:
     """One wait for a place.
@@ -69,24 +75,32 @@
 
     def __init__(self, workers: WorkerDirectory) -> None:
         self._workers = workers
-        self._has_room: dict[str, bool] = {}
+        self._has_room: dict[tuple[str, Eligible], bool] = {}
         self._without_place: set[tuple[str, Eligible, frozenset[str]]] = set()
 
     def choose(self, waiter: _Waiter) -> Worker | None:
         """Choose a place for a waiter, without a look if there can be none."""
-        if not self._has_room_in(waiter.service):
+        if not self._may_have_room(waiter):
             return None
         worker = self._look(waiter, waiter.avoided)
         if worker is None and waiter.avoided:
             worker = self._look(waiter, frozenset())
         if worker is not None:
-            self._has_room.pop(waiter.service)
+            self._has_room.clear()
         return worker
 
-    def _has_room_in(self, service: str) -> bool:
-        if service not in self._has_room:
-            self._has_room[service] = self._workers.has_room(service)
-        return self._has_room[service]
+    def _may_have_room(self, waiter: _Waiter) -> bool:
+        # Asked for any worker first, as that is the same for all waiters of a service.
+        service = waiter.service
+        return self._has_room_for(service, any_worker) and self._has_room_for(
+            service, waiter.is_eligible
+        )
+
+    def _has_room_for(self, service: str, is_eligible: Eligible) -> bool:
+        need = (service, is_eligible)
+        if need not in self._has_room:
+            self._has_room[need] = self._workers.has_room(*need)
+        return self._has_room[need]
 
     def _look(self, waiter: _Waiter, avoided: frozenset[str]) -> Worker | None:
         wish = (waiter.service, waiter.is_eligible, avoided)
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -12,7 +12,7 @@
     NotRunError,
     OpenAnswer,
 )
-from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_queue import DispatchQueue, any_worker
 from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import (
@@ -97,7 +97,7 @@
         rank = DispatchRank(request.route.priority, WorkKind.CALLER_STREAM)
 
         async def acquire(avoided: frozenset[str]) -> Worker:
-            return await self._queue.acquire(service, lambda: rank, _any_worker, avoided)
+            return await self._queue.acquire(service, lambda: rank, any_worker, avoided)
 
         limits = RunLimits(
             request.route.max_attempts,
@@ -197,9 +197,3 @@
         finally:
             if answer is not None:
                 answer.abort()
-
-
-def _any_worker(worker: Worker) -> bool:
-    """Every worker of the service will do; one function for all, so that waiters share looks."""
-    del worker
-    return True
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -142,10 +142,15 @@
         with_room = [worker for worker in ready if self._load(worker) < 1.0]
         return min(with_room, key=self._placing_cost, default=None)
 
-    def has_room(self, service: str) -> bool:
-        """Whether a run might get a place at a worker of a service, whatever it needs."""
+    def has_room(self, service: str, is_eligible: Eligible) -> bool:
+        """Whether any worker that will do has room: if not, ``choose_place`` finds none.
+
+        Args:
+            service: The service.
+            is_eligible: Which of its workers will do.
+        """
         return any(
-            self._load(worker) < 1.0 and not self._is_paused(worker)
+            self._load(worker) < 1.0 and not self._is_paused(worker) and is_eligible(worker)
             for worker in self.serving(service)
         )
 
