--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -13,7 +13,7 @@
     NotRunError,
     OpenAnswer,
 )
-from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_queue import DispatchQueue, any_worker
 from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.forwarder import (
@@ -96,7 +96,7 @@
         rank = DispatchRank(request.route.priority, WorkKind.CALLER_STREAM)
 
         async def acquire(avoided: frozenset[WorkerLife], may_begin: Eligible | None) -> Worker:
-            condition = may_begin or _any_worker
+            condition = may_begin or any_worker
             return await self._queue.acquire(service, lambda: rank, condition, avoided)
 
         limits = RunLimits(
@@ -198,9 +198,3 @@
         finally:
             if answer is not None:
                 answer.abort()
-
-
-def _any_worker(worker: Worker) -> bool:
-    """Every worker of the service will do; one function for all, so that waiters share looks."""
-    del worker
-    return True
