--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -237,25 +237,13 @@
         return WorkerAnswer(response)
 
     async def has_ended(self, worker: Worker) -> bool:
-        """Whether a worker's life is over; see :class:`BackEndClient`."""
-        host, _, port = worker.address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (OSError, ValueError) as error:
-            logging.info("worker %s: not known whether it listens: %s", worker.life, error)
-            return False
-        writer.close()
-        return await self._has_started_again(worker)
-
-    async def _has_started_again(self, worker: Worker) -> bool:
-        """Whether a later life of a worker answers at its address: the one asked is over."""
-        if not worker.started_ms:
-            return False
-        report = await self.report(worker)
-        return report is not None and report.started_ms > worker.started_ms
+        """Whether a life of a worker is over; see :class:`BackEndClient`."""
+        # A report tells which life answers; a connection tells only that something listens.
+        if worker.started_ms:
+            report = await self.report(worker)
+            if report is not None:
+                return report.started_ms > worker.started_ms
+        return await _refuses_connections(worker)
 
     async def report(self, worker: Worker) -> WorkerReport | None:
         """Read a worker's report."""
@@ -307,6 +295,21 @@
             return response.status, json.loads(data) if data.startswith(b"{") else {}
 
 
+async def _refuses_connections(worker: Worker) -> bool:
+    """Whether nothing listens at a worker's address; ``False`` if nothing can be told."""
+    host, _, port = worker.address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, ValueError) as error:
+        logging.info("worker %s: not known whether it listens: %s", worker.life, error)
+        return False
+    writer.close()
+    return False
+
+
 def _request_headers(
     worker: Worker, call: BackEndCall, time_left_s: float, after_event: int | None
 ) -> CIMultiDict[str]:
