--- a/src/hollowrack/weights/order_giver.py
+++ b/src/hollowrack/weights/order_giver.py
@@ -65,6 +65,11 @@
     model_versions: Mapping[str, int]
     started_ms: int = 0
 
+    def may_be_of(self, life: WorkerLife) -> bool:
+        """Whether a life may have made this report: a start that is not told excludes none."""
+        is_told = self.started_ms > 0 and life.started_ms > 0
+        return not is_told or self.started_ms == life.started_ms
+
 
 @dataclass(frozen=True)
 class VersionOrder:
@@ -265,7 +270,7 @@
         report = await self._client.report(worker)
         if report is None:
             return None
-        if report.started_ms != worker.started_ms:
+        if not report.may_be_of(worker.life):
             logging.info(
                 "worker %s: its report counts for nothing, it is of a start at %d",
                 worker.life,
--- a/tests/weights/test_worker_lives.py
+++ b/tests/weights/test_worker_lives.py
@@ -139,6 +139,16 @@
     run_scene(scenario)
 
 
+def test_a_report_that_tells_no_start_is_believed() -> None:
+    async def scenario(scene: Scene) -> None:
+        scene.workers.tells_starts = False
+        scene.named[MODEL] = 2
+        await asyncio.sleep(SETTLE_S)
+        assert scene.versions() == {2}
+
+    run_scene(scenario)
+
+
 def test_loads_of_lives_that_are_over_take_no_place_from_those_of_the_new_ones() -> None:
     async def scenario(scene: Scene) -> None:
         scene.workers.late_answers_s = [1000.0] * 2
