--- a/src/hollowrack/slots/arbiter.py
+++ b/src/hollowrack/slots/arbiter.py
@@ -99,19 +99,22 @@
         report: SlotReport,
         capacity: Mapping[str, int],
         now_s: float,
-    ) -> SlotGrant:
+    ) -> SlotAnswer:
         for owner in book.forget_silent(now_s):
             logging.info(
                 "slots of %s: nothing heard of %s, its slots are free", report.service, owner
             )
         book.expect(self._known_owners(), now_s)
-        limits: tuple[int | None, ...] = ()
+        limits: tuple[int | None, ...] | None = ()
         num_owed = 0
         if not report.is_leaving:
             book.update_plan(capacity, now_s)
             limits = book.grant(report.owner, capacity, now_s)
             num_owed = book.num_owed(report.owner)
         self._log_shares(report.service, book, capacity, now_s)
+        if limits is None:
+            detail = "not all owners of grants of the last leader are known yet"
+            return _refusal(Problem(ResultCode.NOT_LEADER, detail, self._name))
         return SlotGrant(
             self._name,
             token,
--- a/src/hollowrack/slots/book.py
+++ b/src/hollowrack/slots/book.py
@@ -174,18 +174,25 @@
 
     def grant(
         self, owner_name: str, capacity: Mapping[str, int], now_s: float
-    ) -> tuple[int | None, ...]:
+    ) -> tuple[int | None, ...] | None:
         """Return an owner's limits, in the order of its report, and count them as spent.
 
+        An owner without a grant gets none while others may spend grants of an earlier leader.
+
         Args:
             owner_name: The owner; it has reported.
             capacity: Slots of each life.
             now_s: The time, in seconds.
+
+        Returns:
+            The limits, ``None`` for a life that the arbiter does not know; ``None`` for no grant.
         """
         owner = self._owners[owner_name]
         unheard = [name for name, end_s in self._unheard_until_s.items() if now_s < end_s]
         lives = [life for life in owner.report.lives if life in capacity]
         if self._may_meet_earlier_grants(unheard, now_s):
+            if owner.report.fencing_token is None:
+                return None
             limits = {
                 life: min(owner.claims[life], self._left(owner, life, capacity)) for life in lives
             }
@@ -265,11 +272,13 @@
 
 
 def _demand_of(report: SlotReport, sent: Sequence[_SentGrant]) -> OwnerDemand:
-    return OwnerDemand(
-        dict(zip(report.lives, report.in_flight, strict=True)),
-        [_work_demand(work, report.lives) for work in report.work],
-        sent[-1].limits if sent else dict(zip(report.lives, report.limits, strict=True)),
-    )
+    held: Mapping[str, int] = {}
+    if sent:
+        held = sent[-1].limits
+    elif report.fencing_token is not None:
+        held = dict(zip(report.lives, report.limits, strict=True))
+    in_flight = dict(zip(report.lives, report.in_flight, strict=True))
+    return OwnerDemand(in_flight, [_work_demand(work, report.lives) for work in report.work], held)
 
 
 def _work_demand(work: OpenWork, lives: tuple[str, ...]) -> WorkDemand:
--- a/src/hollowrack/slots/plan.py
+++ b/src/hollowrack/slots/plan.py
@@ -49,6 +49,17 @@
     work: Sequence[WorkDemand]
     held: Mapping[str, int] = field(default_factory=dict)
 
+    def kept(self) -> dict[str, int]:
+        """Return what the owner will have in flight by the last grant, by life.
+
+        What runs beyond that grant is about to end, and what waits is about to take the rest of it.
+        """
+        has_waiting = any(work.num_waiting > 0 for work in self.work)
+        kept = dict(self.in_flight)
+        for life, count in self.held.items():
+            kept[life] = count if has_waiting else min(count, kept.get(life, 0))
+        return kept
+
 
 @dataclass(frozen=True)
 class SlotPlan:
@@ -131,8 +142,9 @@
             self._keep_running,
             self._place_anew,
         )
-        for owner in owners.values():
-            for life, count in owner.in_flight.items():
+        self._kept = {name: owner.kept() for name, owner in owners.items()}
+        for kept in self._kept.values():
+            for life, count in kept.items():
                 if life in self._free:
                     self._free[life] -= count
 
@@ -242,11 +254,10 @@
 
     def _take(self, owner: str, life: str, count: int) -> None:
         planned = self._planned[owner].get(life, 0)
-        num_running = self._owners[owner].in_flight.get(life, 0)
-        num_beyond_running = max(0, planned + count - max(num_running, planned))
+        num_beyond_kept = planned + count - max(self._kept[owner].get(life, 0), planned)
         self._planned[owner][life] = planned + count
         self._room[life] -= count
-        self._free[life] -= num_beyond_running
+        self._free[life] -= max(0, num_beyond_kept)
 
     def _deal_out_rest(self) -> None:
         """Deal out the slots that no work needs, evenly over the owners."""
