--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -303,7 +303,7 @@
         await self._order_giver.stop()
         await self._duties.abandon()
         await self._suspects.stop()
-        await self.slots.stop()
+        await self.slots.abandon()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -91,6 +91,7 @@
         for (service, state), count in self._workers().items():
             workers.add_metric([service, state], count)
         yield workers
+        yield from self._slots()
         yield CounterMetricFamily(
             "hollowrack_suspended_seconds",
             "How long the machine was suspended while this process ran",
@@ -99,6 +100,39 @@
         for name, text, value in self._gauges():
             yield GaugeMetricFamily(name, text, value=value)
 
+    def _slots(self) -> Iterator["Metric"]:
+        """How this node shares the slots of workers with other nodes."""
+        from prometheus_client.core import (  # noqa: PLC0415 (loaded when asked)
+            CounterMetricFamily,
+            GaugeMetricFamily,
+        )
+
+        sharing = self._node.slots
+        uses = {service: sharing.holder.use(service) for service in sharing.shared_services()}
+        texts = {
+            "granted": "Slots of workers granted to this node",
+            "used": "Requests of this node at workers whose slots are shared",
+            "contended": "Whether there is more work than slots",
+            "grant_age_seconds": "Age of the grant in force; none without one",
+        }
+        gauges = {
+            name: GaugeMetricFamily(f"hollowrack_slots_{name}", text, labels=["service"])
+            for name, text in texts.items()
+        }
+        for service, use in uses.items():
+            gauges["granted"].add_metric([service], use.granted)
+            gauges["used"].add_metric([service], use.used)
+            gauges["contended"].add_metric([service], use.is_contended)
+            if use.grant_age_s is not None:
+                gauges["grant_age_seconds"].add_metric([service], use.grant_age_s)
+        yield from gauges.values()
+        refused = CounterMetricFamily(
+            "hollowrack_slot_messages_refused", "By what they are", labels=["message"]
+        )
+        refused.add_metric(["report"], sharing.arbiter.num_refused)
+        refused.add_metric(["grant"], sharing.holder.num_refused)
+        yield refused
+
     def _workers(self) -> Counter[tuple[str, str]]:
         return Counter(
             (worker.service, "leaving" if worker.is_leaving else "serving")
--- a/src/hollowrack/slots/book.py
+++ b/src/hollowrack/slots/book.py
@@ -193,8 +193,11 @@
         if self._may_meet_earlier_grants(unheard, now_s):
             if owner.report.fencing_token is None:
                 return None
+            ungranted = {owner.report.lives[index] for index in owner.report.ungranted}
             limits = {
-                life: min(owner.claims[life], self._left(owner, life, capacity)) for life in lives
+                life: min(owner.claims[life], self._left(owner, life, capacity))
+                for life in lives
+                if life not in ungranted
             }
         elif unheard:
             limits = {life: self._limit_beside(owner, life, capacity, unheard) for life in lives}
--- a/src/hollowrack/slots/holder.py
+++ b/src/hollowrack/slots/holder.py
@@ -1,7 +1,7 @@
 """An owner's side: how many requests it may have in flight at each worker."""
 
 import itertools
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, replace
 
 from absl import logging
@@ -13,6 +13,9 @@
 from hollowrack.slots.log_pace import LogPace
 from hollowrack.slots.shares import equal_share
 from hollowrack.slots.types import (
+    MAX_LIVES,
+    MAX_WORK,
+    OpenWork,
     OpenWorkSource,
     SlotGrant,
     SlotReport,
@@ -24,6 +27,12 @@
 FIRST_GRANT_WAIT_S = 0.3
 # A busy queue asks thousands of times a second; owners become known a few times a second at most.
 SHARES_KEPT_S = 0.1
+# Until the next leader acts nobody grants what owners had last, so that they go on with it: equal
+# shares beside what runs already would overfill workers. A leader is there again within this time;
+# longer than that, shares must not stay as they were, as work changes.
+NO_ARBITER_S = 10.0
+# Reports tell at least this often whether there is an arbiter.
+NO_ARBITER_FRESH_S = 1.5
 SHARE_LOG_INTERVAL_S = 1.0
 
 
@@ -62,6 +71,7 @@
         asked: The last report, if it may still be answered.
         asked_lives: The lives that it names.
         asked_s: When it was sent, in seconds.
+        no_arbiter_s: When there certainly was none that grants, in seconds.
     """
 
     joined_s: float
@@ -69,6 +79,7 @@
     asked: SlotReport | None = None
     asked_lives: tuple[WorkerLife, ...] = ()
     asked_s: float = 0.0
+    no_arbiter_s: float = -float("inf")
 
 
 @dataclass(frozen=True)
@@ -79,13 +90,13 @@
         granted: Slots that it may use; 0 without a grant.
         used: Requests in flight.
         is_contended: Whether there is more work than slots.
-        grant_age_s: Age of the grant in force, in seconds; infinite without one.
+        grant_age_s: Age of the grant in force, in seconds; ``None`` without one.
     """
 
     granted: int
     used: int
     is_contended: bool
-    grant_age_s: float
+    grant_age_s: float | None
 
 
 class SlotHolder:
@@ -166,19 +177,35 @@
         state = self._state(worker.service)
         if state.grant is None and now_s() < state.joined_s + FIRST_GRANT_WAIT_S:
             return 0
-        return self._equal_share(worker)
+        last = self._last_limit(state, worker)
+        return self._equal_share(worker) if last is None else last
+
+    def _last_limit(self, state: _ServiceState, worker: Worker) -> int | None:
+        """The limit by the grant that has ended, if no arbiter can have granted since."""
+        now = now_s()
+        if state.grant is None or now >= state.grant.ends_s + NO_ARBITER_S:
+            return None
+        if now >= state.no_arbiter_s + NO_ARBITER_FRESH_S:
+            return None
+        return state.grant.limits.get(worker.life)
+
+    def note_no_arbiter(self, service: str) -> None:
+        """No node grants slots now: none leads, or the one that does must wait until it may act."""
+        state = self._states.get(service)
+        if state is not None:
+            state.no_arbiter_s = now_s()
 
     def granted(self, worker: Worker) -> int | None:
         """Return the limit by the grant in force.
 
         Returns:
-            The limit; ``None`` without a grant, and where the arbiter had not seen the worker's
-            life yet, which is new and empty then.
+            The limit, 0 where the grant does not name the worker's life: the arbiter hears of it
+            with the next report, and may have granted it to others; ``None`` without a grant.
         """
         state = self._states.get(worker.service)
         if state is None or state.grant is None or now_s() >= state.grant.ends_s:
             return None
-        return state.grant.limits.get(worker.life)
+        return state.grant.limits.get(worker.life, 0)
 
     def takes_part(self, service: str) -> bool:
         """Whether this node spends slots of a service that are shared."""
@@ -215,11 +242,11 @@
     def report(self, service: str) -> SlotReport:
         """Return a report as of now; only its answer is accepted from now on."""
         state = self._state(service)
-        workers = self._workers.serving(service)
+        workers = self._workers.serving(service)[:MAX_LIVES]
         lives = tuple(worker.life for worker in workers)
         texts = tuple(str(life) for life in lives)
         positions = {text: index for index, text in enumerate(texts)}
-        work = tuple(self._source.open_work(service, positions))
+        work = _most_urgent(self._source.open_work(service, positions))
         if not any(one.num_waiting for one in work):
             self._give_up_unused(state, workers)
         grant = state.grant
@@ -234,6 +261,7 @@
             tuple(max(0, self._workers.num_in_flight(worker)) for worker in workers),
             tuple(self.limit(worker) for worker in workers),
             work,
+            tuple(index for index, worker in enumerate(workers) if self.granted(worker) is None),
         )
         state.asked_lives = lives
         state.asked_s = now_s()
@@ -336,11 +364,20 @@
         state = self._states.get(service)
         grant = None if state is None else state.grant
         if grant is None or now_s() >= grant.ends_s:
-            return SlotUse(0, used, False, float("inf"))
+            return SlotUse(0, used, False, None)
         age_s = now_s() - grant.from_s
         return SlotUse(sum(grant.limits.values()), used, grant.is_contended, age_s)
 
 
+def _most_urgent(works: Iterable[OpenWork]) -> tuple[OpenWork, ...]:
+    """As much work as one report may tell of."""
+
+    def urgency(work: OpenWork) -> tuple[int, float]:
+        return (work.priority, float("inf") if work.due_in_s is None else work.due_in_s)
+
+    return tuple(sorted(works, key=urgency)[:MAX_WORK])
+
+
 def _has_waiting(state: _ServiceState) -> bool:
     """Whether the last report told of waiting work."""
     return state.asked is not None and any(work.num_waiting > 0 for work in state.asked.work)
--- a/src/hollowrack/slots/reporter.py
+++ b/src/hollowrack/slots/reporter.py
@@ -7,10 +7,11 @@
 from absl import logging
 
 from hollowrack.clock import now_s
+from hollowrack.results import ResultCode
 from hollowrack.slots.arbiter import SlotArbiter
 from hollowrack.slots.holder import SlotHolder
 from hollowrack.slots.log_pace import LogPace
-from hollowrack.slots.types import SlotAnswer, SlotGrant, SlotPeers, SlotReport
+from hollowrack.slots.types import SlotAnswer, SlotGrant, SlotPeers, SlotRefusal, SlotReport
 from hollowrack.tasks import cancel_all
 
 # A slot that another owner has freed stands idle until the next report of the one it is meant for.
@@ -66,7 +67,13 @@
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Stop reporting; what is granted ends by itself."""
+        """Stop reporting, and give up what is granted if the arbiter hears of it at once."""
+        await cancel_all(self._task)
+        reports = (self._holder.leave(service) for service in self._services())
+        await asyncio.gather(*(self._ask(report) for report in reports if report is not None))
+
+    async def abandon(self) -> None:
+        """Stop at once, as a crash would; for tests."""
         await cancel_all(self._task)
 
     async def _run(self) -> None:
@@ -114,6 +121,8 @@
         answer = await self._ask(report)
         if report.is_leaving:
             return
+        if self._leader() is None or _is_without_arbiter(answer):
+            self._holder.note_no_arbiter(report.service)
         if isinstance(answer, SlotGrant):
             self._holder.accept(answer)
         elif self._failures_logged.is_due(now_s()):
@@ -131,3 +140,8 @@
             return self._arbiter.answer(report, now_s())
         address = self._address_of()
         return None if address is None else await self._peers.report(address, report)
+
+
+def _is_without_arbiter(answer: SlotAnswer | None) -> bool:
+    """Whether the node asked says that it may not grant."""
+    return isinstance(answer, SlotRefusal) and answer.code == ResultCode.NOT_LEADER
--- a/src/hollowrack/slots/sharing.py
+++ b/src/hollowrack/slots/sharing.py
@@ -70,10 +70,15 @@
             self._reporter.start()
 
     async def stop(self) -> None:
-        """Stop sharing; what is granted ends by itself."""
+        """Stop sharing, once this node owns no jobs."""
         if self._reporter is not None:
             await self._reporter.stop()
 
+    async def abandon(self) -> None:
+        """Stop at once, as a crash would; for tests."""
+        if self._reporter is not None:
+            await self._reporter.abandon()
+
     def answer(self, report: SlotReport) -> SlotAnswer:
         """Answer another node's report."""
         return self.arbiter.answer(report, now_s())
--- a/src/hollowrack/slots/types.py
+++ b/src/hollowrack/slots/types.py
@@ -13,8 +13,8 @@
 MAX_LIVES = 4_096
 MAX_WORK = 512
 MAX_COUNT = 100_000
-MAX_DUE_S = 1e7
-MAX_PRIORITY = 1_000
+MAX_DUE_S = 1e9
+MAX_PRIORITY = 1_000_000
 MAX_NAME_LENGTH = 256
 # Longer than any arbiter grants: a larger one would outlive the handover to the next arbiter.
 MAX_TTL_S = 10.0
@@ -57,6 +57,8 @@
         limits: How much it may have in flight at each of them from now on: the grant's limits, or
             less if it gives slots up.
         work: Its open work.
+        ungranted: Where it goes by an equal share, as the grant in force does not name the life:
+            positions in the list of lives.
         is_leaving: Whether it needs nothing more: whatever it was granted is free.
     """
 
@@ -69,6 +71,7 @@
     in_flight: tuple[int, ...]
     limits: tuple[int, ...]
     work: tuple[OpenWork, ...]
+    ungranted: tuple[int, ...] = ()
     is_leaving: bool = False
 
 
@@ -183,6 +186,8 @@
             yield _invalid("a count is out of range", field)
     if len(report.work) > MAX_WORK:
         yield _invalid(f"{len(report.work)} entries", "work")
+    if not _are_positions(report.ungranted, len(report.lives)):
+        yield _invalid("no such life", "ungranted")
     for work in report.work:
         yield from _work_faults(work, len(report.lives))
 
@@ -195,9 +200,13 @@
         yield _invalid(f"priority is {work.priority}", "work.priority")
     if not all(0 <= count <= MAX_COUNT for count in (work.num_running, work.num_waiting)):
         yield _invalid("a count is out of range", "work")
-    if len(work.lives) > num_lives or not all(0 <= index < num_lives for index in work.lives):
+    if not _are_positions(work.lives, num_lives):
         yield _invalid("no such life", "work.lives")
 
 
+def _are_positions(positions: tuple[int, ...], num_lives: int) -> bool:
+    return len(positions) <= num_lives and all(0 <= index < num_lives for index in positions)
+
+
 def _invalid(detail: str, place: str) -> Problem:
     return Problem(ResultCode.MESSAGE_INVALID, detail, place)
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -160,6 +160,11 @@
             ResultCode.SETTINGS_INVALID,
             "listen",
         ),
+        (
+            '{"node-name": "n", "zone": "z", "platform": {"address": "a"}, "slot-sharing": "no"}',
+            ResultCode.SETTINGS_INVALID,
+            "slot-sharing",
+        ),
     ],
 )
 def test_bad_settings_name_their_place(
@@ -181,6 +186,17 @@
     assert isinstance(read_process_settings(path), Success)
 
 
+@pytest.mark.parametrize(("changes", "is_on"), [({}, True), ({"slot-sharing": False}, False)])
+def test_slots_are_shared_unless_the_settings_say_no(
+    tmp_path: Path, changes: dict[str, bool], is_on: bool
+) -> None:
+    path = tmp_path / "node.json"
+    path.write_text(
+        json.dumps({"node-name": "n", "zone": "z", "platform": {"address": "a:1"}} | changes)
+    )
+    assert read_process_settings(path).unwrap().shares_slots is is_on
+
+
 def test_bodies_are_decoded_strictly() -> None:
     body = job_body("j1")
     body["requests"][0]["body"] = base64.b64encode(b"\x00\xff").decode()
