--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -192,15 +192,18 @@
             worker = self._workers.choose(self._service, self.history.ran_at)
         return worker
 
-    def spare_worker(self) -> Worker | None:
-        """Return a worker with room that may run the request beside or instead of a late one."""
+    def spare_worker(self, late: Worker) -> Worker | None:
+        """Return a worker that may run the request beside or instead of a late one."""
         if self._route.kind is not RouteKind.SAFE or not self._may_go_on():
             return None
-        return self._workers.choose_with_room(self._service, self.history.tried)
+        return self._workers.choose_sooner(late, self.history.tried)
 
     def take_hedge(self) -> bool:
         """Whether the budget allows an attempt beside a late one; spends it."""
-        return self._hedging.budget.take_retry()
+        is_allowed = self._hedging.budget.take_retry()
+        decision = "begins" if is_allowed else "is beyond the budget"
+        logging.info("request %s: a second attempt %s", self._call.request_id, decision)
+        return is_allowed
 
     def _may_go_on(self) -> bool:
         # Asked before each worker: the request may have ended others at other nodes meanwhile.
--- a/src/hollowrack/forwarding/hedged_run.py
+++ b/src/hollowrack/forwarding/hedged_run.py
@@ -19,8 +19,11 @@
     def next_worker(self) -> Worker | None:
         """Return the worker of the next attempt; ``None`` if there may be none."""
 
-    def spare_worker(self) -> Worker | None:
-        """Return a worker with room that may run the request beside or instead of a late one."""
+    def spare_worker(self, late: Worker) -> Worker | None:
+        """Return a worker that may run the request beside or instead of a late one.
+
+        It has room, and should answer sooner than the late one.
+        """
 
     def take_hedge(self) -> bool:
         """Whether the budget allows an attempt beside a late one; spends it."""
@@ -110,7 +113,7 @@
         if not latest.is_late:
             latest.is_late = True
             self._source.note_late(latest.worker, now_s() - latest.begun_s)
-        spare = self._source.spare_worker()
+        spare = self._source.spare_worker(latest.worker)
         if spare is not None and self._source.take_hedge():
             self._begin(spare)
             return
--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -172,6 +172,10 @@
         is_better = times[second] * NEARLY_EQUAL < times[first]
         return workers[second if is_better else first]
 
+    def is_sooner(self, worker: Worker, other: Worker) -> bool:
+        """Whether a worker should answer clearly sooner than another one."""
+        return self._relative_time(worker) * NEARLY_EQUAL < self._relative_time(other)
+
     def has_room(self, worker: Worker) -> bool:
         """Whether a worker has a free slot, as far as known."""
         return self._num_at(worker) < worker.capacity
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -128,14 +128,19 @@
         ready = [worker for worker in candidates if not self._is_paused(worker)]
         return self.loads.choose(ready or candidates)
 
-    def choose_with_room(self, service: str, excluded: Collection[str]) -> Worker | None:
-        """The same among workers with a free slot that have not failed or refused a moment ago."""
+    def choose_sooner(self, late: Worker, excluded: Collection[str]) -> Worker | None:
+        """Choose a worker for a request that is late at another one of the service.
+
+        It has a free slot, has not failed or refused a moment ago, and is expected to answer
+        sooner: where all are late, a further attempt only adds load.
+        """
         candidates = [
             worker
-            for worker in self.serving(service)
+            for worker in self.serving(late.service)
             if worker.id not in excluded
             and not self._is_paused(worker)
             and self.loads.has_room(worker)
+            and self.loads.is_sooner(worker, late)
         ]
         return self.loads.choose(candidates)
 
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -91,6 +91,11 @@
         for (service, state), count in self._workers().items():
             workers.add_metric([service, state], count)
         yield workers
+        yield CounterMetricFamily(
+            "hollowrack_second_attempts",
+            "Attempts of plain requests begun beside one that was late",
+            value=self._node.forwarder.hedging.budget.num_retries,
+        )
         yield CounterMetricFamily(
             "hollowrack_suspended_seconds",
             "How long the machine was suspended while this process ran",
@@ -127,6 +132,11 @@
                 node.quarantine.register.num_quarantined,
             ),
             ("hollowrack_items_waiting", "Items waiting for a worker", node.queue.num_waiting),
+            (
+                "hollowrack_scorer_calls_waiting",
+                "Scorer calls waiting here, so that others find slots at their workers",
+                node.forwarder.call_places.num_waiting,
+            ),
             (
                 "hollowrack_store_heard_age_seconds",
                 "Since the store answered this node, or one that it learnt from",
