--- a/tests/slots/test_sharing_under_faults.py
+++ b/tests/slots/test_sharing_under_faults.py
@@ -304,3 +304,29 @@
     max_examples=40, stateful_step_count=30, derandomize=True, deadline=None
 )
 TestSharingUnderFaults = SharingUnderFaults.TestCase
+
+
+def test_leaders_that_start_again_in_quick_succession_grant_no_slot_twice() -> None:
+    """Found by 400 drawn sequences: leaders start again without a wait while answers are late."""
+    state = SharingUnderFaults()
+    state.some_report(reports=[(4, "answer lost")])
+    state.work_changes(due_in_s=1.0, index=1, num_items=30)
+    state.requests_end(index=1)
+    state.leader_starts_again(reports=[(2, "report twice")])
+    state.time_passes(seconds=3.5)
+    state.work_changes(due_in_s=1.0, index=1, num_items=2)
+    state.all_report(first=2)
+    state.requests_end(index=1)
+    state.join(is_seen=True)
+    state.leader_starts_again(reports=[(3, "report twice"), (4, "answer late")])
+    state.time_passes(seconds=0.6)
+    state.leader_starts_again(
+        reports=[
+            (1, "arrives"),
+            (2, "arrives"),
+            (2, "answer late"),
+            (3, "arrives"),
+            (4, "arrives"),
+        ]
+    )
+    state.teardown()
