--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -145,6 +145,14 @@
         """How many items wait."""
         return len(self._waiters)
 
+    def num_free_places(self, service: str, is_eligible: Eligible) -> int:
+        """Return how many places this node may still give at the workers that will do."""
+        return sum(
+            max(0, self.limits.limit(worker) - self._workers.num_in_flight(worker))
+            for worker in self._workers.placeable(service)
+            if is_eligible(worker)
+        )
+
     def waiting_by_service(self) -> dict[str, WaitingLoad]:
         """Return what waits, by service."""
         now = now_s()
--- a/src/hollowrack/jobs/item_order.py
+++ b/src/hollowrack/jobs/item_order.py
@@ -56,7 +56,7 @@
 
     Attributes:
         time_left_s: Time until then, in seconds; infinite if it is never due.
-        num_places: How many places at workers the job has.
+        num_places: How many places at workers the job has or may have now.
         tokens_per_s: How fast each generates; 0 while that is not known.
     """
 
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from absl import logging
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import NotDone, Unknown
 from hollowrack.forwarding.dispatch_statistics import WaitPlace
+from hollowrack.forwarding.types import Worker
 from hollowrack.jobs.item_order import ItemPlace, Outlook, order_items
 from hollowrack.jobs.item_runner import ItemRunner, ItemServices
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
@@ -246,10 +247,21 @@
         """What the places that the job has now generate until it is due."""
         route = self._services.routes.lookup(self.job.host, self.job.target)
         time_left_s = self._standing.due_s(route) - now_s()
+        num_taken = sum(runner.is_at_worker for runner in open_runners.values())
         # The item that has just ended leaves its place to the next one.
-        num_places = 1 + sum(runner.is_at_worker for runner in open_runners.values())
+        num_places = max(1, num_taken + self._num_free_places(open_runners.values()))
         return Outlook(time_left_s, num_places, self._services.pace.tokens_per_s)
 
+    def _num_free_places(self, runners: Iterable[ItemRunner]) -> int:
+        """How many further places the job may have now: a job that begins has none yet."""
+        services = {runner.generates_at for runner in runners if runner.generates_at is not None}
+
+        def has_weights(worker: Worker) -> bool:
+            return worker.holds(self.job.model, self.job.min_version)
+
+        queue = self._services.queue
+        return sum(queue.num_free_places(service, has_weights) for service in services)
+
     async def _run_item(self, runner: ItemRunner) -> None:
         result = await runner.run()
         self._item_runners.pop(runner.item_id, None)
