--- a/src/hollowrack/forwarding/call_places.py
+++ b/src/hollowrack/forwarding/call_places.py
@@ -1,6 +1,6 @@
 """Bounds the calls of the system's own that this node has at workers at once.
 
-Load answered: dozens of items of a job end together and each calls a scorer, which shares its
+For this load: dozens of items of a job end together and each calls a scorer, which shares its
 workers with callers. Inside the workers those calls would hold every slot and fill the queue.
 """
 
--- a/src/hollowrack/forwarding/early_refusal.py
+++ b/src/hollowrack/forwarding/early_refusal.py
@@ -1,6 +1,6 @@
 """Refuses requests that no worker can answer in time, before they are sent.
 
-Load answered: more requests than a service's workers can do, for as long as requests last. Callers
+For this load: more requests than a service's workers can do, for as long as requests last. Callers
 that wait for nothing cannot turn elsewhere, and what is sent for them delays those behind.
 """
 
--- a/src/hollowrack/forwarding/hedging.py
+++ b/src/hollowrack/forwarding/hedging.py
@@ -1,6 +1,6 @@
 """When a second worker gets a request whose first one is late: pure decisions.
 
-Load answered: workers of one service that differ in speed, turn slow for seconds or never answer.
+For this load: workers of one service that differ in speed, turn slow for seconds or never answer.
 """
 
 from collections import deque
--- a/src/hollowrack/forwarding/run_places.py
+++ b/src/hollowrack/forwarding/run_places.py
@@ -49,7 +49,9 @@
     @property
     def are_restricted(self) -> bool:
         """Whether there is a worker at which the run may not begin, or not yet."""
-        return self._max_workers is not None or bool(self._broke_off)
+        if self._broke_off:
+            return True
+        return self._max_workers is not None and len(self._began_there()) >= self._max_workers
 
     def note_begun(self, worker: Worker) -> None:
         """The run may have begun at a worker."""
--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -1,6 +1,6 @@
 """How soon each worker should answer, by what this node has seen of it, and a choice by that.
 
-Load answered: workers of one service that differ in speed, or turn slow for seconds, and that many
+For this load: workers of one service that differ in speed, or turn slow for seconds, and that many
 nodes use at once without seeing each other's requests.
 """
 
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -263,6 +263,8 @@
             seconds: How long it took.
             work: What kind of work it was; times of one kind are compared with each other.
         """
+        if not self.knows(worker.life):
+            return  # Nothing that is noted of a life that is over would ever be forgotten.
         self.loads.note_answer(worker, work, seconds)
         evidence = self._of(worker)
         evidence.paces_s.append(seconds)
--- a/src/hollowrack/jobs/item_order.py
+++ b/src/hollowrack/jobs/item_order.py
@@ -65,7 +65,10 @@
     tokens_per_s: float
 
     def fits(self, num_tokens: int) -> bool:
-        """Whether so many tokens can be generated in time by all places."""
+        """Whether so many tokens can be generated in time by all places.
+
+        They do not as long as the pace is unknown, so that a new node completes a group early.
+        """
         if isinf(self.time_left_s):
             return True
         usable_s = USABLE_SHARE * max(0.0, self.time_left_s)
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -355,7 +355,8 @@
         services, expected_tokens = self._services, self._item.expected_tokens
         services.lengths.note(expected_tokens, len(self.events))
         share = 1.0 - num_kept / max(1, len(self.events))
-        services.pace.note(share * expected_tokens, seconds)
+        if expected_tokens:
+            services.pace.note(share * expected_tokens, seconds)
 
     async def _take_events(self, run: ResumableRun) -> None:
         """Take in all events of a run."""
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -34,7 +34,8 @@
 # What items generate is saved with the results that are listed, but not more often than this.
 MIN_SAVE_AGE_S = 0.5
 RETRY_PAUSE_S = 0.25
-# Running items come nearer to their end meanwhile, so that their group would seem late too soon.
+# How long an order is used again, in seconds: lengths left in it grow stale, and a group looks
+# later than it is. Ranks of waiters are asked again only after a change of the order.
 MAX_ORDER_AGE_S = 0.25
 MAX_BATCH_BYTES = 500_000
 # Writes of an earlier owner may be done as late as this after the job was taken over.
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -142,7 +142,7 @@
         self._on_ended(job_id)
 
     def job_owners(self) -> set[str]:
-        """Return the live processes that own unfinished jobs, this one included.
+        """Return the live processes that own unfinished jobs, with this one only if it owns one.
 
         A node runs one process at a time: earlier ones of this node have ended.
         """
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -34,6 +34,10 @@
 # New connections to workers are paid for. Workers close idle ones after 10 s, by
 # their Keep-Alive headers; one that a worker has closed earlier is not used again.
 KEPT_CONNECTION_S = 9.5
+# Callers that hang up and second attempts that win end a request to a sound worker as well. Only
+# one that was given this long, in seconds, is taken for silent: most answers begin sooner, and a
+# connection that is closed for nothing is paid for again.
+CALLER_PATIENCE_S = 0.5
 REPORT_TIMEOUT_S = 0.8
 ORDER_TIMEOUT_S = 0.8
 MS_PER_S = 1000
@@ -231,7 +235,7 @@
         """Send a request; see :class:`BackEndClient`."""
         session = self._session if is_repeatable else self._fresh_session
         try:
-            with noticing_silence(session, f"http://{worker.address}"):
+            with noticing_silence(session, f"http://{worker.address}", CALLER_PATIENCE_S):
                 response = await session.request(
                     call.method,
                     URL(f"http://{worker.address}{call.target}", encoded=True),
--- a/src/hollowrack/slots/holder.py
+++ b/src/hollowrack/slots/holder.py
@@ -22,9 +22,10 @@
     grant_problem,
 )
 
-# The first grant takes one message to the leader and its answer. Work that began before it would
-# overfill workers whose slots others have; without a leader it must not wait for long.
-FIRST_GRANT_WAIT_S = 0.3
+# The first grant takes one message to the leader and its answer, and a leader that hears of a new
+# owner may refuse for half a second. Work that began before it would overfill workers whose slots
+# others have; without a leader it must not wait for long.
+FIRST_GRANT_WAIT_S = 0.6
 # A busy queue asks thousands of times a second; owners become known a few times a second at most.
 SHARES_KEPT_S = 0.1
 # Until the next leader acts nobody grants what owners had last, so that they go on with it: equal
--- a/src/hollowrack/weights/order_giver.py
+++ b/src/hollowrack/weights/order_giver.py
@@ -158,7 +158,8 @@
 
     def _start_moves(self) -> None:
         self._drop_ended_lives()
-        held = self._held_versions()
+        self._confirm_entries()
+        held = dict(self._confirmed)
         ripe = {model for model in self._named_versions if self._is_ripe(model)}
         for service in self._services():
             workers = self._workers.serving(service.name)
@@ -200,18 +201,17 @@
                 self._moves.pop(life).cancel()
                 self._loading.pop(life, None)
         for life, model in list(self._confirmed):
-            if self._has_started_again(life):
+            if not self._workers.knows(life):
                 del self._confirmed[life, model]
 
     def _has_started_again(self, life: WorkerLife) -> bool:
         known = self._workers.get(life.worker_id)
         return known is not None and known.life != life
 
-    def _held_versions(self) -> dict[tuple[WorkerLife, str], int]:
-        """Versions by life; within one life they only rise, so an entry that tells less is old."""
+    def _confirm_entries(self) -> None:
+        """Take in what entries tell: within one life versions only rise, so less is old."""
         for worker in self._workers.all():
             self._confirm_all(worker, worker.model_versions)
-        return dict(self._confirmed)
 
     async def _carry_out(self, move: VersionMove) -> None:
         report = await self._report(move.worker)
--- a/src/hollowrack_bench/free_ports.py
+++ b/src/hollowrack_bench/free_ports.py
@@ -7,6 +7,7 @@
 """
 
 import fcntl
+import os
 import random
 import socket
 import tempfile
@@ -17,7 +18,8 @@
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 
-LOCK_FOLDER = Path(tempfile.gettempdir()) / "hollowrack-ports"
+# One for each user: a folder of another one could not be written to.
+LOCK_FOLDER = Path(tempfile.gettempdir()) / f"hollowrack-ports-{os.getuid()}"
 
 _locks: dict[int, IO[bytes]] = {}
 _rng = random.SystemRandom()
