--- a/src/hollowrack/slots/book.py
+++ b/src/hollowrack/slots/book.py
@@ -194,8 +194,11 @@
             if owner.report.fencing_token is None:
                 return None
             ungranted = {owner.report.lives[index] for index in owner.report.ungranted}
+            # What runs beyond its limit ends without a successor: granted, its slot would be used
+            # again beside the owner that an earlier leader has promised it to.
+            before = dict(zip(owner.report.lives, owner.report.limits, strict=True))
             limits = {
-                life: min(owner.claims[life], self._left(owner, life, capacity))
+                life: min(before[life], self._left(owner, life, capacity))
                 for life in lives
                 if life not in ungranted
             }
