--- a/src/hollowrack/jobs/item_order.py
+++ b/src/hollowrack/jobs/item_order.py
@@ -21,6 +21,10 @@
 # Trainers bring unfinished groups back at the head of a later job, at most half of those that they
 # wait for, and need them whatever else is whole.
 MAX_RETURNED_SHARE = 0.5
+# A group is taken for late once the time left is less than this share of what its longest item
+# should take. Expected lengths are often twice what comes out, and a long item that is put back for
+# nothing is the one that makes its group late.
+LATE_SHARE = 0.5
 # Places stand idle while the last items run, and expected lengths are guesses.
 USABLE_SHARE = 0.9
 
@@ -47,7 +51,8 @@
         """
         if self.is_surplus:
             return Usefulness.SURPLUS
-        return Usefulness.LATE if time_left_s < self.group_time_s else Usefulness.IN_TIME
+        is_late = time_left_s < LATE_SHARE * self.group_time_s
+        return Usefulness.LATE if is_late else Usefulness.IN_TIME
 
 
 @dataclass(frozen=True)
