--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -63,6 +63,11 @@
         """Return a service of the configuration in force."""
         return None if self._configuration is None else self._configuration.services.get(name)
 
+    def holds_several_models(self, service_name: str) -> bool:
+        """Whether trainers of several models compete for a service's workers."""
+        service = self.service(service_name)
+        return service is not None and len(service.models) > 1
+
     def services(self) -> tuple[Service, ...]:
         """Return all services of the configuration in force."""
         return () if self._configuration is None else tuple(self._configuration.services.values())
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -234,7 +234,12 @@
         return self._places.get(item_id, ItemPlace())
 
     def _order(self) -> dict[str, ItemPlace]:
-        """Decide in which order the items that wait should run."""
+        """Decide in which order the items that wait should run.
+
+        Without other trainers at its workers a job has them all, and goes the longest item first.
+        """
+        if not self._has_rivals():
+            return {}
         listed = {result.item_id for result in self.results}
         open_runners = {
             item_id: runner
@@ -244,6 +249,13 @@
         tokens_left = {item_id: runner.num_tokens_left for item_id, runner in open_runners.items()}
         return order_items(self.job, tokens_left, self._outlook(open_runners))
 
+    def _has_rivals(self) -> bool:
+        routes = self._services.routes
+        route = routes.lookup(self.job.host, self.job.target)
+        return route is not None and any(
+            routes.holds_several_models(target.service) for target in route.targets
+        )
+
     def _outlook(self, open_runners: Mapping[str, ItemRunner]) -> Outlook:
         """What the places that the job has now generate until it is due."""
         route = self._services.routes.lookup(self.job.host, self.job.target)
--- a/src/hollowrack/slots/sharing.py
+++ b/src/hollowrack/slots/sharing.py
@@ -11,9 +11,6 @@
 from hollowrack.slots.reporter import SlotReporter
 from hollowrack.slots.types import OpenWorkSource, SlotAnswer, SlotPeers, SlotReport
 
-# One owner runs all jobs of a model, so that services with fewer models have one owner.
-MIN_MODELS = 2
-
 
 class SlotSharing:
     """Holds this node's grants, and grants while it leads.
@@ -90,8 +87,7 @@
         ]
 
     def _is_shared(self, service_name: str) -> bool:
-        service = self._routes.service(service_name)
-        return self._is_on and service is not None and len(service.models) >= MIN_MODELS
+        return self._is_on and self._routes.holds_several_models(service_name)
 
     def _capacity(self, service: str) -> dict[str, int]:
         if not self._is_shared(service):
