--- a/src/hollowrack/forwarding/dispatch_rank.py
+++ b/src/hollowrack/forwarding/dispatch_rank.py
@@ -29,7 +29,8 @@
         kind: A caller reads its stream now and goes before items.
         usefulness: Results that come late are worth less, those that a trainer can do without
             nothing for now; neither should make others late.
-        due_s: When the job's results are due, on the loop's clock.
+        due_s: When the job's results are due, on the loop's clock; where its groups run together,
+            when the item has to begin for that.
         sequence: Number of the job on this node; of jobs that are due together the earlier goes
             first.
         group_place: Place of the item's group among those of its job.
--- a/src/hollowrack/jobs/item_order.py
+++ b/src/hollowrack/jobs/item_order.py
@@ -25,6 +25,9 @@
 # should take. Expected lengths are often twice what comes out, and a long item that is put back for
 # nothing is the one that makes its group late.
 LATE_SHARE = 0.5
+# Groups go one after the other only if the work is this many times what fits: below that the
+# longest items, not the room, decide when a job is whole, and they must not wait.
+OVERLOAD_FACTOR = 1.5
 # Places stand idle while the last items run, and expected lengths are guesses.
 USABLE_SHARE = 0.9
 
@@ -70,14 +73,14 @@
     tokens_per_s: float
 
     def fits(self, num_tokens: int) -> bool:
-        """Whether so many tokens can be generated in time by all places.
+        """Whether all places can generate so many tokens in time, or nearly.
 
         They do not as long as the pace is unknown, so that a new node completes a group early.
         """
         if isinf(self.time_left_s):
             return True
         usable_s = USABLE_SHARE * max(0.0, self.time_left_s)
-        return num_tokens <= usable_s * self.num_places * self.tokens_per_s
+        return num_tokens <= OVERLOAD_FACTOR * usable_s * self.num_places * self.tokens_per_s
 
     def time_of(self, num_tokens: int) -> float:
         """How long one place takes for so many tokens, in seconds; 0 while that is not known."""
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -270,16 +270,26 @@
     def _rank(self) -> DispatchRank:
         """The item's rank in the queue as it is now."""
         place = self._place_of(self.item_id)
+        # Groups that run together go by when each item has to begin: a long one of a later job
+        # before a short one of an earlier job that has time.
+        latest_start_s = self._due_s
+        if not place.group_place:
+            latest_start_s -= self._expected_time_s()
         return DispatchRank(
             self._priority,
             WorkKind.JOB_ITEM,
             place.usefulness(self._due_s - now_s()),
-            self._due_s,
+            latest_start_s,
             self._standing.sequence,
             place.group_place,
             -self.num_tokens_left,
         )
 
+    def _expected_time_s(self) -> float:
+        """How long it should take at a worker, in seconds; 0 while that is not known."""
+        tokens_per_s = self._services.pace.tokens_per_s
+        return self.num_tokens_left / tokens_per_s if tokens_per_s > 0.0 else 0.0
+
     def _call(self) -> BackEndCall:
         return BackEndCall(
             self._item.id,
