--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -162,8 +162,11 @@
     def choose(self, workers: Sequence[Worker]) -> Worker | None:
         """Choose a worker: the better of two drawn, each the likelier the sooner it should answer.
 
-        Drawing keeps nodes that know the same from going to the same worker together.
+        Drawing keeps nodes that know the same from going to the same worker together. Workers of
+        other zones are drawn only once one of them should answer sooner than all near ones: each
+        costs a connection of its own, and its answers cross metered links.
         """
+        workers = self._near_unless_slower(workers)
         if len(workers) <= 1:
             return workers[0] if workers else None
         times = [self._relative_time(worker) for worker in workers]
@@ -172,6 +175,15 @@
         is_better = times[second] * NEARLY_EQUAL < times[first]
         return workers[second if is_better else first]
 
+    def _near_unless_slower(self, workers: Sequence[Worker]) -> Sequence[Worker]:
+        near = [worker for worker in workers if worker.zone == self._zone]
+        if not near or len(near) == len(workers):
+            return workers
+        far = (worker for worker in workers if worker.zone != self._zone)
+        soonest_far = min(self._relative_time(worker) for worker in far)
+        soonest_near = min(self._relative_time(worker) for worker in near)
+        return near if soonest_near <= soonest_far else workers
+
     def is_sooner(self, worker: Worker, other: Worker) -> bool:
         """Whether a worker should answer clearly sooner than another one."""
         return self._relative_time(worker) * NEARLY_EQUAL < self._relative_time(other)
