--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -27,7 +27,7 @@
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.hosting import HostRole, num_hosts_per_zone
-from hollowrack.jobs.item_runner import ItemServices
+from hollowrack.jobs.item_services import ItemServices
 from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
 from hollowrack.jobs.job_service import JobService
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from hollowrack.clock import now_s
-from hollowrack.forwarding.dispatch_rank import DispatchRank
+from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.dispatch_statistics import DispatchStatistics, WaitPlace
 from hollowrack.forwarding.slot_limits import SlotLimits, WholeCapacity
 from hollowrack.forwarding.types import Worker, WorkerLife
@@ -124,7 +124,8 @@
         workers: The workers known.
 
     Attributes:
-        limits: How many requests this node may have in flight at each worker.
+        limits: How many requests this node may have in flight at each worker before an item of a
+            job is placed there.
         statistics: What is counted of the runs that go through the queue.
     """
 
@@ -231,12 +232,17 @@
         self._timer = None
         if self._is_order_old:
             self._sort_again()
-        memory = _PassMemory(self._workers, self.limits)
+        # Nodes share slots for the items of their jobs. A caller's stream is bound by no share: its
+        # node may have none, as it may own no job.
+        memories = {
+            WorkKind.CALLER_STREAM: _PassMemory(self._workers, WholeCapacity()),
+            WorkKind.JOB_ITEM: _PassMemory(self._workers, self.limits),
+        }
         left: list[_Waiter] = []
         for waiter in self._waiters:
             if waiter.place.done():
                 continue
-            worker = memory.choose(waiter)
+            worker = memories[waiter.rank.kind].choose(waiter)
             if worker is None:
                 left.append(waiter)
             else:
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -1,11 +1,8 @@
 """The workers this node knows, what it has in flight at each, and direct evidence about them."""
 
-import math
 import random
-from collections import deque
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
-from statistics import median
+from dataclasses import dataclass
 
 from absl import logging
 
@@ -13,6 +10,7 @@
 from hollowrack.forwarding.back_end import NotRunReason
 from hollowrack.forwarding.types import Worker, WorkerLife
 from hollowrack.forwarding.worker_load import WorkerLoads
+from hollowrack.forwarding.worker_paces import WorkerPaces
 
 BUSY_PAUSE_S = 0.06
 MAX_BUSY_PAUSE_S = 0.24
@@ -20,19 +18,8 @@
 MAX_UNREACHABLE_PAUSE_S = 4.0
 FAILURE_PAUSE_S = 0.15
 REMOTE_ZONE_PENALTY = 0.06
-NUM_PACES_KEPT = 64
-NUM_PACES_BETWEEN_MEDIANS = 8
-# What is known of a worker's pace fades, so that a slow one is tried again.
-PACE_FADE_S = 6.0
-MIN_SLOWNESS = 1.3
-MUCH_SLOWER = 2.5
-# How fast a worker is by itself changes rarely: for placing runs it is remembered for longer.
-PLACING_FADE_S = 30.0
-MIN_PLACING_SLOWNESS = 1.1
 # A full worker is taken for that much slower than an empty one when runs are placed.
 PLACING_LOAD_WEIGHT = 0.25
-MIN_PACE_S = 0.001
-MAX_SLOWNESS = 10.0
 FAILURE_DECAY = 0.5
 FAILURE_WEIGHT = 2.0
 
@@ -46,10 +33,6 @@
     num_failures_in_a_row: int = 0
     num_refusals_in_a_row: int = 0
     failure_score: float = 0.0
-    paces_s: deque[float] = field(default_factory=lambda: deque(maxlen=NUM_PACES_KEPT))
-    num_paces: int = 0
-    pace_s: float | None = None
-    pace_noted_s: float = 0.0
 
 
 Eligible = Callable[[Worker], bool]
@@ -79,7 +62,7 @@
         self._workers: dict[str, Worker] = {}
         self._evidence: dict[WorkerLife, _Evidence] = {}
         self.loads = WorkerLoads(zone, rng, self.num_in_flight)
-        self._best_paces_s: dict[str, float] = {}
+        self._paces = WorkerPaces(self.serving)
         self._listeners: list[Callable[[], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
 
@@ -108,13 +91,13 @@
             logging.info("worker %s: started again as %s", known.life, worker.life)
             self.loads.forget(known.life)
             self._drop_evidence_at_rest(known)
-        self._best_paces_s.clear()
+        self._paces.note_workers_changed()
         self._notify()
 
     def remove(self, worker_id: str) -> None:
         """Forget a worker that is gone."""
         worker = self._workers.pop(worker_id, None)
-        self._best_paces_s.clear()
+        self._paces.note_workers_changed()
         if worker is not None:
             self.loads.forget(worker.life)
             self._drop_evidence_at_rest(worker)
@@ -266,18 +249,11 @@
         if not self.knows(worker.life):
             return  # Nothing that is noted of a life that is over would ever be forgotten.
         self.loads.note_answer(worker, work, seconds)
-        evidence = self._of(worker)
-        evidence.paces_s.append(seconds)
-        evidence.pace_noted_s = now_s()
-        evidence.num_paces += 1
-        if evidence.num_paces % NUM_PACES_BETWEEN_MEDIANS == 0:
-            # The median, as a worker that loads weights holds all its runs up for a moment.
-            evidence.pace_s = median(evidence.paces_s)
-            self._best_paces_s.clear()
+        self._paces.note(worker, seconds)
 
     def is_much_slower(self, worker: Worker) -> bool:
         """Whether a worker has lately been much slower than the best of its service."""
-        return self._slowness(worker) >= MUCH_SLOWER
+        return self._paces.is_much_slower(worker)
 
     def time_saved_s(self, worker: Worker, other: Worker | None, num_units: float) -> float:
         """How much sooner another worker would do so many units of work, in seconds.
@@ -287,11 +263,7 @@
             other: The other worker; ``None`` for the fastest of the service.
             num_units: How many units.
         """
-        pace_s = self._of(worker).pace_s
-        if pace_s is None:
-            return 0.0
-        other_slowness = 1.0 if other is None else self._placing_slowness(other)
-        return num_units * pace_s * (1.0 - other_slowness / self._placing_slowness(worker))
+        return self._paces.time_saved_s(worker, other, num_units)
 
     def note_busy(self, worker: Worker) -> None:
         """A worker refused for lack of room."""
@@ -352,6 +324,7 @@
         """Forget a life that is over, unless requests are still in flight there."""
         if self._of(worker).num_in_flight <= 0:
             self._evidence.pop(worker.life, None)
+            self._paces.forget(worker.life)
 
     def _pause(self, worker: Worker, pause_s: float) -> None:
         evidence = self._of(worker)
@@ -371,37 +344,10 @@
         max_in_flight = max(1, worker.capacity) if limit is None else limit(worker)
         return self._of(worker).num_in_flight < max_in_flight
 
-    def _slowness(self, worker: Worker) -> float:
-        """A worker's recent pace as a multiple of the best of its service."""
-        return self._faded_slowness(worker, PACE_FADE_S, MIN_SLOWNESS)
-
-    def _placing_slowness(self, worker: Worker) -> float:
-        """A worker's own pace as a multiple of the best of its service."""
-        return self._faded_slowness(worker, PLACING_FADE_S, MIN_PLACING_SLOWNESS)
-
-    def _faded_slowness(self, worker: Worker, fade_s: float, least: float) -> float:
-        """A worker's pace against the best; 1 if nothing is known or it is less than ``least``."""
-        evidence = self._of(worker)
-        if evidence.pace_s is None:
-            return 1.0
-        best_s = max(self._best_pace_s(worker.service), MIN_PACE_S)
-        ratio = max(1.0, min(MAX_SLOWNESS, evidence.pace_s / best_s))
-        fading = math.exp(-(now_s() - evidence.pace_noted_s) / fade_s)
-        slowness = 1.0 + (ratio - 1.0) * fading
-        return slowness if slowness >= least else 1.0
-
-    def _best_pace_s(self, service: str) -> float:
-        """The best pace known in a service, in seconds; infinite if none is."""
-        if service not in self._best_paces_s:
-            paces = [self._of(worker).pace_s for worker in self.serving(service)]
-            known = [pace_s for pace_s in paces if pace_s is not None]
-            self._best_paces_s[service] = min(known, default=float("inf"))
-        return self._best_paces_s[service]
-
     def _placing_cost(self, worker: Worker) -> tuple[float, float]:
         evidence = self._of(worker)
         load = (evidence.num_in_flight + 1) / max(1, worker.capacity)
-        cost = self._placing_slowness(worker) + PLACING_LOAD_WEIGHT * load
+        cost = self._paces.slowness_for_placing(worker) + PLACING_LOAD_WEIGHT * load
         cost += FAILURE_WEIGHT * evidence.failure_score
         if worker.zone != self._zone:
             cost += REMOTE_ZONE_PENALTY
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -1,21 +1,16 @@
 """Runs one item of a job: generation, check of its versions, score."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
-from enum import Enum
+from dataclasses import replace
 
 from absl import logging
 
 from hollowrack.clock import now_s
-from hollowrack.forwarding.back_end import BackEndCall, BackEndClient
-from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.back_end import BackEndCall
 from hollowrack.forwarding.dispatch_rank import NEVER_DUE_S, DispatchRank, WorkKind
 from hollowrack.forwarding.dispatch_statistics import WaitPlace
-from hollowrack.forwarding.event_stream import StreamEvent
-from hollowrack.forwarding.forwarder import Forwarder, ForwardRequest, WholeAnswer
-from hollowrack.forwarding.patience import FirstEventPatience
+from hollowrack.forwarding.forwarder import ForwardRequest, WholeAnswer
 from hollowrack.forwarding.resumable_run import (
     ResumableRun,
     RunEnd,
@@ -23,23 +18,18 @@
     RunLimits,
     VersionedEvent,
 )
-from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Route, Worker, WorkerLife
-from hollowrack.forwarding.workers import Eligible, WorkerDirectory, both
+from hollowrack.forwarding.workers import Eligible, both
 from hollowrack.jobs.item_eligibility import ItemEligibility
 from hollowrack.jobs.item_moves import ItemMoves
 from hollowrack.jobs.item_order import ItemPlace
+from hollowrack.jobs.item_services import GiveUpReason, ItemServices
 from hollowrack.jobs.job_standing import JobStanding
-from hollowrack.jobs.lengths import LengthEstimate
-from hollowrack.jobs.pace import PaceEstimate
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
 from hollowrack.quarantine.fingerprint import fingerprint_of
-from hollowrack.quarantine.quarantine import Quarantine
 from hollowrack.results import ResultCode
 
-MIN_FIRST_EVENT_S = 0.8
-MAX_FIRST_EVENT_S = 2.5
 SILENCE_TIMEOUT_S = 1.5
 RUN_TIME_S = 30.0
 MIN_SCORER_PATIENCE_S = 0.6
@@ -52,16 +42,6 @@
 FIRST_SERVER_ERROR = 500
 
 
-class GiveUpReason(Enum):
-    """Why an item has no whole text: all that may end one, as a result cannot be taken back."""
-
-    REJECTED = "a worker says that it can never be done"
-    FAILED_TOO_OFTEN = "workers failed it too often"
-    SCORER_FAILED_TOO_OFTEN = "its scorer failed too often"
-    ROUTE_ENDED = "its route has ended"
-    TIME_IS_UP = "its time is up"
-
-
 _REASONS = {
     RunEnd.REJECTED: GiveUpReason.REJECTED,
     RunEnd.FAILED_TOO_OFTEN: GiveUpReason.FAILED_TOO_OFTEN,
@@ -76,39 +56,6 @@
         self.reason = reason
 
 
-@dataclass(frozen=True)
-class ItemServices:
-    """What running items takes.
-
-    Attributes:
-        routes: The routes in force.
-        workers: The workers known.
-        back_ends: Sends requests to workers.
-        forwarder: Forwards scorer calls.
-        queue: Hands out places at workers.
-        read_version: Reads the weight version that an event announces.
-        quarantine: Keeps generations that end their workers from further workers.
-        patience: Longest wait for the first event of a generation.
-        lengths: How many events items will have.
-        pace: How fast a place generates.
-        num_given_up: How many items were given up here, by reason.
-    """
-
-    routes: RouteTable
-    workers: WorkerDirectory
-    back_ends: BackEndClient
-    forwarder: Forwarder
-    queue: DispatchQueue
-    read_version: Callable[[StreamEvent], int | None]
-    quarantine: Quarantine
-    patience: FirstEventPatience = field(
-        default_factory=lambda: FirstEventPatience(MIN_FIRST_EVENT_S, MAX_FIRST_EVENT_S)
-    )
-    lengths: LengthEstimate = field(default_factory=LengthEstimate)
-    pace: PaceEstimate = field(default_factory=PaceEstimate)
-    num_given_up: Counter[GiveUpReason] = field(default_factory=Counter)
-
-
 class ItemRunner:
     """Runs one item until it has a result.
 
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -2,17 +2,17 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from absl import logging
 
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import NotDone, Unknown
 from hollowrack.forwarding.dispatch_statistics import WaitPlace
-from hollowrack.forwarding.types import Worker
-from hollowrack.jobs.item_order import ItemPlace, Outlook, order_items
-from hollowrack.jobs.item_runner import ItemRunner, ItemServices
+from hollowrack.jobs.item_runner import ItemRunner
+from hollowrack.jobs.item_services import ItemServices
 from hollowrack.jobs.job_log import AppendOutcome, JobLog
+from hollowrack.jobs.job_order import JobOrder
 from hollowrack.jobs.job_standing import JobStanding
 from hollowrack.jobs.open_work import open_work_of
 from hollowrack.jobs.progress import (
@@ -34,9 +34,6 @@
 # What items generate is saved with the results that are listed, but not more often than this.
 MIN_SAVE_AGE_S = 0.5
 RETRY_PAUSE_S = 0.25
-# How long an order is used again, in seconds: lengths left in it grow stale, and a group looks
-# later than it is. Ranks of waiters are asked again only after a change of the order.
-MAX_ORDER_AGE_S = 0.25
 MAX_BATCH_BYTES = 500_000
 # Writes of an earlier owner may be done as late as this after the job was taken over.
 LATE_WRITES_S = 8.0
@@ -88,8 +85,7 @@
         self._kept = kept or {}
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._item_runners: dict[str, ItemRunner] = {}
-        self._places: dict[str, ItemPlace] = {}
-        self._ordered_s = -float("inf")
+        self._order = JobOrder(job, services, self._standing, self._open_runners)
         self._ended_s: dict[str, float] = {}
         self._saver = ProgressSaver(job.id, progress, self._item_runners.values)
         self._listing = asyncio.Lock()
@@ -214,66 +210,21 @@
                 self.job,
                 item,
                 self._standing,
-                self._place_of,
-                self._reorder,
+                self._order.place_of,
+                self._order.decide_anew,
                 kept,
             )
             self._item_runners[item.id] = runner
             self._item_tasks[item.id] = asyncio.create_task(self._run_item(runner))
 
-    def _reorder(self) -> None:
-        """Decide the order of items anew before places are handed out again."""
-        self._ordered_s = -float("inf")
-        self._services.queue.note_reordered()
-
-    def _place_of(self, item_id: str) -> ItemPlace:
-        """The place of an item in the order of the job."""
-        if now_s() - self._ordered_s > MAX_ORDER_AGE_S:
-            self._ordered_s = now_s()
-            self._places = self._order()
-        return self._places.get(item_id, ItemPlace())
-
-    def _order(self) -> dict[str, ItemPlace]:
-        """Decide in which order the items that wait should run.
-
-        Without other trainers at its workers a job has them all, and goes the longest item first.
-        """
-        if not self._has_rivals():
-            return {}
+    def _open_runners(self) -> dict[str, ItemRunner]:
+        """The items that run or wait, by identifier."""
         listed = {result.item_id for result in self.results}
-        open_runners = {
+        return {
             item_id: runner
             for item_id, runner in self._item_runners.items()
             if item_id not in listed
         }
-        tokens_left = {item_id: runner.num_tokens_left for item_id, runner in open_runners.items()}
-        return order_items(self.job, tokens_left, self._outlook(open_runners))
-
-    def _has_rivals(self) -> bool:
-        routes = self._services.routes
-        route = routes.lookup(self.job.host, self.job.target)
-        return route is not None and any(
-            routes.holds_several_models(target.service) for target in route.targets
-        )
-
-    def _outlook(self, open_runners: Mapping[str, ItemRunner]) -> Outlook:
-        """What the places that the job has now generate until it is due."""
-        route = self._services.routes.lookup(self.job.host, self.job.target)
-        time_left_s = self._standing.due_s(route) - now_s()
-        num_taken = sum(runner.is_at_worker for runner in open_runners.values())
-        # The item that has just ended leaves its place to the next one.
-        num_places = max(1, num_taken + self._num_free_places(open_runners.values()))
-        return Outlook(time_left_s, num_places, self._services.pace.tokens_per_s)
-
-    def _num_free_places(self, runners: Iterable[ItemRunner]) -> int:
-        """How many further places the job may have now: a job that begins has none yet."""
-        services = {runner.generates_at for runner in runners if runner.generates_at is not None}
-
-        def has_weights(worker: Worker) -> bool:
-            return worker.holds(self.job.model, self.job.min_version)
-
-        queue = self._services.queue
-        return sum(queue.num_free_places(service, has_weights) for service in services)
 
     async def _run_item(self, runner: ItemRunner) -> None:
         result = await runner.run()
@@ -282,7 +233,7 @@
         self._ended_s[result.item_id] = now_s()
         self._has_finished.set()
         self._finished_another.set()
-        self._reorder()
+        self._order.decide_anew()
 
     async def _list_finished(self) -> bool:
         """List what has finished; returns whether the job still belongs to this node."""
@@ -296,7 +247,6 @@
             if unsaved is not None:
                 self._saver.note_saved(unsaved)
             self._finished = self._finished[len(batch) :]
-            self._note_listed(batch)
             self._take_listed([*self.results, *batch])
             return True
         if outcome is AppendOutcome.OVERTAKEN:
@@ -304,9 +254,9 @@
         await asyncio.sleep(RETRY_PAUSE_S)
         return True
 
-    def _note_listed(self, batch: Sequence[ItemResult]) -> None:
+    def _note_listed(self, results: Sequence[ItemResult]) -> None:
         """Count how long results that ended here waited until they were listed."""
-        for result in batch:
+        for result in results:
             ended_s = self._ended_s.pop(result.item_id, None)
             if ended_s is not None:
                 statistics = self._services.queue.statistics
@@ -330,6 +280,7 @@
         return True
 
     def _take_listed(self, results: list[ItemResult]) -> None:
+        self._note_listed(results[len(self.results) :])
         self.results = results
         if not self._finished:
             self._has_finished.clear()
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -12,7 +12,7 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.session import Session
 from hollowrack.coordination.store import NotDone, Unavailable, Unknown
-from hollowrack.jobs.item_runner import ItemServices
+from hollowrack.jobs.item_services import ItemServices
 from hollowrack.jobs.job_intake import JobIntake
 from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -68,12 +68,9 @@
     return _decode(value, key, _named_version, ResultCode.ENTRY_UNREADABLE)
 
 
-def check_retirement(key: str, value: bytes) -> Result[float, Problem]:
-    """Return how long a machine may take to be emptied, in seconds; 0 if that is not told.
-
-    Fails with ``ENTRY_UNREADABLE``.
-    """
-    return _decode(value, key, _retirement_s, ResultCode.ENTRY_UNREADABLE)
+def check_retirement(key: str, value: bytes) -> Result[None, Problem]:
+    """Check that a value asks for a machine to be emptied; fails with ``ENTRY_UNREADABLE``."""
+    return _decode(value, key, _check_retirement, ResultCode.ENTRY_UNREADABLE)
 
 
 def model_versions(entries: Any) -> dict[str, int]:
@@ -237,8 +234,7 @@
     return model, version
 
 
-def _retirement_s(entry: dict[str, Any]) -> float:
+def _check_retirement(entry: dict[str, Any]) -> None:
     duration_s = entry.get("duration-s", 0.0)
     if isinstance(duration_s, bool) or not isinstance(duration_s, int | float) or duration_s < 0:
         raise ValueError("duration-s is no time in seconds")
-    return float(duration_s)
--- a/src/hollowrack/slots/book.py
+++ b/src/hollowrack/slots/book.py
@@ -193,15 +193,10 @@
         if self._may_meet_earlier_grants(unheard, now_s):
             if owner.report.fencing_token is None:
                 return None
-            ungranted = {owner.report.lives[index] for index in owner.report.ungranted}
             # What runs beyond its limit ends without a successor: granted, its slot would be used
             # again beside the owner that an earlier leader has promised it to.
             before = dict(zip(owner.report.lives, owner.report.limits, strict=True))
-            limits = {
-                life: min(before[life], self._left(owner, life, capacity))
-                for life in lives
-                if life not in ungranted
-            }
+            limits = {life: min(before[life], self._left(owner, life, capacity)) for life in lives}
         elif unheard:
             limits = {life: self._limit_beside(owner, life, capacity, unheard) for life in lives}
         else:
--- a/src/hollowrack/slots/holder.py
+++ b/src/hollowrack/slots/holder.py
@@ -229,6 +229,10 @@
             state = self._states[service] = _ServiceState(now_s())
         return state
 
+    def held_services(self) -> list[str]:
+        """Return the services at which this node may hold something."""
+        return list(self._states)
+
     # -- reports ----------------------------------------------------------------------------
 
     def may_move_slots(self, service: str) -> bool:
@@ -262,7 +266,6 @@
             tuple(max(0, self._workers.num_in_flight(worker)) for worker in workers),
             tuple(self.limit(worker) for worker in workers),
             work,
-            tuple(index for index, worker in enumerate(workers) if self.granted(worker) is None),
         )
         state.asked_lives = lives
         state.asked_s = now_s()
--- a/src/hollowrack/slots/reporter.py
+++ b/src/hollowrack/slots/reporter.py
@@ -69,7 +69,7 @@
     async def stop(self) -> None:
         """Stop reporting, and give up what is granted if the arbiter hears of it at once."""
         await cancel_all(self._task)
-        reports = (self._holder.leave(service) for service in self._services())
+        reports = [self._holder.leave(service) for service in self._holder.held_services()]
         await asyncio.gather(*(self._ask(report) for report in reports if report is not None))
 
     async def abandon(self) -> None:
@@ -93,7 +93,7 @@
     async def _report_all(self, is_urgent: bool) -> None:
         reports = [
             report
-            for service in self._services()
+            for service in {*self._services(), *self._holder.held_services()}
             if (report := self._due_report(service, is_urgent)) is not None
         ]
         await asyncio.gather(*(self._send(report) for report in reports))
--- a/src/hollowrack/slots/types.py
+++ b/src/hollowrack/slots/types.py
@@ -57,8 +57,6 @@
         limits: How much it may have in flight at each of them from now on: the grant's limits, or
             less if it gives slots up.
         work: Its open work.
-        ungranted: Where it goes by an equal share, as the grant in force does not name the life:
-            positions in the list of lives.
         is_leaving: Whether it needs nothing more: whatever it was granted is free.
     """
 
@@ -71,7 +69,6 @@
     in_flight: tuple[int, ...]
     limits: tuple[int, ...]
     work: tuple[OpenWork, ...]
-    ungranted: tuple[int, ...] = ()
     is_leaving: bool = False
 
 
@@ -186,8 +183,6 @@
             yield _invalid("a count is out of range", field)
     if len(report.work) > MAX_WORK:
         yield _invalid(f"{len(report.work)} entries", "work")
-    if not _are_positions(report.ungranted, len(report.lives)):
-        yield _invalid("no such life", "ungranted")
     for work in report.work:
         yield from _work_faults(work, len(report.lives))
 
--- a/tests/forwarding/test_dispatch_queue.py
+++ b/tests/forwarding/test_dispatch_queue.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_queue import DispatchQueue, any_worker
 from hollowrack.forwarding.dispatch_rank import DispatchRank, Usefulness, WorkKind
 from hollowrack.forwarding.dispatch_statistics import WaitPlace
 from hollowrack.forwarding.types import Worker, WorkerLife
@@ -232,3 +232,29 @@
         await asyncio.gather(*waiting, return_exceptions=True)
 
     run_virtual(main())
+
+
+class NoSlots:
+    """A node that has no share of any worker."""
+
+    def limit(self, worker: Worker) -> int:
+        return 0
+
+    def note_waiting(self) -> None:
+        return
+
+
+def test_a_callers_stream_is_bound_by_no_share_of_slots() -> None:
+    async def main() -> None:
+        queue = DispatchQueue(make_directory(make_worker("w0", capacity=1)))
+        queue.limits = NoSlots()
+        item = DispatchRank(0, WorkKind.JOB_ITEM)
+        waiting = asyncio.create_task(queue.acquire("svc", lambda: item, any_worker, frozenset()))
+        stream = DispatchRank(5, WorkKind.CALLER_STREAM)
+        place = await queue.acquire("svc", lambda: stream, any_worker, frozenset())
+        assert place.id == "w0"
+        await asyncio.sleep(1.0)
+        assert not waiting.done()
+        waiting.cancel()
+
+    run_virtual(main())
