--- a/src/hollowrack/forwarding/hedging.py
+++ b/src/hollowrack/forwarding/hedging.py
@@ -10,6 +10,7 @@
 
 # Callers notice the slowest twentieth; a second attempt for more of them is load, not help.
 LATE_QUANTILE = 0.95
+# Enough for three answers beyond that quantile, and few enough to follow a change within seconds.
 NUM_ANSWERS_KEPT = 64
 # Fewer answers say too little. A node with one request a second knows enough within seconds.
 MIN_ANSWERS_KNOWN = 8
--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -39,6 +39,7 @@
 NEARLY_EQUAL = 1.05
 # Routes whose usual time is remembered: those in use lately, out of possibly thousands.
 MAX_ROUTES = 64
+# An answer from a cache may take no time at all; in seconds.
 MIN_TIME_S = 0.001
 
 
--- a/src/hollowrack/forwarding/worker_paces.py
+++ b/src/hollowrack/forwarding/worker_paces.py
@@ -13,6 +13,8 @@
 from hollowrack.clock import now_s
 from hollowrack.forwarding.types import Worker, WorkerLife
 
+# Events of the last seconds of a worker with a few runs, of which the median is taken now and then:
+# taking it at each event would cost more than it tells.
 NUM_PACES_KEPT = 64
 NUM_PACES_BETWEEN_MEDIANS = 8
 # What is known of a worker's pace fades, in seconds, so that a slow one is tried again.
@@ -23,7 +25,9 @@
 MUCH_SLOWER = 2.5
 # How fast a worker is by itself changes rarely: for placing runs it is remembered for longer.
 PLACING_FADE_S = 30.0
+# Lasting differences show in many events, so that smaller ones count than for lately.
 MIN_PLACING_SLOWNESS = 1.1
+# Bounds of what is divided: a pace of nought, and a worker that hardly moves, in seconds and times.
 MIN_PACE_S = 0.001
 MAX_SLOWNESS = 10.0
 
--- a/src/hollowrack/slots/book.py
+++ b/src/hollowrack/slots/book.py
@@ -21,6 +21,7 @@
 UNHEARD_WAIT_S = 0.5
 # Planning takes some 2 us for each job and worker; so it takes up to 4% of a core.
 PLAN_AGE_PER_CELL_S = 50e-6
+# However large the fleet, a plan follows a step of a few seconds, in seconds.
 MAX_PLAN_AGE_S = 1.0
 # Far more than nodes own jobs; bounds the memory that invented names take.
 MAX_OWNERS = 512
--- a/src/hollowrack/slots/holder.py
+++ b/src/hollowrack/slots/holder.py
@@ -34,6 +34,7 @@
 NO_ARBITER_S = 10.0
 # Reports tell at least this often whether there is an arbiter.
 NO_ARBITER_FRESH_S = 1.5
+# Shares change several times a second; one line a second, in seconds, keeps a day readable.
 SHARE_LOG_INTERVAL_S = 1.0
 
 
--- a/src/hollowrack/slots/plan.py
+++ b/src/hollowrack/slots/plan.py
@@ -12,6 +12,7 @@
 # A trainer that gets nothing while others are served falls behind for good: each one keeps this
 # share of what an equal division would give it.
 FLOOR_SHARE = 0.25
+# Where that is less than a slot: one item after the other still ends.
 MIN_FLOOR = 1
 
 
--- a/src/hollowrack/slots/reporter.py
+++ b/src/hollowrack/slots/reporter.py
@@ -22,7 +22,9 @@
 QUIET_INTERVAL_S = 1.0
 # Items of a job come one by one: those that come together are reported together.
 MIN_INTERVAL_S = 0.05
+# A tick this much early, in seconds, counts as on time: the loop wakes at ticks, not at due times.
 TICK_TOLERANCE_S = 0.02
+# An outage fails every report; one line a second, in seconds, tells how long it lasts.
 FAILURE_LOG_INTERVAL_S = 1.0
 
 
