--- a/src/hollowrack_standins/back_ends.py
+++ b/src/hollowrack_standins/back_ends.py
@@ -69,6 +69,8 @@
         running: Number of running requests, by worker identifier.
         remaining_times_s: Time left until the deadline of each started request, in seconds, in
             order.
+        blocked_requests: Identifiers of requests that reach no further worker, as the process that
+            forwards them has ended.
         crashing_bodies: Bodies that crash each worker which runs a request with one of them.
         crashes: Crashes, in order.
         on_crash: Called with the incarnation at each crash.
@@ -85,6 +87,7 @@
     resumed_after_events: dict[str, list[int]] = field(default_factory=dict)
     running: Counter[str] = field(default_factory=Counter)
     remaining_times_s: list[float] = field(default_factory=list)
+    blocked_requests: set[str] = field(default_factory=set)
     crashing_bodies: set[bytes] = field(default_factory=set)
     crashes: list["WorkerCrash"] = field(default_factory=list)
     on_crash: Callable[[Worker], None] = lambda _: None
@@ -104,6 +107,8 @@
     ) -> "AnswerStandin":
         """Send a request; see :class:`BackEndClient`."""
         del is_repeatable
+        if call.request_id in self.blocked_requests:
+            raise NotRunError(NotRunReason.UNREACHABLE)
         behaviour = self.behaviours.setdefault(worker.id, WorkerBehaviour())
         await asyncio.sleep(0.001)
         worker = self._current_incarnations.get(worker.id, worker)
