--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -238,6 +238,12 @@
 
     async def attempt(self, worker: Worker) -> CompleteAnswer | None:
         """Try one worker; ``None`` if another worker has to be tried."""
+        answer = await self._attempt_once(worker)
+        if answer is None:
+            await self._quarantine.settle_evidence(self._fingerprint)
+        return answer
+
+    async def _attempt_once(self, worker: Worker) -> CompleteAnswer | None:
         self._workers.reserve_slot(worker)
         self.history.record_start(worker)
         sent_s = now_s()
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -223,6 +223,7 @@
                 self._release(worker)
             self._avoided = frozenset({worker.incarnation})
             await asyncio.sleep(RETRY_INTERVAL_S)
+            await self._quarantine.settle_evidence(self._fingerprint)
 
     async def _next_allowed_worker(self) -> Worker:
         """Wait for a slot at a worker where the quarantine allows the run.
--- a/src/hollowrack/quarantine/crash_detector.py
+++ b/src/hollowrack/quarantine/crash_detector.py
@@ -39,7 +39,7 @@
         self._back_ends = back_ends
         self._on_crash = on_crash
         self._checks: dict[WorkerIncarnation, asyncio.Task[bool]] = {}
-        self._reports: set[asyncio.Task[None]] = set()
+        self._reports: dict[str, set[asyncio.Task[None]]] = {}
 
     def record_disconnect(
         self, request_id: str, fingerprint: str, worker: Worker, is_retried_here: bool = False
@@ -53,8 +53,24 @@
         report_task = asyncio.create_task(
             self._report(request_id, fingerprint, worker, check, is_retried_here)
         )
-        self._reports.add(report_task)
-        report_task.add_done_callback(self._reports.discard)
+        self._reports.setdefault(fingerprint, set()).add(report_task)
+        report_task.add_done_callback(lambda task: self._remove_report(fingerprint, task))
+
+    def num_unfinished_checks(self, fingerprint: str) -> int:
+        """Return the number of interruptions of a request whose cause is still being checked."""
+        return len(self._reports.get(fingerprint, ()))
+
+    async def wait_for_checks(self, fingerprint: str) -> None:
+        """Wait until the causes of all interruptions of a request so far have been checked."""
+        reports = self._reports.get(fingerprint)
+        if reports:
+            await asyncio.wait(set(reports))
+
+    def _remove_report(self, fingerprint: str, task: asyncio.Task[None]) -> None:
+        reports = self._reports[fingerprint]
+        reports.discard(task)
+        if not reports:
+            del self._reports[fingerprint]
 
     async def _report(
         self,
--- a/src/hollowrack/quarantine/quarantine.py
+++ b/src/hollowrack/quarantine/quarantine.py
@@ -1,13 +1,20 @@
 """Quarantine facade: used by the forwarders to report and check crashing requests."""
 
+import asyncio
+import contextlib
+
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.types import Worker
 from hollowrack.quarantine.crash_detector import CrashDetector
 from hollowrack.quarantine.placement import SuspectPlacement
-from hollowrack.quarantine.registry import SuspectRegistry
+from hollowrack.quarantine.registry import QUARANTINE_CRASH_THRESHOLD, SuspectRegistry
 from hollowrack.quarantine.types import QuarantineState
 from hollowrack.results import Problem, ResultCode
 
+# A worker's end is proved and stored within milliseconds. If the worker or the store is silent, a
+# retry waits no longer than this.
+EVIDENCE_TIMEOUT_S = 0.3
+
 
 class Quarantine:
     """Prevents requests that crash workers from being sent to further workers.
@@ -47,6 +54,26 @@
         """Record that this node stopped running an incomplete request; other nodes may run it."""
         self.registry.record_abandoned(fingerprint)
 
+    async def settle_evidence(self, fingerprint: str) -> None:
+        """Wait for evidence that may quarantine a request, before it is sent to a worker again.
+
+        Waits at most :data:`EVIDENCE_TIMEOUT_S` for checks of interruptions, and for the exchange
+        of crashes with other nodes through the store. Returns at once if one more crash cannot
+        quarantine the request.
+        """
+        if not self._is_one_crash_from_quarantine(fingerprint):
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(EVIDENCE_TIMEOUT_S):
+                await self.crash_detector.wait_for_checks(fingerprint)
+                await self.registry.wait_until_shared(fingerprint)
+
+    def _is_one_crash_from_quarantine(self, fingerprint: str) -> bool:
+        num_possible_crashes = self.registry.num_crashes(
+            fingerprint
+        ) + self.crash_detector.num_unfinished_checks(fingerprint)
+        return num_possible_crashes >= QUARANTINE_CRASH_THRESHOLD - 1
+
     def quarantine_state(self, fingerprint: str) -> QuarantineState | None:
         """Return the quarantine state of a request; ``None`` if it may be sent to workers."""
         return self.registry.quarantine_state(fingerprint)
--- a/src/hollowrack/quarantine/registry.py
+++ b/src/hollowrack/quarantine/registry.py
@@ -62,6 +62,7 @@
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
         self._last_success_s: OrderedDict[str, float] = OrderedDict()
         self._quarantine_lifted = asyncio.Event()
+        self._record_updated = asyncio.Event()
 
     @property
     def num_suspects(self) -> int:
@@ -138,6 +139,13 @@
             except TimeoutError:
                 continue
 
+    async def wait_until_shared(self, fingerprint: str) -> None:
+        """Wait until the store's record contains all crashes known here that must be shared."""
+        while (suspect := self._suspects.get(fingerprint)) is not None:
+            if not _has_unshared_crashes(suspect):
+                return
+            await self._record_updated.wait()
+
     def update_from_record(
         self, fingerprint: str, ended_workers: Iterable[str], revision: int
     ) -> None:
@@ -149,6 +157,7 @@
         suspect.revision = revision
         self._add_crashes(fingerprint, suspect, suspect.shared)
         self.changed.set()
+        self._wake_record_waiters()
 
     def remove_record(self, fingerprint: str) -> None:
         """Remove a request whose record was removed from the store (cleared or expired)."""
@@ -213,6 +222,11 @@
     def _remove(self, fingerprint: str) -> None:
         del self._suspects[fingerprint]
         self._wake_waiters()
+        self._wake_record_waiters()
+
+    def _wake_record_waiters(self) -> None:
+        self._record_updated.set()
+        self._record_updated = asyncio.Event()
 
     def _wake_waiters(self) -> None:
         self._quarantine_lifted.set()
@@ -238,6 +252,10 @@
 def _pending_change(fingerprint: str, suspect: _Suspect) -> SuspectChange | None:
     if suspect.is_cleared:
         return SuspectChange(fingerprint, frozenset(), suspect.revision)
-    if suspect.must_share and not suspect.crashed <= suspect.shared:
+    if _has_unshared_crashes(suspect):
         return SuspectChange(fingerprint, frozenset(suspect.crashed), suspect.revision)
     return None
+
+
+def _has_unshared_crashes(suspect: _Suspect) -> bool:
+    return suspect.must_share and not suspect.is_cleared and not suspect.crashed <= suspect.shared
--- a/src/hollowrack/quarantine/replicator.py
+++ b/src/hollowrack/quarantine/replicator.py
@@ -28,9 +28,9 @@
 from hollowrack.results import ResultCode
 from hollowrack.tasks import cancel_all
 
-# Delay before changes are written: a request that succeeds at another worker meanwhile causes no
-# store call. Well below the 3 s within which all nodes must know of a crash.
-BATCH_DELAY_S = 0.25
+# Delay before changes are written, so that all requests interrupted by one crash are written in one
+# pass. A crash that is not in the store is lost if this process ends.
+BATCH_DELAY_S = 0.01
 INITIAL_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 2.0
 # Interval at which the leader removes expired records.
--- a/tests/quarantine/test_crashing_requests.py
+++ b/tests/quarantine/test_crashing_requests.py
@@ -18,6 +18,7 @@
     CRASHING,
     MAX_LATE_RUNS,
     PROPAGATION_TIMEOUT_S,
+    RESTART_DELAY_S,
     CrashingFleet,
     is_success,
 )
@@ -85,6 +86,26 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_third_crash_is_the_last_one_even_if_the_first_node_is_killed(is_killed: bool) -> None:
+    """Guards against crashes known only to a killed node, and retries before a crash is proved."""
+
+    async def main() -> None:
+        fleet = CrashingFleet(num_nodes=2)
+        await asyncio.sleep(FLEET_STARTUP_S)
+        await fleet.send("n0", CRASHING)
+        await asyncio.sleep(0.05)
+        if is_killed:
+            await fleet.kill("n0")
+            fleet.start("n0")
+        await asyncio.sleep(RESTART_DELAY_S + 0.5)
+        await fleet.send("n1", CRASHING)
+        assert fleet.num_crashes() == 3
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("fault", ["disconnected", "restarted", "all restarted"])
 def test_number_of_crashes_is_bounded_despite_node_faults(fault: str) -> None:
     async def main() -> None:
