--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -67,6 +67,8 @@
         is_loaded: Set after the first listing.
         last_answer_s: When the store last answered, on the loop's clock.
         reached_revision: Store revision up to which all changes are applied.
+        last_change_revision: Revision of the last change; an upper bound if a listing showed that
+            keys were removed.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self.is_loaded = asyncio.Event()
         self.last_answer_s = -float("inf")
         self.reached_revision = 0
+        self.last_change_revision = 0
         self._history: deque[KeyChange] = deque(maxlen=MAX_HISTORY)
         self._history_from = 0
         self._changed = asyncio.Event()
@@ -300,6 +303,7 @@
         self._advance_to(listing.revision, True)
 
     def _apply(self, change: KeyChange) -> None:
+        self.last_change_revision = max(change.revision, self.last_change_revision)
         if isinstance(change, RemovedKey):
             self.items.pop(change.key, None)
             self._notify(change.key, None)
--- a/src/hollowrack/coordination/mirror_feed.py
+++ b/src/hollowrack/coordination/mirror_feed.py
@@ -58,8 +58,16 @@
             mirror.reached_revision,
             age_s=now_s() - self._last_answer_s(request.prefix),
             held_s=now_s() - received_s,
+            other_prefixes=self._states_of_others(request.prefix),
         )
 
+    def _states_of_others(self, requested: str) -> dict[str, tuple[int, float]]:
+        return {
+            prefix: (mirror.last_change_revision, now_s() - self._last_answer_s(prefix))
+            for prefix, mirror in self._mirrors.items()
+            if prefix != requested and mirror.is_loaded.is_set()
+        }
+
     def _is_fresh(self, mirror: PrefixMirror, request: WatchRequest) -> bool:
         is_recent = now_s() - self._last_answer_s(request.prefix) <= request.max_age_s
         return is_recent and mirror.is_loaded.is_set()
--- a/src/hollowrack/coordination/shared_store.py
+++ b/src/hollowrack/coordination/shared_store.py
@@ -8,10 +8,15 @@
 Every answer contains the time since the store itself answered, and each hop adds the time that it
 held the answer. Nodes that watch each other in a cycle therefore become stale together when the
 store answers none of them. A node whose sources are all stale asks the store.
+
+The time is kept by prefix: an answer about one prefix does not prove that another one is current.
+As watches of most prefixes are long, each answer also contains the states of the source's other
+mirrors. A node that has reached their last changes is as current as the source.
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+import contextlib
+from collections.abc import Callable, Iterator, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -39,6 +44,8 @@
 MAX_RELAYED_AGE_S = 1.7
 # Time for which a source that timed out is not asked again, as every timeout delays changes.
 UNRESPONSIVE_SOURCE_RETRY_INTERVAL_S = 1.5
+# The store, as the source of a pending watch.
+STORE = ""
 # Time for which a source that reported its mirror as stale is not asked again.
 STALE_SOURCE_RETRY_INTERVAL_S = 0.5
 # Limits the load on the store while there is no leader and all followers ask it.
@@ -73,9 +80,7 @@
         access: Returns how often this node may call the store itself.
 
     Attributes:
-        sentinel_prefix: The prefix whose short watches detect that other watches hang. Its age is
-            the time since its own last answer; the age of any other prefix is the time since the
-            last answer about any prefix.
+        sentinel_prefix: The prefix whose short watches detect that other watches hang.
         source_listeners: Called when the source that answers watches changes.
         recovery_listeners: Called when the store itself answers after it failed or was not asked.
     """
@@ -97,8 +102,11 @@
         self._reached_revisions: dict[str, int] = {}
         self._source: str | None = None
         self._store_answers = False
+        self._store_answered_s = -float("inf")
         self._next_probe_s = -float("inf")
         self._last_answers_s: dict[str, float] = {}
+        # Where the watch of a prefix waits: the address of a node, or the store.
+        self._pending_at: dict[str, str] = {}
         self.sentinel_prefix: str | None = None
         self.source_listeners: list[Callable[[], None]] = []
         self.recovery_listeners: list[Callable[[], None]] = []
@@ -112,7 +120,7 @@
         Returns:
             The time on the loop's clock; minus infinity if it never did.
         """
-        if prefix is not None and prefix == self.sentinel_prefix:
+        if prefix is not None:
             return self._last_answers_s.get(prefix, -float("inf"))
         return max(self._last_answers_s.values(), default=-float("inf"))
 
@@ -136,10 +144,12 @@
             return NotDone("no source answered and the next probe is not due")
         await self._delay_repeated_call(prefix)
         # A probe does not wait for changes; after an answer, watches continue at once.
-        answer = await self._store.watch(prefix, after_revision, 0.0 if is_probe else wait_s)
+        with self._pending(prefix, STORE):
+            answer = await self._store.watch(prefix, after_revision, 0.0 if is_probe else wait_s)
         self._record_store_state(isinstance(answer, Changes | HistoryGone))
         if isinstance(answer, Changes):
             self.record_answer(prefix, now_s())
+            self._record_pending_at(STORE, now_s())
         return answer
 
     async def list_prefix(self, prefix: str) -> Listing | Unavailable:
@@ -166,11 +176,11 @@
             if now_s() < self._retry_source_from_s.get(address, 0.0):
                 continue
             sent_s = now_s()
-            shared = await self._client.watch(address, request)
+            with self._pending(request.prefix, address):
+                shared = await self._client.watch(address, request)
             refusal = _refusal(request, shared)
             if shared is not None and refusal is None:
-                if not shared.is_history_gone:
-                    self.record_answer(request.prefix, shared.as_of_s(sent_s))
+                self._record_shared(address, request.prefix, shared, sent_s)
                 self._set_source(address)
                 return shared
             retry_interval_s = (
@@ -185,6 +195,43 @@
         await asyncio.sleep(0)
         return None
 
+    def _record_shared(
+        self, address: str, prefix: str, shared: SharedChanges, sent_s: float
+    ) -> None:
+        """Record how current all prefixes are, according to a source that answered."""
+        if shared.is_history_gone:
+            return
+        as_of_s = shared.as_of_s(sent_s)
+        self.record_answer(prefix, as_of_s)
+        self._record_other_prefixes(address, shared, sent_s)
+        # An answer from before the store's own one does not end the direct calls to the store.
+        if as_of_s >= self._store_answered_s:
+            self._store_answers = False
+
+    def _record_other_prefixes(self, address: str, shared: SharedChanges, sent_s: float) -> None:
+        if shared.other_prefixes is None:
+            # Sent by an earlier version: its pending watches are as current as the answer.
+            self._record_pending_at(address, shared.as_of_s(sent_s))
+            return
+        for prefix, (last_change_revision, age_s) in shared.other_prefixes.items():
+            if self._reached_revisions.get(prefix, 0) >= last_change_revision:
+                self.record_answer(prefix, shared.as_of_s(sent_s, age_s))
+
+    @contextlib.contextmanager
+    def _pending(self, prefix: str, source: str) -> Iterator[None]:
+        """Note where the watch of a prefix waits."""
+        self._pending_at[prefix] = source
+        try:
+            yield
+        finally:
+            self._pending_at.pop(prefix, None)
+
+    def _record_pending_at(self, source: str, at_s: float) -> None:
+        """Record that a source has answered: it would have sent changes to pending watches."""
+        for prefix, pending_at in self._pending_at.items():
+            if pending_at == source:
+                self.record_answer(prefix, at_s)
+
     def _max_age_s(self) -> float:
         is_observer = self._access() is StoreAccess.OBSERVER
         return MAX_RELAYED_AGE_S if is_observer else MAX_MIRROR_AGE_S
@@ -206,6 +253,8 @@
             for listener in self.recovery_listeners:
                 listener()
         self._store_answers = answers
+        if answers:
+            self._store_answered_s = now_s()
 
     async def _delay_repeated_call(self, prefix: str) -> None:
         """Delay all but a follower's first call, which fetches what it has missed."""
@@ -217,7 +266,6 @@
         """Record the source; on a change, watches that wait at the old one are restarted."""
         if source is not None:
             self._prefixes_asked.clear()
-            self._store_answers = False
         if source != self._source:
             self._source = source
             for listener in self.source_listeners:
--- a/src/hollowrack/coordination/watch_messages.py
+++ b/src/hollowrack/coordination/watch_messages.py
@@ -73,6 +73,9 @@
         is_stale: Whether the answering node's mirror is older than requested.
         age_s: Time since the store itself answered, in seconds.
         held_s: Time for which the request waited before this answer, in seconds.
+        other_prefixes: The answering node's other mirrors, by prefix: the revision of the last
+            change, and the time since the store answered, in seconds. ``None`` from a node that
+            does not send them.
     """
 
     changes: tuple[SharedChange, ...] = ()
@@ -81,18 +84,21 @@
     is_stale: bool = False
     age_s: float = 0.0
     held_s: float = 0.0
+    other_prefixes: dict[str, tuple[int, float]] | None = None
 
-    def as_of_s(self, sent_s: float) -> float:
-        """Return the earliest time at which the store was in this state.
+    def as_of_s(self, sent_s: float, age_s: float | None = None) -> float:
+        """Return the earliest time at which the store was in a state that this answer describes.
 
         Args:
             sent_s: When the request was sent, on the requesting node's clock.
+            age_s: Age of the state at the time of the answer, in seconds; ``None`` for the age of
+                the requested prefix.
 
         Returns:
             The time on the requesting node's clock.
         """
         # The answer was produced ``held_s`` after the request was sent, at the earliest.
-        return sent_s + self.held_s - self.age_s
+        return sent_s + self.held_s - (self.age_s if age_s is None else age_s)
 
     def items(self) -> tuple[KeyChange, ...]:
         """Return the changes as changes of the store."""
