--- a/src/hollowrack/coordination/session.py
+++ b/src/hollowrack/coordination/session.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import uuid
 
 from absl import logging
 
@@ -31,6 +32,15 @@
     return f"{node}{_OWNER_SEPARATOR}{incarnation}"
 
 
+def new_owner_name(node: str, rng: random.Random) -> str:
+    """Return the name of an incarnation of a node that starts now.
+
+    Contains the start time, so that incarnations with equally seeded generators differ.
+    """
+    namespace = uuid.UUID(int=rng.getrandbits(128))
+    return owner_name(node, uuid.uuid5(namespace, repr(now_s())).hex)
+
+
 def decode_owner(value: bytes) -> str:
     """Return the owner that a key's value names.
 
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import random
-import uuid
 
 from absl import logging
 
@@ -16,7 +15,7 @@
 from hollowrack.coordination.machine_retirement import MachineRetirement
 from hollowrack.coordination.mirror import PrefixMirror
 from hollowrack.coordination.relay import RelayingStore
-from hollowrack.coordination.session import Session, owner_name
+from hollowrack.coordination.session import Session, new_owner_name
 from hollowrack.coordination.shared_store import SharedStore, StoreAccess
 from hollowrack.coordination.store import Committed, Put, StoredItem
 from hollowrack.edge_connections import EdgeConnections
@@ -101,7 +100,7 @@
     ) -> None:
         self.name = name
         self._zone = zone
-        self.owner = owner_name(name, uuid.UUID(int=rng.getrandbits(128)).hex)
+        self.owner = new_owner_name(name, rng)
         self.is_stopping = False
         store = RelayingStore(connections.store, connections.relay, self.neighbour_addresses, rng)
         store.direct_failure_listeners.append(self._restart_live_watch)
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -64,6 +64,23 @@
     assert run_fleet(scenario).service.violations == []
 
 
+@pytest.mark.parametrize("wait_s", [0.0, 0.1, 2.0])
+@pytest.mark.parametrize("name", ["n0", "n1", "n2", "n3"])
+def test_counts_survive_a_restart_with_the_same_random_seed(name: str, wait_s: float) -> None:
+    """Nodes took the new incarnation for the former one, which had its counts already."""
+
+    async def scenario(fleet: UsageFleet) -> None:
+        fleet.begin(name, "a")
+        await asyncio.sleep(wait_s + 1.0)
+        await fleet.kill(name)
+        await asyncio.sleep(1.0)
+        fleet.start(name)
+        await asyncio.sleep(20.0)
+        assert fleet.reported() == fleet.begun
+
+    assert run_fleet(scenario).service.violations == []
+
+
 def test_report_with_unknown_delivery_is_delivered_again_unchanged() -> None:
     async def scenario(fleet: UsageFleet) -> None:
         fleet.service.faults.num_lost_answers = 2
