--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -152,6 +152,10 @@
         others = {owner for owner in owners & self.nodes.keys() if node_of_owner(owner) != node}
         return others | (owners & {self._owner})
 
+    def other_processes(self) -> list[str]:
+        """Other processes that have a session with the store."""
+        return [owner for owner in self.nodes if owner != self._owner]
+
     def leader(self) -> str | None:
         """Owner name of the leader; ``None`` if none is known."""
         return self._leader
--- a/src/hollowrack/node_duties.py
+++ b/src/hollowrack/node_duties.py
@@ -73,6 +73,7 @@
                 meter,
                 usage.window_s,
                 usage.client,
+                live.other_processes,
             )
         if capacity is not None:
             self._capacity = CapacityReconciler(
--- a/src/hollowrack/usage/counts.py
+++ b/src/hollowrack/usage/counts.py
@@ -8,12 +8,16 @@
 
 from hollowrack.usage.types import ProcessCounts, TenantCounts
 
+# Processes whose statements are older have ended, or will be heard again.
+MAX_COMPLETE_LAG_WINDOWS = 10
+
 
 class UsageCounts:
     """Number of requests by process, window and tenant."""
 
     def __init__(self) -> None:
         self._counts: dict[str, dict[int, TenantCounts]] = {}
+        self._complete_before: dict[str, int] = {}
         self._first_window = 0
 
     def add(self, process: str, window: int, tenant: str) -> None:
@@ -31,10 +35,25 @@
             known = self._counts.setdefault(other.process, {}).setdefault(window, {})
             for tenant, count in tenants.items():
                 known[tenant] = max(count, known.get(tenant, 0))
+        if other.complete_before:
+            self.record_complete(other.process, other.complete_before)
+
+    def record_complete(self, process: str, before_window: int) -> None:
+        """Record that a process has counted all its requests of the windows before one."""
+        known = self._complete_before.get(process, 0)
+        self._complete_before[process] = max(before_window, known)
+
+    def may_lack(self, process: str, window: int) -> bool:
+        """Whether a live process may have counted requests of a window that are not known here."""
+        # A process with counts but without this statement runs an earlier version.
+        if process not in self._complete_before:
+            return process not in self._counts
+        return self._complete_before[process] <= window
 
     def of(self, process: str) -> ProcessCounts:
         """Return the known counts of one process."""
-        return ProcessCounts(process, self._counts.get(process, {}))
+        complete_before = self._complete_before.get(process, 0)
+        return ProcessCounts(process, self._counts.get(process, {}), complete_before)
 
     def all(self) -> tuple[ProcessCounts, ...]:
         """Return the known counts of all processes."""
@@ -54,6 +73,11 @@
     def remove_before(self, window: int) -> None:
         """Remove the counts of decided windows; later counts for them are ignored."""
         self._first_window = max(window, self._first_window)
+        self._complete_before = {
+            process: before
+            for process, before in self._complete_before.items()
+            if before >= window - MAX_COMPLETE_LAG_WINDOWS
+        }
         for process, windows in list(self._counts.items()):
             undecided = {number: counts for number, counts in windows.items() if number >= window}
             if undecided:
--- a/src/hollowrack/usage/meter.py
+++ b/src/hollowrack/usage/meter.py
@@ -5,6 +5,9 @@
 from hollowrack.usage.counts import UsageCounts
 from hollowrack.usage.wall_clock import WallClock
 
+# Requests are counted at their end, and clocks of nodes differ; later counts may be too late.
+WINDOW_GRACE_S = 2.5
+
 
 class UsageMeter:
     """Counts requests by tenant and window for one process.
@@ -32,6 +35,14 @@
         """Return the current time of day, in seconds since 1970."""
         return self._clock.time_s()
 
+    def update_complete(self) -> int:
+        """Record which windows this process has counted; returns the first one that is not."""
+        if self._window_s is None:
+            return 0
+        before = int((self.time_s() - WINDOW_GRACE_S) // self._window_s)
+        self.counts.record_complete(self._process, before)
+        return before
+
     def record_request(self, tenant: str | None, begun_s: float) -> None:
         """Count a request that a worker has begun.
 
--- a/src/hollowrack/usage/replicator.py
+++ b/src/hollowrack/usage/replicator.py
@@ -48,6 +48,8 @@
         self._peers = peers
         # Number of this process's requests that each target has acknowledged.
         self._num_pushed: dict[str, int] = {}
+        # The first window whose counts may be incomplete, as the leader has acknowledged it.
+        self._complete_pushed = 0
         self._retry_from_s: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -81,6 +83,8 @@
             for process, number in self._num_pushed.items()
             if process in targets and (process != leader or leader == self._last_leader)
         }
+        if leader != self._last_leader:
+            self._complete_pushed = 0
         self._last_leader = leader
         await asyncio.gather(
             *(self._push(process, address) for process, address in targets.items())
@@ -89,13 +93,21 @@
     async def _push(self, process: str, address: str) -> None:
         num_counted = self._meter.num_counted
         num_pushed = self._num_pushed.get(process)
-        if num_pushed == num_counted or now_s() < self._retry_from_s.get(process, 0.0):
+        complete_before = self._meter.update_complete()
+        # Only the leader, which decides windows, must know which counts are complete.
+        is_leader = process == self._last_leader
+        must_push = num_pushed != num_counted or (
+            is_leader and complete_before > self._complete_pushed
+        )
+        if not must_push or now_s() < self._retry_from_s.get(process, 0.0):
             return
         # A new target gets all counts, including those of processes that may have ended.
         is_new = num_pushed is None
         counts = self._counts.all() if is_new else (self._counts.of(self._process),)
-        counts = tuple(entry for entry in counts if entry.windows)
+        counts = tuple(entry for entry in counts if entry.windows or entry.complete_before)
         if counts and not await self._peers.push(address, PushedCounts(counts)):
             self._retry_from_s[process] = now_s() + RETRY_INTERVAL_S
             return
         self._num_pushed[process] = num_counted
+        if is_leader:
+            self._complete_pushed = complete_before
--- a/src/hollowrack/usage/reporter.py
+++ b/src/hollowrack/usage/reporter.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable, Collection
 
 from absl import logging
 
@@ -16,12 +17,13 @@
 from hollowrack.coordination.record import Record
 from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.tasks import cancel_all
-from hollowrack.usage.meter import UsageMeter
+from hollowrack.usage.meter import WINDOW_GRACE_S, UsageMeter
 from hollowrack.usage.types import DecidedUsage, UsageClient, WindowReport
 
 POLL_INTERVAL_S = 0.25
-# Counts reach the leader within 1 s, or later if a node was disconnected.
-WINDOW_GRACE_S = 2.5
+# Time for live processes to push counts that are missing. After a store outage a process may take
+# this long to see a new leader.
+MISSING_COUNTS_TIMEOUT_S = 5.0
 # Time for nodes to see a new leader and push their counts to it.
 NEW_LEADER_WAIT_S = 1.5
 RETRY_INTERVAL_S = 0.5
@@ -40,6 +42,7 @@
         meter: Provides the counts and the time of day.
         window_s: Length of a window, in seconds.
         client: Delivers reports to the platform.
+        live_processes: Returns the other processes that have a session with the store.
     """
 
     def __init__(
@@ -51,8 +54,10 @@
         meter: UsageMeter,
         window_s: float,
         client: UsageClient,
+        live_processes: Callable[[], Collection[str]],
     ) -> None:
         self._node = node
+        self._live_processes = live_processes
         self._leadership = leadership
         self._counts = meter.counts
         self._time_s = meter.time_s
@@ -99,7 +104,8 @@
             return
         decided = self._record.value or DecidedUsage(self._first_window())
         window = decided.next_window
-        if self._time_s() < (window + 1) * self._window_s + WINDOW_GRACE_S:
+        overdue_s = self._time_s() - (window + 1) * self._window_s - WINDOW_GRACE_S
+        if overdue_s < 0.0 or self._must_wait_for_counts(window, overdue_s):
             return
         report = WindowReport(window, self._counts.totals(window))
         undelivered = [entry for entry in decided.reports if entry.window not in self._delivered]
@@ -112,6 +118,24 @@
             "decided" if is_decided else "not decided",
         )
 
+    def _must_wait_for_counts(self, window: int, overdue_s: float) -> bool:
+        """Whether counts of a window may be missing that a live process will push soon."""
+        missing = [
+            process for process in self._live_processes() if self._counts.may_lack(process, window)
+        ]
+        if not missing:
+            return False
+        # A process that did not see this leader yet is given the same time as a late one.
+        if min(overdue_s, self._term.age_s) < MISSING_COUNTS_TIMEOUT_S:
+            return True
+        logging.warning(
+            "usage of window %d: decided without the last counts of %d processes, among them %s",
+            window,
+            len(missing),
+            missing[0],
+        )
+        return False
+
     def _first_window(self) -> int:
         """The first window to report if none has been decided yet."""
         counted = self._counts.first_counted()
--- a/src/hollowrack/usage/types.py
+++ b/src/hollowrack/usage/types.py
@@ -17,10 +17,13 @@
     Attributes:
         process: Name of the process, unique across nodes and restarts.
         windows: Number of requests by window and tenant.
+        complete_before: The process has counted all its requests of windows before this one; 0 from
+            a process that does not send it.
     """
 
     process: str
     windows: dict[int, TenantCounts]
+    complete_before: int = 0
 
 
 @message("usage.push")
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -125,6 +125,50 @@
     assert run_fleet(scenario).service.violations == []
 
 
+@pytest.mark.parametrize("earlier_version", [False, True])
+def test_counts_of_nodes_that_see_the_new_leader_late_are_reported(earlier_version: bool) -> None:
+    """The leader decided windows before all live processes had pushed their counts."""
+
+    async def scenario(fleet: UsageFleet) -> None:
+        fleet.sends_complete_before = not earlier_version
+        for name in ("n0", "n2", "n3"):
+            fleet.begin(name, "a")
+        await asyncio.sleep(2.1)
+        await _fail_store(fleet, 4.5)
+        fleet.begin("n0", "a")
+        await asyncio.sleep(2.0)
+        await _fail_store(fleet, 1.0)
+        await asyncio.sleep(25.0)
+        assert fleet.reported() == fleet.begun
+
+    assert run_fleet(scenario).service.violations == []
+
+
+async def _fail_store(fleet: UsageFleet, seconds: float) -> None:
+    for node in fleet.nodes.values():
+        node.faults.refuses = True
+    await asyncio.sleep(seconds)
+    for node in fleet.nodes.values():
+        node.faults.refuses = False
+
+
+def test_windows_are_decided_in_time_while_processes_of_an_earlier_version_count() -> None:
+    """Processes that do not say which counts are complete must not delay reports too long."""
+
+    async def scenario(fleet: UsageFleet) -> None:
+        fleet.sends_complete_before = False
+        for step in range(60):
+            fleet.begin(f"n{step % 4}", "a")
+            await asyncio.sleep(0.5)
+            last_required = int((true_time_s() - MAX_REPORT_DELAY_S) // WINDOW_S) - 1
+            required = [window for window, _ in fleet.begun if window <= last_required]
+            assert set(required) <= set(fleet.service.reports)
+        await asyncio.sleep(MAX_REPORT_DELAY_S + WINDOW_S)
+        assert fleet.reported() == fleet.begun
+
+    assert run_fleet(scenario).service.violations == []
+
+
 def test_clock_jump_moves_no_request_to_another_window() -> None:
     async def scenario(fleet: UsageFleet) -> None:
         (leader,) = fleet.leaders()
