--- a/src/hollowrack_bench/edge_processes.py
+++ b/src/hollowrack_bench/edge_processes.py
@@ -21,10 +21,13 @@
 
     Args:
         folder: Folder of the settings files and logs.
+        earlier_source: Source folder of an earlier version, which the first process of each node
+            runs; later ones run this version. ``None`` if all run this version.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, earlier_source: Path | None = None) -> None:
         self._folder = folder
+        self._earlier_source = earlier_source
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         # Offset at which the log of each node's current process starts, in bytes.
         self._log_starts: dict[str, int] = {}
@@ -36,6 +39,8 @@
         settings_file = self._folder / f"{name}.json"
         settings_file.write_text(json.dumps(settings))
         environment = os.environ | {names.SETTINGS_VARIABLE: str(settings_file)}
+        if self._earlier_source is not None and name not in self._processes:
+            environment["PYTHONPATH"] = str(self._earlier_source)
         log: IO[bytes]
         with log_file.open("ab") as log:
             self._processes[name] = subprocess.Popen(
@@ -55,9 +60,17 @@
         Raises:
             TimeoutError: If it has not exited after :data:`STOP_TIMEOUT_S`.
         """
+        self.send_signal(name, number)
+        return await self.wait_until_exited(name, STOP_TIMEOUT_S)
+
+    async def wait_until_exited(self, name: str, timeout_s: float) -> int:
+        """Wait until a node's process has exited; returns the exit status.
+
+        Raises:
+            TimeoutError: If it has not exited in time.
+        """
         process = self._processes[name]
-        process.send_signal(number)
-        async with asyncio.timeout(STOP_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             while (status := process.poll()) is None:  # noqa: ASYNC110 (no event)
                 await asyncio.sleep(EXIT_POLL_INTERVAL_S)
         return status
--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -2,7 +2,8 @@
 
 A trainer runs steps beside plain and unsafe requests while the faults of
 :mod:`hollowrack_bench.soak_faults` are injected. Some steps use a route that was added just before.
-All callers send the key of one tenant and the name of another; plain requests reuse connections.
+All callers send the key of one tenant and the name of another; plain requests reuse connections,
+and one caller for each node uses its connection until the process closes it.
 With crashing requests, workers that start them crash and restart later. What callers, workers and
 the duty service observed is checked; each violation is reported with the matching log lines.
 
@@ -43,13 +44,17 @@
 from hollowrack_bench.soak_crashes import PATH as CRASHING_PATH
 from hollowrack_bench.soak_crashes import CrashingRequests
 from hollowrack_bench.soak_faults import FaultInjector, SoakFault, SoakSystem
+from hollowrack_bench.soak_kept_connections import (
+    KeptConnections,
+    UnansweredRequest,
+    lost_requests,
+)
 from hollowrack_bench.soak_operator import SoakOperator
 from hollowrack_bench.soak_plan import SoakPlan
 from hollowrack_bench.soak_report import Latencies, collect_evidence
 from hollowrack_standins.duty_service import DutyServiceStandin
 from hollowrack_standins.users_platform import PlatformWorkerStandin
 
-NUM_FAULT_LOOPS = 2
 UNSAFE_REQUEST_INTERVAL_S = 0.07
 HTTP_REFUSED = frozenset({408, 421, 429, 503})
 # All requests are valid, and every configuration contains their key and route.
@@ -85,7 +90,7 @@
         self._duties = DutyServiceStandin()
         self._operator = SoakOperator(self._store, self._first_configuration(), self._rng)
         self._system = SoakSystem(
-            EdgeProcesses(plan.new_log_folder() or Path(self._folder.name)),
+            EdgeProcesses(plan.new_log_folder() or Path(self._folder.name), plan.earlier_source),
             {},
             self._store,
             self._duties,
@@ -95,7 +100,7 @@
         kinds: list[SoakFault] = [
             fault for fault in plan.faults if fault is not SoakFault.CRASHING_REQUESTS
         ]
-        self._num_fault_loops = NUM_FAULT_LOOPS if kinds else 0
+        self._num_fault_loops = plan.num_fault_loops if kinds else 0
         self._injector = FaultInjector(self._system, kinds, self._rng)
         self._crashing: CrashingRequests | None = None
         if SoakFault.CRASHING_REQUESTS in plan.faults:
@@ -103,6 +108,8 @@
                 self._system, self._workers, self._send_crashing, random.Random(plan.seed)
             )
         self._sessions: dict[str, aiohttp.ClientSession] = {}
+        self._direct_addresses: dict[str, str] = {}
+        self._kept = KeptConnections(self._direct_addresses, self._headers)
         self._checks = SoakChecks(self.worker_records, self.outcome.violations)
         self._num_unsafe = 0
         self._latencies = Latencies()
@@ -140,6 +147,7 @@
             asyncio.create_task(self._send_plain_requests()),
             asyncio.create_task(self._send_unsafe_requests()),
             asyncio.create_task(self._write_entries()),
+            asyncio.create_task(self._kept.run()),
         ]
         faults = [asyncio.create_task(self._injector.run()) for _ in range(self._num_fault_loops)]
         if self._crashing is not None:
@@ -192,6 +200,10 @@
             "holders of orders": str(len({holder for _, holder, *_ in self.worker_records.orders})),
             "workers restarted": str(len(self._injector.workers.restarted)),
             "windows of usage reported": str(len(self._duties.core.reports)),
+            "requests over kept connections": (
+                f"{self._kept.num_answered} answered, {len(self._kept.unanswered)} sent while the "
+                f"connection was closed, {len(self._lost_requests())} of them lost"
+            ),
             "crashing requests": self._crashing_summary(),
             "latency, s (p50/p99/p100)": str(self._latencies.summary()),
         }
@@ -234,6 +246,7 @@
         client_link = LoopbackProxy(listen["frontend"], self._rng)
         self._system.store_links[name] = store_link
         self._system.client_links[name] = client_link
+        self._direct_addresses[name] = listen["frontend"]
         self._system.settings[name] = {
             "node-name": name,
             "zone": "z1",
@@ -392,10 +405,16 @@
         self._checks.check_orders()
         self._checks.check_tenants()
         self._checks.check_decoy(self._injector.workers.decoy.records)
+        self._checks.check_kept_connections(self._lost_requests())
         if self._crashing is not None:
             self._checks.check_crashing(self._crashing.attempts)
         self._checks.check_duties(self._duties.core, num_ambiguous)
 
+    def _lost_requests(self) -> list[UnansweredRequest]:
+        return lost_requests(
+            self._kept.unanswered, self.worker_records.executions, self._system.kill_times_s
+        )
+
 
 async def run_soak(plan: SoakPlan) -> PlatformDemoOutcome:
     """Run a soak; the seed determines its faults but not their exact times.
--- a/src/hollowrack_bench/soak_checks.py
+++ b/src/hollowrack_bench/soak_checks.py
@@ -1,16 +1,19 @@
 """Checks of what callers, workers and the duty service observed in a soak."""
 
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from hollowrack.platform import names
 from hollowrack_bench.platform_demo import QUEUE_TTL_S
 from hollowrack_bench.soak_crashes import MAX_LATE_RUNS, CrashingAttempt, late_runs
+from hollowrack_bench.soak_kept_connections import UnansweredRequest
 from hollowrack_standins.duty_service import DutyServiceCore
 from hollowrack_standins.users_platform import WorkerRecords
 
 # Must match the routes of the configuration.
 MAX_ATTEMPTS = 3
+# Limit of the users' rules for requests that are passed on and lost when a connection is closed.
+MAX_LOST_AT_CLOSE = 3
 TENANT = "ana"
 SCORER_MARK = ".score-"
 _AMBIGUOUS_ATTEMPT = re.compile(
@@ -87,6 +90,19 @@
                     f"{last}: {body.decode()} ran {num_runs} times after its third crash"
                 )
 
+    def check_kept_connections(self, lost: Sequence[UnansweredRequest]) -> None:
+        """Check that nodes answer started requests before they close a kept connection.
+
+        Args:
+            lost: Requests for which they did not; up to :data:`MAX_LOST_AT_CLOSE` are allowed.
+        """
+        if len(lost) > MAX_LOST_AT_CLOSE:
+            first = lost[0]
+            self._violations.append(
+                f"{first.request_id}: {first.node} closed its connection after a worker had "
+                f"started it, as for {len(lost) - 1} other requests"
+            )
+
     def check_tenants(self) -> None:
         """Check that workers got the tenant of the key, and never the key itself."""
         for request_id, headers in self._records.headers.items():
--- a/src/hollowrack_bench/soak_faults.py
+++ b/src/hollowrack_bench/soak_faults.py
@@ -6,16 +6,18 @@
 import asyncio
 import random
 import signal
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
 from absl import logging
 
+from hollowrack.clock import now_s
 from hollowrack_bench.edge_processes import EdgeProcesses
 from hollowrack_bench.loopback_proxy import LinkFault, LoopbackProxy
 from hollowrack_bench.soak_operator import SoakOperator
+from hollowrack_bench.soak_signals import SignalSeries
 from hollowrack_bench.soak_worker_faults import WorkerFaults
 from hollowrack_standins.duty_service import DutyServiceStandin
 from hollowrack_standins.users_platform import (
@@ -71,6 +73,8 @@
     WORKER_SLOW = "worker-slow"
     FOREIGN_ENTRIES = "foreign-entries"
     OPEN_CONNECTIONS = "open-connections"
+    SIGNAL_SERIES = "signal-series"
+    ROLLING_STOP = "rolling-stop"
 
 
 @dataclass
@@ -89,6 +93,7 @@
         worker_links: Proxies between nodes and each worker, by worker.
         faulted_nodes: Nodes whose process is stopped or frozen by a fault.
         violations: Violations found while injecting faults.
+        kill_times_s: Times at which processes were killed, by node, on the loop's clock.
     """
 
     processes: EdgeProcesses
@@ -102,6 +107,7 @@
     worker_links: dict[str, LoopbackProxy] = field(default_factory=dict)
     faulted_nodes: set[str] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
+    kill_times_s: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
 
 class FaultInjector:
@@ -144,7 +150,10 @@
             SoakFault.WORKER_SLOW: self.workers.slow_down,
             SoakFault.FOREIGN_ENTRIES: self.workers.write_foreign_entries,
             SoakFault.OPEN_CONNECTIONS: self._silence_open_connections,
+            SoakFault.SIGNAL_SERIES: self._send_signal_series,
+            SoakFault.ROLLING_STOP: self._stop_in_turn,
         }
+        self._signals = SignalSeries(system.processes, rng, self._stop_process, self._start_process)
 
     async def run(self) -> None:
         """Inject faults until cancelled; may run several times concurrently."""
@@ -187,8 +196,10 @@
 
     async def _stop_and_restart(self, number: signal.Signals) -> None:
         name = self._reserve_node()
-        if name is None:
-            return
+        if name is not None:
+            await self._stop_reserved(name, number)
+
+    async def _stop_reserved(self, name: str, number: signal.Signals) -> None:
         await self._stop_process(name, number)
         await self._wait_fault_duration()
         self._restart_process(name)
@@ -196,12 +207,17 @@
     async def _stop_process(self, name: str, number: signal.Signals) -> None:
         # A process that is still loading its code has no signal handlers yet.
         has_started = self._system.processes.has_logged(name)
+        if number is signal.SIGKILL:
+            self._system.kill_times_s[name].append(now_s())
         status = await self._system.processes.stop_and_wait(name, number)
         if number is signal.SIGTERM and status != 0 and has_started:
             self._system.violations.append(f"{name}: exit status {status} after SIGTERM")
 
-    def _restart_process(self, name: str) -> None:
+    def _start_process(self, name: str) -> None:
         self._system.processes.start(name, self._system.settings[name])
+
+    def _restart_process(self, name: str) -> None:
+        self._start_process(name)
         self._system.faulted_nodes.discard(name)
 
     async def _freeze(self) -> None:
@@ -213,6 +229,23 @@
         self._system.processes.send_signal(name, signal.SIGCONT)
         self._system.faulted_nodes.discard(name)
 
+    async def _send_signal_series(self) -> None:
+        """Send several signals to one process, which may be starting or stopping meanwhile."""
+        name = self._reserve_node()
+        if name is None:
+            return
+        await self._signals.send_to(name)
+        self._system.faulted_nodes.discard(name)
+
+    async def _stop_in_turn(self) -> None:
+        """Stop and restart all nodes that no other fault affects, as a rollout does."""
+        free = [name for name in self._system.settings if name not in self._system.faulted_nodes]
+        self._system.faulted_nodes.update(free)
+        self._rng.shuffle(free)
+        await self._signals.stop_in_turn(
+            free, lambda name: self._stop_reserved(name, signal.SIGTERM)
+        )
+
     async def _kill_all(self) -> None:
         """Kill all nodes at once, in some cases with the store refusing calls meanwhile."""
         system = self._system
--- a/src/hollowrack_bench/soak_plan.py
+++ b/src/hollowrack_bench/soak_plan.py
@@ -10,6 +10,8 @@
 from hollowrack_bench.soak_faults import SoakFault
 
 NUM_EDGES = 4
+NUM_FAULT_LOOPS = 2
+MAX_FAULT_LOOPS = 20
 # Each process uses about 60 MB of memory.
 MAX_EDGES = 120
 
@@ -23,6 +25,9 @@
         seed: Seed of the faults.
         faults: Kinds of faults that are injected.
         num_edges: Number of edge processes.
+        num_fault_loops: Number of faults that are injected independently at the same time.
+        earlier_source: Source folder of an earlier version, which each node runs until its first
+            restart; ``None`` for this version.
         folder: Parent of the folders in which each run keeps its logs; ``None`` for a temporary
             folder.
     """
@@ -32,6 +37,8 @@
     faults: Sequence[SoakFault] = tuple(SoakFault)
     num_edges: int = NUM_EDGES
     folder: Path | None = None
+    num_fault_loops: int = NUM_FAULT_LOOPS
+    earlier_source: Path | None = None
 
     def new_log_folder(self) -> Path | None:
         """Create a folder for the logs of one run; its name is unique."""
@@ -50,6 +57,9 @@
         if not 1 <= self.num_edges <= MAX_EDGES:
             detail = f"{self.num_edges} processes; 1 to {MAX_EDGES} are allowed"
             raise ProblemError(Problem(ResultCode.USAGE, detail, "--nodes"))
+        if not 1 <= self.num_fault_loops <= MAX_FAULT_LOOPS:
+            detail = f"{self.num_fault_loops} faults at a time; 1 to {MAX_FAULT_LOOPS} are allowed"
+            raise ProblemError(Problem(ResultCode.USAGE, detail, "--overlap"))
         if not self.faults:
             known = ", ".join(fault.value for fault in SoakFault)
             raise ProblemError(
--- a/tests/bench/test_platform_soak.py
+++ b/tests/bench/test_platform_soak.py
@@ -13,6 +13,7 @@
 from hollowrack_bench.soak_checks import SoakChecks, count_ambiguous_attempts
 from hollowrack_bench.soak_crashes import CrashingAttempt
 from hollowrack_bench.soak_faults import SoakFault
+from hollowrack_bench.soak_kept_connections import UnansweredRequest, lost_requests
 from hollowrack_bench.soak_plan import SoakPlan
 from hollowrack_standins.duty_service import DutyServiceCore
 from hollowrack_standins.users_platform import WorkerRecords
@@ -34,6 +35,8 @@
     SoakFault.WORKER_SLOW,
     SoakFault.FOREIGN_ENTRIES,
     SoakFault.OPEN_CONNECTIONS,
+    SoakFault.SIGNAL_SERIES,
+    SoakFault.ROLLING_STOP,
 )
 REGRESSION_FAULTS = tuple(fault for fault in SoakFault if fault not in EXCLUDED_FAULTS)
 # Seeds of the regression soaks, with the failure that each one guards against.
@@ -55,6 +58,8 @@
     SoakFault.KILL,
 )
 SOAK_S = 12.0
+SERIES_SEED = 801
+SERIES_SOAK_S = 30.0
 
 
 async def run_concurrently() -> dict[int, PlatformDemoOutcome]:
@@ -74,12 +79,46 @@
     assert all(int(outcome.rows["steps taken"]) > 0 for outcome in outcomes.values())
 
 
+def test_soak_of_overlapping_series_violates_no_guarantee() -> None:
+    """Guards against work lost when signals, restarts and changes follow each other closely."""
+    plan = SoakPlan(SERIES_SOAK_S, SERIES_SEED, num_fault_loops=4)
+    outcome = asyncio.run(run_soak(plan))
+    assert outcome.violations == [], outcome.evidence
+    assert int(outcome.rows["steps taken"]) > 0
+
+
+@pytest.mark.parametrize(
+    ("executions", "kill_times_s", "is_lost"),
+    [
+        ({}, {}, False),
+        ({"kept-1": 1}, {}, True),
+        ({"kept-1": 1}, {"edge-0": [1.5]}, False),
+        ({"kept-1": 1}, {"edge-0": [0.5, 2.5], "edge-1": [1.5]}, True),
+    ],
+)
+def test_started_request_without_answer_is_lost_unless_its_node_was_killed(
+    executions: dict[str, int], kill_times_s: dict[str, list[float]], is_lost: bool
+) -> None:
+    request = UnansweredRequest("kept-1", "edge-0", 1.0, 2.0)
+    assert bool(lost_requests([request], executions, kill_times_s)) is is_lost
+
+
+@pytest.mark.parametrize(("num_lost", "is_violation"), [(3, False), (4, True)])
+def test_requests_lost_at_closed_connections_are_detected(
+    num_lost: int, is_violation: bool
+) -> None:
+    checks, _, violations = make_checks()
+    checks.check_kept_connections([UnansweredRequest("kept-1", "edge-0", 1.0, 2.0)] * num_lost)
+    assert bool(violations) is is_violation
+
+
 @pytest.mark.parametrize(
     ("plan", "place"),
     [
         (SoakPlan(1.0, 1, num_edges=0), "--nodes"),
         (SoakPlan(1.0, 1, num_edges=1000), "--nodes"),
         (SoakPlan(1.0, 1, faults=()), "--faults"),
+        (SoakPlan(1.0, 1, num_fault_loops=0), "--overlap"),
         (SoakPlan(-1.0, 1), "--seconds"),
         (SoakPlan(1.0, -1), "--seconds"),
     ],
