--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -282,7 +282,8 @@
         if not self.is_current(worker.incarnation):
             return  # State of an incarnation that has ended would never be removed.
         self.loads.record_answer(worker, route, seconds)
-        self._event_intervals.record(worker, seconds)
+        if not route:
+            self._event_intervals.record(worker, seconds)
 
     def is_much_slower(self, worker: Worker) -> bool:
         """Whether a worker has recently been much slower than the fastest of its service."""
--- a/tests/forwarding/test_workers.py
+++ b/tests/forwarding/test_workers.py
@@ -120,3 +120,15 @@
         assert directory.loads.num_known == 0
 
     run_virtual(main())
+
+
+def test_latencies_of_plain_requests_do_not_make_a_worker_slow_for_streams() -> None:
+    """A worker that answers plain requests as well looked slow, and streams left it."""
+
+    async def main() -> None:
+        directory = make_directory_with_intervals({"w1": FAST_S, "w2": FAST_S})
+        for _ in range(20):
+            directory.record_latency(make_worker("w1"), 20 * FAST_S, "plain")
+        assert not directory.is_much_slower(make_worker("w1"))
+
+    run_virtual(main())
