--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -98,6 +98,9 @@
         self, request: ForwardRequest, after_event: int | None
     ) -> AsyncGenerator[StreamPart]:
         service = self._routes.choose_service(request.route)
+        if not self._workers.serving(service):
+            yield _no_worker(request, f"no worker of service {service} is known")
+            return
         deadline_s = request_deadline_s(request)
         rank = DispatchRank(request.route.priority, WorkKind.CALLER_STREAM)
 
@@ -175,8 +178,7 @@
                 self._workers.record_not_run(worker, error.reason)
             finally:
                 self._workers.release_slot(worker)
-        detail = "no worker accepted the request"
-        yield Problem(ResultCode.NO_BACK_END, detail, request.call.request_id, RETRY_AFTER_S)
+        yield _no_worker(request, "no worker accepted the request")
 
     async def _chunks(
         self, worker: Worker, request: ForwardRequest, after_event: int | None
@@ -206,3 +208,7 @@
         finally:
             if answer is not None:
                 answer.abort()
+
+
+def _no_worker(request: ForwardRequest, detail: str) -> Problem:
+    return Problem(ResultCode.NO_BACK_END, detail, request.call.request_id, RETRY_AFTER_S)
