--- a/src/hollowrack/platform/program.py
+++ b/src/hollowrack/platform/program.py
@@ -1,6 +1,7 @@
 """Entry point of a process with the role ``edge`` or ``storage``."""
 
 import asyncio
+import signal
 import sys
 
 EDGE_ROLE = "edge"
@@ -11,6 +12,8 @@
 
 def main(arguments: list[str]) -> int:
     """Run the role given as the only argument; returns the exit status."""
+    # The settings are read below. Until its handler is installed, the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Lazy imports per role: memory and CPU time at start-up are billed.
     if arguments == [STORAGE_ROLE]:
         from hollowrack.platform.storage_process import serve_storage  # noqa: PLC0415
