--- a/src/hollowrack_bench/edge_processes.py
+++ b/src/hollowrack_bench/edge_processes.py
@@ -14,6 +14,7 @@
 PROGRAM = "import sys; from hollowrack.platform.program import main; sys.exit(main(['edge']))"
 STOP_TIMEOUT_S = 12.0
 EXIT_POLL_INTERVAL_S = 0.05
+ENDING_SIGNALS = frozenset({signal.SIGTERM, signal.SIGKILL})
 
 
 class EdgeProcesses:
@@ -29,6 +30,8 @@
         self._folder = folder
         self._earlier_source = earlier_source
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Nodes whose current process was told to end.
+        self._ending: set[str] = set()
         # Offset at which the log of each node's current process starts, in bytes.
         self._log_starts: dict[str, int] = {}
 
@@ -41,6 +44,7 @@
         environment = os.environ | {names.SETTINGS_VARIABLE: str(settings_file)}
         if self._earlier_source is not None and name not in self._processes:
             environment["PYTHONPATH"] = str(self._earlier_source)
+        self._ending.discard(name)
         log: IO[bytes]
         with log_file.open("ab") as log:
             self._processes[name] = subprocess.Popen(
@@ -52,8 +56,14 @@
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a node's process."""
+        if number in ENDING_SIGNALS:
+            self._ending.add(name)
         self._processes[name].send_signal(number)
 
+    def is_ending(self, name: str) -> bool:
+        """Whether a node's current process was told to end; it may have exited already."""
+        return name in self._ending
+
     async def stop_and_wait(self, name: str, number: signal.Signals) -> int:
         """Send a signal and wait until the process has exited; returns the exit status.
 
