--- a/src/hollowrack_bench/capacity_page.py
+++ b/src/hollowrack_bench/capacity_page.py
@@ -265,6 +265,11 @@
   the size. Fits.
 - **Leader, followers' watches**: 359 followers, 1.5 to 3 answers a second each, about 800 a second.
   Does not fit; observers by zone that watch the leader are the mechanism to build.
+- **Watches between nodes**: an answer without changes has 163 bytes, 111 before it told the age of
+  two other mirrors: 80 bytes a second more at 1.5 answers a second.
+- **Usage counts**: each node says once a window how far its counts are complete, 72 messages of
+  about 124 bytes a second to the leader at 360 nodes and windows of 5 s. Its processor time is not
+  measured.
 - **Job owner**: a step of 62 items took some 18 writes, listings and progress together. Fits.
 - **Job owner, processor**: one node runs all items of a model. Not measured at 512 samples; the
   most loaded edge had 0.10 of a core with 62 items a step of 4 s.
