--- a/src/hollowrack/coordination/shared_store.py
+++ b/src/hollowrack/coordination/shared_store.py
@@ -44,10 +44,10 @@
 MAX_RELAYED_AGE_S = 1.7
 # Time for which a source that timed out is not asked again, as every timeout delays changes.
 UNRESPONSIVE_SOURCE_RETRY_INTERVAL_S = 1.5
-# The store, as the source of a pending watch.
-STORE = ""
 # Time for which a source that reported its mirror as stale is not asked again.
 STALE_SOURCE_RETRY_INTERVAL_S = 0.5
+# Names the store as the source of a pending watch; no node has this address.
+STORE_SOURCE = ""
 # Limits the load on the store while there is no leader and all followers ask it.
 FOLLOWER_POLL_DELAY_S = 0.4
 # Observers are many, so each probes a failing store rarely. Deployments that are large enough to
@@ -144,12 +144,12 @@
             return NotDone("no source answered and the next probe is not due")
         await self._delay_repeated_call(prefix)
         # A probe does not wait for changes; after an answer, watches continue at once.
-        with self._pending(prefix, STORE):
+        with self._pending(prefix, STORE_SOURCE):
             answer = await self._store.watch(prefix, after_revision, 0.0 if is_probe else wait_s)
         self._record_store_state(isinstance(answer, Changes | HistoryGone))
         if isinstance(answer, Changes):
             self.record_answer(prefix, now_s())
-            self._record_pending_at(STORE, now_s())
+            self._record_pending_at(STORE_SOURCE, now_s())
         return answer
 
     async def list_prefix(self, prefix: str) -> Listing | Unavailable:
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -202,6 +202,8 @@
         """Return a worker that may run the request in addition to, or instead of, a late one."""
         if self._route.kind is not RouteKind.SAFE or not self._may_attempt():
             return None
+        if self._quarantine.is_evidence_pending(self._fingerprint):
+            return None
         return self._workers.choose_for_hedge(late, self.history.tried)
 
     def spend_hedge_budget(self) -> bool:
--- a/src/hollowrack/quarantine/quarantine.py
+++ b/src/hollowrack/quarantine/quarantine.py
@@ -68,6 +68,11 @@
                 await self.crash_detector.wait_for_checks(fingerprint)
                 await self.registry.wait_until_shared(fingerprint)
 
+    def is_evidence_pending(self, fingerprint: str) -> bool:
+        """Whether a check in progress may quarantine a request that may not be sent before."""
+        has_unfinished_checks = self.crash_detector.num_unfinished_checks(fingerprint) > 0
+        return has_unfinished_checks and self._is_one_crash_from_quarantine(fingerprint)
+
     def _is_one_crash_from_quarantine(self, fingerprint: str) -> bool:
         num_possible_crashes = self.registry.num_crashes(
             fingerprint
