--- a/src/hollowrack/edge_connections.py
+++ b/src/hollowrack/edge_connections.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hollowrack.capacity.types import CapacityClient
 from hollowrack.coordination.relay import RelayClient
@@ -11,6 +11,7 @@
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.jobs.peer_jobs import PeerJobs
+from hollowrack.regions.topology import RegionTopology
 from hollowrack.slots.types import SlotPeers
 from hollowrack.usage.types import UsageClient, UsagePeers
 from hollowrack.weights.version_reconciler import OrderClient
@@ -59,6 +60,7 @@
         usage: Usage reporting; ``None`` if usage is not reported.
         capacity: Sends capacity orders; ``None`` if capacity is not ordered.
         slots: Sends slot reports to other nodes; ``None`` if slots are not shared.
+        topology: Regions of the zones; empty if the settings name none.
     """
 
     store: CoordinationStore
@@ -77,3 +79,4 @@
     usage: UsageConnections | None = None
     capacity: CapacityClient | None = None
     slots: SlotPeers | None = None
+    topology: RegionTopology = field(default_factory=RegionTopology)
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -23,6 +23,7 @@
 from hollowrack.forwarding.forwarder import Forwarder
 from hollowrack.forwarding.load_log import LoadLog
 from hollowrack.forwarding.route_table import RouteTable
+from hollowrack.forwarding.send_guard import GuardedBackEnds
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.jobs.host_role import HostRole, num_hosts_per_zone
@@ -82,6 +83,8 @@
     Attributes:
         owner: Name of this incarnation, unique across nodes and restarts.
         is_stopping: Whether a planned stop has begun.
+        back_ends: Sends requests to workers, under the conditions of its list.
+        topology: Regions of the zones.
         store: The coordination store, with relaying through other nodes.
         feed_client: Sends watches to other nodes.
         usage: Counts the tenants' requests that workers began.
@@ -105,12 +108,14 @@
         store = RelayingStore(connections.store, connections.relay, self.neighbour_addresses, rng)
         store.direct_failure_listeners.append(self._restart_live_watch)
         self.store = store
+        self.topology = connections.topology
         self.routes = RouteTable(lambda: self.configuration_age_s)
         self.workers = WorkerDirectory(zone, rng)
         self.usage = usage_meter(self.owner, connections.usage)
-        self.quarantine = Quarantine(connections.back_ends)
+        self.back_ends = GuardedBackEnds(connections.back_ends)
+        self.quarantine = Quarantine(self.back_ends)
         self.forwarder = Forwarder(
-            self.routes, self.workers, connections.back_ends, self.usage, self.quarantine, rng
+            self.routes, self.workers, self.back_ends, self.usage, self.quarantine, rng
         )
         self.queue = DispatchQueue(self.workers)
         self._load_log = LoadLog(self.queue)
@@ -120,7 +125,7 @@
         self.services = ItemServices(
             self.routes,
             self.workers,
-            connections.back_ends,
+            self.back_ends,
             self.forwarder,
             self.queue,
             connections.read_version,
--- a/src/hollowrack/forwarding/back_end.py
+++ b/src/hollowrack/forwarding/back_end.py
@@ -23,6 +23,7 @@
         priority: Scheduling priority at the worker, 0 is the highest; ``None`` for the worker's
             default.
         tenant: Name of the tenant that is charged; ``None`` if there is none.
+        allowed_regions: Regions in which workers may run it; ``None`` for all.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     body: bytes
     priority: int | None = None
     tenant: str | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 class NotRunReason(Enum):
@@ -40,6 +42,7 @@
     UNREACHABLE = "no connection was made"
     BUSY = "the worker refused"
     REPLACED = "another worker has the address"
+    NOT_PERMITTED = "this node may not send it to the worker now"
 
 
 class NotRunError(Exception):
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -11,7 +11,7 @@
 from hollowrack.forwarding.dispatch_statistics import DispatchStatistics, WaitKind
 from hollowrack.forwarding.slot_limits import FullCapacityLimits, SlotLimits
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
-from hollowrack.forwarding.workers import Eligible, WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory, any_worker
 
 # Interval of dispatch passes while runs wait: the end of a worker's backoff triggers no event.
 DISPATCH_POLL_INTERVAL_S = 0.05
@@ -19,12 +19,6 @@
 RankOf = Callable[[], DispatchRank]
 
 
-def any_worker(worker: Worker) -> bool:
-    """Condition that every worker meets."""
-    del worker
-    return True
-
-
 @dataclass(eq=False)
 class _Waiter:
     """A run that waits for a slot.
--- /dev/null
+++ b/src/hollowrack/forwarding/send_guard.py
@@ -0,0 +1,71 @@
+"""Last check before a request is sent to a worker.
+
+A worker is chosen some time before its request is sent, and the conditions on workers may have
+changed in between. The check covers all requests: first attempts, retries, hedged attempts, streams
+and items of jobs.
+"""
+
+from typing import Protocol
+
+from absl import logging
+
+from hollowrack.forwarding.back_end import (
+    BackEndCall,
+    BackEndClient,
+    NotRunError,
+    NotRunReason,
+    OpenAnswer,
+)
+from hollowrack.forwarding.types import Worker
+
+
+class SendCondition(Protocol):
+    """Condition on the requests that this node may send to a worker now."""
+
+    def permits(self, worker: Worker, call: BackEndCall) -> bool:
+        """Whether a request may be sent now; called once for each send that is about to start."""
+
+
+class GuardedBackEnds:
+    """Client of workers that sends a request only if all conditions permit it.
+
+    Implements :class:`BackEndClient`.
+
+    Args:
+        back_ends: Client that sends the requests.
+
+    Attributes:
+        conditions: Conditions on each request, checked in order until one does not permit it.
+    """
+
+    def __init__(self, back_ends: BackEndClient) -> None:
+        self._back_ends = back_ends
+        self.conditions: list[SendCondition] = []
+
+    async def open(
+        self,
+        worker: Worker,
+        call: BackEndCall,
+        time_left_s: float,
+        after_event: int | None = None,
+        is_repeatable: bool = True,
+    ) -> OpenAnswer:
+        """Send a request; see :class:`BackEndClient`.
+
+        Raises:
+            NotRunError: ``NOT_PERMITTED`` if a condition does not permit the request.
+        """
+        for condition in self.conditions:
+            if not condition.permits(worker, call):
+                logging.info(
+                    "request %s: not sent to worker %s: %s",
+                    call.request_id,
+                    worker.incarnation,
+                    type(condition).__name__,
+                )
+                raise NotRunError(NotRunReason.NOT_PERMITTED)
+        return await self._back_ends.open(worker, call, time_left_s, after_event, is_repeatable)
+
+    async def has_crashed(self, worker: Worker) -> bool:
+        """Whether an incarnation of a worker has certainly ended; see :class:`BackEndClient`."""
+        return await self._back_ends.has_crashed(worker)
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -13,7 +13,7 @@
     NotRunError,
     OpenAnswer,
 )
-from hollowrack.forwarding.dispatch_queue import DispatchQueue, any_worker
+from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.first_event_timeout import FirstEventTimeout
@@ -26,7 +26,7 @@
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
-from hollowrack.forwarding.workers import Eligible, WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory, any_worker
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, quarantine_problem
 from hollowrack.results import Problem, ResultCode
--- a/src/hollowrack/forwarding/types.py
+++ b/src/hollowrack/forwarding/types.py
@@ -53,6 +53,7 @@
             seconds; ``None`` if none is stated.
         needs_single_version: Whether all tokens of a sample must come from one weight version.
         is_public: Whether its requests need no API key.
+        allowed_regions: Regions in which its requests may be served and stored; ``None`` for all.
     """
 
     name: str
@@ -69,6 +70,7 @@
     result_deadline_s: float | None = None
     needs_single_version: bool = False
     is_public: bool = False
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -104,12 +106,16 @@
         max_connections: Connections that one worker accepts from all clients together.
         models: Models loaded by its workers.
         scaling: Limits of automatic scaling; ``None`` if the service has a fixed size.
+        cold_start_s: Time for which a new worker is cold, in seconds; 0 if it never is.
+        cold_requests_per_s: Requests per second that a cold worker sustains; 0 for no limit.
     """
 
     name: str
     max_connections: int
     models: tuple[str, ...] = ()
     scaling: ScalingLimits | None = None
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -164,6 +170,7 @@
         is_leaving: Whether it is draining and accepts no new requests.
         model_versions: Weight version by loaded model.
         started_ms: Start of this incarnation as Unix time in milliseconds; 0 if unknown.
+        cold_remaining_s: Time for which it was still cold when the entry was written, in seconds.
     """
 
     id: str
@@ -174,6 +181,7 @@
     is_leaving: bool = False
     model_versions: Mapping[str, int] = field(default_factory=dict)
     started_ms: int = 0
+    cold_remaining_s: float = 0.0
 
     # Cached because each choice of a worker reads it for all candidates.
     @cached_property
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -49,6 +49,12 @@
 Eligible = Callable[[Worker], bool]
 
 
+def any_worker(worker: Worker) -> bool:
+    """Condition that every worker meets."""
+    del worker
+    return True
+
+
 def both(first: Eligible, second: Eligible) -> Eligible:
     """Return the conjunction of two conditions."""
     return lambda worker: first(worker) and second(worker)
@@ -77,6 +83,7 @@
         self._event_intervals = WorkerEventIntervals(self.serving)
         self._listeners: list[Callable[[], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
+        self._restrictions: list[Eligible] = []
 
     @property
     def rng(self) -> random.Random:
@@ -87,6 +94,10 @@
         """Register a listener that is called when a worker may have become available."""
         self._listeners.append(listener)
 
+    def add_restriction(self, is_allowed: Eligible) -> None:
+        """Register a condition on the workers that are chosen for any request."""
+        self._restrictions.append(is_allowed)
+
     def on_request_end(self, listener: Callable[[Worker], None]) -> None:
         """Register a listener that is called with the worker of each request that has ended."""
         self._end_listeners.append(listener)
@@ -139,28 +150,42 @@
             if worker.service == service and not worker.is_leaving
         ]
 
+    def allowed(self, service: str, is_eligible: Eligible = any_worker) -> list[Worker]:
+        """Return a service's workers that meet all restrictions and a condition."""
+        workers = self.serving(service)
+        if is_eligible is any_worker and not self._restrictions:
+            return workers
+        return [worker for worker in workers if is_eligible(worker) and self._is_allowed(worker)]
+
     def choose(
         self,
         service: str,
         excluded: Collection[WorkerIncarnation] = (),
+        is_eligible: Eligible = any_worker,
     ) -> Worker | None:
         """Choose a worker for a plain request by its expected latency.
 
         Args:
             service: Name of the service.
             excluded: Incarnations that are not chosen.
+            is_eligible: Condition that the worker has to meet.
 
         Returns:
             The worker; ``None`` if the service has no other workers.
         """
         candidates = [
-            worker for worker in self.serving(service) if worker.incarnation not in excluded
+            worker
+            for worker in self.allowed(service, is_eligible)
+            if worker.incarnation not in excluded
         ]
         ready = [worker for worker in candidates if not self._is_backing_off(worker)]
         return self.loads.choose(ready or candidates)
 
     def choose_for_hedge(
-        self, late: Worker, excluded: Collection[WorkerIncarnation]
+        self,
+        late: Worker,
+        excluded: Collection[WorkerIncarnation],
+        is_eligible: Eligible = any_worker,
     ) -> Worker | None:
         """Choose a worker for a hedged attempt of a request that is late at another worker.
 
@@ -169,7 +194,7 @@
         """
         candidates = [
             worker
-            for worker in self.serving(late.service)
+            for worker in self.allowed(late.service, is_eligible)
             if worker.incarnation not in excluded
             and not self._is_backing_off(worker)
             and self.loads.has_free_slot(worker)
@@ -177,18 +202,21 @@
         ]
         return self.loads.choose(candidates)
 
-    def lowest_expected_latency_s(self, service: str, route: str) -> float | None:
+    def lowest_expected_latency_s(
+        self, service: str, route: str, is_eligible: Eligible = any_worker
+    ) -> float | None:
         """Return the lowest expected latency of a request that has to wait for a slot.
 
         Args:
             service: Name of the service.
             route: Name of the request's route; latencies are tracked separately for each route.
+            is_eligible: Condition that the worker has to meet.
 
         Returns:
             The latency in seconds; ``None`` if any worker has a free slot or no known latency.
         """
         lowest_s: float | None = None
-        for worker in self.serving(service):
+        for worker in self.allowed(service, is_eligible):
             latency_s = self.loads.expected_latency_s(worker, route)
             if latency_s is None or self.loads.has_free_slot(worker):
                 return None
@@ -219,8 +247,8 @@
         """
         candidates = [
             worker
-            for worker in self.serving(service)
-            if worker.incarnation not in excluded and is_eligible(worker)
+            for worker in self.allowed(service, is_eligible)
+            if worker.incarnation not in excluded
         ]
         with_free_slot = [
             worker for worker in self._usable(candidates) if self._has_free_slot(worker, limit)
@@ -229,7 +257,7 @@
 
     def available_for_runs(self, service: str) -> list[Worker]:
         """Return the workers of a service that runs may be placed at, including full ones."""
-        return self._usable(self.serving(service))
+        return self._usable(self.allowed(service))
 
     def has_free_slot(
         self, service: str, is_eligible: Eligible, limit: Callable[[Worker], int]
@@ -245,6 +273,7 @@
             self._has_free_slot(worker, limit)
             and not self._is_backing_off(worker)
             and is_eligible(worker)
+            and self._is_allowed(worker)
             for worker in self.serving(service)
         )
 
@@ -333,7 +362,7 @@
             self.record_busy(worker)
         elif reason is NotRunReason.UNREACHABLE:
             self.record_unreachable(worker)
-        else:
+        elif reason is NotRunReason.REPLACED:
             self.record_replaced(worker)
 
     def record_replaced(self, worker: Worker) -> None:
@@ -366,6 +395,9 @@
         observations = self._observations_of(worker)
         observations.backoff_until_s = max(observations.backoff_until_s, now_s() + backoff_s)
 
+    def _is_allowed(self, worker: Worker) -> bool:
+        return all(is_allowed(worker) for is_allowed in self._restrictions)
+
     def _is_backing_off(self, worker: Worker) -> bool:
         return now_s() < self._observations_of(worker).backoff_until_s
 
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -35,6 +35,7 @@
     announced_version,
     worker_session,
 )
+from hollowrack.regions.topology import RegionTopology
 from hollowrack.slots.peer_http import HttpSlotPeers, slot_routes
 from hollowrack.suspension import SuspensionMonitor
 from hollowrack.tasks import cancel_all
@@ -119,6 +120,7 @@
                 self._usage_connections(),
                 self._duty_client(names.DUTY_CAPACITY),
                 HttpSlotPeers(self._sessions[3]) if settings.shares_slots else None,
+                RegionTopology(settings.zones, settings.zone),
             ),
             self._rng,
         )
@@ -130,7 +132,7 @@
         streams = StreamForwarder(
             self.node.routes,
             self.node.workers,
-            workers,
+            self.node.back_ends,
             self.node.queue,
             announced_version,
             self.node.usage,
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -71,6 +71,8 @@
 
     node_name: str = Field(alias="node-name")
     zone: str
+    # Region by zone, for all zones of the deployment.
+    zones: dict[str, str] = {}
     role: str = ""
     listen: Listen = Listen()
     # Control-plane addresses of up to three nodes, some of which may be down.
--- a/src/hollowrack/tenants/types.py
+++ b/src/hollowrack/tenants/types.py
@@ -29,11 +29,13 @@
         name: Name of the tenant, which is sent to workers.
         key_digests: Digests of the keys that authenticate its requests.
         priority: Rank of its requests, 0 first; ``None`` to use the route's.
+        allowed_regions: Regions in which its requests may be served and stored; ``None`` for all.
     """
 
     name: str
     key_digests: frozenset[KeyDigest] = frozenset()
     priority: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 class TenantDirectory:
