--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -19,6 +19,8 @@
 from hollowrack.coordination.shared_store import SharedStore, StoreAccess
 from hollowrack.coordination.store import Committed, Put, StoredItem
 from hollowrack.edge_connections import EdgeConnections
+from hollowrack.evacuation.send_condition import EvacuationCondition
+from hollowrack.evacuation.zones import EvacuatedZones
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.forwarder import Forwarder
 from hollowrack.forwarding.load_log import LoadLog
@@ -85,6 +87,7 @@
         is_stopping: Whether a planned stop has begun.
         back_ends: Sends requests to workers, under the conditions of its list.
         topology: Regions of the zones.
+        evacuated: The evacuated zones.
         store: The coordination store, with relaying through other nodes.
         feed_client: Sends watches to other nodes.
         usage: Counts the tenants' requests that workers began.
@@ -113,6 +116,7 @@
         self.workers = WorkerDirectory(zone, rng)
         self.usage = usage_meter(self.owner, connections.usage)
         self.back_ends = GuardedBackEnds(connections.back_ends)
+        self.evacuated = self._connect_evacuated_zones()
         self.quarantine = Quarantine(self.back_ends)
         self.forwarder = Forwarder(
             self.routes, self.workers, self.back_ends, self.usage, self.quarantine, rng
@@ -235,6 +239,19 @@
         self._handover_timeout_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _connect_evacuated_zones(self) -> EvacuatedZones:
+        """Create the set of evacuated zones and keep new requests from their workers."""
+        zones = EvacuatedZones(self._num_workers_in)
+        self.workers.evacuated_zones = zones.zones
+        zones.on_change(self.workers.evacuated_zones_changed)
+        condition = EvacuationCondition(zones)
+        self.back_ends.conditions.append(condition)
+        self.back_ends.probe_conditions.append(condition.permits_probe)
+        return zones
+
+    def _num_workers_in(self, zone: str) -> int:
+        return sum(worker.zone == zone for worker in self.workers.all())
+
     # -- lifecycle --------------------------------------------------------------------------
 
     @property
@@ -365,6 +382,14 @@
         """Record that the operators want to retire a machine."""
         self._retirement.request(machine)
 
+    def zone_evacuated(self, zone: str) -> None:
+        """Keep new requests from a zone's workers."""
+        self.evacuated.evacuate(zone)
+
+    def evacuation_lifted(self, zone: str) -> None:
+        """Send requests to a zone's workers again."""
+        self.evacuated.lift(zone)
+
     def receive_usage(self, counts: ProcessCounts) -> None:
         """Merge usage counts from another node."""
         self.usage.counts.merge(counts)
--- /dev/null
+++ b/src/hollowrack/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuated zones, whose workers get no new requests."""
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -19,6 +19,10 @@
 RankOf = Callable[[], DispatchRank]
 
 
+class WorkersEvacuatedError(Exception):
+    """Raised if all workers of a service are in evacuated zones."""
+
+
 @dataclass(eq=False)
 class _Waiter:
     """A run that waits for a slot.
@@ -32,6 +36,7 @@
         is_eligible: Condition that the worker has to meet.
         avoided: Incarnations that are chosen only if there is no other worker.
         slot: Future that is resolved with the worker at which a slot was reserved.
+        fails_if_evacuated: Whether the wait ends once all workers are in evacuated zones.
     """
 
     rank_of: RankOf
@@ -42,6 +47,7 @@
     is_eligible: Eligible
     avoided: frozenset[WorkerIncarnation]
     slot: "asyncio.Future[Worker]"
+    fails_if_evacuated: bool
 
     @property
     def sort_key(self) -> tuple[DispatchRank, int]:
@@ -79,6 +85,14 @@
         self._limits = limits
         self._slots_available: dict[tuple[str, Eligible], bool] = {}
         self._failed_searches: set[tuple[str, Eligible, frozenset[WorkerIncarnation]]] = set()
+        self._all_evacuated: dict[str, bool] = {}
+
+    def are_all_evacuated(self, waiter: _Waiter) -> bool:
+        """Whether all workers of a waiter's service are in evacuated zones."""
+        service = waiter.service
+        if service not in self._all_evacuated:
+            self._all_evacuated[service] = self._workers.are_all_evacuated(service)
+        return self._all_evacuated[service]
 
     def choose(self, waiter: _Waiter) -> Worker | None:
         """Choose a worker with a free slot for a waiter; ``None`` if there is none."""
@@ -168,6 +182,7 @@
         rank_of: RankOf,
         is_eligible: Eligible,
         avoided: frozenset[WorkerIncarnation],
+        fails_if_evacuated: bool = False,
     ) -> Worker:
         """Wait for a slot at a worker and reserve it; the caller has to release it.
 
@@ -178,6 +193,11 @@
             is_eligible: Condition that the worker has to meet. Waiters whose conditions compare
                 equal share the search of a dispatch pass.
             avoided: Incarnations that are chosen only if there is no other worker.
+            fails_if_evacuated: Whether to end the wait once all workers of the service are in
+                evacuated zones.
+
+        Raises:
+            WorkersEvacuatedError: If the wait has ended for that reason.
         """
         slot: asyncio.Future[Worker] = asyncio.get_running_loop().create_future()
         waiter = _Waiter(
@@ -189,13 +209,14 @@
             is_eligible,
             avoided,
             slot,
+            fails_if_evacuated,
         )
         bisect.insort(self._waiters, waiter, key=lambda other: other.sort_key)
         self.schedule_dispatch()
         try:
             return await slot
         except asyncio.CancelledError:
-            if slot.done() and not slot.cancelled():
+            if slot.done() and not slot.cancelled() and slot.exception() is None:
                 self._workers.release_slot(slot.result())
             raise
         finally:
@@ -240,6 +261,9 @@
         for waiter in self._waiters:
             if waiter.slot.done():
                 continue
+            if waiter.fails_if_evacuated and caches[waiter.rank.kind].are_all_evacuated(waiter):
+                waiter.slot.set_exception(WorkersEvacuatedError(waiter.service))
+                continue
             worker = caches[waiter.rank.kind].choose(waiter)
             if worker is None:
                 remaining.append(waiter)
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from hollowrack.clock import now_s
+from hollowrack.evacuation.refusal import evacuated_problem
 from hollowrack.forwarding.attempt_history import AttemptHistory
 from hollowrack.forwarding.back_end import (
     BackEndCall,
@@ -122,6 +123,8 @@
         """Return a worker's answer, or the error for the caller."""
         deadline_s = request_deadline_s(request)
         service = self._routes.choose_service(request.route)
+        if self._workers.are_all_evacuated(service):
+            return evacuated_problem(service, request.call.request_id)
         refused = self._load_shedder.check(
             request.call.request_id, request.route, service, deadline_s - now_s()
         )
@@ -312,4 +315,6 @@
             return quarantine_problem(
                 self._quarantine_state, self._fingerprint, self._call.request_id
             )
+        if not self.history.possibly_ran_at and self._workers.are_all_evacuated(self._service):
+            return evacuated_problem(self._service, self._call.request_id)
         return self.history.no_worker_left()
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -113,6 +113,7 @@
     Attributes:
         head: Head of the first answer; ``None`` before it.
         num_attempts: Number of attempts so far.
+        may_have_run: Whether a worker may have run it.
         queue_wait_s: Total time spent waiting for slots, in seconds.
         waits: Record of the waits of the run.
     """
@@ -133,6 +134,7 @@
     ) -> None:
         self.head: OpenAnswer | None = None
         self.num_attempts = 0
+        self.may_have_run = False
         self.queue_wait_s = 0.0
         self.waits = waits or RunWaits("", DispatchStatistics())
         self._call = call
@@ -204,6 +206,7 @@
                 )
             except (BrokenAnswerError, EventStreamError, TimeoutError) as error:
                 self._workers.record_failure(worker)
+                self.may_have_run = True
                 self._retry_policy.record_start(worker)
                 if has_no_event:
                     self._retry_policy.record_no_progress(worker)
@@ -278,6 +281,7 @@
                     worker, self._call, self._limits.time_left_s, self._last_number
                 )
             self._limits.first_event_timeout.record(now_s() - sent_s)
+            self.may_have_run = True
             self._retry_policy.record_start(worker)
             self._check_status(answer)
             if not self._accepts_version(answer.weight_version):
--- a/src/hollowrack/forwarding/send_guard.py
+++ b/src/hollowrack/forwarding/send_guard.py
@@ -5,6 +5,8 @@
 and items of jobs.
 """
 
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from absl import logging
@@ -36,11 +38,13 @@
 
     Attributes:
         conditions: Conditions on each request, checked in order until one does not permit it.
+        probe_conditions: Conditions on the workers that may be asked for their state.
     """
 
     def __init__(self, back_ends: BackEndClient) -> None:
         self._back_ends = back_ends
         self.conditions: list[SendCondition] = []
+        self.probe_conditions: list[Callable[[Worker], bool]] = []
 
     async def open(
         self,
@@ -68,4 +72,7 @@
 
     async def has_crashed(self, worker: Worker) -> bool:
         """Whether an incarnation of a worker has certainly ended; see :class:`BackEndClient`."""
+        if not all(permits(worker) for permits in self.probe_conditions):
+            # A worker whose start is unknown is sent no request: only its port is checked.
+            worker = replace(worker, started_ms=0)
         return await self._back_ends.has_crashed(worker)
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from hollowrack.clock import now_s
+from hollowrack.evacuation.refusal import evacuated_problem
 from hollowrack.forwarding.attempt_history import MAX_REFUSALS, RETRY_AFTER_S
 from hollowrack.forwarding.back_end import (
     BackEndClient,
@@ -13,7 +14,7 @@
     NotRunError,
     OpenAnswer,
 )
-from hollowrack.forwarding.dispatch_queue import DispatchQueue
+from hollowrack.forwarding.dispatch_queue import DispatchQueue, WorkersEvacuatedError
 from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.event_stream import StreamEvent
 from hollowrack.forwarding.first_event_timeout import FirstEventTimeout
@@ -98,17 +99,24 @@
         self, request: ForwardRequest, after_event: int | None
     ) -> AsyncGenerator[StreamPart]:
         service = self._routes.choose_service(request.route)
+        if self._workers.are_all_evacuated(service):
+            yield evacuated_problem(service, request.call.request_id)
+            return
         if not self._workers.serving(service):
             yield _no_worker(request, f"no worker of service {service} is known")
             return
         deadline_s = request_deadline_s(request)
         rank = DispatchRank(request.route.priority, WorkKind.CALLER_STREAM)
+        has_started = False
 
         async def acquire(
             avoided: frozenset[WorkerIncarnation], may_begin: Eligible | None
         ) -> Worker:
             condition = may_begin or any_worker
-            return await self._queue.acquire(service, lambda: rank, condition, avoided)
+            # A stream that has begun waits, as it can no longer be refused.
+            return await self._queue.acquire(
+                service, lambda: rank, condition, avoided, fails_if_evacuated=not has_started
+            )
 
         limits = RunLimits(
             request.route.max_attempts,
@@ -129,7 +137,6 @@
             after_event,
             waits=RunWaits(service, self._queue.statistics),
         )
-        has_started = False
         try:
             async with contextlib.aclosing(run.events()) as events:
                 async for event in events:
@@ -138,6 +145,12 @@
                         self._record_usage(request)
                         yield StreamHead(run.head.status, run.head.headers)
                     yield event.event.raw
+        except WorkersEvacuatedError:
+            if run.may_have_run:
+                detail = "no complete answer was received, and no other worker is left"
+                yield Problem(ResultCode.OUTCOME_UNKNOWN, detail, request.call.request_id)
+            else:
+                yield evacuated_problem(service, request.call.request_id)
         except RunEndedError as error:
             if has_started:
                 raise BrokenAnswerError(str(error)) from error
@@ -178,6 +191,9 @@
                 self._workers.record_not_run(worker, error.reason)
             finally:
                 self._workers.release_slot(worker)
+        if self._workers.are_all_evacuated(service):
+            yield evacuated_problem(service, request.call.request_id)
+            return
         yield _no_worker(request, "no worker accepted the request")
 
     async def _chunks(
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -72,6 +72,8 @@
 
     Attributes:
         loads: Expected latencies of plain requests by worker.
+        evacuated_zones: Zones whose workers count as none for new requests. After changes,
+            :meth:`evacuated_zones_changed` has to be called.
     """
 
     def __init__(self, zone: str, rng: random.Random) -> None:
@@ -79,6 +81,7 @@
         self._rng = rng
         self._workers: dict[str, Worker] = {}
         self._observations: dict[WorkerIncarnation, _Observations] = {}
+        self.evacuated_zones: Collection[str] = ()
         self.loads = WorkerLoads(zone, rng, self.num_in_flight)
         self._event_intervals = WorkerEventIntervals(self.serving)
         self._listeners: list[Callable[[], None]] = []
@@ -98,6 +101,11 @@
         """Register a condition on the workers that are chosen for any request."""
         self._restrictions.append(is_allowed)
 
+    def evacuated_zones_changed(self) -> None:
+        """Apply a change of the evacuated zones, after which workers may have become available."""
+        self._event_intervals.invalidate_best()
+        self._notify()
+
     def on_request_end(self, listener: Callable[[Worker], None]) -> None:
         """Register a listener that is called with the worker of each request that has ended."""
         self._end_listeners.append(listener)
@@ -143,13 +151,28 @@
         return list(self._workers.values())
 
     def serving(self, service: str) -> list[Worker]:
-        """Return a service's workers that accept new requests."""
+        """Return a service's workers that accept new requests and are in no evacuated zone."""
+        evacuated_zones = self.evacuated_zones
         return [
             worker
             for worker in self._workers.values()
-            if worker.service == service and not worker.is_leaving
+            if worker.service == service
+            and not worker.is_leaving
+            and worker.zone not in evacuated_zones
         ]
 
+    def is_evacuated(self, worker: Worker) -> bool:
+        """Whether a worker is in an evacuated zone."""
+        return worker.zone in self.evacuated_zones
+
+    def are_all_evacuated(self, service: str) -> bool:
+        """Whether a service has workers, but all that are not leaving are in evacuated zones."""
+        if not self.evacuated_zones or self.serving(service):
+            return False
+        return any(
+            worker.service == service and not worker.is_leaving for worker in self._workers.values()
+        )
+
     def allowed(self, service: str, is_eligible: Eligible = any_worker) -> list[Worker]:
         """Return a service's workers that meet all restrictions and a condition."""
         workers = self.serving(service)
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -104,6 +104,7 @@
             workers.add_metric([service, state], count)
         yield workers
         yield from self._slots()
+        yield from self._evacuations()
         yield CounterMetricFamily(
             "hollowrack_second_attempts",
             "Attempts of plain requests begun beside one that was late",
@@ -176,6 +177,34 @@
         refused_messages.add_metric(["grant"], sharing.holder.num_refused)
         yield refused_messages
 
+    def _evacuations(self) -> Iterator["Metric"]:
+        """Yield the metrics of evacuated zones; without any, only their number."""
+        from prometheus_client.core import (  # noqa: PLC0415 (lazy import)
+            CounterMetricFamily,
+            GaugeMetricFamily,
+        )
+
+        evacuated = self._node.evacuated
+        yield GaugeMetricFamily(
+            "hollowrack_zones_evacuated", "Zones evacuated now", value=len(evacuated.zones)
+        )
+        ages = GaugeMetricFamily(
+            "hollowrack_zone_evacuated_seconds",
+            "Since this node knows of the evacuation, by zone",
+            labels=["zone"],
+        )
+        for zone, age_s in evacuated.ages_s().items():
+            ages.add_metric([zone], age_s)
+        yield ages
+        stopped = CounterMetricFamily(
+            "hollowrack_zone_requests_stopped",
+            "Requests stopped before they were sent to a worker of an evacuated zone",
+            labels=["zone"],
+        )
+        for zone, count in evacuated.num_stopped.items():
+            stopped.add_metric([zone], count)
+        yield stopped
+
     def _workers(self) -> Counter[tuple[str, str]]:
         return Counter(
             (worker.service, "leaving" if worker.is_leaving else "serving")
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -20,6 +20,7 @@
 from hollowrack.platform.strict_json import parse_object
 from hollowrack.platform.worker_entry import (
     MAX_SAFE_INTEGER,
+    MAX_TEXT_LENGTH,
     WorkerEntry,
     check_worker_entry,
     check_worker_id,
@@ -73,6 +74,22 @@
     return _decode(value, key, _check_retirement, ResultCode.ENTRY_UNREADABLE)
 
 
+def decode_evacuated_zone(key: str) -> Result[str, Problem]:
+    """Decode the zone that an evacuation's key names or fail with ``ENTRY_UNREADABLE``."""
+    zone = key.removeprefix(names.EVACUATION_PREFIX)
+    if 1 <= len(zone) <= MAX_TEXT_LENGTH:
+        return Success(zone)
+    # The length is limited as in workers' entries, so no worker can be in this zone.
+    detail = f"key: the name of the zone must have 1 to {MAX_TEXT_LENGTH} characters."
+    place = _truncated(key, MAX_LOGGED_PLACE_LENGTH)
+    return Failure(Problem(ResultCode.ENTRY_UNREADABLE, detail, place))
+
+
+def check_evacuation(key: str, value: bytes) -> Result[None, Problem]:
+    """Validate the value of an evacuation; fails with ``EVACUATION_VALUE_UNREADABLE``."""
+    return _decode(value, key, lambda _: None, ResultCode.EVACUATION_VALUE_UNREADABLE)
+
+
 def model_versions(entries: Any) -> dict[str, int]:
     """Return the weight version of each model in a worker's list of models."""
     return {str(entry["name"]): int(entry["version"]) for entry in entries or ()}
--- a/src/hollowrack/platform/names.py
+++ b/src/hollowrack/platform/names.py
@@ -48,6 +48,7 @@
 CONFIGURATION_KEY = "op/config"
 TARGET_VERSION_PREFIX = "op/version/"
 RETIREMENT_PREFIX = "op/retire/"
+EVACUATION_PREFIX = "op/evacuate/"
 RETIREMENT_STATUS_PREFIX = "status/retire/"
 WORKERS_PREFIX = "servers/"
 
--- a/src/hollowrack/platform/store_feed.py
+++ b/src/hollowrack/platform/store_feed.py
@@ -17,8 +17,10 @@
 from hollowrack.observability.log_rate_limiter import LogRateLimiter
 from hollowrack.platform import names
 from hollowrack.platform.configuration import (
+    check_evacuation,
     check_retirement,
     decode_configuration,
+    decode_evacuated_zone,
     decode_target_version,
     decode_worker,
 )
@@ -53,6 +55,12 @@
     def retirement_requested(self, machine: str) -> None:
         """Receive an operator's request to retire a machine."""
 
+    def zone_evacuated(self, zone: str) -> None:
+        """Handle the evacuation of a zone, which may be known already."""
+
+    def evacuation_lifted(self, zone: str) -> None:
+        """Handle the end of a zone's evacuation."""
+
     def watch_interrupted(self) -> None:
         """Handle an interruption after which watches may have missed changes."""
 
@@ -158,10 +166,15 @@
         if problem is None:
             self.unreadable.remove(key)
         else:
-            self.unreadable.record(names.OPERATOR_PREFIX, key, problem)
+            # An unreadable value of an evacuation has no consequence.
+            is_harmless = problem.code is ResultCode.EVACUATION_VALUE_UNREADABLE
+            level = logging.WARNING if is_harmless else logging.ERROR
+            self.unreadable.record(names.OPERATOR_PREFIX, key, problem, level)
 
     def _on_operator_key_removed(self, key: str) -> None:
         self.unreadable.remove(key)
+        if key.startswith(names.EVACUATION_PREFIX):
+            self._listener.evacuation_lifted(key.removeprefix(names.EVACUATION_PREFIX))
         if key == names.CONFIGURATION_KEY:
             detail = "the key was removed"
             logging.error("%s", Problem(ResultCode.CONFIGURATION_IGNORED, detail, key))
@@ -186,8 +199,16 @@
             return self._notify_if_decoded(
                 checked, lambda _: self._listener.retirement_requested(machine)
             )
+        if key.startswith(names.EVACUATION_PREFIX):
+            return self._apply_evacuation(key, value)
         return None
 
+    def _apply_evacuation(self, key: str, value: bytes) -> Problem | None:
+        """Evacuate the zone that a key names, whatever its value is."""
+        zone = decode_evacuated_zone(key)
+        problem = self._notify_if_decoded(zone, self._listener.zone_evacuated)
+        return problem or self._notify_if_decoded(check_evacuation(key, value), lambda _: None)
+
     @staticmethod
     def _notify_if_decoded(
         decoded: Result[Value, Problem], listener: Callable[[Value], None]
--- a/src/hollowrack/platform/unreadable_entries.py
+++ b/src/hollowrack/platform/unreadable_entries.py
@@ -26,8 +26,15 @@
         self._rate_limiter = rate_limiter
         self._problems: OrderedDict[str, Problem] = OrderedDict()
 
-    def record(self, prefix: str, key: str, problem: Problem) -> None:
-        """Record an entry that cannot be decoded."""
+    def record(self, prefix: str, key: str, problem: Problem, level: int = logging.ERROR) -> None:
+        """Record an entry that cannot be decoded.
+
+        Args:
+            prefix: Prefix of its key, by which the changes are counted.
+            key: Its key.
+            problem: Why it cannot be decoded.
+            level: Level of the log line.
+        """
         self.num_by_prefix[prefix] += 1
         if self._problems.get(key) == problem:
             return
@@ -37,7 +44,9 @@
             self._problems.popitem(last=False)
         if self._rate_limiter.allow():
             num_suppressed = self._rate_limiter.reset_suppressed()
-            logging.error("%s (%d similar log lines suppressed before)", problem, num_suppressed)
+            logging.log(
+                level, "%s (%d similar log lines suppressed before)", problem, num_suppressed
+            )
 
     def remove(self, key: str) -> None:
         """Remove the problem of an entry that is readable again or was removed."""
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -70,6 +70,7 @@
     NOT_CONFIGURED = 308
     CONFIGURATION_OLD = 309
     REQUEST_QUARANTINED = 310
+    ZONES_EVACUATED = 312
 
     OUTCOME_UNKNOWN = 400
     ANSWER_INCOMPLETE = 401
@@ -108,6 +109,7 @@
     SWAP_FAILED = 805
     CONFIGURATION_IGNORED = 806
     ENTRY_UNREADABLE = 807
+    EVACUATION_VALUE_UNREADABLE = 808
 
     INTERNAL_ERROR = 900
 
@@ -258,6 +260,13 @@
         "Too many workers have ended while they ran this request; it is sent to none for a time.",
         "Change the request or mend the workers; the same one may run after Retry-After.",
     ),
+    ResultCode.ZONES_EVACUATED: CodeDescription(
+        _N,
+        _YES,
+        503,
+        "All workers that could take the request are in evacuated zones.",
+        "Wait for Retry-After; operators lift the evacuation.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeDescription(
         _U,
         _SAME,
@@ -403,6 +412,13 @@
         "An entry of the store cannot be read: it names nothing, and all others hold.",
         "Write the named field anew, or remove the key.",
     ),
+    ResultCode.EVACUATION_VALUE_UNREADABLE: CodeDescription(
+        _N,
+        _CHANGE,
+        502,
+        "The value of an evacuation's key cannot be read: its zone is evacuated all the same.",
+        "Write `{}` as value, or remove the key to lift the evacuation.",
+    ),
     ResultCode.ORDER_FENCED: CodeDescription(
         _N, _NO, 409, "An engine saw a newer fencing token.", "None; a newer leader is in charge."
     ),
--- a/src/hollowrack/weights/version_reconciler.py
+++ b/src/hollowrack/weights/version_reconciler.py
@@ -158,6 +158,7 @@
 
     def _reconcile(self) -> None:
         self._remove_ended_incarnations()
+        self._abandon_evacuated_loads()
         self._confirm_entries()
         held = dict(self._confirmed)
         ready = {model for model in self._target_versions if self._is_ready(model)}
@@ -195,6 +196,17 @@
         self._loading.pop(incarnation, None)
         self._load_ended.set()
 
+    def _abandon_evacuated_loads(self) -> None:
+        """Stop waiting for workers in evacuated zones; their reports are read again later."""
+        for incarnation in list(self._load_tasks):
+            known = self._workers.get(incarnation.worker_id)
+            if known is not None and self._workers.is_evacuated(known):
+                logging.info(
+                    "worker %s: load abandoned, its zone %s is evacuated", incarnation, known.zone
+                )
+                self._load_tasks.pop(incarnation).cancel()
+                self._loading.pop(incarnation, None)
+
     def _remove_ended_incarnations(self) -> None:
         """Remove ended incarnations, so that their loads do not count as concurrent loads."""
         for incarnation in list(self._load_tasks):
@@ -238,7 +250,7 @@
 
     async def _send_order(self, move: VersionLoad, num_orders: int) -> OrderOutcome:
         token = self._leadership.fencing_token
-        if token is None or not self._leadership.may_act:
+        if token is None or not self._leadership.may_act or self._is_evacuated(move.worker):
             return OrderOutcome.REFUSED
         order = VersionOrder(move, self._node, token, num_orders)
         outcome = await self._client.send_order(order)
@@ -271,7 +283,14 @@
             await asyncio.sleep(REPORT_POLL_INTERVAL_S)
 
     async def _report(self, worker: Worker) -> WorkerReport | None:
-        """Read a worker's report; ``None`` if there is no answer or one of another incarnation."""
+        """Read a worker's report.
+
+        Returns:
+            The report; ``None`` if there is no answer or one of another incarnation, or if the
+            worker is in an evacuated zone, where it must get no request at all.
+        """
+        if self._is_evacuated(worker):
+            return None
         report = await self._client.report(worker)
         if report is None:
             return None
@@ -285,6 +304,9 @@
         self._confirm_all(worker, report.model_versions)
         return report
 
+    def _is_evacuated(self, worker: Worker) -> bool:
+        return self._workers.is_evacuated(worker)
+
     def _confirm_all(self, worker: Worker, model_versions: Mapping[str, int]) -> None:
         for model, version in model_versions.items():
             self._confirm(worker, model, version)
--- a/tests/platform/test_store_entries.py
+++ b/tests/platform/test_store_entries.py
@@ -211,6 +211,7 @@
     configuration_versions: list[int] = field(default_factory=list)
     target_versions: list[tuple[str, int]] = field(default_factory=list)
     retired: list[str] = field(default_factory=list)
+    evacuated: set[str] = field(default_factory=set)
 
     def configuration_changed(self, configuration: RoutingConfiguration) -> None:
         self.configuration_versions.append(configuration.version)
@@ -227,6 +228,12 @@
     def retirement_requested(self, node: str) -> None:
         self.retired.append(node)
 
+    def zone_evacuated(self, zone: str) -> None:
+        self.evacuated.add(zone)
+
+    def evacuation_lifted(self, zone: str) -> None:
+        self.evacuated.discard(zone)
+
     def watch_interrupted(self) -> None:
         pass
 
