--- a/src/hollowrack/forwarding/route_table.py
+++ b/src/hollowrack/forwarding/route_table.py
@@ -14,6 +14,7 @@
     Service,
     Target,
 )
+from hollowrack.regions.allowed_regions import AllowedRegions
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tenants.types import TenantDirectory
 
@@ -36,6 +37,7 @@
         self._num_plain_routes: Counter[str] = Counter()
         self._credits: dict[tuple[str, str], float] = {}
         self._services_with_priorities: frozenset[str] = frozenset()
+        self._regions_of_removed_tenants: dict[str, frozenset[str]] = {}
 
     @property
     def version(self) -> int | None:
@@ -94,6 +96,13 @@
             if route.kind in PLAIN_KINDS
             for target in route.targets
         )
+        self._regions_of_removed_tenants = {
+            name: regions
+            for name, regions in (
+                self._regions_of_removed_tenants | self.tenants.restricted_regions()
+            ).items()
+            if name not in configuration.tenants
+        }
         self._configuration = configuration
         self._changed.set()
         self._changed = asyncio.Event()
@@ -113,6 +122,17 @@
         """Whether the current configuration has at least this version."""
         return self.version is not None and self.version >= version
 
+    async def wait_for_version(self, version: int) -> None:
+        """Wait until the current configuration has at least a version."""
+        while not self.is_at_least(version):
+            await self._changed.wait()
+
+    def allowed_regions_of_tenant(self, name: str | None) -> AllowedRegions:
+        """Return the allowed regions of a tenant; a removed tenant keeps those that it had."""
+        if name in self._regions_of_removed_tenants:
+            return self._regions_of_removed_tenants[name]
+        return self.tenants.allowed_regions_of(name)
+
     async def lookup_since(self, host: str, path: str, version: int) -> Route | None:
         """Return the route of a request that another node accepted under a version.
 
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, TypeVar
 
 from returns.result import Failure, Result, Success
@@ -24,7 +25,8 @@
     check_worker_entry,
     check_worker_id,
 )
-from hollowrack.results import Problem, ResultCode
+from hollowrack.regions.allowed_regions import AllowedRegions
+from hollowrack.results import Problem, ProblemError, ResultCode
 from hollowrack.tenants.types import Tenant, TenantDirectory, digest_key
 
 MS_PER_S = 1000
@@ -48,9 +50,18 @@
 }
 
 
-def decode_configuration(value: bytes) -> Result[RoutingConfiguration, Problem]:
-    """Decode the operators' configuration or fail with ``PLATFORM_ANSWER_INVALID``."""
-    return _decode(value, names.CONFIGURATION_KEY, _configuration)
+def decode_configuration(
+    value: bytes, regions: frozenset[str] = frozenset()
+) -> Result[RoutingConfiguration, Problem]:
+    """Decode the operators' configuration.
+
+    Fails with ``ALLOWED_REGIONS_INVALID`` or ``PLATFORM_ANSWER_INVALID``.
+
+    Args:
+        value: Value of the configuration's key.
+        regions: Names of the regions of the settings, the only ones that it may name.
+    """
+    return _decode(value, names.CONFIGURATION_KEY, lambda content: _configuration(content, regions))
 
 
 def decode_worker(key: str, value: bytes) -> Result[Worker, Problem]:
@@ -107,6 +118,8 @@
 ) -> Result[Value, Problem]:
     try:
         return Success(build(parse_object(value)))
+    except ProblemError as error:
+        return Failure(error.problem)
     except (ValueError, LookupError, TypeError, AttributeError, ArithmeticError) as error:
         detail = _truncated(f"{type(error).__name__}: {error}", MAX_LOGGED_DETAIL_LENGTH)
         return Failure(Problem(code, f"{detail}.", _truncated(place, MAX_LOGGED_PLACE_LENGTH)))
@@ -118,18 +131,57 @@
     return shown if len(shown) <= max_length else f"{shown[:max_length]}..."
 
 
-def _configuration(content: dict[str, Any]) -> RoutingConfiguration:
+def _configuration(content: dict[str, Any], regions: frozenset[str]) -> RoutingConfiguration:
     # A configuration without routes would remove all of them, so both fields are required.
     if type(content["version"]) is not int or not isinstance(content["routes"], list):
         raise ValueError("version must be an integer and routes must be a list")
     services = {entry["name"]: _service(entry) for entry in content.get("services", ())}
-    routes = tuple(_route(entry) for entry in content["routes"])
+    routes = tuple(
+        replace(_route(entry), allowed_regions=_allowed_regions(entry, f"routes[{index}]", regions))
+        for index, entry in enumerate(content["routes"])
+    )
+    tenants = (
+        replace(
+            _tenant(entry), allowed_regions=_allowed_regions(entry, f"tenants[{index}]", regions)
+        )
+        for index, entry in enumerate(content.get("tenants") or ())
+    )
     return RoutingConfiguration(
         content["version"],
         routes,
         services,
         _limits(content.get("limits") or {}),
-        TenantDirectory(_tenant(entry) for entry in content.get("tenants") or ()),
+        TenantDirectory(tenants),
+    )
+
+
+def _allowed_regions(entry: dict[str, Any], place: str, regions: frozenset[str]) -> AllowedRegions:
+    """Return the allowed regions of a route or tenant; ``None`` only if the field is absent.
+
+    Raises:
+        ProblemError: ``ALLOWED_REGIONS_INVALID`` if the field is not a list of known regions.
+    """
+    if names.ALLOWED_REGIONS not in entry:
+        return None
+    value = entry[names.ALLOWED_REGIONS]
+    if not isinstance(value, list) or not value:
+        found = "an empty list" if value == [] else type(value).__name__
+        detail = f"expected a list of at least one region, got {found}"
+    elif not all(isinstance(name, str) for name in value):
+        detail = "every region must be a string"
+    elif not regions:
+        detail = "the settings of this node name no regions"
+    elif unknown := set(value) - regions:
+        known = ", ".join(sorted(regions))
+        detail = f"unknown region {min(unknown)!r}; the settings name {known}"
+    else:
+        return frozenset(value)
+    raise ProblemError(
+        Problem(
+            ResultCode.ALLOWED_REGIONS_INVALID,
+            f"{_truncated(detail, MAX_LOGGED_DETAIL_LENGTH)}.",
+            f"{names.CONFIGURATION_KEY} {place}.{names.ALLOWED_REGIONS}",
+        )
     )
 
 
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -120,7 +120,7 @@
                 self._usage_connections(),
                 self._duty_client(names.DUTY_CAPACITY),
                 HttpSlotPeers(self._sessions[3]) if settings.shares_slots else None,
-                RegionTopology(settings.zones, settings.zone),
+                RegionTopology(settings.zones, settings.zone, settings.region),
             ),
             self._rng,
         )
--- a/src/hollowrack/platform/exchange.py
+++ b/src/hollowrack/platform/exchange.py
@@ -19,6 +19,7 @@
 from hollowrack.forwarding.types import Route
 from hollowrack.platform import names
 from hollowrack.platform.worker_client import forwarded_headers
+from hollowrack.regions.allowed_regions import intersection
 from hollowrack.results import DESCRIPTIONS, Problem, ResultCode
 from hollowrack.tenants.types import Tenant
 
@@ -117,6 +118,9 @@
             body,
             route.priority if tenant is None or tenant.priority is None else tenant.priority,
             None if tenant is None else tenant.name,
+            intersection(
+                (route.allowed_regions, None if tenant is None else tenant.allowed_regions)
+            ),
         )
         deadline = self._header(names.DEADLINE_MS)
         deadline_s = self._received_s + int(deadline) / MS_PER_S if deadline.isdigit() else None
--- a/src/hollowrack/platform/names.py
+++ b/src/hollowrack/platform/names.py
@@ -51,6 +51,7 @@
 RETIREMENT_STATUS_PREFIX = "status/retire/"
 WORKERS_PREFIX = "servers/"
 
+ALLOWED_REGIONS = "allowed-regions"
 STARTED_MS = "born"
 DRAINING = "draining"
 RETIREMENT_COMPLETE = "complete"
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -5,7 +5,14 @@
 from pathlib import Path
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    ValidationInfo,
+    field_validator,
+)
 from returns.result import Failure, Result, Success
 
 from hollowrack.platform import names
@@ -71,6 +78,8 @@
 
     node_name: str = Field(alias="node-name")
     zone: str
+    # Region of this machine; empty if it is that of its zone.
+    region: str = ""
     # Region by zone, for all zones of the deployment.
     zones: dict[str, str] = {}
     role: str = ""
@@ -85,6 +94,16 @@
     # Whether job owners share the slots of workers that serve several models.
     shares_slots: bool = Field(default=True, alias="slot-sharing", strict=True)
 
+    @field_validator("zones")
+    @classmethod
+    def _agrees_with_region(cls, zones: dict[str, str], info: ValidationInfo) -> dict[str, str]:
+        """Reject a region of this machine that is not the one of its zone."""
+        region = info.data.get("region")
+        of_zone = zones.get(info.data.get("zone", ""))
+        if region and of_zone and region != of_zone:
+            raise ValueError(f"the region is {region!r}, but that of the zone is {of_zone!r}")
+        return zones
+
 
 def read_process_settings(path: Path | None = None) -> Result[ProcessSettings, Problem]:
     """Read the settings file; fails with ``SETTINGS_UNREADABLE`` or ``SETTINGS_INVALID``.
--- a/src/hollowrack/platform/store_feed.py
+++ b/src/hollowrack/platform/store_feed.py
@@ -69,6 +69,7 @@
         worker_watch_timeout_s: Maximum wait of one watch of worker entries, in seconds.
         rng: Random generator of the retry jitter.
         starts_after: Event after which the first listings may be requested.
+        regions: Names of the regions that a configuration may name.
 
     Attributes:
         operators: Mirror of operator keys. It is the sentinel: if its watch may have missed
@@ -89,8 +90,10 @@
         worker_watch_timeout_s: float,
         rng: random.Random,
         starts_after: asyncio.Event,
+        regions: frozenset[str] = frozenset(),
     ) -> None:
         self._listener = listener
+        self._regions = regions
         self.anti_entropy: AntiEntropy | None = None
         self.unreadable = UnreadableEntries(LogRateLimiter())
         self.operators = PrefixMirror(
@@ -173,7 +176,7 @@
         """
         if key == names.CONFIGURATION_KEY:
             return self._notify_if_decoded(
-                decode_configuration(value), self._listener.configuration_changed
+                decode_configuration(value, self._regions), self._listener.configuration_changed
             )
         if key.startswith(names.TARGET_VERSION_PREFIX):
             decoded = decode_target_version(key, value)
@@ -233,6 +236,7 @@
         WORKER_WATCH_TIMEOUT_S,
         rng,
         node.may_watch_feed,
+        node.topology.regions,
     )
     feed.anti_entropy = AntiEntropy(
         feed.mirrors(), node.feed_client, node.neighbour_addresses, shared, rng
--- a/src/hollowrack/regions/topology.py
+++ b/src/hollowrack/regions/topology.py
@@ -12,24 +12,26 @@
     Attributes:
         zone_regions: Region by zone; empty if the settings name no regions.
         own_zone: Zone of this node; empty if unknown.
+        stated_region: Region of this node according to its settings; empty if they state none.
     """
 
     zone_regions: Mapping[str, str] = field(default_factory=dict)
     own_zone: str = ""
+    stated_region: str = ""
 
     @cached_property
     def regions(self) -> frozenset[str]:
         """Names of all regions."""
-        return frozenset(self.zone_regions.values())
+        return frozenset(self.zone_regions.values()) - {""}
 
     @property
     def own_region(self) -> str | None:
         """Region of this node; ``None`` if unknown."""
-        return self.region_of(self.own_zone)
+        return self.stated_region or self.region_of(self.own_zone)
 
     def region_of(self, zone: str) -> str | None:
         """Return the region of a zone; ``None`` if unknown."""
-        return self.zone_regions.get(zone)
+        return self.zone_regions.get(zone) or None
 
     def allows(self, zone: str, allowed_regions: frozenset[str] | None) -> bool:
         """Whether a zone is in one of the allowed regions.
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -70,6 +70,7 @@
     NOT_CONFIGURED = 308
     CONFIGURATION_OLD = 309
     REQUEST_QUARANTINED = 310
+    NO_WORKER_IN_REGIONS = 311
 
     OUTCOME_UNKNOWN = 400
     ANSWER_INCOMPLETE = 401
@@ -108,6 +109,7 @@
     SWAP_FAILED = 805
     CONFIGURATION_IGNORED = 806
     ENTRY_UNREADABLE = 807
+    ALLOWED_REGIONS_INVALID = 808
 
     INTERNAL_ERROR = 900
 
@@ -258,6 +260,13 @@
         "Too many workers have ended while they ran this request; it is sent to none for a time.",
         "Change the request or mend the workers; the same one may run after Retry-After.",
     ),
+    ResultCode.NO_WORKER_IN_REGIONS: CodeDescription(
+        _N,
+        _YES,
+        503,
+        "No worker is known in the regions that the route and the tenant allow.",
+        "Wait for Retry-After, start workers there, or allow more regions.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeDescription(
         _U,
         _SAME,
@@ -403,6 +412,14 @@
         "An entry of the store cannot be read: it names nothing, and all others hold.",
         "Write the named field anew, or remove the key.",
     ),
+    ResultCode.ALLOWED_REGIONS_INVALID: CodeDescription(
+        _N,
+        _CHANGE,
+        422,
+        "A list of allowed regions is empty, mistyped or names an unknown region: the "
+        "configuration is ignored, and the one in force stays.",
+        "Name regions of the settings' zones in the named field, or remove it to allow all.",
+    ),
     ResultCode.ORDER_FENCED: CodeDescription(
         _N, _NO, 409, "An engine saw a newer fencing token.", "None; a newer leader is in charge."
     ),
--- a/src/hollowrack/tenants/types.py
+++ b/src/hollowrack/tenants/types.py
@@ -66,6 +66,10 @@
         """Whether there are tenants; if so, requests need a key."""
         return bool(self._by_name)
 
+    def __contains__(self, name: str) -> bool:
+        """Whether there is a tenant of a name."""
+        return name in self._by_name
+
     def with_key(self, key: str) -> Tenant | None:
         """Return the tenant that holds a key; ``None`` if none does."""
         return self._by_digest.get(digest_key(key))
@@ -74,3 +78,16 @@
         """Return the rank of a tenant's requests; ``None`` if it has none of its own."""
         tenant = None if name is None else self._by_name.get(name)
         return None if tenant is None else tenant.priority
+
+    def allowed_regions_of(self, name: str | None) -> frozenset[str] | None:
+        """Return the allowed regions of a tenant; ``None`` if it has no restriction."""
+        tenant = None if name is None else self._by_name.get(name)
+        return None if tenant is None else tenant.allowed_regions
+
+    def restricted_regions(self) -> dict[str, frozenset[str]]:
+        """Return the allowed regions of the tenants that have a restriction, by name."""
+        return {
+            tenant.name: tenant.allowed_regions
+            for tenant in self._by_name.values()
+            if tenant.allowed_regions is not None
+        }
