--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -46,6 +46,7 @@
 from hollowrack.node_duties import NodeDuties, usage_meter
 from hollowrack.quarantine.quarantine import Quarantine
 from hollowrack.quarantine.replicator import SuspectReplicator
+from hollowrack.regions.conditions import RegionSendCondition
 from hollowrack.slots.slot_sharing import SlotSharing
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.types import ProcessCounts
@@ -110,9 +111,9 @@
         self.store = store
         self.topology = connections.topology
         self.routes = RouteTable(lambda: self.configuration_age_s)
-        self.workers = WorkerDirectory(zone, rng)
+        self.workers = WorkerDirectory(zone, rng, self.topology)
         self.usage = usage_meter(self.owner, connections.usage)
-        self.back_ends = GuardedBackEnds(connections.back_ends)
+        self.back_ends = GuardedBackEnds(connections.back_ends, RegionSendCondition(self.topology))
         self.quarantine = Quarantine(self.back_ends)
         self.forwarder = Forwarder(
             self.routes, self.workers, self.back_ends, self.usage, self.quarantine, rng
@@ -341,6 +342,7 @@
     def configuration_changed(self, configuration: RoutingConfiguration) -> None:
         """Apply a configuration."""
         self.routes.apply(configuration)
+        self.queue.refresh_conditions()
 
     def worker_changed(self, worker: Worker) -> None:
         """Add or update a worker."""
--- a/src/hollowrack/forwarding/call_limiter.py
+++ b/src/hollowrack/forwarding/call_limiter.py
@@ -8,20 +8,33 @@
 import contextlib
 from collections import Counter, deque
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from math import ceil
 
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.types import Route
-from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory
+from hollowrack.regions.allowed_regions import AllowedRegions
 
 # Fraction of a worker's slots that the calls of one node may use.
 MAX_SLOT_FRACTION = 1.0 / 3.0
 
-_Services = tuple[str, ...]
+
+@dataclass(frozen=True)
+class _Group:
+    """Calls that share a limit.
+
+    Attributes:
+        services: Services of their routes.
+        in_regions: Condition on the regions of their workers.
+    """
+
+    services: tuple[str, ...]
+    in_regions: Eligible
 
 
 class CallLimiter:
-    """Limits concurrent calls by set of services; calls wait in order of arrival.
+    """Limits concurrent calls by services and regions; calls wait in order of arrival.
 
     Calls whose workers serve no other plain requests are not limited.
 
@@ -33,8 +46,8 @@
     def __init__(self, routes: RouteTable, workers: WorkerDirectory) -> None:
         self._routes = routes
         self._workers = workers
-        self._num_in_use: Counter[_Services] = Counter()
-        self._waiting: dict[_Services, deque[asyncio.Future[None]]] = {}
+        self._num_in_use: Counter[_Group] = Counter()
+        self._waiting: dict[_Group, deque[asyncio.Future[None]]] = {}
         workers.on_change(self._grant_waiting)
 
     @property
@@ -43,53 +56,59 @@
         return sum(len(queue) for queue in self._waiting.values())
 
     @contextlib.asynccontextmanager
-    async def slot(self, route: Route) -> AsyncIterator[None]:
+    async def slot(
+        self, route: Route, allowed_regions: AllowedRegions = None
+    ) -> AsyncIterator[None]:
         """Hold a slot for a call to a route's services; waits until one is free."""
         if not self._routes.shares_workers(route):
             yield
             return
-        services = tuple(target.service for target in route.targets)
-        await self._acquire(services)
+        group = _Group(
+            tuple(target.service for target in route.targets),
+            self._workers.in_regions(allowed_regions),
+        )
+        await self._acquire(group)
         try:
             yield
         finally:
-            self._release(services)
+            self._release(group)
 
-    async def _acquire(self, services: _Services) -> None:
-        if services not in self._waiting and self._has_free_slot(services):
-            self._num_in_use[services] += 1
+    async def _acquire(self, group: _Group) -> None:
+        if group not in self._waiting and self._has_free_slot(group):
+            self._num_in_use[group] += 1
             return
         granted = asyncio.get_running_loop().create_future()
-        self._waiting.setdefault(services, deque()).append(granted)
+        self._waiting.setdefault(group, deque()).append(granted)
         try:
             await granted
         except asyncio.CancelledError:
             if granted.done() and not granted.cancelled():
-                self._release(services)
+                self._release(group)
             raise
 
-    def _release(self, services: _Services) -> None:
-        self._num_in_use[services] -= 1
-        if self._num_in_use[services] == 0:
-            del self._num_in_use[services]
+    def _release(self, group: _Group) -> None:
+        self._num_in_use[group] -= 1
+        if self._num_in_use[group] == 0:
+            del self._num_in_use[group]
         self._grant_waiting()
 
     def _grant_waiting(self) -> None:
-        for services in list(self._waiting):
-            queue = self._waiting[services]
-            while queue and (queue[0].cancelled() or self._has_free_slot(services)):
+        for group in list(self._waiting):
+            queue = self._waiting[group]
+            while queue and (queue[0].cancelled() or self._has_free_slot(group)):
                 granted = queue.popleft()
                 if not granted.cancelled():
-                    self._num_in_use[services] += 1
+                    self._num_in_use[group] += 1
                     granted.set_result(None)
             if not queue:
-                del self._waiting[services]
+                del self._waiting[group]
 
-    def _has_free_slot(self, services: _Services) -> bool:
+    def _has_free_slot(self, group: _Group) -> bool:
         num_slots = sum(
             ceil(MAX_SLOT_FRACTION * worker.capacity)
-            for service in services
+            for service in group.services
             for worker in self._workers.serving(service)
+            if group.in_regions(worker)
         )
         # Without workers one call proceeds and fails with the appropriate error.
-        return self._num_in_use[services] < max(1, num_slots)
+        return self._num_in_use[group] < max(1, num_slots)
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -31,6 +31,7 @@
         service: Name of the service whose workers are eligible.
         is_eligible: Condition that the worker has to meet.
         avoided: Incarnations that are chosen only if there is no other worker.
+        current_condition: Returns the current condition; ``None`` if it does not change.
         slot: Future that is resolved with the worker at which a slot was reserved.
     """
 
@@ -41,6 +42,7 @@
     service: str
     is_eligible: Eligible
     avoided: frozenset[WorkerIncarnation]
+    current_condition: Callable[[], Eligible] | None
     slot: "asyncio.Future[Worker]"
 
     @property
@@ -168,6 +170,7 @@
         rank_of: RankOf,
         is_eligible: Eligible,
         avoided: frozenset[WorkerIncarnation],
+        current_condition: Callable[[], Eligible] | None = None,
     ) -> Worker:
         """Wait for a slot at a worker and reserve it; the caller has to release it.
 
@@ -178,6 +181,8 @@
             is_eligible: Condition that the worker has to meet. Waiters whose conditions compare
                 equal share the search of a dispatch pass.
             avoided: Incarnations that are chosen only if there is no other worker.
+            current_condition: Returns the condition that replaces ``is_eligible`` at each
+                :meth:`refresh_conditions`; ``None`` if it does not change.
         """
         slot: asyncio.Future[Worker] = asyncio.get_running_loop().create_future()
         waiter = _Waiter(
@@ -188,6 +193,7 @@
             service,
             is_eligible,
             avoided,
+            current_condition,
             slot,
         )
         bisect.insort(self._waiters, waiter, key=lambda other: other.sort_key)
@@ -206,6 +212,13 @@
         """Sort the waiters by their current ranks before the next dispatch pass."""
         self._is_sort_outdated = True
 
+    def refresh_conditions(self) -> None:
+        """Replace the conditions of waiters, after the configuration has changed."""
+        for waiter in self._waiters:
+            if waiter.current_condition is not None:
+                waiter.is_eligible = waiter.current_condition()
+        self.schedule_dispatch()
+
     def schedule_dispatch(self) -> None:
         """Schedule a dispatch pass at once, after slots may have become free."""
         self._schedule(0.0)
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass
 
 from absl import logging
@@ -31,6 +32,7 @@
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, quarantine_problem
 from hollowrack.quarantine.types import QuarantineState
+from hollowrack.regions.allowed_regions import no_worker_problem
 from hollowrack.results import Problem
 from hollowrack.usage.meter import UsageMeter
 
@@ -98,6 +100,8 @@
     Attributes:
         hedging: Policy of hedged attempts.
         call_limiter: Limits this node's own calls to shared workers.
+        num_refused_by_regions: Requests refused because no worker in their allowed regions was
+            known, by service.
     """
 
     def __init__(
@@ -117,13 +121,18 @@
         self._load_shedder = LoadShedder(workers, rng)
         self.hedging = HedgePolicy()
         self.call_limiter = CallLimiter(routes, workers)
+        self.num_refused_by_regions: Counter[str] = Counter()
 
     async def forward(self, request: ForwardRequest) -> ForwardOutcome:
         """Return a worker's answer, or the error for the caller."""
         deadline_s = request_deadline_s(request)
         service = self._routes.choose_service(request.route)
-        refused = self._load_shedder.check(
-            request.call.request_id, request.route, service, deadline_s - now_s()
+        refused = self._no_worker_in_regions(request.call, service) or self._load_shedder.check(
+            request.call.request_id,
+            request.route,
+            service,
+            deadline_s - now_s(),
+            self._workers.in_regions(request.call.allowed_regions),
         )
         if refused is not None:
             return refused
@@ -143,7 +152,18 @@
                 answer = await HedgedRun(attempts, deadline_s).first_answer()
         except TimeoutError:
             return attempts.failed_answer or attempts.history.deadline_exceeded()
-        return answer or attempts.final_failure()
+        if answer is not None:
+            return answer
+        if attempts.has_certainly_not_run:
+            refused = self._no_worker_in_regions(request.call, service)
+        return refused or attempts.final_failure()
+
+    def _no_worker_in_regions(self, call: BackEndCall, service: str) -> Problem | None:
+        """Return the error of a request without a known worker in its allowed regions."""
+        if call.allowed_regions is None or self._workers.is_any_in(service, call.allowed_regions):
+            return None
+        self.num_refused_by_regions[service] += 1
+        return no_worker_problem(service, call.allowed_regions, call.request_id)
 
 
 class _PlainAttempts:
@@ -184,18 +204,25 @@
         self._route = request.route
         self._service = service
         self._deadline_s = deadline_s
+        self._in_regions = workers.in_regions(request.call.allowed_regions)
         self._fingerprint = fingerprint_of(request.call)
         self._quarantine_state: QuarantineState | None = None
         self.history = AttemptHistory(request.call, request.route)
         self.failed_answer: CompleteAnswer | None = None
 
+    @property
+    def has_certainly_not_run(self) -> bool:
+        """Whether no worker can have run the request."""
+        return not self.history.possibly_ran_at
+
     def next_worker(self) -> Worker | None:
         """Return the worker of the next attempt; ``None`` if no further attempt is allowed."""
         if not self._may_attempt():
             return None
-        worker = self._workers.choose(self._service, self.history.tried)
+        choose, in_regions = self._workers.choose, self._in_regions
+        worker = choose(self._service, self.history.tried, in_regions)
         if worker is None and self.history.tried:
-            worker = self._workers.choose(self._service, self.history.possibly_ran_at)
+            worker = choose(self._service, self.history.possibly_ran_at, in_regions)
         return worker
 
     def spare_worker(self, late: Worker) -> Worker | None:
@@ -204,7 +231,7 @@
             return None
         if self._quarantine.is_evidence_pending(self._fingerprint):
             return None
-        return self._workers.choose_for_hedge(late, self.history.tried)
+        return self._workers.choose_for_hedge(late, self.history.tried, self._in_regions)
 
     def spend_hedge_budget(self) -> bool:
         """Spend one hedged attempt of the budget; return whether the budget allowed it."""
--- a/src/hollowrack/forwarding/load_shedding.py
+++ b/src/hollowrack/forwarding/load_shedding.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from hollowrack.forwarding.types import Route
-from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory, any_worker
 from hollowrack.results import Problem, ResultCode
 
 # Upper bound of the random factor that spreads retries.
@@ -33,7 +33,12 @@
         self._rng = rng
 
     def check(
-        self, request_id: str, route: Route, service: str, time_left_s: float
+        self,
+        request_id: str,
+        route: Route,
+        service: str,
+        time_left_s: float,
+        is_eligible: Eligible = any_worker,
     ) -> Problem | None:
         """Return the error of a request that cannot be answered in time; ``None`` to send it.
 
@@ -42,8 +47,9 @@
             route: Route of the request.
             service: Service that would run it.
             time_left_s: Time until the deadline of the request, in seconds.
+            is_eligible: Condition on the workers that may run it.
         """
-        latency_s = self._workers.lowest_expected_latency_s(service, route.name)
+        latency_s = self._workers.lowest_expected_latency_s(service, route.name, is_eligible)
         if latency_s is None or latency_s <= time_left_s:
             return None
         # By then the queue is short enough for an answer within the target latency.
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncGenerator, Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from absl import logging
@@ -27,6 +27,7 @@
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine
+from hollowrack.regions.allowed_regions import AllowedRegions
 
 HTTP_OK = 200
 HTTP_UNPROCESSABLE = 422
@@ -109,9 +110,12 @@
         after_event: Number of the event after which the run starts; ``None`` for the first event.
         migration_policy: Decides when the run migrates to a faster worker; ``None`` for never.
         waits: Record of the waits of the run; ``None`` for a record of its own.
+        current_regions: Returns the allowed regions before each attempt; ``None`` for those of the
+            call.
 
     Attributes:
         head: Head of the first answer; ``None`` before it.
+        may_have_run: Whether a worker may have started to run the call.
         num_attempts: Number of attempts so far.
         queue_wait_s: Total time spent waiting for slots, in seconds.
         waits: Record of the waits of the run.
@@ -130,12 +134,15 @@
         after_event: int | None = None,
         migration_policy: MigrationPolicy | None = None,
         waits: RunWaits | None = None,
+        current_regions: Callable[[], AllowedRegions] | None = None,
     ) -> None:
         self.head: OpenAnswer | None = None
+        self.may_have_run = False
         self.num_attempts = 0
         self.queue_wait_s = 0.0
         self.waits = waits or RunWaits("", DispatchStatistics())
         self._call = call
+        self._current_regions = current_regions
         self._back_ends = back_ends
         self._workers = workers
         self._acquire = acquire
@@ -203,6 +210,7 @@
                     self._last_number,
                 )
             except (BrokenAnswerError, EventStreamError, TimeoutError) as error:
+                self.may_have_run = True
                 self._workers.record_failure(worker)
                 self._retry_policy.record_start(worker)
                 if has_no_event:
@@ -266,6 +274,10 @@
         self.queue_wait_s += now_s() - wait_start_s
         return worker
 
+    def _allowed_regions(self) -> AllowedRegions:
+        current = self._current_regions
+        return self._call.allowed_regions if current is None else current()
+
     def _may_begin(self, worker: Worker) -> bool:
         return self._retry_policy.may_begin(worker)
 
@@ -273,10 +285,14 @@
         answer: OpenAnswer | None = None
         try:
             sent_s = now_s()
+            call = self._call
+            if self._current_regions is not None:
+                call = replace(call, allowed_regions=self._current_regions())
             async with asyncio.timeout(self._limits.first_event_timeout.value_s):
                 answer = await self._back_ends.open(
-                    worker, self._call, self._limits.time_left_s, self._last_number
+                    worker, call, self._limits.time_left_s, self._last_number
                 )
+            self.may_have_run = True
             self._limits.first_event_timeout.record(now_s() - sent_s)
             self._retry_policy.record_start(worker)
             self._check_status(answer)
@@ -346,9 +362,18 @@
             self._num_migrations += 1
             return True
         # Counted separately, so that earlier migrations never keep a run at a much slower worker.
-        if self._num_slow_worker_exits < MAX_SLOW_WORKER_EXITS and self._workers.is_much_slower(
-            worker
+        if (
+            self._num_slow_worker_exits < MAX_SLOW_WORKER_EXITS
+            and self._workers.is_much_slower(worker)
+            and self._has_faster_in_regions(worker)
         ):
             self._num_slow_worker_exits += 1
             return True
         return False
+
+    def _has_faster_in_regions(self, worker: Worker) -> bool:
+        """Whether the fastest workers, which the run may leave a worker for, may run it."""
+        allowed_regions = self._allowed_regions()
+        return allowed_regions is None or self._workers.has_faster(
+            worker, self._workers.in_regions(allowed_regions)
+        )
--- a/src/hollowrack/forwarding/send_guard.py
+++ b/src/hollowrack/forwarding/send_guard.py
@@ -5,6 +5,7 @@
 and items of jobs.
 """
 
+from collections import Counter
 from typing import Protocol
 
 from absl import logging
@@ -33,14 +34,17 @@
 
     Args:
         back_ends: Client that sends the requests.
+        *conditions: The first conditions.
 
     Attributes:
         conditions: Conditions on each request, checked in order until one does not permit it.
+        num_stopped: Number of requests that were not sent, by class name of the condition.
     """
 
-    def __init__(self, back_ends: BackEndClient) -> None:
+    def __init__(self, back_ends: BackEndClient, *conditions: SendCondition) -> None:
         self._back_ends = back_ends
-        self.conditions: list[SendCondition] = []
+        self.conditions: list[SendCondition] = list(conditions)
+        self.num_stopped: Counter[str] = Counter()
 
     async def open(
         self,
@@ -57,6 +61,7 @@
         """
         for condition in self.conditions:
             if not condition.permits(worker, call):
+                self.num_stopped[type(condition).__name__] += 1
                 logging.info(
                     "request %s: not sent to worker %s: %s",
                     call.request_id,
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -1,8 +1,11 @@
 """Forwarder of requests that are answered with streams of events."""
 
+import asyncio
 import contextlib
-from collections.abc import AsyncGenerator, Callable
+from collections import Counter
+from collections.abc import AsyncGenerator, Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.attempt_history import MAX_REFUSALS, RETRY_AFTER_S
@@ -26,15 +29,18 @@
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
-from hollowrack.forwarding.workers import Eligible, WorkerDirectory, any_worker
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory, any_worker, both
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, quarantine_problem
+from hollowrack.regions.allowed_regions import AllowedRegions, no_worker_problem
 from hollowrack.results import Problem, ResultCode
 from hollowrack.usage.meter import UsageMeter
 
 MIN_FIRST_EVENT_TIMEOUT_S = 0.8
 MAX_FIRST_EVENT_TIMEOUT_S = 2.5
 STREAM_IDLE_TIMEOUT_S = 1.5
+# Interval of checks whether a stream that waits for a slot still has workers in its regions.
+REGION_CHECK_INTERVAL_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -48,6 +54,10 @@
 StreamPart = StreamHead | bytes | Problem
 
 
+class _NoWorkerInRegionsError(Exception):
+    """Raised if no worker in the allowed regions of a waiting stream is known any more."""
+
+
 class StreamForwarder:
     """Forwards streams; resumable ones continue at another worker after a failure.
 
@@ -59,6 +69,10 @@
         read_version: Reads the weight version from an event; ``None`` if the event has none.
         usage: Meter of the requests that workers have started.
         quarantine: Blocks requests that are suspected of crashing workers.
+
+    Attributes:
+        num_refused_by_regions: Streams refused because no worker in their allowed regions was
+            known, by service.
     """
 
     def __init__(
@@ -78,6 +92,7 @@
         self._read_version = read_version
         self._usage = usage
         self._quarantine = quarantine
+        self.num_refused_by_regions: Counter[str] = Counter()
         self._first_event_timeout = FirstEventTimeout(
             MIN_FIRST_EVENT_TIMEOUT_S, MAX_FIRST_EVENT_TIMEOUT_S
         )
@@ -99,16 +114,29 @@
     ) -> AsyncGenerator[StreamPart]:
         service = self._routes.choose_service(request.route)
         if not self._workers.serving(service):
-            yield _no_worker(request, f"no worker of service {service} is known")
+            yield self._no_worker(request, service, f"no worker of service {service} is known")
+            return
+        allowed_regions = request.call.allowed_regions
+        if not self._workers.is_any_in(service, allowed_regions):
+            yield self._no_worker(request, service, "")
             return
         deadline_s = request_deadline_s(request)
         rank = DispatchRank(request.route.priority, WorkKind.CALLER_STREAM)
+        has_started = False
 
         async def acquire(
             avoided: frozenset[WorkerIncarnation], may_begin: Eligible | None
         ) -> Worker:
-            condition = may_begin or any_worker
-            return await self._queue.acquire(service, lambda: rank, condition, avoided)
+            condition = self._workers.in_regions(allowed_regions)
+            if condition is any_worker:
+                condition = may_begin or any_worker
+            elif may_begin is not None:
+                condition = both(condition, may_begin)
+            slot = self._queue.acquire(service, lambda: rank, condition, avoided)
+            # A stream that has begun cannot be refused; it waits like one without regions.
+            if allowed_regions is None or has_started:
+                return await slot
+            return await self._slot_while_in_regions(slot, service, allowed_regions)
 
         limits = RunLimits(
             request.route.max_attempts,
@@ -129,7 +157,6 @@
             after_event,
             waits=RunWaits(service, self._queue.statistics),
         )
-        has_started = False
         try:
             async with contextlib.aclosing(run.events()) as events:
                 async for event in events:
@@ -138,6 +165,11 @@
                         self._record_usage(request)
                         yield StreamHead(run.head.status, run.head.headers)
                     yield event.event.raw
+        except _NoWorkerInRegionsError as error:
+            if run.may_have_run:
+                yield Problem(ResultCode.BACK_END_FAILED, str(error), request.call.request_id)
+            else:
+                yield self._no_worker(request, service, "")
         except RunEndedError as error:
             if has_started:
                 raise BrokenAnswerError(str(error)) from error
@@ -148,6 +180,33 @@
             else:
                 yield Problem(ResultCode.BACK_END_FAILED, str(error), request.call.request_id)
 
+    async def _slot_while_in_regions(
+        self, acquired: Coroutine[Any, Any, Worker], service: str, allowed_regions: AllowedRegions
+    ) -> Worker:
+        """Wait for a slot while a worker in the allowed regions is known.
+
+        Raises:
+            _NoWorkerInRegionsError: If none is known any more.
+        """
+        slot = asyncio.create_task(acquired)
+        try:
+            while self._workers.is_any_in(service, allowed_regions):
+                done, _ = await asyncio.wait([slot], timeout=REGION_CHECK_INTERVAL_S)
+                if done:
+                    return slot.result()
+        except asyncio.CancelledError:
+            self._give_back(slot)
+            raise
+        self._give_back(slot)
+        raise _NoWorkerInRegionsError(f"no worker of service {service} is left in the regions")
+
+    def _give_back(self, slot: "asyncio.Task[Worker]") -> None:
+        """Cancel the wait for a slot, or release the slot if it was granted."""
+        if not slot.done():
+            slot.cancel()
+        elif not slot.cancelled() and slot.exception() is None:
+            self._workers.release_slot(slot.result())
+
     def _record_usage(self, request: ForwardRequest) -> None:
         self._usage.record_request(request.call.tenant, self._usage.time_s())
 
@@ -160,9 +219,10 @@
             yield quarantine_problem(quarantine_state, fingerprint, request.call.request_id)
             return
         service = self._routes.choose_service(request.route)
+        in_regions = self._workers.in_regions(request.call.allowed_regions)
         refused: set[WorkerIncarnation] = set()
         while len(refused) < MAX_REFUSALS:
-            worker = self._workers.choose(service, refused)
+            worker = self._workers.choose(service, refused, in_regions)
             if worker is None:
                 break
             self._workers.reserve_slot(worker)
@@ -178,7 +238,7 @@
                 self._workers.record_not_run(worker, error.reason)
             finally:
                 self._workers.release_slot(worker)
-        yield _no_worker(request, "no worker accepted the request")
+        yield self._no_worker(request, service, "no worker accepted the request")
 
     async def _chunks(
         self, worker: Worker, request: ForwardRequest, after_event: int | None
@@ -209,6 +269,10 @@
             if answer is not None:
                 answer.abort()
 
-
-def _no_worker(request: ForwardRequest, detail: str) -> Problem:
-    return Problem(ResultCode.NO_BACK_END, detail, request.call.request_id, RETRY_AFTER_S)
+    def _no_worker(self, request: ForwardRequest, service: str, detail: str) -> Problem:
+        """Return the error of a request that no worker can have run."""
+        call = request.call
+        if call.allowed_regions is None or self._workers.is_any_in(service, call.allowed_regions):
+            return Problem(ResultCode.NO_BACK_END, detail, call.request_id, RETRY_AFTER_S)
+        self.num_refused_by_regions[service] += 1
+        return no_worker_problem(service, call.allowed_regions, call.request_id)
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -11,6 +11,8 @@
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
 from hollowrack.forwarding.worker_event_intervals import WorkerEventIntervals
 from hollowrack.forwarding.worker_load import WorkerLoads
+from hollowrack.regions.conditions import RegionCondition
+from hollowrack.regions.topology import RegionTopology
 
 BUSY_BACKOFF_S = 0.06
 MAX_BUSY_BACKOFF_S = 0.24
@@ -69,14 +71,18 @@
     Args:
         zone: This node's zone, whose workers are preferred.
         rng: Random number generator for choices among workers.
+        topology: Regions of the zones; ``None`` if there are no regions.
 
     Attributes:
         loads: Expected latencies of plain requests by worker.
     """
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self, zone: str, rng: random.Random, topology: RegionTopology | None = None
+    ) -> None:
         self._zone = zone
         self._rng = rng
+        self._topology = topology or RegionTopology()
         self._workers: dict[str, Worker] = {}
         self._observations: dict[WorkerIncarnation, _Observations] = {}
         self.loads = WorkerLoads(zone, rng, self.num_in_flight)
@@ -157,6 +163,30 @@
             return workers
         return [worker for worker in workers if is_eligible(worker) and self._is_allowed(worker)]
 
+    @property
+    def has_regions(self) -> bool:
+        """Whether the settings name regions; without them no request has allowed regions."""
+        return bool(self._topology.regions)
+
+    def in_regions(self, allowed_regions: frozenset[str] | None) -> Eligible:
+        """Return the condition that a worker is in one of the allowed regions.
+
+        Conditions for the same regions are equal; ``None`` allows all regions.
+        """
+        if allowed_regions is None:
+            return any_worker
+        return RegionCondition(self._topology, allowed_regions)
+
+    def is_any_in(self, service: str, allowed_regions: frozenset[str] | None) -> bool:
+        """Whether a worker of a service in the allowed regions is known.
+
+        Always true if all regions are allowed. Restrictions and backoffs are not considered, as
+        they may end while a request waits.
+        """
+        if allowed_regions is None:
+            return True
+        return any(map(self.in_regions(allowed_regions), self.serving(service)))
+
     def choose(
         self,
         service: str,
@@ -318,6 +348,16 @@
         """Whether a worker has recently been much slower than the fastest of its service."""
         return self._event_intervals.is_much_slower(worker)
 
+    def has_faster(self, worker: Worker, is_eligible: Eligible) -> bool:
+        """Whether an eligible worker of the service is not much slower than its fastest one.
+
+        Args:
+            worker: A worker that is much slower.
+            is_eligible: Condition that the other worker has to meet.
+        """
+        others = self.allowed(worker.service, is_eligible)
+        return any(not self.is_much_slower(other) for other in others)
+
     def time_saved_s(self, worker: Worker, other: Worker | None, num_events: float) -> float:
         """Return the time saved by moving a run to another worker, in seconds.
 
