--- a/src/hollowrack/jobs/cached_item_order.py
+++ b/src/hollowrack/jobs/cached_item_order.py
@@ -1,9 +1,11 @@
 """Cached order of one job's items, computed by :mod:`hollowrack.jobs.item_order`."""
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.types import Worker
+from hollowrack.forwarding.workers import Eligible
 from hollowrack.jobs.item_order import CapacityForecast, ItemRank, order_items
 from hollowrack.jobs.item_runner import ItemRunner
 from hollowrack.jobs.item_services import ItemServices
@@ -82,12 +84,15 @@
 
     def _num_free_slots(self, runners: Iterable[ItemRunner]) -> int:
         """Number of free slots that the job could get now, in addition to those that it holds."""
-        services = {
-            runner.active_service for runner in runners if runner.active_service is not None
-        }
+        region_conditions: defaultdict[str, set[Eligible]] = defaultdict(set)
+        for runner in runners:
+            if runner.active_service is not None:
+                region_conditions[runner.active_service].add(runner.in_regions)
 
-        def has_weights(worker: Worker) -> bool:
-            return worker.holds(self._job.model, self._job.min_version)
+        def is_eligible(worker: Worker) -> bool:
+            return worker.holds(self._job.model, self._job.min_version) and any(
+                in_regions(worker) for in_regions in region_conditions[worker.service]
+            )
 
         queue = self._services.queue
-        return sum(queue.num_free_slots(service, has_weights) for service in services)
+        return sum(queue.num_free_slots(service, is_eligible) for service in region_conditions)
--- a/src/hollowrack/jobs/item_migration_policy.py
+++ b/src/hollowrack/jobs/item_migration_policy.py
@@ -1,8 +1,10 @@
 """Migration of items to faster workers, decided by the estimated time that it saves."""
 
+from collections.abc import Callable
+
 from hollowrack.forwarding.dispatch_queue import DispatchQueue, RankOf
 from hollowrack.forwarding.types import Worker
-from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory, any_worker
 from hollowrack.jobs.length_estimate import LengthEstimate
 
 # Outweighs the repeated prefill of prompt and text at the other worker.
@@ -20,6 +22,7 @@
         model: Model whose weight versions are compared; empty if versions do not matter.
         expected_tokens: Length stated by its caller; 0 if none was.
         rank_of: Returns the item's current rank in the queue.
+        in_regions: Returns the current condition on the regions of its workers.
     """
 
     def __init__(
@@ -31,6 +34,7 @@
         model: str,
         expected_tokens: int,
         rank_of: RankOf,
+        in_regions: Callable[[], Eligible] = lambda: any_worker,
     ) -> None:
         self._workers = workers
         self._queue = queue
@@ -39,17 +43,26 @@
         self._model = model
         self._expected_tokens = expected_tokens
         self._rank_of = rank_of
+        self._in_regions = in_regions
 
     def is_worthwhile(self, worker: Worker, num_events: int) -> bool:
         """Whether the fastest worker would finish the item earlier by at least ``MIN_SAVED_S``."""
-        return self._saves_enough(worker, None, num_events)
+        in_regions = self._in_regions()
+        if in_regions is any_worker:
+            return self._saves_enough(worker, None, num_events)
+        return any(
+            self._saves_enough(worker, other, num_events)
+            for other in self._workers.allowed(self._service, in_regions)
+        )
 
     async def acquire_faster(self, worker: Worker, num_events: int) -> Worker:
         """Wait for a slot at a worker that finishes the item earlier by ``MIN_SAVED_S`` or more."""
 
         def is_faster(other: Worker) -> bool:
-            return self._has_no_older_weights(other, worker) and self._saves_enough(
-                worker, other, num_events
+            return (
+                self._has_no_older_weights(other, worker)
+                and self._saves_enough(worker, other, num_events)
+                and self._in_regions()(other)
             )
 
         avoided = frozenset({worker.incarnation})
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -24,10 +24,12 @@
 from hollowrack.jobs.item_eligibility import ItemEligibility
 from hollowrack.jobs.item_migration_policy import ItemMigrationPolicy
 from hollowrack.jobs.item_order import ItemRank
+from hollowrack.jobs.item_regions import ItemRegions
 from hollowrack.jobs.item_services import GiveUpReason, ItemServices
 from hollowrack.jobs.job_schedule import JobSchedule
 from hollowrack.jobs.types import ItemResult, Job, JobItem, ScorerCall
 from hollowrack.quarantine.fingerprint import fingerprint_of
+from hollowrack.regions.allowed_regions import AllowedRegions
 from hollowrack.results import ResultCode
 
 EVENT_TIMEOUT_S = 1.5
@@ -94,6 +96,9 @@
         self.active_service: str | None = None
         self.is_waiting_for_slot = False
         self._services = services
+        # Without regions in the settings no configuration names any.
+        has_regions = services.workers.has_regions
+        self._regions = ItemRegions(services.routes, job, item) if has_regions else None
         self._job = job
         self._item = item
         self._schedule = schedule
@@ -184,7 +189,20 @@
         version = self._job.configuration_version
         return await self._services.routes.lookup_since(self._job.host, target, version)
 
+    @property
+    def in_regions(self) -> Eligible:
+        """Condition that a worker is in the allowed regions of the item."""
+        return self._services.workers.in_regions(self._allowed_regions())
+
+    def _allowed_regions(self) -> AllowedRegions:
+        return None if self._regions is None else self._regions.of_generation()
+
+    def _scorer_regions(self) -> AllowedRegions:
+        return None if self._regions is None else self._regions.of_scorer_call()
+
     async def _run_once(self) -> ItemResult:
+        if self._regions is not None:
+            await self._regions.wait_until_known()
         if not self.is_generation_complete:
             await self._generate_until_accepted()
             self.is_generation_complete = True
@@ -278,12 +296,20 @@
         async def acquire(
             avoided: frozenset[WorkerIncarnation], may_begin: Eligible | None
         ) -> Worker:
-            condition: Eligible = self._eligibility(fingerprint)
-            if may_begin is not None:
-                condition = both(condition, may_begin)
+            def condition() -> Eligible:
+                eligibility = self._eligibility(fingerprint)
+                return eligibility if may_begin is None else both(eligibility, may_begin)
+
+            self._log_if_no_worker_in_regions(service)
             self.is_waiting_for_slot = True
             try:
-                return await services.queue.acquire(service, self._rank, condition, avoided)
+                return await services.queue.acquire(
+                    service,
+                    self._rank,
+                    condition(),
+                    avoided,
+                    None if self._regions is None else condition,
+                )
             finally:
                 self.is_waiting_for_slot = False
 
@@ -302,6 +328,7 @@
             self.events[-1].event.number if self.events else None,
             migration_policy=self._migration_policy(service, route),
             waits=self._waits,
+            current_regions=None if self._regions is None else self._allowed_regions,
         )
         started_s = now_s()
         num_events_before = len(self.events)
@@ -361,6 +388,19 @@
             self._job.model,
             self._item.expected_tokens,
             self._rank,
+            lambda: self.in_regions,
+        )
+
+    def _log_if_no_worker_in_regions(self, service: str) -> None:
+        allowed_regions = self._allowed_regions()
+        if allowed_regions is None or self._services.workers.is_any_in(service, allowed_regions):
+            return
+        logging.info(
+            "item %s of job %s: waits for a worker of service %s in the allowed regions (%s)",
+            self._item.id,
+            self._job.id,
+            service,
+            ", ".join(sorted(allowed_regions)),
         )
 
     def _eligibility(self, fingerprint: str) -> ItemEligibility:
@@ -375,6 +415,7 @@
             self._job.min_version,
             fingerprint if is_suspect else None,
             quarantine.suspect_placement,
+            None if self._allowed_regions() is None else self.in_regions,
         )
 
     def _accepts_version(self, version: int | None) -> bool:
@@ -396,8 +437,10 @@
         while True:
             # A missing scorer route does not end the item; only its time limit does.
             route = await self._services.routes.lookup_until_found(scorer.host, scorer.target)
-            async with self._services.forwarder.call_limiter.slot(route):
-                request = _scorer_request(scorer, route)
+            limiter = self._services.forwarder.call_limiter
+            async with limiter.slot(route, self._scorer_regions()):
+                # The configuration may have changed during the wait.
+                request = _scorer_request(scorer, route, self._scorer_regions())
                 answer = await self._services.forwarder.forward(request)
             if isinstance(answer, CompleteAnswer):
                 if answer.status in HTTP_SUCCESS and answer.signature is not None:
@@ -417,13 +460,16 @@
     return now_s() + job_route.queue_ttl_s
 
 
-def _scorer_request(scorer: ScorerCall, route: Route) -> ForwardRequest:
+def _scorer_request(
+    scorer: ScorerCall, route: Route, allowed_regions: AllowedRegions
+) -> ForwardRequest:
     call = BackEndCall(
         scorer.request_id,
         SCORER_METHOD,
         scorer.target,
         (("Host", scorer.host),),
         scorer.body,
+        allowed_regions=allowed_regions,
     )
     timeout_s = max(
         MIN_SCORER_TIMEOUT_S, SCORER_TIMEOUT_PER_TARGET_LATENCY * route.target_latency_s
--- a/src/hollowrack/jobs/open_work.py
+++ b/src/hollowrack/jobs/open_work.py
@@ -1,11 +1,11 @@
 """Summary of a job's unfinished generations for the arbiter of slots."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.dispatch_rank import NO_DEADLINE_S
 from hollowrack.forwarding.types import Worker
-from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.jobs.item_runner import ItemRunner
 from hollowrack.jobs.job_schedule import JobSchedule
 from hollowrack.jobs.types import Job
@@ -45,17 +45,26 @@
         None if deadline_s == NO_DEADLINE_S else deadline_s - now_s(),
         len(at_service) - num_waiting,
         num_waiting,
-        _eligible_positions(job, workers.available_for_runs(service), incarnation_positions),
+        _eligible_positions(
+            job,
+            workers.available_for_runs(service),
+            incarnation_positions,
+            {runner.in_regions for runner in at_service},
+        ),
     )
 
 
 def _eligible_positions(
-    job: Job, workers: Iterable[Worker], incarnation_positions: Mapping[str, int]
+    job: Job,
+    workers: Iterable[Worker],
+    incarnation_positions: Mapping[str, int],
+    region_conditions: Collection[Eligible],
 ) -> tuple[int, ...]:
-    """Return the positions of the worker incarnations at which a job may run."""
+    """Return the positions of the worker incarnations at which any item of a job may run."""
     positions = (
         incarnation_positions.get(str(worker.incarnation))
         for worker in workers
         if worker.holds(job.model, job.min_version)
+        and any(in_regions(worker) for in_regions in region_conditions)
     )
     return tuple(position for position in positions if position is not None)
