--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-from collections import Counter
 from dataclasses import dataclass
 
 from absl import logging
@@ -100,8 +99,6 @@
     Attributes:
         hedging: Policy of hedged attempts.
         call_limiter: Limits this node's own calls to shared workers.
-        num_refused_by_regions: Requests refused because no worker in their allowed regions was
-            known, by service.
     """
 
     def __init__(
@@ -121,7 +118,6 @@
         self._load_shedder = LoadShedder(workers, rng)
         self.hedging = HedgePolicy()
         self.call_limiter = CallLimiter(routes, workers)
-        self.num_refused_by_regions: Counter[str] = Counter()
 
     async def forward(self, request: ForwardRequest) -> ForwardOutcome:
         """Return a worker's answer, or the error for the caller."""
@@ -162,7 +158,7 @@
         """Return the error of a request without a known worker in its allowed regions."""
         if call.allowed_regions is None or self._workers.is_any_in(service, call.allowed_regions):
             return None
-        self.num_refused_by_regions[service] += 1
+        self._workers.num_refused_by_regions[service] += 1
         return no_worker_problem(service, call.allowed_regions, call.request_id)
 
 
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-from collections import Counter
 from collections.abc import AsyncGenerator, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -69,10 +68,6 @@
         read_version: Reads the weight version from an event; ``None`` if the event has none.
         usage: Meter of the requests that workers have started.
         quarantine: Blocks requests that are suspected of crashing workers.
-
-    Attributes:
-        num_refused_by_regions: Streams refused because no worker in their allowed regions was
-            known, by service.
     """
 
     def __init__(
@@ -92,7 +87,6 @@
         self._read_version = read_version
         self._usage = usage
         self._quarantine = quarantine
-        self.num_refused_by_regions: Counter[str] = Counter()
         self._first_event_timeout = FirstEventTimeout(
             MIN_FIRST_EVENT_TIMEOUT_S, MAX_FIRST_EVENT_TIMEOUT_S
         )
@@ -274,5 +268,5 @@
         call = request.call
         if call.allowed_regions is None or self._workers.is_any_in(service, call.allowed_regions):
             return Problem(ResultCode.NO_BACK_END, detail, call.request_id, RETRY_AFTER_S)
-        self.num_refused_by_regions[service] += 1
+        self._workers.num_refused_by_regions[service] += 1
         return no_worker_problem(service, call.allowed_regions, call.request_id)
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -1,6 +1,7 @@
 """Directory of workers with this node's in-flight requests and observations of failures."""
 
 import random
+from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
@@ -75,6 +76,8 @@
 
     Attributes:
         loads: Expected latencies of plain requests by worker.
+        num_refused_by_regions: Requests refused because no worker in their allowed regions was
+            known, by service.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         self._topology = topology or RegionTopology()
         self._workers: dict[str, Worker] = {}
         self._observations: dict[WorkerIncarnation, _Observations] = {}
+        self.num_refused_by_regions: Counter[str] = Counter()
         self.loads = WorkerLoads(zone, rng, self.num_in_flight)
         self._event_intervals = WorkerEventIntervals(self.serving)
         self._listeners: list[Callable[[], None]] = []
@@ -168,6 +172,12 @@
         """Whether the settings name regions; without them no request has allowed regions."""
         return bool(self._topology.regions)
 
+    def num_of_unknown_region(self) -> int:
+        """Return the number of workers whose zone has no known region; 0 without regions."""
+        if not self.has_regions:
+            return 0
+        return sum(self._topology.region_of(worker.zone) is None for worker in self.all())
+
     def in_regions(self, allowed_regions: frozenset[str] | None) -> Eligible:
         """Return the condition that a worker is in one of the allowed regions.
 
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -115,6 +115,7 @@
             value=self._counts.suspended_s,
         )
         yield self._refusals()
+        yield from self._regions()
         yield self._waits()
         for name, description, value in self._gauges():
             yield GaugeMetricFamily(name, description, value=value)
@@ -131,6 +132,25 @@
             refusals.add_metric([service, reason.name], count)
         return refusals
 
+    def _regions(self) -> Iterable["Metric"]:
+        from prometheus_client.core import CounterMetricFamily  # noqa: PLC0415 (lazy import)
+
+        stopped = CounterMetricFamily(
+            "hollowrack_sends_stopped",
+            "Requests that were not sent to the chosen worker, by the condition not met",
+            labels=["condition"],
+        )
+        for condition, count in self._node.back_ends.num_stopped.items():
+            stopped.add_metric([condition], count)
+        refused = CounterMetricFamily(
+            "hollowrack_requests_refused_by_regions",
+            "Requests refused as no worker in their allowed regions was known, by service",
+            labels=["service"],
+        )
+        for service, count in self._node.workers.num_refused_by_regions.items():
+            refused.add_metric([service], count)
+        return stopped, refused
+
     def _waits(self) -> "Metric":
         from prometheus_client.core import (  # noqa: PLC0415 (lazy import)
             HistogramMetricFamily,
@@ -203,6 +223,11 @@
                 "Requests that are not sent to workers, as too many ended under them",
                 node.quarantine.registry.num_quarantined,
             ),
+            (
+                "hollowrack_workers_of_unknown_region",
+                "Workers in zones that the settings name no region for; 0 without regions",
+                node.workers.num_of_unknown_region(),
+            ),
             ("hollowrack_items_waiting", "Items waiting for a worker", node.queue.num_waiting),
             (
                 "hollowrack_scorer_calls_waiting",
