--- a/src/hollowrack/platform/names.py
+++ b/src/hollowrack/platform/names.py
@@ -52,6 +52,7 @@
 RETIREMENT_STATUS_PREFIX = "status/retire/"
 WORKERS_PREFIX = "servers/"
 
+ALLOWED_REGIONS = "allowed-regions"
 STARTED_MS = "born"
 DRAINING = "draining"
 RETIREMENT_COMPLETE = "complete"
