--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -43,6 +43,7 @@
 from hollowrack_bench.soak_checks import TENANT, SoakChecks, count_ambiguous_attempts
 from hollowrack_bench.soak_crashes import PATH as CRASHING_PATH
 from hollowrack_bench.soak_crashes import CrashingRequests
+from hollowrack_bench.soak_evacuations import ZONES
 from hollowrack_bench.soak_faults import FaultInjector, SoakFault, SoakSystem
 from hollowrack_bench.soak_kept_connections import (
     KeptConnections,
@@ -107,6 +108,9 @@
             self._crashing = CrashingRequests(
                 self._system, self._workers, self._send_crashing, random.Random(plan.seed)
             )
+        if SoakFault.EVACUATE in plan.faults:
+            for index, worker in enumerate(self._workers):
+                worker.zone = ZONES[index % len(ZONES)]
         self._sessions: dict[str, aiohttp.ClientSession] = {}
         self._direct_addresses: dict[str, str] = {}
         self._kept = KeptConnections(self._direct_addresses, self._headers)
@@ -204,6 +208,7 @@
                 f"{self._kept.num_answered} answered, {len(self._kept.unanswered)} sent while the "
                 f"connection was closed, {len(self._lost_requests())} of them lost"
             ),
+            "zones evacuated": str(len(self._injector.evacuations.records)),
             "crashing requests": self._crashing_summary(),
             "latency, s (p50/p99/p100)": str(self._latencies.summary()),
         }
@@ -404,6 +409,9 @@
         self._checks.check_unsafe()
         self._checks.check_orders()
         self._checks.check_tenants()
+        self._checks.check_evacuations(
+            self._injector.evacuations.records, self._injector.disturbances
+        )
         self._checks.check_decoy(self._injector.workers.decoy.records)
         self._checks.check_kept_connections(self._lost_requests())
         if self._crashing is not None:
--- a/src/hollowrack_bench/soak_checks.py
+++ b/src/hollowrack_bench/soak_checks.py
@@ -6,6 +6,7 @@
 from hollowrack.platform import names
 from hollowrack_bench.platform_demo import QUEUE_TTL_S
 from hollowrack_bench.soak_crashes import MAX_LATE_RUNS, CrashingAttempt, late_runs
+from hollowrack_bench.soak_evacuations import Evacuation, late_arrivals
 from hollowrack_bench.soak_kept_connections import UnansweredRequest
 from hollowrack_standins.duty_service import DutyServiceCore
 from hollowrack_standins.users_platform import WorkerRecords
@@ -117,6 +118,19 @@
         for request_id in records.executions:
             self._violations.append(f"{request_id}: sent to a worker that no valid entry names")
 
+    def check_evacuations(
+        self, evacuations: Sequence[Evacuation], disturbances: Sequence[tuple[float, float]]
+    ) -> None:
+        """Check that no request reached an evacuated zone too late; see :func:`late_arrivals`."""
+        late = late_arrivals(evacuations, self._records.arrivals, disturbances)
+        if late:
+            arrival, evacuation = late[0]
+            delay_s = arrival.at_s - evacuation.start_s
+            self._violations.append(
+                f"{arrival.name}: reached {arrival.worker_id} {delay_s:.2f} s after the evacuation "
+                f"of {arrival.zone}, as did {len(late) - 1} other requests later than allowed"
+            )
+
     def check_duties(self, service: DutyServiceCore, num_ambiguous: int = 0) -> None:
         """Check the calls to the duty service against the requests that workers started.
 
--- a/src/hollowrack_bench/soak_faults.py
+++ b/src/hollowrack_bench/soak_faults.py
@@ -16,6 +16,7 @@
 from hollowrack.clock import now_s
 from hollowrack_bench.edge_processes import EdgeProcesses
 from hollowrack_bench.loopback_proxy import LinkFault, LoopbackProxy
+from hollowrack_bench.soak_evacuations import Evacuations
 from hollowrack_bench.soak_operator import SoakOperator
 from hollowrack_bench.soak_signals import SignalSeries
 from hollowrack_bench.soak_worker_faults import WorkerFaults
@@ -75,6 +76,23 @@
     OPEN_CONNECTIONS = "open-connections"
     SIGNAL_SERIES = "signal-series"
     ROLLING_STOP = "rolling-stop"
+    EVACUATE = "evacuate"
+
+
+# Faults during which nodes may not be connected to the store, or requests to workers are held up.
+DISTURBING_FAULTS = frozenset(
+    {
+        SoakFault.FREEZE,
+        SoakFault.KILL_ALL,
+        SoakFault.STORE_REFUSES,
+        SoakFault.STORE_LOSES_ANSWERS,
+        SoakFault.STORE_NONSENSE,
+        SoakFault.STORE_LINK,
+        SoakFault.WORKER_LINK,
+        SoakFault.OPEN_CONNECTIONS,
+        SoakFault.SIGNAL_SERIES,
+    }
+)
 
 
 @dataclass
@@ -121,6 +139,9 @@
     Attributes:
         counts: Number of injected faults, by kind.
         workers: Injects the worker faults.
+        evacuations: Evacuates zones.
+        disturbances: Start and end of each fault of ``DISTURBING_FAULTS``, on the loop's clock; the
+            end of one that has not ended is infinite.
     """
 
     def __init__(self, system: SoakSystem, kinds: list[SoakFault], rng: random.Random) -> None:
@@ -129,6 +150,8 @@
         self._kinds = kinds
         self._rng = rng
         self.workers = WorkerFaults(system.workers, system.store, rng, self._wait_fault_duration)
+        self.evacuations = Evacuations(system.store, rng)
+        self.disturbances: list[tuple[float, float]] = []
         self._inject_by_kind: dict[SoakFault, Callable[[], Awaitable[None]]] = {
             SoakFault.KILL: lambda: self._stop_and_restart(signal.SIGKILL),
             SoakFault.STOP: lambda: self._stop_and_restart(signal.SIGTERM),
@@ -152,6 +175,7 @@
             SoakFault.OPEN_CONNECTIONS: self._silence_open_connections,
             SoakFault.SIGNAL_SERIES: self._send_signal_series,
             SoakFault.ROLLING_STOP: self._stop_in_turn,
+            SoakFault.EVACUATE: self.evacuations.run,
         }
         self._signals = SignalSeries(system.processes, rng, self._stop_process, self._start_process)
 
@@ -162,7 +186,17 @@
             kind = self._rng.choice(self._kinds)
             self.counts[kind.value] += 1
             logging.info("fault: %s", kind.value)
-            await self._inject_by_kind[kind]()
+            if kind in DISTURBING_FAULTS:
+                await self._disturb(self._inject_by_kind[kind])
+            else:
+                await self._inject_by_kind[kind]()
+
+    async def _disturb(self, inject: Callable[[], Awaitable[None]]) -> None:
+        """Inject a fault and record its time; one that is cancelled lasts until the end."""
+        index = len(self.disturbances)
+        self.disturbances.append((now_s(), float("inf")))
+        await inject()
+        self.disturbances[index] = (self.disturbances[index][0], now_s())
 
     async def clear_faults(self) -> None:
         """End all lasting faults. All calls of :meth:`run` must have been cancelled."""
@@ -173,6 +207,7 @@
                 link.set_fault(LinkFault.NONE)
         await asyncio.gather(*(self._recover(name) for name in sorted(system.faulted_nodes)))
         await self.workers.clear_faults()
+        self.evacuations.lift_all()
 
     async def _recover(self, name: str) -> None:
         """Have a node's process run on, or run again once it has ended as it was told to."""
