--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -367,7 +367,9 @@
         """Remove a worker."""
         worker = self.workers.get(worker_id)
         self.workers.remove(worker_id)
-        if worker is not None and not self.workers.serving(worker.service):
+        if worker is None or self.workers.are_all_evacuated(worker.service):
+            return
+        if not self.workers.serving(worker.service):
             logging.warning(
                 "worker %s: entry removed, and no others of service %s are known",
                 worker_id,
