--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -48,7 +48,7 @@
 from hollowrack.quarantine.replicator import SuspectReplicator
 from hollowrack.slots.slot_sharing import SlotSharing
 from hollowrack.tasks import cancel_all
-from hollowrack.usage.types import ProcessCounts
+from hollowrack.usage.types import PushedCounts
 from hollowrack.weights.version_reconciler import VersionReconciler
 
 LIVE_POLL_INTERVAL_S = 0.2
@@ -365,9 +365,9 @@
         """Record that the operators want to retire a machine."""
         self._retirement.request(machine)
 
-    def receive_usage(self, counts: ProcessCounts) -> None:
+    def receive_usage(self, pushed: PushedCounts) -> None:
         """Merge usage counts from another node."""
-        self.usage.counts.merge(counts)
+        self.usage.receive(pushed, self.live.leader())
 
     def watch_interrupted(self) -> None:
         """List again, as watches may have missed changes."""
--- a/src/hollowrack/usage/meter.py
+++ b/src/hollowrack/usage/meter.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hollowrack.usage.counts import UsageCounts
+from hollowrack.usage.types import PushedCounts
 from hollowrack.usage.wall_clock import WallClock
 
 # Requests are counted at their end, and clocks of nodes differ; later counts may be too late.
@@ -20,11 +21,14 @@
     Attributes:
         counts: The counts known to this node, including those of other processes.
         num_counted: Number of requests counted by this process.
-        changed: Set whenever a request is counted.
+        num_misdirected: Number of messages with counts whose sender knew another leader than this
+            node, so that this node must push the counts to the leader.
+        changed: Set whenever a request is counted or a misdirected message is received.
     """
 
     def __init__(self, process: str, clock: WallClock, window_s: float | None) -> None:
         self.num_counted = 0
+        self.num_misdirected = 0
         self.changed = asyncio.Event()
         self._process = process
         self.counts = UsageCounts()
@@ -43,6 +47,19 @@
         self.counts.record_complete(self._process, before)
         return before
 
+    def receive(self, pushed: PushedCounts, leader: str | None) -> None:
+        """Merge counts that another process has pushed.
+
+        Args:
+            pushed: The counts.
+            leader: Name of the leader's process as known to this node; ``None`` if unknown.
+        """
+        for counts in pushed.counts:
+            self.counts.merge(counts)
+        if pushed.leader != leader:
+            self.num_misdirected += 1
+            self.changed.set()
+
     def record_request(self, tenant: str | None, begun_s: float) -> None:
         """Count a request that a worker has begun.
 
--- a/src/hollowrack/usage/peer_http.py
+++ b/src/hollowrack/usage/peer_http.py
@@ -12,7 +12,7 @@
     call_node,
     message_route,
 )
-from hollowrack.usage.types import CountsTaken, ProcessCounts, PushedCounts
+from hollowrack.usage.types import CountsTaken, PushedCounts
 
 PUSH_PATH = "/counts"
 # Nodes are a few milliseconds apart; one that takes longer is frozen or unreachable.
@@ -39,12 +39,11 @@
         return isinstance(answer, CountsTaken)
 
 
-def usage_routes(merge: Callable[[ProcessCounts], None]) -> list[Route]:
+def usage_routes(receive_counts: Callable[[PushedCounts], None]) -> list[Route]:
     """Return the HTTP route that receives counts of other nodes."""
 
     async def receive(pushed: PushedCounts) -> CountsTaken:
-        for counts in pushed.counts:
-            merge(counts)
+        receive_counts(pushed)
         return CountsTaken()
 
     return [message_route(PUSH_PATH, (PushedCounts,), receive)]
--- a/src/hollowrack/usage/replicator.py
+++ b/src/hollowrack/usage/replicator.py
@@ -1,7 +1,8 @@
 """Replication of this node's usage counts to the leader, which reports them, and to one more node.
 
 Counts are replicated soon, as a process may end at any time. The second node pushes them to the
-next leader, so that no count is lost with the leader.
+next leader, so that no count is lost with the leader. It also pushes counts of a process that does
+not know the current leader, since that process may end before it does.
 """
 
 import asyncio
@@ -50,6 +51,8 @@
         self._num_pushed: dict[str, int] = {}
         # The first window whose counts may be incomplete, as the leader has acknowledged it.
         self._complete_pushed = 0
+        # Number of misdirected messages whose counts the leader has acknowledged.
+        self._num_forwarded = 0
         self._retry_from_s: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -96,18 +99,24 @@
         complete_before = self._meter.update_complete()
         # Only the leader, which decides windows, must know which counts are complete.
         is_leader = process == self._last_leader
-        must_push = num_pushed != num_counted or (
-            is_leader and complete_before > self._complete_pushed
+        num_misdirected = self._meter.num_misdirected
+        must_forward = is_leader and num_misdirected > self._num_forwarded
+        must_push = (
+            num_pushed != num_counted
+            or must_forward
+            or (is_leader and complete_before > self._complete_pushed)
         )
         if not must_push or now_s() < self._retry_from_s.get(process, 0.0):
             return
         # A new target gets all counts, including those of processes that may have ended.
-        is_new = num_pushed is None
-        counts = self._counts.all() if is_new else (self._counts.of(self._process),)
+        must_push_all = num_pushed is None or must_forward
+        counts = self._counts.all() if must_push_all else (self._counts.of(self._process),)
         counts = tuple(entry for entry in counts if entry.windows or entry.complete_before)
-        if counts and not await self._peers.push(address, PushedCounts(counts)):
+        pushed = PushedCounts(counts, self._last_leader or "")
+        if counts and not await self._peers.push(address, pushed):
             self._retry_from_s[process] = now_s() + RETRY_INTERVAL_S
             return
         self._num_pushed[process] = num_counted
         if is_leader:
             self._complete_pushed = complete_before
+            self._num_forwarded = num_misdirected
--- a/src/hollowrack/usage/types.py
+++ b/src/hollowrack/usage/types.py
@@ -33,9 +33,12 @@
 
     Attributes:
         counts: The counts, one entry per process.
+        leader: Name of the leader's process as known to the sender; empty if unknown, and from a
+            process that does not send it.
     """
 
     counts: tuple[ProcessCounts, ...]
+    leader: str = ""
 
 
 @message("usage.taken")
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -144,6 +144,36 @@
     assert run_fleet(scenario).service.violations == []
 
 
+def test_counts_pushed_to_a_node_that_knows_a_newer_leader_are_reported() -> None:
+    """Counts of a process that ended before it knew the new leader stayed at the other nodes."""
+
+    async def scenario(fleet: UsageFleet) -> None:
+        fleet.begin("n0", "a")
+        await asyncio.sleep(2.0)
+        await _kill_and_restart(fleet, "n1")
+        await _fail_store(fleet, 4.5)
+        fleet.begin("n3", "a")
+        await asyncio.sleep(2.0)
+        fleet.begin("n3", "b")
+        await _kill_and_restart(fleet, "n3")
+        await _fail_store(fleet, 1.0)
+        fleet.begin("n1", "b")
+        await asyncio.sleep(2.0)
+        await _kill_and_restart(fleet, "n0")
+        await asyncio.sleep(20.0)
+        assert fleet.reported() == fleet.begun
+
+    assert run_fleet(scenario).service.violations == []
+
+
+async def _kill_and_restart(fleet: UsageFleet, name: str) -> None:
+    await asyncio.sleep(1.0)
+    await fleet.kill(name)
+    await asyncio.sleep(1.0)
+    fleet.start(name)
+    await asyncio.sleep(3.0)
+
+
 async def _fail_store(fleet: UsageFleet, seconds: float) -> None:
     for node in fleet.nodes.values():
         node.faults.refuses = True
