--- a/tests/quarantine/test_random_faults.py
+++ b/tests/quarantine/test_random_faults.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -14,6 +15,7 @@
 from hollowrack.results import Problem, ResultCode
 from hollowrack_bench.virtual_time import run_virtual
 from tests.quarantine.helpers import (
+    CONTACT_S,
     CRASHING,
     MAX_LATE_RUNS,
     PROPAGATION_TIMEOUT_S,
@@ -67,6 +69,10 @@
             [attempt for attempt, is_stable in self._crashing_attempts if is_stable]
         )
 
+    def has_unseen_crashes(self) -> bool:
+        """Whether nobody could learn of one of the first three crashes."""
+        return self.fleet.propagation_timeout_s() == CONTACT_S
+
     def num_quarantined(self) -> int:
         """Return the number of harmless requests refused as quarantined."""
         return sum(
@@ -149,6 +155,32 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("faults", "seed"),
+    [
+        ([("restart all", 0.0)], 8003),
+        ([("restart all", 0.0), ("crash a worker", 0.25)], 1148),
+        ([("restart all", 0.0), ("lost answers", 0.0), ("restart all", 0.0)], 8036),
+    ],
+)
+def test_runs_after_crashes_that_nobody_saw_are_bounded(
+    faults: list[tuple[str, float]], seed: int
+) -> None:
+    """Both callers' requests crash their workers after all nodes have been killed.
+
+    The nodes that follow see the third crash as the first one. The rule allows 4 s instead of the
+    3 s that nodes take which saw all crashes.
+    """
+
+    async def main() -> None:
+        fleet_run = RandomFaultFleet(random.Random(seed), has_crashing=True)
+        await fleet_run.run(faults)
+        assert fleet_run.has_unseen_crashes()
+        assert fleet_run.num_late_runs() <= MAX_LATE_RUNS
+
+    run_virtual(main())
+
+
 @settings(max_examples=MAX_EXAMPLES, deadline=None)
 @given(SCHEDULES, st.integers(0, 10_000))
 def test_harmless_requests_are_never_quarantined(
