--- a/src/hollowrack/coordination/relay.py
+++ b/src/hollowrack/coordination/relay.py
@@ -286,6 +286,11 @@
             answer = await self._relay(call)
         return answer
 
+    def has_failed(self, address: str, within_s: float) -> bool:
+        """Whether a node failed to relay a call within the last ``within_s`` seconds."""
+        failed_s = self._retry_node_from_s.get(address, -float("inf")) - NODE_RETRY_INTERVAL_S
+        return now_s() - failed_s < within_s
+
     def _may_relay(self) -> bool:
         return now_s() >= self._retry_relay_from_s and bool(self._nodes_to_ask())
 
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -65,6 +65,9 @@
 MAX_DRAIN_S = 10.0
 DRAIN_FRACTION = 0.65
 MAX_HANDOVER_S = 0.6
+# After a node of the own region failed to relay a store call, others are asked first for this long.
+# Each further try costs a time-out, and a lease must be renewed within 2 s.
+OTHER_REGION_FIRST_S = 10.0
 HANDOVER_FRACTION = 0.1
 
 
@@ -110,7 +113,7 @@
         self.store = store
         self.topology = connections.topology
         self.routes = RouteTable(lambda: self.configuration_age_s)
-        self.workers = WorkerDirectory(zone, rng)
+        self.workers = WorkerDirectory(zone, rng, self.topology)
         self.usage = usage_meter(self.owner, connections.usage)
         self.back_ends = GuardedBackEnds(connections.back_ends)
         self.quarantine = Quarantine(self.back_ends)
@@ -134,7 +137,12 @@
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
         self.live = LiveState(
-            self.owner, zone, self.leadership, self._on_job_ended, self._on_job_owned
+            self.owner,
+            zone,
+            self.leadership,
+            self._on_job_ended,
+            self._on_job_owned,
+            topology=self.topology,
         )
         self.jobs = JobService(
             log,
@@ -326,11 +334,15 @@
         await self.session.abandon()
 
     def peer_addresses(self) -> list[str]:
-        """Return the addresses of other nodes: the leader's first, the others shuffled."""
+        """Return the addresses of other nodes: the leader's first, the others shuffled.
+
+        With several regions, nodes of the own region come first, see ``near_peers_first``.
+        """
         leader = self.live.leader_address()
         rest = [address for address in self.live.peer_addresses() if address != leader]
         self._rng.shuffle(rest)
-        return [leader, *rest] if leader is not None else rest
+        addresses = [leader, *rest] if leader is not None else rest
+        return self.live.near_peers_first(addresses)
 
     def shared_mirrors(self) -> dict[str, PrefixMirror]:
         """Return the mirrors that answer other nodes' watches, by prefix."""
@@ -421,12 +433,23 @@
         return [] if leader is None else [leader]
 
     def neighbour_addresses(self) -> list[str]:
-        """Return the addresses of other nodes, shuffled; seeds if no node is known."""
+        """Return the addresses of other nodes, shuffled; seeds if no node is known.
+
+        With several regions, nodes of the own region come first. While one of them fails to relay
+        store calls, those of other regions do: the own region may have no way to the store.
+        """
         addresses = self.live.peer_addresses() or [
             seed for seed in self._seeds if seed != self._address
         ]
         self._rng.shuffle(addresses)
-        return addresses
+        if not self.live.distances.has_other_regions:
+            return addresses
+        ordered = self.live.near_peers_first(addresses, num_first=1)
+        far = [address for address in ordered if self.live.is_in_other_region(address)]
+        near = [address for address in ordered if address not in far]
+        if any(self.store.has_failed(address, OTHER_REGION_FIRST_S) for address in near):
+            return [*far, *near]
+        return ordered
 
     def _store_access(self) -> StoreAccess:
         if self.leadership.is_leader:
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from absl import logging
@@ -26,7 +27,8 @@
 from hollowrack.forwarding.hedging import HedgePolicy
 from hollowrack.forwarding.load_shedding import LoadShedder
 from hollowrack.forwarding.route_table import RouteTable
-from hollowrack.forwarding.types import Route, RouteKind, Worker
+from hollowrack.forwarding.types import Route, RouteKind, Worker, WorkerIncarnation
+from hollowrack.forwarding.worker_load import LatencyObjective
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, quarantine_problem
@@ -183,6 +185,7 @@
         self._call = request.call
         self._route = request.route
         self._service = service
+        self._objective = LatencyObjective(request.route.name, request.route.target_latency_s)
         self._deadline_s = deadline_s
         self._fingerprint = fingerprint_of(request.call)
         self._quarantine_state: QuarantineState | None = None
@@ -193,18 +196,21 @@
         """Return the worker of the next attempt; ``None`` if no further attempt is allowed."""
         if not self._may_attempt():
             return None
-        worker = self._workers.choose(self._service, self.history.tried)
+        worker = self._choose(self.history.tried)
         if worker is None and self.history.tried:
-            worker = self._workers.choose(self._service, self.history.possibly_ran_at)
+            worker = self._choose(self.history.possibly_ran_at)
         return worker
 
+    def _choose(self, excluded: Collection[WorkerIncarnation]) -> Worker | None:
+        return self._workers.choose(self._service, excluded, objective=self._objective)
+
     def spare_worker(self, late: Worker) -> Worker | None:
         """Return a worker that may run the request in addition to, or instead of, a late one."""
         if self._route.kind is not RouteKind.SAFE or not self._may_attempt():
             return None
         if self._quarantine.is_evidence_pending(self._fingerprint):
             return None
-        return self._workers.choose_for_hedge(late, self.history.tried)
+        return self._workers.choose_for_hedge(late, self.history.tried, objective=self._objective)
 
     def spend_hedge_budget(self) -> bool:
         """Spend one hedged attempt of the budget; return whether the budget allowed it."""
@@ -218,10 +224,14 @@
         self._quarantine_state = self._quarantine.quarantine_state(self._fingerprint)
         return self._quarantine_state is None and self.history.may_retry()
 
-    def late_after_s(self) -> float:
+    def late_after_s(self, worker: Worker) -> float:
         """Return the time after which an attempt that starts now is late, in seconds."""
-        time_left_s = self._deadline_s - now_s()
-        return self._hedging.delay_s(self._service, self._route.target_latency_s, time_left_s)
+        return self._hedging.delay_s(
+            self._service,
+            self._route.target_latency_s,
+            self._deadline_s - now_s(),
+            self._workers.loads.links.extra_s(worker.zone),
+        )
 
     def record_late(self, worker: Worker, seconds: float) -> None:
         """Record that an attempt is late after so many seconds."""
--- a/src/hollowrack/forwarding/hedged_run.py
+++ b/src/hollowrack/forwarding/hedged_run.py
@@ -31,8 +31,8 @@
     async def attempt(self, worker: Worker) -> Answer_co | None:
         """Try one worker; ``None`` if another worker has to be tried."""
 
-    def late_after_s(self) -> float:
-        """Return the time after which an attempt that starts now is late, in seconds."""
+    def late_after_s(self, worker: Worker) -> float:
+        """After which time an attempt that starts now at a worker is late, in seconds."""
 
     def record_late(self, worker: Worker, seconds: float) -> None:
         """Record that an attempt is late after so many seconds."""
@@ -90,7 +90,7 @@
     def _start(self, worker: Worker) -> None:
         task = asyncio.create_task(self._source.attempt(worker))
         self._running.append(_Attempt(worker, task, now_s()))
-        self._next_check_s = now_s() + self._source.late_after_s()
+        self._next_check_s = now_s() + self._source.late_after_s(worker)
 
     async def _wait(self) -> None:
         """Wait until an attempt ends or the next check of the latest attempt is due."""
--- a/src/hollowrack/forwarding/hedging.py
+++ b/src/hollowrack/forwarding/hedging.py
@@ -42,20 +42,23 @@
         latencies_s = self._latencies_s.setdefault(service, deque(maxlen=WINDOW_SIZE))
         latencies_s.append(seconds)
 
-    def delay_s(self, service: str, target_latency_s: float, time_left_s: float) -> float:
+    def delay_s(
+        self, service: str, target_latency_s: float, time_left_s: float, extra_s: float = 0.0
+    ) -> float:
         """Return the time after which an attempt is late, in seconds.
 
         Args:
             service: Name of the service of its worker.
             target_latency_s: Latency objective of the route, in seconds.
             time_left_s: Time between the start of the attempt and the deadline, in seconds.
+            extra_s: Additional time of the link to its worker, in seconds.
         """
         latencies_s = self._latencies_s.get(service, ())
         if len(latencies_s) < MIN_SAMPLES:
             delay_s = max(MIN_DEFAULT_DELAY_S, DEFAULT_DELAY_FACTOR * target_latency_s)
         else:
             delay_s = max(target_latency_s, _quantile(sorted(latencies_s), LATE_QUANTILE))
-        return min(delay_s, ABANDON_FRACTION * time_left_s)
+        return min(delay_s + extra_s, ABANDON_FRACTION * time_left_s)
 
 
 def _quantile(values: list[float], fraction: float) -> float:
--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -12,7 +12,10 @@
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import LoadReport
+from hollowrack.forwarding.region_links import DEFAULT_EXTRA_S, UNREACHABLE_EXTRA_S, RegionLinks
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
+from hollowrack.regions.distance import ZoneDistances
+from hollowrack.regions.topology import RegionTopology
 
 # Time constant of the exponential decay of slowness and penalties. A worker that is avoided gets no
 # requests that could show its recovery, so old observations have to expire.
@@ -33,6 +36,10 @@
 REPORT_DECAY_TIME_S = 0.1
 # Cost of a worker in another zone: higher latency and metered traffic.
 REMOTE_FACTOR = 1.25
+# Cost of a worker in another region while no latency of the route is known.
+OTHER_REGION_FACTOR = 1.5
+# Largest slowness of a worker of the own region that is preferred without a latency objective.
+MAX_NEAR_SLOWNESS = 2.0
 # Expected latencies within this factor count as equal.
 EQUALITY_FACTOR = 1.05
 # Number of routes whose typical latency is stored; the least recently used are evicted.
@@ -84,10 +91,17 @@
 
 @dataclass
 class _RouteLatency:
-    """Moving average of the logarithm of one route's latencies at all workers of a service."""
+    """Moving average of the logarithm of one route's latencies at all workers of a service.
+
+    Attributes:
+        log_s: The average.
+        num_answers: Number of latencies in it.
+        is_of_own_region: Whether all of them are from workers of the own region.
+    """
 
     log_s: float = 0.0
     num_answers: int = 0
+    is_of_own_region: bool = True
 
     def record(self, log_s: float) -> None:
         self.num_answers += 1
@@ -95,6 +109,19 @@
         self.log_s += weight * (log_s - self.log_s)
 
 
+@dataclass(frozen=True)
+class LatencyObjective:
+    """The latency that a plain request should have.
+
+    Attributes:
+        route: Name of its route.
+        target_s: The latency, in seconds.
+    """
+
+    route: str
+    target_s: float
+
+
 class WorkerLoads:
     """Tracks the speed and the load of workers and chooses among them.
 
@@ -102,12 +129,22 @@
         zone: This node's zone, whose workers are preferred.
         rng: Random number generator for the choices.
         num_in_flight: Returns how many requests this node has in flight at a worker.
+        distances: Distances of zones; by default, all other zones are in the own region.
+
+    Attributes:
+        links: Additional times of requests to other regions.
     """
 
     def __init__(
-        self, zone: str, rng: random.Random, num_in_flight: Callable[[Worker], int]
+        self,
+        zone: str,
+        rng: random.Random,
+        num_in_flight: Callable[[Worker], int],
+        distances: ZoneDistances | None = None,
     ) -> None:
         self._zone = zone
+        self._distances = distances or ZoneDistances(zone, RegionTopology())
+        self.links = RegionLinks(self._distances)
         self._rng = rng
         self._num_in_flight = num_in_flight
         self._stats: dict[WorkerIncarnation, _WorkerStats] = {}
@@ -131,20 +168,50 @@
                 route only.
             seconds: Latency or interval, in seconds.
         """
-        log_s = math.log(max(MIN_LATENCY_S, seconds))
         key = (worker.service, route)
+        if route and self._distances.is_in_other_region(worker.zone):
+            seconds = self._record_link(worker, key, seconds)
+            if key in self._route_latencies and self._route_latencies[key].is_of_own_region:
+                self._record_ratio(worker, seconds / math.exp(self._route_latencies[key].log_s))
+                return
+            self._route_latencies.setdefault(key, _RouteLatency(is_of_own_region=False))
+        elif key in self._route_latencies and not self._route_latencies[key].is_of_own_region:
+            del self._route_latencies[key]
+        log_s = math.log(max(MIN_LATENCY_S, seconds))
         route_latency = self._route_latencies.setdefault(key, _RouteLatency())
         route_latency.record(log_s)
         self._route_latencies.move_to_end(key)
         if len(self._route_latencies) > MAX_ROUTES:
             self._route_latencies.popitem(last=False)
+        self._record_ratio(worker, math.exp(log_s - route_latency.log_s))
+
+    def _record_ratio(self, worker: Worker, ratio: float) -> None:
+        """Record the ratio of a worker's latency to the typical one."""
         stats = self._stats_of(worker)
-        stats.slowness.update(math.exp(log_s - route_latency.log_s), ANSWER_WEIGHT)
+        stats.slowness.update(ratio, ANSWER_WEIGHT)
         stats.penalty.update(1.0, ANSWER_WEIGHT)
 
+    def _record_link(self, worker: Worker, key: tuple[str, str], seconds: float) -> float:
+        """Record how much longer a request to another region took; returns the rest, in seconds.
+
+        Only latencies of the own region show what the link adds.
+        """
+        extra_s = self.links.extra_s(worker.zone)
+        route_latency = self._route_latencies.get(key)
+        if route_latency is not None and route_latency.is_of_own_region:
+            self.links.record(worker.zone, seconds - math.exp(route_latency.log_s))
+        return max(MIN_LATENCY_S, seconds - extra_s)
+
+    def record_unreachable(self, worker: Worker) -> None:
+        """Record that no connection to a worker could be established."""
+        self.links.record(worker.zone, UNREACHABLE_EXTRA_S)
+
     def record_late(self, worker: Worker, route: str, seconds: float) -> None:
         """Record that a worker has not answered a request after so many seconds."""
-        route_latency = self._route_latencies.get((worker.service, route))
+        key = (worker.service, route)
+        if self._distances.is_in_other_region(worker.zone):
+            seconds = self._record_link(worker, key, seconds)
+        route_latency = self._route_latencies.get(key)
         factor = MAX_FACTOR if route_latency is None else seconds / math.exp(route_latency.log_s)
         self._stats_of(worker).slowness.update(factor, LATE_WEIGHT)
 
@@ -159,34 +226,72 @@
         stats.num_other_requests = max(0, num_all - self._num_in_flight(worker))
         stats.report_received_s = now_s()
 
-    def choose(self, workers: Sequence[Worker]) -> Worker | None:
+    def choose(
+        self, workers: Sequence[Worker], objective: LatencyObjective | None = None
+    ) -> Worker | None:
         """Choose the better of two workers drawn with weights inverse to their expected latency.
 
         The random draw keeps nodes with equal observations from choosing the same worker. Workers
         of other zones are considered only if one of them is expected to answer sooner than all
-        local ones, since they need connections of their own and cause metered traffic.
+        local ones, since they need connections of their own and cause metered traffic. Workers of
+        other regions are considered only if none of the own region is expected to answer in time
+        and one of them is expected to answer sooner.
+
+        Args:
+            workers: The workers to choose from.
+            objective: What counts as in time; ``None`` for a worker with a free slot.
         """
-        workers = self._local_unless_slower(workers)
+        if self._distances.has_other_regions:
+            workers = self._own_region_if_in_time(workers, objective)
+        workers = self._local_unless_slower(workers, objective)
         if len(workers) <= 1:
             return workers[0] if workers else None
-        latencies = [self._relative_latency(worker) for worker in workers]
+        latencies = [self._relative_latency(worker, objective) for worker in workers]
         first = self._draw(latencies, None)
         second = self._draw(latencies, first)
         is_better = latencies[second] * EQUALITY_FACTOR < latencies[first]
         return workers[second if is_better else first]
 
-    def _local_unless_slower(self, workers: Sequence[Worker]) -> Sequence[Worker]:
+    def _own_region_if_in_time(
+        self, workers: Sequence[Worker], objective: LatencyObjective | None
+    ) -> Sequence[Worker]:
+        near = [worker for worker in workers if not self._distances.is_in_other_region(worker.zone)]
+        if not near or len(near) == len(workers):
+            return workers
+        if any(self._is_in_time(worker, objective) for worker in near):
+            return near
+        far = (worker for worker in workers if self._distances.is_in_other_region(worker.zone))
+        lowest_near = min(self._relative_latency(worker, objective) for worker in near)
+        lowest_far = min(self._relative_latency(worker, objective) for worker in far)
+        return near if lowest_near <= lowest_far else workers
+
+    def _is_in_time(self, worker: Worker, objective: LatencyObjective | None) -> bool:
+        """Whether a worker of the own region is expected to answer a request in time."""
+        stats = self._stats.get(worker.incarnation)
+        if objective is not None:
+            latency_s = self.expected_latency_s(worker, objective.route)
+            if latency_s is not None:
+                penalty = 1.0 if stats is None else stats.penalty.value
+                return latency_s * penalty <= objective.target_s
+        return self.has_free_slot(worker) and self._avoidance(worker) <= MAX_NEAR_SLOWNESS
+
+    def _local_unless_slower(
+        self, workers: Sequence[Worker], objective: LatencyObjective | None
+    ) -> Sequence[Worker]:
         local = [worker for worker in workers if worker.zone == self._zone]
         if not local or len(local) == len(workers):
             return workers
         remote = (worker for worker in workers if worker.zone != self._zone)
-        lowest_remote = min(self._relative_latency(worker) for worker in remote)
-        lowest_local = min(self._relative_latency(worker) for worker in local)
+        lowest_remote = min(self._relative_latency(worker, objective) for worker in remote)
+        lowest_local = min(self._relative_latency(worker, objective) for worker in local)
         return local if lowest_local <= lowest_remote else workers
 
-    def is_sooner(self, worker: Worker, other: Worker) -> bool:
+    def is_sooner(
+        self, worker: Worker, other: Worker, objective: LatencyObjective | None = None
+    ) -> bool:
         """Whether a worker is expected to answer clearly sooner than another one."""
-        return self._relative_latency(worker) * EQUALITY_FACTOR < self._relative_latency(other)
+        latency = self._relative_latency(worker, objective)
+        return latency * EQUALITY_FACTOR < self._relative_latency(other, objective)
 
     def has_free_slot(self, worker: Worker) -> bool:
         """Whether a worker has a free slot, as far as this node knows."""
@@ -204,7 +309,10 @@
         queueing_factor = max(1.0, (self._num_requests(worker) + 1) / max(1, worker.capacity))
         stats = self._stats.get(worker.incarnation)
         slowness = 1.0 if stats is None else stats.slowness.value
-        return queueing_factor * math.exp(route_latency.log_s) * slowness
+        latency_s = queueing_factor * math.exp(route_latency.log_s) * slowness
+        if self._distances.is_in_other_region(worker.zone):
+            latency_s += self.links.extra_s(worker.zone)
+        return latency_s
 
     def _draw(self, latencies: Sequence[float], excluded: int | None) -> int:
         weights = [
@@ -212,13 +320,27 @@
         ]
         return self._rng.choices(range(len(latencies)), weights)[0]
 
-    def _relative_latency(self, worker: Worker) -> float:
+    def _relative_latency(self, worker: Worker, objective: LatencyObjective | None = None) -> float:
         """Expected latency as a multiple of the typical latency at an idle worker."""
         load = self._num_requests(worker) / max(1, worker.capacity)
         zone_factor = 1.0 if worker.zone == self._zone else REMOTE_FACTOR
+        if self._distances.is_in_other_region(worker.zone):
+            return (1.0 + load) * self._avoidance(worker) + self._relative_extra(worker, objective)
+        return (1.0 + load) * self._avoidance(worker) * zone_factor
+
+    def _avoidance(self, worker: Worker) -> float:
         stats = self._stats.get(worker.incarnation)
-        avoidance = 1.0 if stats is None else stats.slowness.value * stats.penalty.value
-        return (1.0 + load) * avoidance * zone_factor
+        return 1.0 if stats is None else stats.slowness.value * stats.penalty.value
+
+    def _relative_extra(self, worker: Worker, objective: LatencyObjective | None) -> float:
+        """Additional time at a worker of another region, as a multiple of the typical latency."""
+        key = None if objective is None else (worker.service, objective.route)
+        route_latency = None if key is None else self._route_latencies.get(key)
+        if route_latency is None:
+            slowdown = self.links.extra_s(worker.zone) / DEFAULT_EXTRA_S
+            return (OTHER_REGION_FACTOR - 1.0) * slowdown
+        extra_s = self.links.extra_s(worker.zone)
+        return max(REMOTE_FACTOR - 1.0, extra_s / math.exp(route_latency.log_s))
 
     def _num_requests(self, worker: Worker) -> float:
         """Number of requests at a worker: this node's and, by its load report, other nodes'."""
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -1,6 +1,7 @@
 """Directory of workers with this node's in-flight requests and observations of failures."""
 
 import random
+from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
@@ -10,7 +11,9 @@
 from hollowrack.forwarding.back_end import NotRunReason
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
 from hollowrack.forwarding.worker_event_intervals import WorkerEventIntervals
-from hollowrack.forwarding.worker_load import WorkerLoads
+from hollowrack.forwarding.worker_load import LatencyObjective, WorkerLoads
+from hollowrack.regions.distance import Distance, ZoneDistances
+from hollowrack.regions.topology import RegionTopology
 
 BUSY_BACKOFF_S = 0.06
 MAX_BUSY_BACKOFF_S = 0.24
@@ -19,6 +22,9 @@
 FAILURE_BACKOFF_S = 0.15
 # Cost of a worker in another zone when runs are placed; a slowness of 1 costs 1.
 REMOTE_ZONE_PENALTY = 0.06
+# Cost of a worker in another region when runs are placed, beside the measured additional time in
+# seconds. More than full load and another zone together: slots of the own region are used first.
+OTHER_REGION_PENALTY = 0.4
 # Cost of a full worker compared with an idle one when runs are placed.
 PLACEMENT_LOAD_WEIGHT = 0.25
 # Factor of the failure score at each success, and of its previous value at each failure.
@@ -69,17 +75,23 @@
     Args:
         zone: This node's zone, whose workers are preferred.
         rng: Random number generator for choices among workers.
+        topology: Regions of the zones; by default, all zones are in one region.
 
     Attributes:
         loads: Expected latencies of plain requests by worker.
+        num_sent: Number of requests sent to workers, by distance.
     """
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self, zone: str, rng: random.Random, topology: RegionTopology | None = None
+    ) -> None:
         self._zone = zone
+        self._distances = ZoneDistances(zone, topology or RegionTopology())
+        self.num_sent: Counter[Distance] = Counter()
         self._rng = rng
         self._workers: dict[str, Worker] = {}
         self._observations: dict[WorkerIncarnation, _Observations] = {}
-        self.loads = WorkerLoads(zone, rng, self.num_in_flight)
+        self.loads = WorkerLoads(zone, rng, self.num_in_flight, self._distances)
         self._event_intervals = WorkerEventIntervals(self.serving)
         self._listeners: list[Callable[[], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
@@ -162,6 +174,7 @@
         service: str,
         excluded: Collection[WorkerIncarnation] = (),
         is_eligible: Eligible = any_worker,
+        objective: LatencyObjective | None = None,
     ) -> Worker | None:
         """Choose a worker for a plain request by its expected latency.
 
@@ -169,6 +182,7 @@
             service: Name of the service.
             excluded: Incarnations that are not chosen.
             is_eligible: Condition that the worker has to meet.
+            objective: Latency up to which workers of the own region are preferred.
 
         Returns:
             The worker; ``None`` if the service has no other workers.
@@ -179,13 +193,14 @@
             if worker.incarnation not in excluded
         ]
         ready = [worker for worker in candidates if not self._is_backing_off(worker)]
-        return self.loads.choose(ready or candidates)
+        return self.loads.choose(ready or candidates, objective)
 
     def choose_for_hedge(
         self,
         late: Worker,
         excluded: Collection[WorkerIncarnation],
         is_eligible: Eligible = any_worker,
+        objective: LatencyObjective | None = None,
     ) -> Worker | None:
         """Choose a worker for a hedged attempt of a request that is late at another worker.
 
@@ -198,9 +213,9 @@
             if worker.incarnation not in excluded
             and not self._is_backing_off(worker)
             and self.loads.has_free_slot(worker)
-            and self.loads.is_sooner(worker, late)
+            and self.loads.is_sooner(worker, late, objective)
         ]
-        return self.loads.choose(candidates)
+        return self.loads.choose(candidates, objective)
 
     def lowest_expected_latency_s(
         self, service: str, route: str, is_eligible: Eligible = any_worker
@@ -213,12 +228,16 @@
             is_eligible: Condition that the worker has to meet.
 
         Returns:
-            The latency in seconds; ``None`` if any worker has a free slot or no known latency.
+            The latency in seconds; ``None`` if any worker of the own region has a free slot, or if
+            a latency is not known.
         """
         lowest_s: float | None = None
         for worker in self.allowed(service, is_eligible):
             latency_s = self.loads.expected_latency_s(worker, route)
-            if latency_s is None or self.loads.has_free_slot(worker):
+            if latency_s is None:
+                return None
+            is_far = self._distances.is_in_other_region(worker.zone)
+            if self.loads.has_free_slot(worker) and not is_far:
                 return None
             lowest_s = latency_s if lowest_s is None else min(lowest_s, latency_s)
         return lowest_s
@@ -280,6 +299,7 @@
     def reserve_slot(self, worker: Worker) -> None:
         """Reserve a slot for a request that is sent to a worker."""
         self._observations.setdefault(worker.incarnation, _Observations()).num_in_flight += 1
+        self.num_sent[self._distances.of(worker.zone)] += 1
 
     def release_slot(self, worker: Worker) -> None:
         """Release the slot of a request that has ended."""
@@ -350,6 +370,7 @@
     def record_unreachable(self, worker: Worker) -> None:
         """Record that no connection to a worker could be established."""
         self.loads.record_failure(worker)
+        self.loads.record_unreachable(worker)
         observations = self._observations_of(worker)
         observations.num_consecutive_failures += 1
         observations.failure_score = observations.failure_score * FAILURE_DECAY + 1.0
@@ -417,7 +438,9 @@
         load = (observations.num_in_flight + 1) / max(1, worker.capacity)
         cost = self._event_intervals.placement_slowness(worker) + PLACEMENT_LOAD_WEIGHT * load
         cost += FAILURE_WEIGHT * observations.failure_score
-        if worker.zone != self._zone:
+        if self._distances.is_in_other_region(worker.zone):
+            cost += OTHER_REGION_PENALTY + self.loads.links.extra_s(worker.zone)
+        elif worker.zone != self._zone:
             cost += REMOTE_ZONE_PENALTY
         return (cost, self._rng.random())
 
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -20,6 +20,8 @@
 from hollowrack.jobs.types import Job
 from hollowrack.messages import codec
 from hollowrack.observability.log_rate_limiter import LogRateLimiter
+from hollowrack.regions.distance import Distance, ZoneDistances
+from hollowrack.regions.topology import RegionTopology
 from hollowrack.results import Problem, ResultCode
 
 LIVE_PREFIX = "hollowrack/live/"
@@ -31,6 +33,8 @@
 # Nodes that are asked for changes before the store; each may take its full timeout.
 NUM_OBSERVER_SOURCES = 3
 NUM_LOCAL_OBSERVER_SOURCES = 2
+# Peers of the own region that are asked before the first one of another region.
+NUM_NEAR_PEERS = 2
 # Processes whose entry was removed may still answer; the most recent ones are remembered.
 MAX_FORMER_NODES = 64
 # Finished jobs whose last owner is remembered, because it can still serve their results.
@@ -47,12 +51,14 @@
         leadership: Receives changes of the leader keys.
         on_ended: Called with the identifier of each job that was ended.
         on_owned: Called with each unfinished job whenever its owner is written.
+        topology: Regions of the zones; by default, all zones are in one region.
 
     Attributes:
         nodes: Entries of live processes by owner name.
         open_jobs: Unfinished jobs by identifier.
         ended_jobs: Time at which this node received the end of each ended job, in seconds of the
             event loop's clock.
+        distances: Distances of zones from this node.
         last_owners: Owners of recently finished jobs by job identifier, oldest first.
     """
 
@@ -63,6 +69,7 @@
         leadership: Leadership,
         on_ended: Callable[[str], None],
         on_owned: Callable[[OpenJob], None],
+        topology: RegionTopology | None = None,
     ) -> None:
         self.nodes: dict[str, NodeEntry] = {}
         self._former_nodes: OrderedDict[str, NodeEntry] = OrderedDict()
@@ -71,6 +78,7 @@
         self.last_owners: OrderedDict[str, str] = OrderedDict()
         self._owner = owner
         self._zone = zone
+        self.distances = ZoneDistances(zone, topology or RegionTopology())
         self._leadership = leadership
         self._on_ended = on_ended
         self._on_owned = on_owned
@@ -169,11 +177,17 @@
 
         The choice is stable while these nodes are live, and differs between asking nodes to spread
         the load. Nodes of the same zone come first; the last one is in another zone, if there is
-        one, so that the loss of all nodes of a zone causes no delay.
+        one, so that the loss of all nodes of a zone causes no delay. It is in the own region if the
+        others are in the own zone, and else in another region, if there is one: the zones of the
+        own region may not reach each other.
         """
         ranked = self._ranked_owners()
         in_zone = [owner for owner in ranked if self.nodes[owner].zone == self._zone]
         other_zones = [owner for owner in ranked if self.nodes[owner].zone != self._zone]
+        if self.distances.has_other_regions:
+            num_left = NUM_OBSERVER_SOURCES - len(in_zone[:NUM_LOCAL_OBSERVER_SOURCES])
+            num_near = max(1, num_left - 1)
+            other_zones = self.distances.own_region_first(other_zones, self._zone_of, num_near)
         selected = [*in_zone[:NUM_LOCAL_OBSERVER_SOURCES], *other_zones][:NUM_OBSERVER_SOURCES]
         return [self.nodes[owner].address for owner in selected]
 
@@ -187,8 +201,14 @@
         addresses = {owner: self._address_of(owner) for owner in [*leaders, *fallbacks]}
         return {owner: address for owner, address in addresses.items() if address is not None}
 
+    def _zone_of(self, owner: str) -> str:
+        return self.nodes[owner].zone
+
+    def _distance_of(self, owner: str) -> Distance:
+        return self.distances.of(self.nodes[owner].zone)
+
     def _ranked_owners(self) -> list[str]:
-        """Other processes with a session: own zone first, then by a rank that differs by node."""
+        """Other processes with a session: nearest first, then by a rank that differs by node."""
         node = node_of_owner(self._owner)
         return sorted(
             (
@@ -196,12 +216,12 @@
                 for owner, entry in self.nodes.items()
                 if entry.address and owner != self._owner
             ),
-            key=lambda owner: (self.nodes[owner].zone != self._zone, _rank(node, owner)),
+            key=lambda owner: (self._distance_of(owner), _rank(node, owner)),
         )
 
     def preferred_owner_address(self, job: Job) -> str | None:
         """Address of the preferred owner of a job; ``None`` if that is this node or unknown."""
-        owner = preferred_owner(job, self.nodes, self._zone)
+        owner = preferred_owner(job, self.nodes, self._zone, self.distances.own_region_zones())
         return None if owner is None else self._address_of(owner)
 
     def knows_job(self, job_id: str) -> bool:
@@ -239,13 +259,30 @@
     def successor(self, job: Job) -> str | None:
         """Preferred owner of a job among the other processes; ``None`` if there is none."""
         others = {owner: entry for owner, entry in self.nodes.items() if owner != self._owner}
-        return preferred_owner(job, others, self._zone)
+        return preferred_owner(job, others, self._zone, self.distances.own_region_zones())
 
     def peer_addresses(self) -> list[str]:
         """Addresses of the other nodes, sorted."""
         others = {entry.address for owner, entry in self.nodes.items() if owner != self._owner}
         return sorted(others - {"", self._own_address()})
 
+    def near_peers_first(self, addresses: list[str], num_first: int = NUM_NEAR_PEERS) -> list[str]:
+        """Return addresses of other nodes, those in the own region first.
+
+        See :meth:`ZoneDistances.own_region_first`.
+        """
+        zones = {entry.address: entry.zone for entry in self.nodes.values()}
+        return self.distances.own_region_first(
+            addresses, lambda address: zones.get(address, self._zone), num_first
+        )
+
+    def is_in_other_region(self, address: str) -> bool:
+        """Whether the node at an address is known to be in another region."""
+        return any(
+            entry.address == address and self.distances.is_in_other_region(entry.zone)
+            for entry in self.nodes.values()
+        )
+
     def _address_of(self, owner: str) -> str | None:
         if owner == self._owner or owner not in self.nodes:
             return None
--- a/src/hollowrack/jobs/placement.py
+++ b/src/hollowrack/jobs/placement.py
@@ -4,7 +4,7 @@
 node accepts any job, so another choice only costs time.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -36,16 +36,22 @@
     zone: str = ""
 
 
-def preferred_owner(job: Job, live: Mapping[str, NodeEntry], zone: str = "") -> str | None:
+def preferred_owner(
+    job: Job,
+    live: Mapping[str, NodeEntry],
+    zone: str = "",
+    region_zones: Collection[str] = (),
+) -> str | None:
     """Return the preferred owner of a job by rendezvous hashing over the largest nodes.
 
     Callers read a job where they submitted it, and its owner sends every result there; so the
-    owner is in that zone if it has a large node.
+    owner is in that zone if it has a large node, else in its region if that has one.
 
     Args:
         job: The job to be placed.
         live: Entries of live processes by owner name.
         zone: Zone in which the job was submitted; empty if unknown.
+        region_zones: Zones of its region if there are other regions; else empty.
 
     Returns:
         The owner name; ``None`` if no process is reachable.
@@ -54,10 +60,12 @@
     if not reachable:
         return None
     max_cores = max(entry.num_cores for entry in reachable.values())
-    local = {owner: entry for owner, entry in reachable.items() if entry.zone == zone}
-    max_local_cores = max((entry.num_cores for entry in local.values()), default=0.0)
-    if zone and max_local_cores > 0.0 and max_local_cores >= LOCAL_NODE_FRACTION * max_cores:
-        reachable, max_cores = local, max_local_cores
+    for zones in ((zone,) if zone else (), region_zones):
+        local = {owner: entry for owner, entry in reachable.items() if entry.zone in zones}
+        max_local_cores = max((entry.num_cores for entry in local.values()), default=0.0)
+        if max_local_cores > 0.0 and max_local_cores >= LOCAL_NODE_FRACTION * max_cores:
+            reachable, max_cores = local, max_local_cores
+            break
     candidates = [
         owner
         for owner, entry in reachable.items()
