--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -38,8 +38,8 @@
 REMOTE_FACTOR = 1.25
 # Cost of a worker in another region while no latency of the route is known.
 OTHER_REGION_FACTOR = 1.5
-# Largest slowness of a worker of the own region that is preferred without a latency objective.
-MAX_NEAR_SLOWNESS = 2.0
+# Largest slowness of a worker that is in time where no latency objective or latency is known.
+MAX_SLOWNESS_IN_TIME = 2.0
 # Expected latencies within this factor count as equal.
 EQUALITY_FACTOR = 1.05
 # Number of routes whose typical latency is stored; the least recently used are evicted.
@@ -234,15 +234,14 @@
         The random draw keeps nodes with equal observations from choosing the same worker. Workers
         of other zones are considered only if one of them is expected to answer sooner than all
         local ones, since they need connections of their own and cause metered traffic. Workers of
-        other regions are considered only if none of the own region is expected to answer in time
-        and one of them is expected to answer sooner.
+        other regions are considered only if none of the own region is expected to answer in time.
 
         Args:
             workers: The workers to choose from.
             objective: What counts as in time; ``None`` for a worker with a free slot.
         """
         if self._distances.has_other_regions:
-            workers = self._own_region_if_in_time(workers, objective)
+            workers = self._nearest_in_time(workers, objective)
         workers = self._local_unless_slower(workers, objective)
         if len(workers) <= 1:
             return workers[0] if workers else None
@@ -252,28 +251,47 @@
         is_better = latencies[second] * EQUALITY_FACTOR < latencies[first]
         return workers[second if is_better else first]
 
-    def _own_region_if_in_time(
+    def _nearest_in_time(
         self, workers: Sequence[Worker], objective: LatencyObjective | None
     ) -> Sequence[Worker]:
+        """Return the workers of the own region, or else of other regions, that answer in time.
+
+        If there are none, the objective cannot be met, or typical latencies contain waits for
+        slots. Then workers of the own region with a free slot come first, and else the region where
+        an answer is expected sooner.
+        """
         near = [worker for worker in workers if not self._distances.is_in_other_region(worker.zone)]
         if not near or len(near) == len(workers):
             return workers
-        if any(self._is_in_time(worker, objective) for worker in near):
-            return near
-        far = (worker for worker in workers if self._distances.is_in_other_region(worker.zone))
+        far = [worker for worker in workers if self._distances.is_in_other_region(worker.zone)]
+        for tier in (near, far):
+            in_time = [worker for worker in tier if self._is_in_time(worker, objective)]
+            if in_time:
+                return in_time
+        free = [worker for worker in near if self._is_in_time(worker, None)]
+        if free:
+            return free
         lowest_near = min(self._relative_latency(worker, objective) for worker in near)
         lowest_far = min(self._relative_latency(worker, objective) for worker in far)
-        return near if lowest_near <= lowest_far else workers
+        return near if lowest_near <= lowest_far else far
 
     def _is_in_time(self, worker: Worker, objective: LatencyObjective | None) -> bool:
-        """Whether a worker of the own region is expected to answer a request in time."""
-        stats = self._stats.get(worker.incarnation)
-        if objective is not None:
-            latency_s = self.expected_latency_s(worker, objective.route)
-            if latency_s is not None:
-                penalty = 1.0 if stats is None else stats.penalty.value
-                return latency_s * penalty <= objective.target_s
-        return self.has_free_slot(worker) and self._avoidance(worker) <= MAX_NEAR_SLOWNESS
+        """Whether a worker is expected to answer a request in time, even after a wait for a slot.
+
+        Slots that become free one after the other are not counted on: a request that finds all of
+        them taken is assumed to wait for as long as it runs.
+        """
+        route_latency = (
+            None
+            if objective is None
+            else self._route_latencies.get((worker.service, objective.route))
+        )
+        if objective is None or route_latency is None:
+            return self.has_free_slot(worker) and self._avoidance(worker) <= MAX_SLOWNESS_IN_TIME
+        num_slots = max(1, worker.capacity)
+        num_rounds = 1 + math.ceil(max(0.0, self._num_requests(worker) + 1 - num_slots) / num_slots)
+        latency_s = num_rounds * math.exp(route_latency.log_s) * self._avoidance(worker)
+        return latency_s + self.links.extra_s(worker.zone) <= objective.target_s
 
     def _local_unless_slower(
         self, workers: Sequence[Worker], objective: LatencyObjective | None
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -16,6 +16,7 @@
 from hollowrack.clock import now_s
 from hollowrack.edge_node import EdgeNode
 from hollowrack.forwarding.dispatch_statistics import BUCKET_BOUNDS_S, WaitHistogram
+from hollowrack.regions.distance import Distance
 
 if TYPE_CHECKING:
     from prometheus_client.metrics_core import Metric
@@ -104,6 +105,7 @@
             workers.add_metric([service, state], count)
         yield workers
         yield from self._slots()
+        yield from self._distances()
         yield CounterMetricFamily(
             "hollowrack_second_attempts",
             "Attempts of plain requests begun beside one that was late",
@@ -176,6 +178,29 @@
         refused_messages.add_metric(["grant"], sharing.holder.num_refused)
         yield refused_messages
 
+    def _distances(self) -> Iterator["Metric"]:
+        """Yield the metrics of the distances that requests travel, and of the links to regions."""
+        from prometheus_client.core import (  # noqa: PLC0415 (lazy import)
+            CounterMetricFamily,
+            GaugeMetricFamily,
+        )
+
+        workers = self._node.workers
+        sent = CounterMetricFamily(
+            "hollowrack_requests_sent", "Requests sent to workers by distance", labels=["distance"]
+        )
+        for distance in Distance:
+            sent.add_metric([distance.name], workers.num_sent[distance])
+        yield sent
+        extra = GaugeMetricFamily(
+            "hollowrack_region_extra_seconds",
+            "How much longer requests to another region take, as measured or assumed",
+            labels=["region"],
+        )
+        for region, extra_s in workers.loads.links.by_region().items():
+            extra.add_metric([region], extra_s)
+        yield extra
+
     def _workers(self) -> Counter[tuple[str, str]]:
         return Counter(
             (worker.service, "leaving" if worker.is_leaving else "serving")
