--- a/src/hollowrack_bench/edge_processes.py
+++ b/src/hollowrack_bench/edge_processes.py
@@ -1,6 +1,7 @@
 """Edge nodes of the users' platform, each in a separate process."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -56,6 +57,19 @@
                 env=environment,
             )
 
+    def node_of_port(self, port: int) -> str | None:
+        """Return the node whose process uses a local TCP port; ``None`` if none does."""
+        inode = _socket_inode(port)
+        if inode is None:
+            return None
+        link = f"socket:[{inode}]"
+        for name, process in self._processes.items():
+            with contextlib.suppress(OSError):
+                folder = Path("/proc") / str(process.pid) / "fd"
+                if any(_read_link(entry) == link for entry in folder.iterdir()):
+                    return name
+        return None
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a node's process."""
         if number in ENDING_SIGNALS:
@@ -119,3 +133,20 @@
         for process in self._processes.values():
             process.kill()
             process.wait()
+
+
+def _socket_inode(port: int) -> str | None:
+    """Return the inode of the socket that uses a local TCP port; ``None`` if none does."""
+    suffix = f":{port:04X}"
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        if fields[1].endswith(suffix):
+            return fields[9]
+    return None
+
+
+def _read_link(path: Path) -> str:
+    try:
+        return str(path.readlink())
+    except OSError:
+        return ""  # The file was closed meanwhile.
--- a/src/hollowrack_bench/loopback_proxy.py
+++ b/src/hollowrack_bench/loopback_proxy.py
@@ -103,7 +103,8 @@
         self._num_accepted += 1
         number = self._num_accepted
         is_silenced = self.fault is LinkFault.LOSSY and self._rng.random() < LOSS_PROBABILITY
-        host, _, port = self._target.rpartition(":")
+        client_port = writer.get_extra_info("peername")[1]
+        host, _, port = self._target_of(client_port).rpartition(":")
         server_reader, server_writer = await asyncio.open_connection(host, int(port))
         try:
             async with asyncio.TaskGroup() as group:
@@ -114,6 +115,11 @@
         finally:
             _reset(server_writer)
 
+    def _target_of(self, client_port: int) -> str:
+        """Return the address to forward a connection to, given its client's port."""
+        del client_port
+        return self._target
+
     async def _forward(
         self,
         reader: asyncio.StreamReader,
--- a/src/hollowrack_bench/soak_checks.py
+++ b/src/hollowrack_bench/soak_checks.py
@@ -7,6 +7,7 @@
 from hollowrack_bench.platform_demo import QUEUE_TTL_S
 from hollowrack_bench.soak_crashes import MAX_LATE_RUNS, CrashingAttempt, late_runs
 from hollowrack_bench.soak_kept_connections import UnansweredRequest
+from hollowrack_bench.soak_regions import region_of
 from hollowrack_standins.duty_service import DutyServiceCore
 from hollowrack_standins.users_platform import WorkerRecords
 
@@ -14,6 +15,9 @@
 MAX_ATTEMPTS = 3
 # Limit of the users' rules for requests that are passed on and lost when a connection is closed.
 MAX_LOST_AT_CLOSE = 3
+# Fraction of plain requests that may be answered in the other region while each has a worker with
+# free slots: hedged attempts, and bursts of scorer calls.
+MAX_FAR_FRACTION = 0.03
 TENANT = "ana"
 SCORER_MARK = ".score-"
 _AMBIGUOUS_ATTEMPT = re.compile(
@@ -43,10 +47,14 @@
 
     Attributes:
         refused_unsafe: Unsafe requests that were refused as not run.
+        num_near: Number of plain requests answered in the region of the node that received them.
+        num_far: Number of plain requests answered in the other region.
     """
 
     def __init__(self, records: WorkerRecords, violations: list[str]) -> None:
         self.refused_unsafe: set[str] = set()
+        self.num_near = 0
+        self.num_far = 0
         self._records = records
         self._violations = violations
 
@@ -68,6 +76,27 @@
         if max(failures[item_id], failures[scorer_id]) < MAX_ATTEMPTS:
             self._violations.append(f"{item_id}: given up before its TTL and its last attempt")
 
+    def record_regions(self, node: str, answer: bytes) -> None:
+        """Record whether a plain request was answered in the region of its node.
+
+        Args:
+            node: Name of the node that received the request.
+            answer: The answer, which ends with the name of the worker.
+        """
+        worker = answer.rpartition(b" by ")[2].decode()
+        if region_of(worker) == region_of(node):
+            self.num_near += 1
+        else:
+            self.num_far += 1
+
+    def check_regions(self) -> None:
+        """Check that plain requests were answered in the region of their node, with exceptions."""
+        num_answered = self.num_near + self.num_far
+        if self.num_far > MAX_FAR_FRACTION * num_answered:
+            self._violations.append(
+                f"plain requests: {self.num_far} of {num_answered} answered in the other region"
+            )
+
     def check_unsafe(self) -> None:
         """Check that unsafe requests ran at most once, and never if they were refused."""
         for request_id, num_runs in self._records.executions.items():
--- /dev/null
+++ b/src/hollowrack_bench/soak_regions.py
@@ -0,0 +1,102 @@
+"""Two regions of a soak: zones of nodes and workers, and the links between the regions."""
+
+import random
+from collections.abc import Callable
+
+from hollowrack_bench.loopback_proxy import LinkFault, LoopbackProxy
+from hollowrack_standins.users_platform import PlatformWorkerStandin
+
+ZONE_REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2", "z4": "r2"}
+# Zones by the kind of the node or worker and the number in its name. The workers of plain requests
+# are in other zones than the nodes, so that only regions tell them apart.
+_ZONES = {"edge": ("z1", "z3"), "engine": ("z1", "z3", "z2"), "price": ("z2", "z4")}
+# A cut link refuses connections, a silent one discards what is sent.
+REGION_LINK_FAULTS = (LinkFault.DELAYED, LinkFault.RESET, LinkFault.SILENT)
+
+
+def zone_of(name: str) -> str:
+    """Return the zone of a node or worker."""
+    kind, _, number = name.partition(".")[0].rpartition("-")
+    zones = _ZONES[kind]
+    return zones[int(number) % len(zones)]
+
+
+def region_of(name: str) -> str:
+    """Return the region of a node or worker."""
+    return ZONE_REGIONS[zone_of(name)]
+
+
+class RegionRouter(LoopbackProxy):
+    """Forwards connections of nodes in other regions through the link between the regions.
+
+    Args:
+        target: ``IP:PORT`` of the worker for nodes of its own region.
+        link_target: ``IP:PORT`` of the link to the worker.
+        is_in_other_region: Whether the process that uses a local port is in another region.
+        rng: Source of the delays of the proxy, which are not used.
+    """
+
+    def __init__(
+        self,
+        target: str,
+        link_target: str,
+        is_in_other_region: Callable[[int], bool],
+        rng: random.Random,
+    ) -> None:
+        super().__init__(target, rng)
+        self._link_target = link_target
+        self._is_in_other_region = is_in_other_region
+
+    def _target_of(self, client_port: int) -> str:
+        return self._link_target if self._is_in_other_region(client_port) else self._target
+
+
+class SoakRegions:
+    """Links between nodes and the workers of the other region.
+
+    Args:
+        node_of_port: Returns the node whose process uses a local port; ``None`` if unknown.
+        rng: Source of delays.
+
+    Attributes:
+        links: Links to workers for nodes of the other region, by worker.
+    """
+
+    def __init__(self, node_of_port: Callable[[int], str | None], rng: random.Random) -> None:
+        self.links: dict[str, LoopbackProxy] = {}
+        self._routers: dict[str, RegionRouter] = {}
+        self._node_of_port = node_of_port
+        self._rng = rng
+
+    def settings(self, node: str) -> dict[str, object]:
+        """Return the settings that name a node's zone and the regions."""
+        zone = zone_of(node)
+        return {"zone": zone, "region": ZONE_REGIONS[zone], "zones": ZONE_REGIONS}
+
+    async def start_link(self, worker: PlatformWorkerStandin, address: str) -> str:
+        """Start the link to a worker; returns the address for all nodes."""
+        worker.zone = zone_of(worker.id)
+        link = LoopbackProxy(address, self._rng)
+        self.links[worker.id] = link
+        router = RegionRouter(
+            address,
+            await link.start(),
+            lambda port: self._is_in_other_region(worker, port),
+            self._rng,
+        )
+        self._routers[worker.id] = router
+        return await router.start()
+
+    async def stop_link(self, worker_id: str) -> None:
+        """Stop the link to a worker."""
+        await self._routers.pop(worker_id).stop()
+        await self.links.pop(worker_id).stop()
+
+    async def stop(self) -> None:
+        """Stop all links."""
+        for worker_id in list(self.links):
+            await self.stop_link(worker_id)
+
+    def _is_in_other_region(self, worker: PlatformWorkerStandin, port: int) -> bool:
+        node = self._node_of_port(port)
+        return node is not None and region_of(node) != region_of(worker.id)
