--- a/tests/observability/test_edge_metrics.py
+++ b/tests/observability/test_edge_metrics.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 
 import pytest
 from prometheus_client import CollectorRegistry, generate_latest
@@ -9,10 +10,13 @@
 from hollowrack.forwarding.back_end import NotRunReason
 from hollowrack.forwarding.load_log import LoadLog
 from hollowrack.forwarding.run_waits import MAX_ATTEMPTS_LOGGED
+from hollowrack.forwarding.types import Worker
 from hollowrack.observability.edge_metrics import EdgeCollector, EdgeCounters
+from hollowrack.regions.topology import RegionTopology
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.back_ends import WorkerBehaviour
 from tests.jobs.helpers import Fleet, make_job
+from tests.regions.nodes import make_node
 
 NUM_ITEMS = 12
 NUM_SLOTS = 8
@@ -47,6 +51,26 @@
     assert any("queue 0.1" in line for line in final_lines)
 
 
+def test_requests_are_counted_by_distance_and_links_by_region() -> None:
+    async def main() -> None:
+        zones = {"z1": "a", "z2": "a", "z3": "b"}
+        topology = RegionTopology(zones, "z1")
+        node = make_node(random.Random(1), "z1", {}, topology=topology)
+        for index, zone in enumerate(("z1", "z2", "z3", "unknown")):
+            worker = Worker(f"w{index}", "svc", "127.0.0.1:1", zone, 2)
+            node.worker_changed(worker)
+            node.workers.reserve_slot(worker)
+        node.workers.loads.links.record("z3", 0.04)
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(EdgeCollector(node, EdgeCounters()))
+        text = generate_latest(registry).decode()
+        for distance, count in (("OWN_ZONE", 1), ("OWN_REGION", 1), ("OTHER_REGION", 2)):
+            assert f'hollowrack_requests_sent_total{{distance="{distance}"}} {count}.0' in text
+        assert 'hollowrack_region_extra_seconds{region="b"} 0.04' in text
+
+    run_virtual(main())
+
+
 def test_service_load_is_logged_only_while_there_is_work() -> None:
     async def main() -> None:
         fleet = Fleet(1)
--- a/tests/regions/regional_load.py
+++ b/tests/regions/regional_load.py
@@ -13,7 +13,12 @@
 from hollowrack.quarantine.quarantine import Quarantine
 from hollowrack.regions.distance import ZoneDistances
 from hollowrack.regions.topology import RegionTopology
-from hollowrack_standins.back_ends import AnswerStandin, BackEndsStandin, WorkerBehaviour
+from hollowrack_standins.back_ends import (
+    NO_ANSWER_DELAY_S,
+    AnswerStandin,
+    BackEndsStandin,
+    WorkerBehaviour,
+)
 from tests.forwarding.helpers import make_meter, make_request, make_route, make_table
 
 TOPOLOGY = RegionTopology({"a1": "a", "a2": "a", "b1": "b"}, "a1")
@@ -33,6 +38,8 @@
         super().__init__()
         self.link_s = LINK_S
         self.is_cut = False
+        self.loss = 0.0
+        self.rng = random.Random(7)
         self.distances = ZoneDistances("a1", TOPOLOGY)
 
     async def open(
@@ -48,6 +55,8 @@
         if is_far and self.is_cut:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise NotRunError(NotRunReason.UNREACHABLE)
+        if is_far and self.rng.random() < self.loss:
+            await asyncio.sleep(NO_ANSWER_DELAY_S)
         link_s = self.link_s if is_far else 0.0
         await asyncio.sleep(link_s / 2)
         answer = await super().open(worker, call, time_left_s, after_event, is_repeatable)
