--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -51,7 +51,7 @@
 from hollowrack.regions.conditions import RegionSendCondition
 from hollowrack.slots.slot_sharing import SlotSharing
 from hollowrack.tasks import cancel_all
-from hollowrack.usage.types import ProcessCounts
+from hollowrack.usage.types import PushedCounts
 from hollowrack.weights.version_reconciler import VersionReconciler
 
 LIVE_POLL_INTERVAL_S = 0.2
@@ -68,6 +68,9 @@
 MAX_DRAIN_S = 10.0
 DRAIN_FRACTION = 0.65
 MAX_HANDOVER_S = 0.6
+# After a node of the own region failed to relay a store call, others are asked first for this long.
+# Each further try costs a time-out, and a lease must be renewed within 2 s.
+OTHER_REGION_FIRST_S = 10.0
 HANDOVER_FRACTION = 0.1
 
 
@@ -139,7 +142,12 @@
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
         self.live = LiveState(
-            self.owner, zone, self.leadership, self._on_job_ended, self._on_job_owned
+            self.owner,
+            zone,
+            self.leadership,
+            self._on_job_ended,
+            self._on_job_owned,
+            topology=self.topology,
         )
         self.jobs = JobService(
             log,
@@ -344,11 +352,15 @@
         await self.session.abandon()
 
     def peer_addresses(self) -> list[str]:
-        """Return the addresses of other nodes: the leader's first, the others shuffled."""
+        """Return the addresses of other nodes: the leader's first, the others shuffled.
+
+        With several regions, nodes of the own region come first, see ``near_peers_first``.
+        """
         leader = self.live.leader_address()
         rest = [address for address in self.live.peer_addresses() if address != leader]
         self._rng.shuffle(rest)
-        return [leader, *rest] if leader is not None else rest
+        addresses = [leader, *rest] if leader is not None else rest
+        return self.live.near_peers_first(addresses)
 
     def shared_mirrors(self) -> dict[str, PrefixMirror]:
         """Return the mirrors that answer other nodes' watches, by prefix."""
@@ -394,9 +406,9 @@
         """Send requests to a zone's workers again."""
         self.evacuated.lift(zone)
 
-    def receive_usage(self, counts: ProcessCounts) -> None:
+    def receive_usage(self, pushed: PushedCounts) -> None:
         """Merge usage counts from another node."""
-        self.usage.counts.merge(counts)
+        self.usage.receive(pushed, self.live.leader())
 
     def watch_interrupted(self) -> None:
         """List again, as watches may have missed changes."""
@@ -450,12 +462,23 @@
         return [] if leader is None else [leader]
 
     def neighbour_addresses(self) -> list[str]:
-        """Return the addresses of other nodes, shuffled; seeds if no node is known."""
+        """Return the addresses of other nodes, shuffled; seeds if no node is known.
+
+        With several regions, nodes of the own region come first. While one of them fails to relay
+        store calls, those of other regions do: the own region may have no way to the store.
+        """
         addresses = self.live.peer_addresses() or [
             seed for seed in self._seeds if seed != self._address
         ]
         self._rng.shuffle(addresses)
-        return addresses
+        if not self.live.distances.has_other_regions:
+            return addresses
+        ordered = self.live.near_peers_first(addresses, num_first=1)
+        far = [address for address in ordered if self.live.is_in_other_region(address)]
+        near = [address for address in ordered if address not in far]
+        if any(self.store.has_failed(address, OTHER_REGION_FIRST_S) for address in near):
+            return [*far, *near]
+        return ordered
 
     def _store_access(self) -> StoreAccess:
         if self.leadership.is_leader:
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -11,8 +11,9 @@
 from hollowrack.forwarding.back_end import NotRunReason
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
 from hollowrack.forwarding.worker_event_intervals import WorkerEventIntervals
-from hollowrack.forwarding.worker_load import WorkerLoads
+from hollowrack.forwarding.worker_load import LatencyObjective, WorkerLoads
 from hollowrack.regions.conditions import RegionCondition
+from hollowrack.regions.distance import Distance, ZoneDistances
 from hollowrack.regions.topology import RegionTopology
 
 BUSY_BACKOFF_S = 0.06
@@ -22,6 +23,9 @@
 FAILURE_BACKOFF_S = 0.15
 # Cost of a worker in another zone when runs are placed; a slowness of 1 costs 1.
 REMOTE_ZONE_PENALTY = 0.06
+# Cost of a worker in another region when runs are placed, beside the measured additional time in
+# seconds. More than full load and another zone together: slots of the own region are used first.
+OTHER_REGION_PENALTY = 0.4
 # Cost of a full worker compared with an idle one when runs are placed.
 PLACEMENT_LOAD_WEIGHT = 0.25
 # Factor of the failure score at each success, and of its previous value at each failure.
@@ -72,7 +76,7 @@
     Args:
         zone: This node's zone, whose workers are preferred.
         rng: Random number generator for choices among workers.
-        topology: Regions of the zones; ``None`` if there are no regions.
+        topology: Regions of the zones; by default, all zones are in one region.
 
     Attributes:
         loads: Expected latencies of plain requests by worker.
@@ -80,19 +84,22 @@
             :meth:`evacuated_zones_changed` has to be called.
         num_refused_by_regions: Requests refused because no worker in their allowed regions was
             known, by service.
+        num_sent: Number of requests sent to workers, by distance.
     """
 
     def __init__(
         self, zone: str, rng: random.Random, topology: RegionTopology | None = None
     ) -> None:
         self._zone = zone
+        self.num_sent: Counter[Distance] = Counter()
         self._rng = rng
         self._topology = topology or RegionTopology()
+        self._distances = ZoneDistances(zone, self._topology)
         self._workers: dict[str, Worker] = {}
         self._observations: dict[WorkerIncarnation, _Observations] = {}
         self.evacuated_zones: Collection[str] = ()
         self.num_refused_by_regions: Counter[str] = Counter()
-        self.loads = WorkerLoads(zone, rng, self.num_in_flight)
+        self.loads = WorkerLoads(zone, rng, self.num_in_flight, self._distances)
         self._event_intervals = WorkerEventIntervals(self.serving)
         self._listeners: list[Callable[[], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
@@ -225,6 +232,7 @@
         service: str,
         excluded: Collection[WorkerIncarnation] = (),
         is_eligible: Eligible = any_worker,
+        objective: LatencyObjective | None = None,
     ) -> Worker | None:
         """Choose a worker for a plain request by its expected latency.
 
@@ -232,6 +240,7 @@
             service: Name of the service.
             excluded: Incarnations that are not chosen.
             is_eligible: Condition that the worker has to meet.
+            objective: Latency up to which workers of the own region are preferred.
 
         Returns:
             The worker; ``None`` if the service has no other workers.
@@ -242,13 +251,14 @@
             if worker.incarnation not in excluded
         ]
         ready = [worker for worker in candidates if not self._is_backing_off(worker)]
-        return self.loads.choose(ready or candidates)
+        return self.loads.choose(ready or candidates, objective)
 
     def choose_for_hedge(
         self,
         late: Worker,
         excluded: Collection[WorkerIncarnation],
         is_eligible: Eligible = any_worker,
+        objective: LatencyObjective | None = None,
     ) -> Worker | None:
         """Choose a worker for a hedged attempt of a request that is late at another worker.
 
@@ -261,9 +271,9 @@
             if worker.incarnation not in excluded
             and not self._is_backing_off(worker)
             and self.loads.has_free_slot(worker)
-            and self.loads.is_sooner(worker, late)
+            and self.loads.is_sooner(worker, late, objective)
         ]
-        return self.loads.choose(candidates)
+        return self.loads.choose(candidates, objective)
 
     def lowest_expected_latency_s(
         self, service: str, route: str, is_eligible: Eligible = any_worker
@@ -276,12 +286,16 @@
             is_eligible: Condition that the worker has to meet.
 
         Returns:
-            The latency in seconds; ``None`` if any worker has a free slot or no known latency.
+            The latency in seconds; ``None`` if any worker of the own region has a free slot, or if
+            a latency is not known.
         """
         lowest_s: float | None = None
         for worker in self.allowed(service, is_eligible):
             latency_s = self.loads.expected_latency_s(worker, route)
-            if latency_s is None or self.loads.has_free_slot(worker):
+            if latency_s is None:
+                return None
+            is_far = self._distances.is_in_other_region(worker.zone)
+            if self.loads.has_free_slot(worker) and not is_far:
                 return None
             lowest_s = latency_s if lowest_s is None else min(lowest_s, latency_s)
         return lowest_s
@@ -343,6 +357,7 @@
     def reserve_slot(self, worker: Worker) -> None:
         """Reserve a slot for a request that is sent to a worker."""
         self._observations.setdefault(worker.incarnation, _Observations()).num_in_flight += 1
+        self.num_sent[self._distances.of(worker.zone)] += 1
 
     def release_slot(self, worker: Worker) -> None:
         """Release the slot of a request that has ended."""
@@ -423,6 +438,7 @@
     def record_unreachable(self, worker: Worker) -> None:
         """Record that no connection to a worker could be established."""
         self.loads.record_failure(worker)
+        self.loads.record_unreachable(worker)
         observations = self._observations_of(worker)
         observations.num_consecutive_failures += 1
         observations.failure_score = observations.failure_score * FAILURE_DECAY + 1.0
@@ -490,7 +506,9 @@
         load = (observations.num_in_flight + 1) / max(1, worker.capacity)
         cost = self._event_intervals.placement_slowness(worker) + PLACEMENT_LOAD_WEIGHT * load
         cost += FAILURE_WEIGHT * observations.failure_score
-        if worker.zone != self._zone:
+        if self._distances.is_in_other_region(worker.zone):
+            cost += OTHER_REGION_PENALTY + self.loads.links.extra_s(worker.zone)
+        elif worker.zone != self._zone:
             cost += REMOTE_ZONE_PENALTY
         return (cost, self._rng.random())
 
--- a/src/hollowrack_standins/users_platform.py
+++ b/src/hollowrack_standins/users_platform.py
@@ -252,6 +252,7 @@
         self.num_orders = 0
         self.is_busy = False
         self.started_ms = FIRST_START_MS
+        self.zone = "z1"
         # Address in its store entry; empty for the address of its server.
         self.advertised_address = ""
         self.num_events = 6
