--- a/src/hollowrack/edge_connections.py
+++ b/src/hollowrack/edge_connections.py
@@ -14,6 +14,7 @@
 from hollowrack.regions.topology import RegionTopology
 from hollowrack.slots.types import SlotPeers
 from hollowrack.usage.types import UsageClient, UsagePeers
+from hollowrack.warmup.control import WarmupConnections
 from hollowrack.weights.version_reconciler import OrderClient
 
 DEFAULT_ENDED_JOB_RETENTION_S = 300.0
@@ -61,6 +62,7 @@
         capacity: Sends capacity orders; ``None`` if capacity is not ordered.
         slots: Sends slot reports to other nodes; ``None`` if slots are not shared.
         topology: Regions of the zones; empty if the settings name none.
+        warmup: Limits on requests to cold workers; ``None`` if they are not limited.
     """
 
     store: CoordinationStore
@@ -80,3 +82,4 @@
     capacity: CapacityClient | None = None
     slots: SlotPeers | None = None
     topology: RegionTopology = field(default_factory=RegionTopology)
+    warmup: WarmupConnections | None = None
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -49,6 +49,7 @@
 from hollowrack.slots.slot_sharing import SlotSharing
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.types import ProcessCounts
+from hollowrack.warmup.control import ColdWorkerControl, WarmupConnections
 from hollowrack.weights.version_reconciler import VersionReconciler
 
 LIVE_POLL_INTERVAL_S = 0.2
@@ -90,6 +91,7 @@
         usage: Counts the tenants' requests that workers began.
         quarantine: Blocks requests that repeatedly crash workers.
         slots: Shares the slots of workers with other nodes.
+        cold_workers: Limits the requests to cold workers; ``None`` if they are not limited.
         may_watch_feed: Set once the mirrors of the operators' and workers' keys may be started.
     """
 
@@ -229,12 +231,32 @@
             self.queue,
             connections.slots,
         )
+        self.cold_workers = self._cold_worker_control(connections.warmup, rng)
         self._rng = rng
         self._retirement = MachineRetirement(self.leadership, connections.complete_retirement)
         self._drain_deadline_s = 0.0
         self._handover_timeout_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _cold_worker_control(
+        self, connections: WarmupConnections | None, rng: random.Random
+    ) -> ColdWorkerControl | None:
+        if connections is None:
+            return None
+        control = ColdWorkerControl(
+            self.owner,
+            connections,
+            self.leadership,
+            self.live,
+            self.routes,
+            self.workers,
+            self.queue,
+            self.back_ends,
+            rng,
+        )
+        self.forwarder.cold_admission = control.admission
+        return control
+
     # -- lifecycle --------------------------------------------------------------------------
 
     @property
@@ -264,6 +286,8 @@
         self._leader_duties.start()
         self._suspects.start()
         self.slots.start()
+        if self.cold_workers is not None:
+            self.cold_workers.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._load_leader_key()),
@@ -302,6 +326,7 @@
         await self._leader_duties.stop()
         await self._suspects.stop()
         await self.slots.stop()
+        await self._stop_cold_workers()
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
         # If the call fails, the lease expires.
@@ -316,6 +341,7 @@
         await self._leader_duties.abandon()
         await self._suspects.stop()
         await self.slots.abandon()
+        await self._stop_cold_workers()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
@@ -325,6 +351,10 @@
         await self._live_mirror.stop()
         await self.session.abandon()
 
+    async def _stop_cold_workers(self) -> None:
+        if self.cold_workers is not None:
+            await self.cold_workers.stop()
+
     def peer_addresses(self) -> list[str]:
         """Return the addresses of other nodes: the leader's first, the others shuffled."""
         leader = self.live.leader_address()
@@ -344,6 +374,8 @@
 
     def worker_changed(self, worker: Worker) -> None:
         """Add or update a worker."""
+        if self.cold_workers is not None:
+            self.cold_workers.record_entry(worker, self.workers.get(worker.id))
         self.workers.update(worker)
 
     def worker_removed(self, worker_id: str) -> None:
--- a/src/hollowrack/forwarding/dispatch_queue.py
+++ b/src/hollowrack/forwarding/dispatch_queue.py
@@ -3,8 +3,10 @@
 import asyncio
 import bisect
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
@@ -62,6 +64,22 @@
     oldest_wait_s: float
 
 
+class WaitingGroup(NamedTuple):
+    """What waiting runs have in common that may be placed at the same workers.
+
+    Attributes:
+        service: Name of the service.
+        is_eligible: Condition that the worker has to meet.
+        kind: Origin of the runs.
+        priority: Priority of their routes, 0 first.
+    """
+
+    service: str
+    is_eligible: Eligible
+    kind: WorkKind
+    priority: int
+
+
 class _PassCache:
     """Caches failed searches for a free slot during one dispatch pass.
 
@@ -135,10 +153,28 @@
         self._numbers = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
         self._is_sort_outdated = False
+        self._assign_listeners: list[Callable[[Worker], None]] = []
+        self._unassigned_listeners: list[Callable[[], None]] = []
         # Highest number of a waiter that has been left without a slot after a pass.
         self._newest_unassigned = -1
         workers.on_change(self.schedule_dispatch)
 
+    def on_assigned(self, listener: Callable[[Worker], None]) -> None:
+        """Register a listener that is called with the worker of each slot that is assigned."""
+        self._assign_listeners.append(listener)
+
+    def on_unassigned(self, listener: Callable[[], None]) -> None:
+        """Register a listener that is called after each dispatch pass that left runs waiting."""
+        self._unassigned_listeners.append(listener)
+
+    def waiting_groups(self) -> Counter[WaitingGroup]:
+        """Return the number of waiting runs by service, condition, kind and priority."""
+        return Counter(
+            WaitingGroup(waiter.service, waiter.is_eligible, waiter.rank.kind, waiter.rank.priority)
+            for waiter in self._waiters
+            if not waiter.slot.done()
+        )
+
     @property
     def num_waiting(self) -> int:
         """Number of waiting runs."""
@@ -247,6 +283,9 @@
                 self._assign(waiter, worker)
         self._waiters = remaining
         self._report_unassigned()
+        if remaining:
+            for listener in self._unassigned_listeners:
+                listener()
         self._schedule(DISPATCH_POLL_INTERVAL_S)
 
     def _report_unassigned(self) -> None:
@@ -258,5 +297,7 @@
 
     def _assign(self, waiter: _Waiter, worker: Worker) -> None:
         self._workers.reserve_slot(worker)
+        for listener in self._assign_listeners:
+            listener(worker)
         self.statistics.record_wait(WaitKind.NODE_QUEUE, now_s() - waiter.since_s)
         waiter.slot.set_result(worker)
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -22,6 +22,7 @@
     OpenAnswer,
 )
 from hollowrack.forwarding.call_limiter import CallLimiter
+from hollowrack.forwarding.cold_admission import ColdWorkerAdmission
 from hollowrack.forwarding.hedged_run import HedgedRun
 from hollowrack.forwarding.hedging import HedgePolicy
 from hollowrack.forwarding.load_shedding import LoadShedder
@@ -98,6 +99,7 @@
     Attributes:
         hedging: Policy of hedged attempts.
         call_limiter: Limits this node's own calls to shared workers.
+        cold_admission: Has requests wait where workers are cold; ``None`` if that is not limited.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self._load_shedder = LoadShedder(workers, rng)
         self.hedging = HedgePolicy()
         self.call_limiter = CallLimiter(routes, workers)
+        self.cold_admission: ColdWorkerAdmission | None = None
 
     async def forward(self, request: ForwardRequest) -> ForwardOutcome:
         """Return a worker's answer, or the error for the caller."""
@@ -125,6 +128,10 @@
         refused = self._load_shedder.check(
             request.call.request_id, request.route, service, deadline_s - now_s()
         )
+        if refused is None and self.cold_admission is not None:
+            refused = await self.cold_admission.wait_turn(
+                request.call, request.route, service, deadline_s - now_s()
+            )
         if refused is not None:
             return refused
         self.hedging.budget.record_request()
@@ -137,6 +144,7 @@
             request,
             service,
             deadline_s,
+            self.cold_admission,
         )
         try:
             async with asyncio.timeout_at(deadline_s):
@@ -158,6 +166,7 @@
         request: Request to forward.
         service: Name of the service that runs it.
         deadline_s: Deadline of the request, on the loop's clock.
+        cold_admission: Has the request wait where workers are cold; ``None`` if not limited.
 
     Attributes:
         history: Record of the attempts.
@@ -174,6 +183,7 @@
         request: ForwardRequest,
         service: str,
         deadline_s: float,
+        cold_admission: ColdWorkerAdmission | None,
     ) -> None:
         self._workers = workers
         self._back_ends = back_ends
@@ -186,6 +196,8 @@
         self._deadline_s = deadline_s
         self._fingerprint = fingerprint_of(request.call)
         self._quarantine_state: QuarantineState | None = None
+        self._cold_admission = cold_admission
+        self._cold_problem: Problem | None = None
         self.history = AttemptHistory(request.call, request.route)
         self.failed_answer: CompleteAnswer | None = None
 
@@ -193,11 +205,19 @@
         """Return the worker of the next attempt; ``None`` if no further attempt is allowed."""
         if not self._may_attempt():
             return None
+        worker = self._promised_worker()
+        if worker is not None:
+            return worker
         worker = self._workers.choose(self._service, self.history.tried)
         if worker is None and self.history.tried:
             worker = self._workers.choose(self._service, self.history.possibly_ran_at)
         return worker
 
+    def _promised_worker(self) -> Worker | None:
+        if self._cold_admission is None:
+            return None
+        return self._cold_admission.take_promised(self._call)
+
     def spare_worker(self, late: Worker) -> Worker | None:
         """Return a worker that may run the request in addition to, or instead of, a late one."""
         if self._route.kind is not RouteKind.SAFE or not self._may_attempt():
@@ -243,8 +263,21 @@
         answer = await self._attempt_once(worker)
         if answer is None:
             await self._quarantine.settle_evidence(self._fingerprint)
+            await self._wait_turn_again()
         return answer
 
+    async def _wait_turn_again(self) -> None:
+        """Wait until a further attempt may be sent, if all other workers are cold."""
+        if self._cold_admission is None or not self._may_attempt():
+            return
+        self._cold_problem = await self._cold_admission.wait_turn(
+            self._call,
+            self._route,
+            self._service,
+            self._deadline_s - now_s(),
+            lambda worker: worker.incarnation not in self.history.possibly_ran_at,
+        )
+
     async def _attempt_once(self, worker: Worker) -> CompleteAnswer | None:
         self._workers.reserve_slot(worker)
         self.history.record_start(worker)
@@ -312,4 +345,6 @@
             return quarantine_problem(
                 self._quarantine_state, self._fingerprint, self._call.request_id
             )
+        if self._cold_problem is not None and not self.history.possibly_ran_at:
+            return self._cold_problem
         return self.history.no_worker_left()
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -13,6 +13,7 @@
     NotRunError,
     OpenAnswer,
 )
+from hollowrack.forwarding.cold_admission import ColdWorkerAdmission, WorkersColdError
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.event_stream import StreamEvent
@@ -59,6 +60,9 @@
         read_version: Reads the weight version from an event; ``None`` if the event has none.
         usage: Meter of the requests that workers have started.
         quarantine: Blocks requests that are suspected of crashing workers.
+
+    Attributes:
+        cold_admission: Has streams wait where workers are cold; ``None`` if that is not limited.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         self._read_version = read_version
         self._usage = usage
         self._quarantine = quarantine
+        self.cold_admission: ColdWorkerAdmission | None = None
         self._first_event_timeout = FirstEventTimeout(
             MIN_FIRST_EVENT_TIMEOUT_S, MAX_FIRST_EVENT_TIMEOUT_S
         )
@@ -108,7 +113,13 @@
             avoided: frozenset[WorkerIncarnation], may_begin: Eligible | None
         ) -> Worker:
             condition = may_begin or any_worker
-            return await self._queue.acquire(service, lambda: rank, condition, avoided)
+            if self.cold_admission is None or run.num_attempts > 0:
+                return await self._queue.acquire(service, lambda: rank, condition, avoided)
+            return await self.cold_admission.acquire_for_stream(
+                request.call,
+                service,
+                lambda: self._queue.acquire(service, lambda: rank, condition, avoided),
+            )
 
         limits = RunLimits(
             request.route.max_attempts,
@@ -138,6 +149,8 @@
                         self._record_usage(request)
                         yield StreamHead(run.head.status, run.head.headers)
                     yield event.event.raw
+        except WorkersColdError as error:
+            yield error.problem
         except RunEndedError as error:
             if has_started:
                 raise BrokenAnswerError(str(error)) from error
@@ -162,7 +175,17 @@
         service = self._routes.choose_service(request.route)
         refused: set[WorkerIncarnation] = set()
         while len(refused) < MAX_REFUSALS:
-            worker = self._workers.choose(service, refused)
+            worker = None
+            if self.cold_admission is not None:
+                problem = await self.cold_admission.wait_turn(
+                    request.call, request.route, service, request_deadline_s(request) - now_s()
+                )
+                if problem is not None:
+                    yield problem
+                    return
+                worker = self.cold_admission.take_promised(request.call)
+            if worker is None:
+                worker = self._workers.choose(service, refused)
             if worker is None:
                 break
             self._workers.reserve_slot(worker)
--- a/src/hollowrack/forwarding/types.py
+++ b/src/hollowrack/forwarding/types.py
@@ -170,7 +170,8 @@
         is_leaving: Whether it is draining and accepts no new requests.
         model_versions: Weight version by loaded model.
         started_ms: Start of this incarnation as Unix time in milliseconds; 0 if unknown.
-        cold_remaining_s: Time for which it was still cold when the entry was written, in seconds.
+        cold_remaining_s: Time for which it was still cold when the entry was written, in seconds;
+            ``None`` if the entry does not state it.
     """
 
     id: str
@@ -181,7 +182,7 @@
     is_leaving: bool = False
     model_versions: Mapping[str, int] = field(default_factory=dict)
     started_ms: int = 0
-    cold_remaining_s: float = 0.0
+    cold_remaining_s: float | None = None
 
     # Cached because each choice of a worker reads it for all candidates.
     @cached_property
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -84,6 +84,8 @@
         self._listeners: list[Callable[[], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
         self._restrictions: list[Eligible] = []
+        self._is_warm: Eligible = any_worker
+        self._has_permit: Eligible = any_worker
 
     @property
     def rng(self) -> random.Random:
@@ -98,6 +100,20 @@
         """Register a condition on the workers that are chosen for any request."""
         self._restrictions.append(is_allowed)
 
+    def limit_cold_workers(self, is_warm: Eligible, has_permit: Eligible) -> None:
+        """Restrict the choice of workers to warm ones.
+
+        Args:
+            is_warm: Whether a worker is not cold.
+            has_permit: Whether a run may be placed at a cold worker now.
+        """
+        self._is_warm = is_warm
+        self._has_permit = has_permit
+
+    def is_warm(self, worker: Worker) -> bool:
+        """Whether a worker is not cold."""
+        return self._is_warm(worker)
+
     def on_request_end(self, listener: Callable[[Worker], None]) -> None:
         """Register a listener that is called with the worker of each request that has ended."""
         self._end_listeners.append(listener)
@@ -151,7 +167,7 @@
         ]
 
     def allowed(self, service: str, is_eligible: Eligible = any_worker) -> list[Worker]:
-        """Return a service's workers that meet all restrictions and a condition."""
+        """Return a service's workers, cold ones too, that meet all restrictions and a condition."""
         workers = self.serving(service)
         if is_eligible is any_worker and not self._restrictions:
             return workers
@@ -163,7 +179,7 @@
         excluded: Collection[WorkerIncarnation] = (),
         is_eligible: Eligible = any_worker,
     ) -> Worker | None:
-        """Choose a worker for a plain request by its expected latency.
+        """Choose a warm worker for a plain request by its expected latency.
 
         Args:
             service: Name of the service.
@@ -171,12 +187,12 @@
             is_eligible: Condition that the worker has to meet.
 
         Returns:
-            The worker; ``None`` if the service has no other workers.
+            The worker; ``None`` if the service has no other warm workers.
         """
         candidates = [
             worker
             for worker in self.allowed(service, is_eligible)
-            if worker.incarnation not in excluded
+            if worker.incarnation not in excluded and self._is_warm(worker)
         ]
         ready = [worker for worker in candidates if not self._is_backing_off(worker)]
         return self.loads.choose(ready or candidates)
@@ -189,13 +205,14 @@
     ) -> Worker | None:
         """Choose a worker for a hedged attempt of a request that is late at another worker.
 
-        Only workers that have a free slot, are not backing off and are expected to answer sooner
-        are considered: if all workers are slow, hedging only adds load.
+        Only warm workers that have a free slot, are not backing off and are expected to answer
+        sooner are considered: if all workers are slow, hedging only adds load.
         """
         candidates = [
             worker
             for worker in self.allowed(late.service, is_eligible)
             if worker.incarnation not in excluded
+            and self._is_warm(worker)
             and not self._is_backing_off(worker)
             and self.loads.has_free_slot(worker)
             and self.loads.is_sooner(worker, late)
@@ -213,10 +230,13 @@
             is_eligible: Condition that the worker has to meet.
 
         Returns:
-            The latency in seconds; ``None`` if any worker has a free slot or no known latency.
+            The latency in seconds at warm workers; ``None`` if any has a free slot or no known
+            latency.
         """
         lowest_s: float | None = None
         for worker in self.allowed(service, is_eligible):
+            if not self._is_warm(worker):
+                continue
             latency_s = self.loads.expected_latency_s(worker, route)
             if latency_s is None or self.loads.has_free_slot(worker):
                 return None
@@ -248,7 +268,7 @@
         candidates = [
             worker
             for worker in self.allowed(service, is_eligible)
-            if worker.incarnation not in excluded
+            if worker.incarnation not in excluded and self._may_place_run(worker)
         ]
         with_free_slot = [
             worker for worker in self._usable(candidates) if self._has_free_slot(worker, limit)
@@ -257,7 +277,7 @@
 
     def available_for_runs(self, service: str) -> list[Worker]:
         """Return the workers of a service that runs may be placed at, including full ones."""
-        return self._usable(self.allowed(service))
+        return self._usable(list(filter(self._may_place_run, self.allowed(service))))
 
     def has_free_slot(
         self, service: str, is_eligible: Eligible, limit: Callable[[Worker], int]
@@ -274,6 +294,7 @@
             and not self._is_backing_off(worker)
             and is_eligible(worker)
             and self._is_allowed(worker)
+            and self._may_place_run(worker)
             for worker in self.serving(service)
         )
 
@@ -381,6 +402,10 @@
         """
         return max(1.0, self.num_in_flight(worker) / max(1, worker.capacity))
 
+    def has_room(self, worker: Worker) -> bool:
+        """Whether a plain request sent to a worker now is expected to start at once."""
+        return not self._is_backing_off(worker) and self.loads.has_free_slot(worker)
+
     def _observations_of(self, worker: Worker) -> _Observations:
         """Return the observations of a worker; empty ones if none are stored."""
         return self._observations.get(worker.incarnation) or _Observations()
@@ -398,6 +423,9 @@
     def _is_allowed(self, worker: Worker) -> bool:
         return all(is_allowed(worker) for is_allowed in self._restrictions)
 
+    def _may_place_run(self, worker: Worker) -> bool:
+        return self._is_warm(worker) or self._has_permit(worker)
+
     def _is_backing_off(self, worker: Worker) -> bool:
         return now_s() < self._observations_of(worker).backoff_until_s
 
--- a/src/hollowrack/jobs/item_migration_policy.py
+++ b/src/hollowrack/jobs/item_migration_policy.py
@@ -48,8 +48,10 @@
         """Wait for a slot at a worker that finishes the item earlier by ``MIN_SAVED_S`` or more."""
 
         def is_faster(other: Worker) -> bool:
-            return self._has_no_older_weights(other, worker) and self._saves_enough(
-                worker, other, num_events
+            return (
+                self._workers.is_warm(other)
+                and self._has_no_older_weights(other, worker)
+                and self._saves_enough(worker, other, num_events)
             )
 
         avoided = frozenset({worker.incarnation})
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -104,6 +104,7 @@
             workers.add_metric([service, state], count)
         yield workers
         yield from self._slots()
+        yield from self._cold_workers()
         yield CounterMetricFamily(
             "hollowrack_second_attempts",
             "Attempts of plain requests begun beside one that was late",
@@ -176,6 +177,51 @@
         refused_messages.add_metric(["grant"], sharing.holder.num_refused)
         yield refused_messages
 
+    def _cold_workers(self) -> Iterator["Metric"]:
+        """Yield the metrics of cold workers; none where requests to them are not limited."""
+        from prometheus_client.core import (  # noqa: PLC0415 (lazy import)
+            CounterMetricFamily,
+            GaugeMetricFamily,
+        )
+
+        control = self._node.cold_workers
+        if control is None:
+            return
+        cold = GaugeMetricFamily(
+            "hollowrack_cold_workers",
+            "Workers whose requests are limited while they warm up",
+            labels=["service"],
+        )
+        for service, count in control.num_cold().items():
+            cold.add_metric([service], count)
+        yield cold
+        permits = CounterMetricFamily(
+            "hollowrack_cold_permits",
+            "Permits of this node for cold workers, by what became of them",
+            labels=["service", "state"],
+        )
+        counts = {
+            "asked": control.requester.num_asked,
+            "granted": control.permits.num_granted,
+            "used": control.permits.num_used,
+            "expired": control.permits.num_expired,
+        }
+        for state, count_by_service in counts.items():
+            for service, count in count_by_service.items():
+                permits.add_metric([service, state], count)
+        yield permits
+        yield CounterMetricFamily(
+            "hollowrack_cold_permits_issued",
+            "Permits that this node has granted to all nodes as the leader",
+            value=control.arbiter.num_granted,
+        )
+        rejected = CounterMetricFamily(
+            "hollowrack_cold_permit_messages_rejected", "By what they are", labels=["message"]
+        )
+        rejected.add_metric(["request"], control.arbiter.num_refused)
+        rejected.add_metric(["grant"], control.requester.num_rejected)
+        yield rejected
+
     def _workers(self) -> Counter[tuple[str, str]]:
         return Counter(
             (worker.service, "leaving" if worker.is_leaving else "serving")
--- a/src/hollowrack/platform/configuration.py
+++ b/src/hollowrack/platform/configuration.py
@@ -26,6 +26,7 @@
 )
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tenants.types import Tenant, TenantDirectory, digest_key
+from hollowrack.warmup.coldness import MAX_COLD_S
 
 MS_PER_S = 1000
 DEFAULT_MAX_CONNECTIONS = 100
@@ -33,6 +34,9 @@
 LOWEST_PRIORITY = 9
 # Version that workers hold before a trainer announces one.
 MIN_TARGET_VERSION = 1
+# Larger values are mistakes: a day, and more than any worker could take.
+MAX_COLD_START_S = 86_400.0
+MAX_COLD_REQUESTS_PER_S = 100_000.0
 # Limits on text from entries of other programs in one log line, in characters.
 MAX_LOGGED_DETAIL_LENGTH = 300
 MAX_LOGGED_PLACE_LENGTH = 200
@@ -160,9 +164,21 @@
         int(entry.get("max-connections") or DEFAULT_MAX_CONNECTIONS),
         models,
         _scaling(scaling) if scaling else None,
+        min(MAX_COLD_S, _bounded_number(entry, "cold-start-s", MAX_COLD_START_S)),
+        _bounded_number(entry, "cold-per-s", MAX_COLD_REQUESTS_PER_S),
     )
 
 
+def _bounded_number(entry: dict[str, Any], field: str, maximum: float) -> float:
+    """Return a non-negative number of a service's entry; 0 if the field is absent."""
+    value = entry.get(field, 0.0)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"services.{entry['name']}.{field}: must be a number")
+    if not 0.0 <= value <= maximum:
+        raise ValueError(f"services.{entry['name']}.{field}: must be from 0 to {maximum:g}")
+    return float(value)
+
+
 def _scaling(entry: dict[str, Any]) -> ScalingLimits:
     limits = ScalingLimits(
         int(entry["min-replicas"]),
@@ -227,6 +243,7 @@
         entry.is_draining,
         entry.model_versions,
         entry.started_ms,
+        entry.cold_remaining_s,
     )
 
 
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -40,6 +40,8 @@
 from hollowrack.suspension import SuspensionMonitor
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.peer_http import HttpUsagePeers, usage_routes
+from hollowrack.warmup.control import WarmupConnections
+from hollowrack.warmup.peer_http import HttpPermitPeers, permit_routes
 
 MAX_CONNECTIONS = 3000
 # Ended jobs are retained for this multiple of the time for which results can be requested.
@@ -121,9 +123,13 @@
                 self._duty_client(names.DUTY_CAPACITY),
                 HttpSlotPeers(self._sessions[3]) if settings.shares_slots else None,
                 RegionTopology(settings.zones, settings.zone),
+                self._warmup_connections(),
             ),
             self._rng,
         )
+        cold_workers = self.node.cold_workers
+        if cold_workers is not None:
+            workers.on_cold_time = cold_workers.record_answer
         self._feed = make_platform_feed(self.node, self._rng)
         mirror_feed = make_mirror_feed(self.node, self._feed)
         counts = EdgeCounters(
@@ -138,6 +144,7 @@
             self.node.usage,
             self.node.quarantine,
         )
+        streams.cold_admission = self.node.forwarder.cold_admission
         self._frontend = HttpServer(
             IngressApp(
                 self.node, streams, counts.answers, max_configuration_age_s(settings.bounds)
@@ -165,6 +172,7 @@
                 *peer_routes(jobs.submit_here, jobs.answer_peer, jobs.remainder),
                 *usage_routes(self.node.receive_usage),
                 *slot_routes(self.node.slots.answer),
+                *([] if cold_workers is None else permit_routes(cold_workers.answer)),
                 *metrics_routes(self.node, counts),
             ]
             self._peers = HttpServer(
@@ -195,6 +203,12 @@
         window_s = self._settings.bounds.usage_window_s
         return UsageConnections(window_s, HttpUsagePeers(self._sessions[3]), client)
 
+    def _warmup_connections(self) -> WarmupConnections | None:
+        bounds = self._settings.bounds.warmup
+        if bounds is None:
+            return None
+        return WarmupConnections(bounds, HttpPermitPeers(self._sessions[3]))
+
     @property
     def peers_address(self) -> str:
         """Address of the control plane and of metrics; empty if this process has none."""
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -10,8 +10,12 @@
 
 from hollowrack.platform import names
 from hollowrack.results import Problem, ResultCode
+from hollowrack.warmup.types import WarmupBounds
 
 MS_PER_S = 1000
+# Far above what any worker could take.
+MAX_COLD_OVERAGE = 1_000.0
+MAX_COLD_SLACK = 100_000.0
 
 
 class _Section(BaseModel):
@@ -44,6 +48,25 @@
     # Maximum time until a revoked key is refused.
     revoke_ms: float = Field(default=5000.0, alias="revoke-ms")
     usage_window_s: float = Field(default=5.0, alias="report-window-s", gt=0.0)
+    # A cold worker receives at most its sustained rate times this, plus ``cold_slack``, requests in
+    # any second. Absent on deployments without such a rule.
+    cold_overage: float | None = Field(
+        default=None, alias="cold-overage", ge=0.0, le=MAX_COLD_OVERAGE, strict=True
+    )
+    cold_slack: float | None = Field(
+        default=None, alias="cold-slack", ge=0.0, le=MAX_COLD_SLACK, strict=True
+    )
+
+    @property
+    def warmup(self) -> WarmupBounds | None:
+        """Bound on the requests to cold workers; ``None`` if the settings have none.
+
+        A missing half counts as the strictest value, since the rule then exists.
+        """
+        if self.cold_overage is None and self.cold_slack is None:
+            return None
+        overage = 1.0 if self.cold_overage is None else self.cold_overage
+        return WarmupBounds(overage, 0.0 if self.cold_slack is None else self.cold_slack)
 
 
 class Limits(_Section):
--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from http import HTTPStatus
 from typing import Any
 
@@ -25,6 +25,7 @@
 from hollowrack.forwarding.types import Worker
 from hollowrack.messages.idle_connections import close_idle_on_timeout
 from hollowrack.platform import names
+from hollowrack.platform.cold_time import ColdTimeDecoder
 from hollowrack.platform.configuration import model_versions, started_ms
 from hollowrack.platform.http_session import client_session
 from hollowrack.platform.load_report import LoadReportDecoder
@@ -222,6 +223,8 @@
 
     Attributes:
         load_reports: Decoder of the load that workers report.
+        on_cold_time: Called with the remaining warm-up time, in seconds, that a worker states with
+            an answer; ``None`` if cold workers are not limited.
     """
 
     def __init__(
@@ -230,6 +233,8 @@
         self._session = session
         self._fresh_session = fresh_session
         self.load_reports = LoadReportDecoder()
+        self.on_cold_time: Callable[[Worker, float], None] | None = None
+        self._cold_times = ColdTimeDecoder()
 
     async def open(
         self,
@@ -256,6 +261,7 @@
             raise NotRunError(NotRunReason.UNREACHABLE) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise BrokenAnswerError(type(error).__name__) from error
+        self._record_cold_time(worker, response)
         try:
             await _check_answer(response, call.request_id)
         except BaseException:
@@ -266,6 +272,15 @@
         load_value = response.headers.get(names.LOAD_REPORT)
         return WorkerAnswer(response, self.load_reports.decode(load_value, worker.id))
 
+    def _record_cold_time(self, worker: Worker, response: aiohttp.ClientResponse) -> None:
+        # A misdirected request was answered by another worker.
+        if self.on_cold_time is None or response.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        value = response.headers.get(names.COLD_REMAINING_MS)
+        seconds = self._cold_times.decode(value, worker.id)
+        if seconds is not None:
+            self.on_cold_time(worker, seconds)
+
     async def has_crashed(self, worker: Worker) -> bool:
         """Return whether an incarnation of a worker has ended; see :class:`BackEndClient`."""
         # A report identifies the incarnation; an open port may belong to another process.
@@ -327,6 +342,7 @@
                 headers={names.EXPECT_INSTANCE: worker.id},
                 timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S),
             ) as response:
+                self._record_cold_time(worker, response)
                 data = await response.read()
         return response.status, json.loads(data) if data.startswith(b"{") else {}
 
--- a/src/hollowrack/platform/worker_entry.py
+++ b/src/hollowrack/platform/worker_entry.py
@@ -11,6 +11,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from hollowrack.platform import names
+from hollowrack.warmup.coldness import MAX_COLD_S, MS_PER_S
 
 # Maximum length of a key in the store.
 MAX_KEY_BYTES = 200
@@ -19,6 +20,8 @@
 MAX_PORT = 65_535
 # Largest integer that every JSON implementation represents exactly.
 MAX_SAFE_INTEGER = 2**53 - 1
+# One day: a longer warm-up time is a mistake.
+MAX_COLD_REMAINING_MS = 86_400_000.0
 # Maximum length of a text field, in characters; names and addresses appear in log lines.
 MAX_TEXT_LENGTH = 200
 
@@ -75,7 +78,8 @@
         state: Whether the worker accepts new requests.
         models: Loaded models; ``None`` if not stated.
         version: Software version; not used.
-        cold_remaining_ms: Remaining warm-up time, in milliseconds; not used.
+        cold_remaining_ms: Remaining warm-up time when it was written, in milliseconds; ``None`` if
+            not stated.
         sequence: Number of orders received; not used.
         stage: Stage of the work that the worker does; not used.
         started_ms: Start time of the incarnation, in milliseconds since the Unix epoch; 0 if not
@@ -90,7 +94,9 @@
     models: list[ModelEntry] | None = None
     # Unused fields are type-checked too, because an entry with wrong types is not from a worker.
     version: str | int | float | None = None
-    cold_remaining_ms: float | None = Field(default=None, alias="cold-remaining-ms")
+    cold_remaining_ms: Annotated[float, Field(ge=0.0, le=MAX_COLD_REMAINING_MS)] | None = Field(
+        default=None, alias="cold-remaining-ms"
+    )
     sequence: _WholeNumber | None = None
     stage: str | None = None
     started_ms: _WholeNumber = Field(default=0, alias="born")
@@ -100,6 +106,13 @@
         """Whether the worker accepts no new requests."""
         return self.state == names.DRAINING
 
+    @property
+    def cold_remaining_s(self) -> float | None:
+        """Remaining warm-up time, in seconds, up to ``MAX_COLD_S``; ``None`` if not stated."""
+        if self.cold_remaining_ms is None:
+            return None
+        return min(MAX_COLD_S, self.cold_remaining_ms / MS_PER_S)
+
     @property
     def model_versions(self) -> dict[str, int]:
         """Weight version by model name."""
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -70,6 +70,7 @@
     NOT_CONFIGURED = 308
     CONFIGURATION_OLD = 309
     REQUEST_QUARANTINED = 310
+    WORKERS_COLD = 315
 
     OUTCOME_UNKNOWN = 400
     ANSWER_INCOMPLETE = 401
@@ -258,6 +259,13 @@
         "Too many workers have ended while they ran this request; it is sent to none for a time.",
         "Change the request or mend the workers; the same one may run after Retry-After.",
     ),
+    ResultCode.WORKERS_COLD: CodeDescription(
+        _N,
+        _YES,
+        503,
+        "All workers of the service are warming up, and their limited requests are taken.",
+        "Wait for Retry-After.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeDescription(
         _U,
         _SAME,
