--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -62,6 +62,8 @@
     Attributes:
         fencing_token: Revision at which this node created the leader key; ``None`` if it does not
             lead.
+        leading_since_s: Time at which this node learnt of its last election, on the loop's clock;
+            infinite before the first one.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.key = key
         self.last_key = f"{key}{LAST_SUFFIX}"
         self.fencing_token: int | None = None
+        self.leading_since_s = float("inf")
         self._store = store
         self._session = session
         self._owner = owner
@@ -229,6 +232,7 @@
         self._free_since_s = float("inf")
         self._lease = lease
         self.fencing_token = revision
+        self.leading_since_s = now_s()
         self._may_act_from_s = acts_from_s
         wait_s = max(0.0, acts_from_s - now_s())
         logging.info(
--- a/src/hollowrack/warmup/arbiter.py
+++ b/src/hollowrack/warmup/arbiter.py
@@ -38,6 +38,10 @@
     def fencing_token(self) -> int | None:
         """Fencing token of the leadership; ``None`` if this node is not the leader."""
 
+    @property
+    def leading_since_s(self) -> float:
+        """Time at which this node learnt of its last election, on the loop's clock."""
+
     @property
     def is_leader(self) -> bool:
         """Whether this node certainly holds the leader key."""
@@ -131,22 +135,16 @@
         self._bounds = bounds
         self._requests_per_s = requests_per_s
         self._token: int | None = None
-        self._grants_from_s = 0.0
         self._workers: dict[str, _WorkerGrants] = {}
         self._asked_s: dict[str, float] = {}
         self._last_cleanup_s = 0.0
         self._log_limiter = LogIntervalLimiter(LOG_INTERVAL_S)
 
-    def update_leadership(self, now_s: float) -> None:
-        """Start anew when the fencing token has changed.
-
-        Permits of the previous leader may still be in use for ``GRANT_WINDOW_S``. Without the wait,
-        two changes of the leader in quick succession would have three leaders grant within it.
-        """
+    def update_leadership(self) -> None:
+        """Start anew when the fencing token has changed."""
         token = self._leadership.fencing_token
         if token != self._token:
             self._token = token
-            self._grants_from_s = now_s + GRANT_WINDOW_S
             self._workers.clear()
             self._asked_s.clear()
 
@@ -157,7 +155,7 @@
             request: Request of a node.
             now_s: Current time, in seconds.
         """
-        self.update_leadership(now_s)
+        self.update_leadership()
         if self._token is None or not self._leadership.is_leader:
             return _refusal(Problem(ResultCode.NOT_LEADER, "this node is not the leader"))
         problem = validate_request(request)
@@ -187,7 +185,7 @@
         worker.add(want.num_unpermitted, now_s)
         num_free = max_grants - worker.num_in_window
         number = 0
-        if now_s >= self._grants_from_s and num_free > 0 and worker.num_paced >= 1.0:
+        if self._may_grant(now_s) and num_free > 0 and worker.num_paced >= 1.0:
             num_free = min(num_free, math.floor(worker.num_paced))
             number = min(want.number, self._share(worker, node, want.priority, num_free))
         worker.add(number, now_s)
@@ -198,6 +196,14 @@
             worker.claims[(node, want.priority)] = claim
         return number
 
+    def _may_grant(self, now_s: float) -> bool:
+        """Whether this leader has led for ``GRANT_WINDOW_S``.
+
+        Permits of the previous leader may be in use for as long. Without the wait, two changes of
+        the leader in quick succession would have three leaders grant within the window.
+        """
+        return now_s >= self._leadership.leading_since_s + GRANT_WINDOW_S
+
     @staticmethod
     def _share(worker: _WorkerGrants, node: str, priority: int, num_free: int) -> int:
         """Return how many of the free permits one node may have at one priority."""
--- a/src/hollowrack/warmup/demand.py
+++ b/src/hollowrack/warmup/demand.py
@@ -36,6 +36,20 @@
     limit: Callable[[Worker], int]
 
 
+class WorkerWant(NamedTuple):
+    """Permits that are needed for one worker.
+
+    Attributes:
+        worker: The worker.
+        priority: Priority of the requests, 0 first.
+        number: How many are needed.
+    """
+
+    worker: Worker
+    priority: int
+    number: int
+
+
 class DemandPlanner:
     """Assigns waiting requests to cold workers.
 
@@ -67,8 +81,8 @@
         }
         self._refused_until_s[worker.incarnation] = now + REFUSAL_MEMORY_S
 
-    def wants(self, demands: Iterable[Demand]) -> dict[tuple[Worker, int], int]:
-        """Return the number of permits to ask for, by worker and priority, in order of rank.
+    def wants(self, demands: Iterable[Demand]) -> list[WorkerWant]:
+        """Return the permits to ask for, in order of rank.
 
         Args:
             demands: Requests that wait, of all services.
@@ -91,7 +105,9 @@
                     num_free[chosen.incarnation] -= 1
                 else:
                     numbers[(chosen.incarnation, demand.priority)] += 1
-        return {(by_key[key], priority): number for (key, priority), number in numbers.items()}
+        return [
+            WorkerWant(by_key[key], priority, number) for (key, priority), number in numbers.items()
+        ]
 
     def _candidates(self, demand: Demand) -> list[Worker]:
         return [
--- a/src/hollowrack/warmup/requester.py
+++ b/src/hollowrack/warmup/requester.py
@@ -11,7 +11,7 @@
 from hollowrack.results import Problem, ResultCode
 from hollowrack.slots.log_interval_limiter import LogIntervalLimiter
 from hollowrack.tasks import cancel_all
-from hollowrack.warmup.demand import Demand, DemandPlanner
+from hollowrack.warmup.demand import Demand, DemandPlanner, WorkerWant
 from hollowrack.warmup.permits import PermitStore, RecentSends
 from hollowrack.warmup.types import (
     MAX_WANTS,
@@ -98,7 +98,7 @@
 
     async def _request_once(self) -> float:
         """Ask once, if anything waits; returns the time until the next request, in seconds."""
-        wants = list(self._planner.wants(self._demands()).items())[:MAX_WANTS]
+        wants = self._planner.wants(self._demands())[:MAX_WANTS]
         if not wants:
             return 0.0
         # Requests still waiting after the answer are asked for again.
@@ -107,14 +107,13 @@
         request = PermitRequest(
             self._owner,
             self._number,
-            tuple(self._want(worker, priority, number) for (worker, priority), number in wants),
+            tuple(self._message(want) for want in wants),
         )
         # Taken before the send: the leader grants after it.
         sent_s = now_s()
         answer = await self._ask(request)
         if isinstance(answer, PermitGrant) and self._accepts(answer, request):
-            workers = [worker for (worker, _), _ in wants]
-            self._add(workers, answer, sent_s + PERMIT_TTL_S)
+            self._add([want.worker for want in wants], answer, sent_s + PERMIT_TTL_S)
             return answer.retry_in_s
         if not isinstance(answer, PermitGrant) and self._log_limiter.allow(now_s()):
             reason = "no answer" if answer is None else f"[{answer.code}] {answer.detail}"
@@ -123,11 +122,17 @@
             )
         return FAILED_REQUEST_INTERVAL_S
 
-    def _want(self, worker: Worker, priority: int, number: int) -> PermitWant:
-        self.num_asked[worker.service] += number
+    def _message(self, want: WorkerWant) -> PermitWant:
+        worker = want.worker
+        self.num_asked[worker.service] += want.number
         num_unpermitted = self._recent_sends.take(worker.incarnation)
         return PermitWant(
-            worker.service, worker.id, worker.started_ms, number, priority, num_unpermitted
+            worker.service,
+            worker.id,
+            worker.started_ms,
+            want.number,
+            want.priority,
+            num_unpermitted,
         )
 
     def _accepts(self, grant: PermitGrant, request: PermitRequest) -> bool:
