--- a/src/hollowrack/warmup/admission.py
+++ b/src/hollowrack/warmup/admission.py
@@ -151,6 +151,7 @@
             may_send = False
         except asyncio.CancelledError:
             self._permits.release(call.request_id)
+            self.assign_permits()
             raise
         finally:
             if waiter in self._waiters:
--- a/tests/warmup/fleet.py
+++ b/tests/warmup/fleet.py
@@ -1,11 +1,10 @@
 """Nodes with cold workers on virtual time, with faults of leaders, nodes and messages."""
 
 import asyncio
-import contextlib
 import random
 from collections import defaultdict
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import BackEndCall, NotRunError, NotRunReason, OpenAnswer
@@ -14,7 +13,7 @@
 from hollowrack.forwarding.forwarder import CompleteAnswer, Forwarder, ForwardOutcome
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.send_guard import GuardedBackEnds
-from hollowrack.forwarding.types import RoutingConfiguration, Service, Worker, WorkerIncarnation
+from hollowrack.forwarding.types import RoutingConfiguration, Service, Worker
 from hollowrack.forwarding.workers import WorkerDirectory, any_worker
 from hollowrack.quarantine.quarantine import Quarantine
 from hollowrack.warmup.control import ColdWorkerControl, WarmupConnections
--- a/tests/warmup/test_fleet.py
+++ b/tests/warmup/test_fleet.py
@@ -10,8 +10,6 @@
 from hypothesis import strategies as st
 
 from hollowrack.clock import now_s
-from hollowrack.forwarding.forwarder import CompleteAnswer
-from hollowrack.results import Problem, ResultCode
 from hollowrack_bench.virtual_time import run_virtual
 from tests.warmup.fleet import (
     BOUNDS,
