--- a/src/hollowrack_bench/soak_checks.py
+++ b/src/hollowrack_bench/soak_checks.py
@@ -5,6 +5,7 @@
 
 from hollowrack.platform import names
 from hollowrack_bench.platform_demo import QUEUE_TTL_S
+from hollowrack_bench.soak_cold_workers import MAX_REQUESTS_PER_S, ColdSpellCheck
 from hollowrack_bench.soak_crashes import MAX_LATE_RUNS, CrashingAttempt, late_runs
 from hollowrack_bench.soak_kept_connections import UnansweredRequest
 from hollowrack_standins.duty_service import DutyServiceCore
@@ -112,6 +113,15 @@
             if names.CREDENTIALS.lower() in headers:
                 self._violations.append(f"{request_id}: its key was sent to a worker")
 
+    def check_cold_workers(self, checks: Iterable[ColdSpellCheck]) -> None:
+        """Check that no cold worker received more requests in any second than the bound."""
+        for check in checks:
+            if check.max_in_window > MAX_REQUESTS_PER_S:
+                self._violations.append(
+                    f"{check.spell.incarnation}: received {check.max_in_window} requests in one "
+                    f"second while cold, {MAX_REQUESTS_PER_S:g} are allowed"
+                )
+
     def check_decoy(self, records: WorkerRecords) -> None:
         """Check that the decoy, which only invalid entries name, got no request."""
         for request_id in records.executions:
--- a/src/hollowrack_bench/soak_faults.py
+++ b/src/hollowrack_bench/soak_faults.py
@@ -75,6 +75,7 @@
     OPEN_CONNECTIONS = "open-connections"
     SIGNAL_SERIES = "signal-series"
     ROLLING_STOP = "rolling-stop"
+    COLD_RETURN = "cold-return"
 
 
 @dataclass
@@ -152,6 +153,7 @@
             SoakFault.OPEN_CONNECTIONS: self._silence_open_connections,
             SoakFault.SIGNAL_SERIES: self._send_signal_series,
             SoakFault.ROLLING_STOP: self._stop_in_turn,
+            SoakFault.COLD_RETURN: self.workers.return_cold,
         }
         self._signals = SignalSeries(system.processes, rng, self._stop_process, self._start_process)
 
--- a/src/hollowrack_bench/soak_plan.py
+++ b/src/hollowrack_bench/soak_plan.py
@@ -30,6 +30,8 @@
             restart; ``None`` for this version.
         folder: Parent of the folders in which each run keeps its logs; ``None`` for a temporary
             folder.
+        limits_cold_workers: Whether the settings of the nodes bound the requests to cold workers;
+            false only to show that the check finds what the bound prevents.
     """
 
     duration_s: float
@@ -39,6 +41,7 @@
     folder: Path | None = None
     num_fault_loops: int = NUM_FAULT_LOOPS
     earlier_source: Path | None = None
+    limits_cold_workers: bool = True
 
     def new_log_folder(self) -> Path | None:
         """Create a folder for the logs of one run; its name is unique."""
--- a/src/hollowrack_bench/soak_worker_faults.py
+++ b/src/hollowrack_bench/soak_worker_faults.py
@@ -1,13 +1,16 @@
 """Worker faults of a soak: restarts, invalid store entries, slow workers and load shedding."""
 
+import asyncio
 import json
 import math
 import random
+import time
 from collections.abc import Awaitable, Callable
 
 from hollowrack.forwarding.types import WorkerIncarnation
 from hollowrack.platform import names
 from hollowrack_bench.platform_demo import MODEL
+from hollowrack_bench.soak_cold_workers import COLD_S, ColdSpell
 from hollowrack_standins.users_platform import (
     PlatformStoreStandin,
     PlatformWorkerStandin,
@@ -20,6 +23,9 @@
 # The oldest weights, so that restarted workers have to load newer ones.
 RESTART_WEIGHT_VERSION = 1
 NUM_FOREIGN_KEYS = 5
+# Nodes count the time of an entry from when they see it, so it ends there later. A worker turns
+# cold again only when no node counts any more, so that each node logs it.
+COLD_PAUSE_S = 6.0
 
 WaitForFault = Callable[[], Awaitable[None]]
 
@@ -36,6 +42,7 @@
     Attributes:
         decoy: A worker named only by invalid entries; it must get no request.
         restarted: Incarnations that were started by a restart.
+        cold_spells: Times for which workers were cold.
     """
 
     def __init__(
@@ -47,6 +54,7 @@
     ) -> None:
         self.decoy = PlatformWorkerStandin("decoy", "engines", WorkerRecords(), MODEL)
         self.restarted: list[WorkerIncarnation] = []
+        self.cold_spells: list[ColdSpell] = []
         self._workers = workers
         self._store = store
         self._rng = rng
@@ -63,9 +71,47 @@
         await self._wait_fault_duration()
         await self._restart_worker(worker)
 
+    async def return_cold(self) -> None:
+        """Make some workers of a service cold, in use or by a restart, until they are warm."""
+        service = self._rng.choice(sorted({worker.service for worker in self._workers}))
+        free = [
+            worker
+            for worker in self._workers
+            if worker.service == service
+            and worker.crash_task is None
+            and worker.id not in self._stopped
+            and worker.cold_until_s + COLD_PAUSE_S < time.time()
+        ]
+        if not free:
+            return
+        chosen = self._rng.sample(free, self._rng.randint(1, len(free)))
+        restarts = self._rng.random() < 1 / 2
+        for worker in chosen:
+            # Marked now, so that no other fault chooses it.
+            worker.cold_until_s = time.time()
+        if restarts:
+            self._stopped.update(worker.id for worker in chosen)
+            for worker in chosen:
+                await worker.server.crash()
+            await self._wait_fault_duration()
+        for worker in chosen:
+            await self._turn_cold(worker)
+        await asyncio.sleep(COLD_S)
+
+    async def _turn_cold(self, worker: PlatformWorkerStandin) -> None:
+        worker.turn_cold(COLD_S)
+        if worker.id in self._stopped:
+            await self._restart_worker(worker)
+        self._write_entry(worker)
+        incarnation = WorkerIncarnation(worker.id, worker.started_ms)
+        self.cold_spells.append(ColdSpell(incarnation, time.time(), worker.cold_until_s))
+
     async def clear_faults(self) -> None:
         """End all faults: restart stopped workers, restore their speed and entries."""
+        for spell in self.cold_spells:
+            spell.until_s = min(spell.until_s, time.time())
         for worker in self._workers:
+            worker.cold_until_s = 0.0
             worker.faults.delay_s = 0.0
             worker.faults.sheds = False
             if worker.id in self._stopped:
--- a/src/hollowrack_standins/users_platform.py
+++ b/src/hollowrack_standins/users_platform.py
@@ -7,7 +7,8 @@
 import asyncio
 import base64
 import json
-from collections import Counter
+import time
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -33,6 +34,8 @@
 MS_PER_S = 1000
 LOAD_TIME_S = 0.05
 EVENT_INTERVAL_S = 0.002
+# Additional time of a plain request at a cold worker.
+COLD_DELAY_S = 0.15
 PAGE_SIZE = 3
 # Start time of the first incarnation of a worker, in milliseconds since the epoch.
 FIRST_START_MS = 1_700_000_000_000
@@ -208,6 +211,8 @@
         orders: Worker, holder, fencing token, model and version of each accepted order.
         crashes: Body of the request and time on the clock of the event loop, in seconds, of each
             crash.
+        arrivals: Unix times, in seconds, of the requests that each worker received, misdirected
+            ones excepted, by the worker's identifier.
     """
 
     executions: Counter[str] = field(default_factory=Counter)
@@ -216,6 +221,7 @@
     bodies: dict[str, bytes] = field(default_factory=dict)
     orders: list[tuple[str, str, int, str, int]] = field(default_factory=list)
     crashes: list[tuple[bytes, float]] = field(default_factory=list)
+    arrivals: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
 
 class PlatformWorkerStandin:
@@ -235,6 +241,9 @@
         # Address in its store entry; empty for the address of its server.
         self.advertised_address = ""
         self.num_events = 6
+        # Unix time until which the worker is cold, in seconds, and the time that its entry states.
+        self.cold_until_s = 0.0
+        self.cold_s = 0.0
         self.faults = PlatformWorkerFaults()
         # Task that crashes the worker; ``None`` until a request causes a crash.
         self.crash_task: asyncio.Task[None] | None = None
@@ -253,6 +262,16 @@
         self.num_orders = 0
         self.is_busy = False
 
+    def turn_cold(self, seconds: float) -> None:
+        """Make the worker cold from now on for some seconds."""
+        self.cold_s = seconds
+        self.cold_until_s = time.time() + seconds
+
+    @property
+    def cold_remaining_ms(self) -> int:
+        """How much longer it is cold, in milliseconds; 0 if it is not."""
+        return max(0, round((self.cold_until_s - time.time()) * MS_PER_S))
+
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return the content of the worker's entry in the store."""
         return {
@@ -262,7 +281,8 @@
             "version": "v1",
             "capacity": 8,
             "state": state,
-            "cold-remaining-ms": 0,
+            # Written once: nodes count down from when they first see it.
+            "cold-remaining-ms": round(self.cold_s * MS_PER_S) if self.cold_remaining_ms else 0,
             "models": self._models(),
             "sequence": 1,
             names.STARTED_MS: self.started_ms,
@@ -309,11 +329,13 @@
         self.is_busy = False
 
     async def _handle_request(self, request: Request) -> Response:
+        received_s = time.time()
         request_id = request.headers[names.REQUEST_ID]
         body = await request.body()
         expected = request.headers.get(names.EXPECT_INSTANCE)
         if expected not in (None, self.id):
             return self._refuse(request_id, 421)
+        self.records.arrivals[self.id].append(received_s)
         if self.faults.sheds:
             return self._refuse(request_id, 503)
         self.records.executions[request_id] += 1
@@ -335,6 +357,8 @@
             stream = self._events(request_id, after)
             return StreamingResponse(stream, headers=headers, media_type="text/event-stream")
         await asyncio.sleep(self.faults.delay_s)
+        if self.cold_remaining_ms:
+            await asyncio.sleep(COLD_DELAY_S)
         if self.faults.num_short:
             self.faults.num_short -= 1
             return StreamingResponse(_truncated_body(b"part"), headers=headers)
@@ -345,12 +369,15 @@
         return PlainTextResponse("", status_code=status, headers=headers)
 
     def _headers(self, request_id: str) -> dict[str, str]:
-        return {
+        headers = {
             names.REQUEST_ID: request_id,
             names.SIGNATURE: f"stamp-{self.id}-{request_id}",
             names.WEIGHT_VERSIONS: str(self.version),
             "Custom": "kept",
         }
+        if self.cold_remaining_ms:
+            headers[names.COLD_REMAINING_MS] = str(self.cold_remaining_ms)
+        return headers
 
     async def _events(self, request_id: str, after: int) -> Any:
         is_truncated = bool(self.faults.breaks_streams)
--- a/tests/bench/test_platform_soak.py
+++ b/tests/bench/test_platform_soak.py
@@ -37,6 +37,7 @@
     SoakFault.OPEN_CONNECTIONS,
     SoakFault.SIGNAL_SERIES,
     SoakFault.ROLLING_STOP,
+    SoakFault.COLD_RETURN,
 )
 REGRESSION_FAULTS = tuple(fault for fault in SoakFault if fault not in EXCLUDED_FAULTS)
 # Seeds of the regression soaks, with the failure that each one guards against.
@@ -60,6 +61,9 @@
 SOAK_S = 12.0
 SERIES_SEED = 801
 SERIES_SOAK_S = 30.0
+COLD_SEED = 901
+COLD_FAULTS = (SoakFault.COLD_RETURN, SoakFault.KILL, SoakFault.FREEZE, SoakFault.STOP)
+COLD_SOAK_S = 25.0
 
 
 async def run_concurrently() -> dict[int, PlatformDemoOutcome]:
@@ -87,6 +91,21 @@
     assert int(outcome.rows["steps taken"]) > 0
 
 
+def test_soak_of_cold_workers_violates_no_guarantee() -> None:
+    """Guards against cold workers that receive too much while nodes and leaders end and freeze."""
+    plan = SoakPlan(COLD_SOAK_S, COLD_SEED, COLD_FAULTS)
+    outcome = asyncio.run(run_soak(plan))
+    assert outcome.violations == [], outcome.evidence
+    assert "0 checked" not in outcome.rows["cold workers"]
+
+
+def test_soak_detects_cold_workers_without_a_limit() -> None:
+    """Guards against a check that would pass whatever cold workers receive."""
+    plan = SoakPlan(COLD_SOAK_S, COLD_SEED, (SoakFault.COLD_RETURN,), limits_cold_workers=False)
+    outcome = asyncio.run(run_soak(plan))
+    assert any("in one second while cold" in entry for entry in outcome.violations)
+
+
 @pytest.mark.parametrize(
     ("executions", "kill_times_s", "is_lost"),
     [
