--- a/src/hollowrack/warmup/arbiter.py
+++ b/src/hollowrack/warmup/arbiter.py
@@ -139,6 +139,7 @@
         self._asked_s: dict[str, float] = {}
         self._last_cleanup_s = 0.0
         self._log_limiter = LogIntervalLimiter(LOG_INTERVAL_S)
+        self._grant_log_limiter = LogIntervalLimiter(LOG_INTERVAL_S)
 
     def update_leadership(self) -> None:
         """Start anew when the fencing token has changed."""
@@ -173,6 +174,14 @@
         self._asked_s[request.node] = now_s
         counts = tuple(self._grant(request.node, want, now_s) for want in request.wants)
         self.num_granted += sum(counts)
+        if any(counts) and self._grant_log_limiter.allow(now_s):
+            logging.info(
+                "cold workers: %d permits granted so far, %d workers, %d nodes ask, token %d",
+                self.num_granted,
+                len(self._workers),
+                len(self._asked_s),
+                self._token,
+            )
         return PermitGrant(
             self._name, self._token, request.number, counts, self._request_interval_s()
         )
--- a/tests/messages/test_earlier_versions.py
+++ b/tests/messages/test_earlier_versions.py
@@ -14,6 +14,7 @@
 from hollowrack.messages import codec
 from hollowrack.quarantine.types import SuspectRecord
 from hollowrack.usage.types import DecidedUsage, ProcessCounts, PushedCounts, WindowReport
+from hollowrack.warmup.types import PermitGrant, PermitRefusal, PermitRequest, PermitWant
 
 # Encoded by the version before ``other_prefixes`` and ``complete_before`` were added.
 EARLIER_MESSAGES = {
@@ -34,6 +35,19 @@
     "83017271756172616e74696e652e73757370656374a16d656e6465645f776f726b657273826273306473314035": (
         SuspectRecord(("s0", "s1@5"))
     ),
+    # The first version of the messages about permits for cold workers.
+    "83016e7761726d75702e72657175657374a3646e6f6465646e312361666e756d626572036577616e747381a667736572"
+    "766963656373766369776f726b65725f69646273306a737461727465645f6d7305666e756d62657202687072696f7269"
+    "7479016f6e756d5f756e7065726d697474656404": (
+        PermitRequest("n1#a", 3, (PermitWant("svc", "s0", 5, 2, 1, 4),))
+    ),
+    "83016c7761726d75702e6772616e74a56761726269746572646e3023626d66656e63696e675f746f6b656e07666e756d"
+    "6265720366636f756e747381016a72657472795f696e5f73fb3fb999999999999a": (
+        PermitGrant("n0#b", 7, 3, (1,), 0.1)
+    ),
+    "83016e7761726d75702e7265667573616ca264636f64651902bf6664657461696c626e6f": (
+        PermitRefusal(703, "no")
+    ),
 }
 
 
