--- a/src/hollowrack/forwarding/cold_admission.py
+++ b/src/hollowrack/forwarding/cold_admission.py
@@ -54,6 +54,7 @@
         call: BackEndCall,
         service: str,
         acquire: Callable[[], Awaitable[Worker]],
+        is_eligible: Eligible = any_worker,
     ) -> Worker:
         """Acquire a slot for a stream that has not started yet.
 
@@ -61,6 +62,7 @@
             call: Request that starts the stream.
             service: Service that runs it.
             acquire: Waits for a slot at a worker and reserves it.
+            is_eligible: Condition that the worker has to meet.
 
         Raises:
             WorkersColdError: If all workers are cold and no slot was assigned in time.
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -119,6 +119,7 @@
                 request.call,
                 service,
                 lambda: self._queue.acquire(service, lambda: rank, condition, avoided),
+                condition,
             )
 
         limits = RunLimits(
--- a/src/hollowrack/warmup/admission.py
+++ b/src/hollowrack/warmup/admission.py
@@ -167,14 +167,15 @@
         call: BackEndCall,
         service: str,
         acquire: Callable[[], Awaitable[Worker]],
+        is_eligible: Eligible = any_worker,
     ) -> Worker:
         """Acquire a slot for a stream; see :class:`ColdWorkerAdmission`."""
-        while self._are_all_cold(service, any_worker):
+        while self._are_all_cold(service, is_eligible):
             try:
                 async with asyncio.timeout(MAX_STREAM_WAIT_S):
                     return await acquire()
             except TimeoutError:
-                problem = self._refusal(call, service, any_worker)
+                problem = self._refusal(call, service, is_eligible)
                 if problem is not None:
                     raise WorkersColdError(problem) from None
         return await acquire()
