--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -17,7 +17,7 @@
 from hollowrack.coordination.relay import RelayingStore
 from hollowrack.coordination.session import Session, new_owner_name
 from hollowrack.coordination.shared_store import SharedStore, StoreAccess
-from hollowrack.coordination.store import Committed, Put, StoredItem
+from hollowrack.coordination.store import Committed, CoordinationStore, Put, StoredItem
 from hollowrack.edge_connections import EdgeConnections
 from hollowrack.evacuation.send_condition import EvacuationCondition
 from hollowrack.evacuation.zones import EvacuatedZones
@@ -52,6 +52,7 @@
 from hollowrack.slots.slot_sharing import SlotSharing
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.types import PushedCounts
+from hollowrack.warmup.control import ColdWorkerControl, WarmupConnections
 from hollowrack.weights.version_reconciler import VersionReconciler
 
 LIVE_POLL_INTERVAL_S = 0.2
@@ -97,6 +98,7 @@
         usage: Counts the tenants' requests that workers began.
         quarantine: Blocks requests that repeatedly crash workers.
         slots: Shares the slots of workers with other nodes.
+        cold_workers: Limits the requests to cold workers; ``None`` if they are not limited.
         may_watch_feed: Set once the mirrors of the operators' and workers' keys may be started.
     """
 
@@ -164,14 +166,7 @@
         self._max_change_delay_s = connections.max_change_delay_s
         self._num_cores = connections.num_cores
         self.feed_client = connections.feed
-        self.shared_store = SharedStore(
-            store,
-            connections.feed,
-            self._feed_sources,
-            self._store_access,
-        )
-        self.shared_store.source_listeners.append(self._restart_live_watch)
-        self.shared_store.recovery_listeners.append(self._retry_live_mirror)
+        self.shared_store = self._connect_shared_store(store)
         self._suspects = SuspectReplicator(
             SUSPECTS_PREFIX, store, self.quarantine.registry, self.leadership, rng
         )
@@ -242,12 +237,20 @@
             self.queue,
             connections.slots,
         )
+        self.cold_workers = self._cold_worker_control(connections.warmup, rng)
         self._rng = rng
         self._retirement = MachineRetirement(self.leadership, connections.complete_retirement)
         self._drain_deadline_s = 0.0
         self._handover_timeout_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _connect_shared_store(self, store: CoordinationStore) -> SharedStore:
+        """Create the store whose watches other nodes may answer."""
+        shared_store = SharedStore(store, self.feed_client, self._feed_sources, self._store_access)
+        shared_store.source_listeners.append(self._restart_live_watch)
+        shared_store.recovery_listeners.append(self._retry_live_mirror)
+        return shared_store
+
     def _connect_evacuated_zones(self) -> EvacuatedZones:
         """Create the set of evacuated zones and keep new requests from their workers."""
         zones = EvacuatedZones(self._num_workers_in)
@@ -261,6 +264,25 @@
     def _num_workers_in(self, zone: str) -> int:
         return sum(worker.zone == zone for worker in self.workers.all())
 
+    def _cold_worker_control(
+        self, connections: WarmupConnections | None, rng: random.Random
+    ) -> ColdWorkerControl | None:
+        if connections is None:
+            return None
+        control = ColdWorkerControl(
+            self.owner,
+            connections,
+            self.leadership,
+            self.live,
+            self.routes,
+            self.workers,
+            self.queue,
+            self.back_ends,
+            rng,
+        )
+        self.forwarder.cold_admission = control.admission
+        return control
+
     # -- lifecycle --------------------------------------------------------------------------
 
     @property
@@ -290,6 +312,8 @@
         self._leader_duties.start()
         self._suspects.start()
         self.slots.start()
+        if self.cold_workers is not None:
+            self.cold_workers.start()
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._load_leader_key()),
@@ -328,6 +352,7 @@
         await self._leader_duties.stop()
         await self._suspects.stop()
         await self.slots.stop()
+        await self._stop_cold_workers()
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
         # If the call fails, the lease expires.
@@ -342,6 +367,7 @@
         await self._leader_duties.abandon()
         await self._suspects.stop()
         await self.slots.abandon()
+        await self._stop_cold_workers()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
@@ -351,6 +377,10 @@
         await self._live_mirror.stop()
         await self.session.abandon()
 
+    async def _stop_cold_workers(self) -> None:
+        if self.cold_workers is not None:
+            await self.cold_workers.stop()
+
     def peer_addresses(self) -> list[str]:
         """Return the addresses of other nodes: the leader's first, the others shuffled.
 
@@ -375,6 +405,8 @@
 
     def worker_changed(self, worker: Worker) -> None:
         """Add or update a worker."""
+        if self.cold_workers is not None:
+            self.cold_workers.record_entry(worker, self.workers.get(worker.id))
         self.workers.update(worker)
 
     def worker_removed(self, worker_id: str) -> None:
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -16,6 +16,7 @@
     NotRunError,
     OpenAnswer,
 )
+from hollowrack.forwarding.cold_admission import ColdWorkerAdmission, WorkersColdError
 from hollowrack.forwarding.dispatch_queue import DispatchQueue, WorkersEvacuatedError
 from hollowrack.forwarding.dispatch_rank import DispatchRank, WorkKind
 from hollowrack.forwarding.event_stream import StreamEvent
@@ -69,6 +70,9 @@
         read_version: Reads the weight version from an event; ``None`` if the event has none.
         usage: Meter of the requests that workers have started.
         quarantine: Blocks requests that are suspected of crashing workers.
+
+    Attributes:
+        cold_admission: Has streams wait where workers are cold; ``None`` if that is not limited.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         self._read_version = read_version
         self._usage = usage
         self._quarantine = quarantine
+        self.cold_admission: ColdWorkerAdmission | None = None
         self._first_event_timeout = FirstEventTimeout(
             MIN_FIRST_EVENT_TIMEOUT_S, MAX_FIRST_EVENT_TIMEOUT_S
         )
@@ -125,13 +130,21 @@
                 condition = may_begin or any_worker
             elif may_begin is not None:
                 condition = both(condition, may_begin)
-            # A stream that has begun waits, as it can no longer be refused.
-            slot = self._queue.acquire(
-                service, lambda: rank, condition, avoided, fails_if_evacuated=not has_started
+
+            async def wait_for_slot() -> Worker:
+                # A stream that has begun waits, as it can no longer be refused.
+                slot = self._queue.acquire(
+                    service, lambda: rank, condition, avoided, fails_if_evacuated=not has_started
+                )
+                if allowed_regions is None or has_started:
+                    return await slot
+                return await self._slot_while_in_regions(slot, service, allowed_regions)
+
+            if self.cold_admission is None or run.num_attempts > 0:
+                return await wait_for_slot()
+            return await self.cold_admission.acquire_for_stream(
+                request.call, service, wait_for_slot, condition
             )
-            if allowed_regions is None or has_started:
-                return await slot
-            return await self._slot_while_in_regions(slot, service, allowed_regions)
 
         limits = RunLimits(
             request.route.max_attempts,
@@ -162,6 +175,8 @@
                     yield event.event.raw
         except (WorkersEvacuatedError, _NoWorkerInRegionsError):
             yield self._problem_after_lost_workers(request, service, run.may_have_run)
+        except WorkersColdError as error:
+            yield error.problem
         except RunEndedError as error:
             if has_started:
                 raise BrokenAnswerError(str(error)) from error
@@ -235,7 +250,21 @@
         in_regions = self._workers.in_regions(request.call.allowed_regions)
         refused: set[WorkerIncarnation] = set()
         while len(refused) < MAX_REFUSALS:
-            worker = self._workers.choose(service, refused, in_regions)
+            worker = None
+            if self.cold_admission is not None:
+                problem = await self.cold_admission.wait_turn(
+                    request.call,
+                    request.route,
+                    service,
+                    request_deadline_s(request) - now_s(),
+                    in_regions,
+                )
+                if problem is not None:
+                    yield problem
+                    return
+                worker = self.cold_admission.take_promised(request.call)
+            if worker is None:
+                worker = self._workers.choose(service, refused, in_regions)
             if worker is None:
                 break
             self._workers.reserve_slot(worker)
--- a/src/hollowrack/jobs/item_migration_policy.py
+++ b/src/hollowrack/jobs/item_migration_policy.py
@@ -60,7 +60,8 @@
 
         def is_faster(other: Worker) -> bool:
             return (
-                self._has_no_older_weights(other, worker)
+                self._workers.is_warm(other)
+                and self._has_no_older_weights(other, worker)
                 and self._saves_enough(worker, other, num_events)
                 and self._in_regions()(other)
             )
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -72,6 +72,7 @@
     REQUEST_QUARANTINED = 310
     NO_WORKER_IN_REGIONS = 311
     ZONES_EVACUATED = 312
+    WORKERS_COLD = 315
 
     OUTCOME_UNKNOWN = 400
     ANSWER_INCOMPLETE = 401
@@ -276,6 +277,13 @@
         "All workers that could take the request are in evacuated zones.",
         "Wait for Retry-After; operators lift the evacuation.",
     ),
+    ResultCode.WORKERS_COLD: CodeDescription(
+        _N,
+        _YES,
+        503,
+        "All workers of the service are warming up, and their limited requests are taken.",
+        "Wait for Retry-After.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeDescription(
         _U,
         _SAME,
--- a/src/hollowrack_bench/soak_faults.py
+++ b/src/hollowrack_bench/soak_faults.py
@@ -79,6 +79,7 @@
     ROLLING_STOP = "rolling-stop"
     EVACUATE = "evacuate"
     REGION_LINK = "region-link"
+    COLD_RETURN = "cold-return"
 
 
 # Faults during which nodes may not be connected to the store, or requests to workers are held up.
@@ -197,6 +198,7 @@
             SoakFault.ROLLING_STOP: self._stop_in_turn,
             SoakFault.EVACUATE: self.evacuations.run,
             SoakFault.REGION_LINK: self._impair_region_links,
+            SoakFault.COLD_RETURN: self.workers.return_cold,
         }
         self._signals = SignalSeries(system.processes, rng, self._stop_process, self._start_process)
 
