--- a/src/hollowrack/coordination/relay.py
+++ b/src/hollowrack/coordination/relay.py
@@ -137,6 +137,22 @@
         """
 
 
+class RelayRestriction(Protocol):
+    """Decides which nodes may relay calls, by the keys that the calls name."""
+
+    def unresolved_key(self, call: RelayedCall) -> str | None:
+        """Return a key to read before a call may be relayed; ``None`` if nothing is missing."""
+
+    def resolve(self, item: StoredItem) -> None:
+        """Process the value of such a key; an absent one sets no restriction."""
+
+    def permits(self, call: RelayedCall, address: str) -> bool:
+        """Whether the node at an address may relay a call, as far as known."""
+
+    def record_withheld(self, call: RelayedCall) -> None:
+        """Record that nodes are reachable but none of them may relay a call."""
+
+
 async def make_relayed_call(store: CoordinationStore, call: RelayedCall) -> RelayedOutcome:
     """Execute another node's call.
 
@@ -170,6 +186,7 @@
 
     Attributes:
         direct_failure_listeners: Called when direct calls begin to fail and relaying is possible.
+        restriction: Decides which nodes may relay calls; ``None`` if all may relay all calls.
     """
 
     def __init__(
@@ -189,6 +206,7 @@
         self._retry_node_from_s: dict[str, float] = {}
         self._relay_backoff = Backoff(INITIAL_RELAY_BACKOFF_S, MAX_RELAY_BACKOFF_S, rng)
         self.direct_failure_listeners: list[Callable[[], None]] = []
+        self.restriction: RelayRestriction | None = None
 
     async def get(self, key: str) -> StoredItem | Unavailable | None:
         """Read one key."""
@@ -229,12 +247,12 @@
         call = RelayedWrite(tuple(conditions), tuple(puts), tuple(removes))
         answer: RelayedOutcome = NotDone("not tried")
         # Only reads probe whether direct calls work again.
-        if self._direct_calls_fail and self._may_relay():
+        if self._direct_calls_fail and self._may_relay(call):
             answer = await self._relay(call)
         if isinstance(answer, NotDone):
             answer = await self._store.transact(conditions, puts, removes)
             self._record_direct(answer)
-            if isinstance(answer, NotDone) and self._may_relay():
+            if isinstance(answer, NotDone) and self._may_relay(call):
                 answer = await self._relay(call)
         if isinstance(answer, Committed | Conflict | LeaseGone | NotDone | Unknown):
             return answer
@@ -276,24 +294,30 @@
         self, call_directly: Callable[[], Awaitable[RelayedOutcome]], call: RelayedCall
     ) -> RelayedOutcome:
         """Make an idempotent call, directly or through another node."""
-        if now_s() < self._relay_first_until_s and self._may_relay():
+        if now_s() < self._relay_first_until_s and self._may_relay(call):
             answer = await self._relay(call)
             if not isinstance(answer, NotDone | Unknown):
                 return answer
         answer = await call_directly()
         self._record_direct(answer)
-        if isinstance(answer, NotDone | Unknown) and self._may_relay():
+        if isinstance(answer, NotDone | Unknown) and self._may_relay(call):
             answer = await self._relay(call)
         return answer
 
-    def _may_relay(self) -> bool:
-        return now_s() >= self._retry_relay_from_s and bool(self._nodes_to_ask())
+    def _may_relay(self, call: RelayedCall | None = None) -> bool:
+        """Whether relaying may succeed: of a call, or of any call if none is given."""
+        return now_s() >= self._retry_relay_from_s and bool(self._nodes_to_ask(call))
 
-    def _nodes_to_ask(self) -> list[str]:
+    def _nodes_to_ask(self, call: RelayedCall | None = None) -> list[str]:
         now = now_s()
         candidates = [
             node for node in self._nodes() if now >= self._retry_node_from_s.get(node, 0.0)
         ]
+        restriction = self.restriction
+        if call is not None and restriction is not None and candidates:
+            candidates = [node for node in candidates if restriction.permits(call, node)]
+            if not candidates:
+                restriction.record_withheld(call)
         return candidates[:MAX_NODES_ASKED]
 
     def _record_direct(self, answer: RelayedOutcome) -> None:
@@ -309,9 +333,21 @@
                 listener()
 
     async def _relay(self, call: RelayedCall) -> RelayedOutcome:
+        """Relay a call through nodes that may receive it."""
+        restriction = self.restriction
+        key = None if restriction is None else restriction.unresolved_key(call)
+        if restriction is not None and key is not None:
+            item = await self._relay_permitted(RelayedGet(key))
+            if isinstance(item, StoredItem):
+                restriction.resolve(item)
+            elif not isinstance(item, Absent):
+                return NotDone("the nodes that may relay the call could not be determined")
+        return await self._relay_permitted(call)
+
+    async def _relay_permitted(self, call: RelayedCall) -> RelayedOutcome:
         """Relay a call; stops at the first node that may have executed it."""
         answer: RelayedOutcome = NotDone("no node relays")
-        for address in self._nodes_to_ask():
+        for address in self._nodes_to_ask(call):
             answer = await self._client.relay(address, call)
             if not isinstance(answer, NotDone | Unknown):
                 self._relay_backoff.reset()
--- a/src/hollowrack/coordination/relay_http.py
+++ b/src/hollowrack/coordination/relay_http.py
@@ -1,5 +1,7 @@
 """HTTP client and route for relayed store calls."""
 
+from collections.abc import Callable
+
 import aiohttp
 from starlette.routing import Route
 
@@ -89,14 +91,19 @@
         return answer
 
 
-def relay_routes(store: CoordinationStore) -> list[Route]:
+def relay_routes(
+    store: CoordinationStore, permits: Callable[[RelayedCall], bool] | None = None
+) -> list[Route]:
     """Return the HTTP route that executes other nodes' store calls.
 
     Args:
         store: Direct access to the store.
+        permits: Returns whether this node may make a call; ``None`` if it may make all.
     """
 
     async def relay(call: RelayedCall) -> RelayedOutcome:
+        if permits is not None and not permits(call):
+            return NotDone("the relaying node may not make this call")
         return await make_relayed_call(store, call)
 
     return [message_route(RELAY_PATH, _CALLS, relay)]
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -30,6 +30,7 @@
 from hollowrack.jobs.item_services import ItemServices
 from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
+from hollowrack.jobs.job_regions import JobRegions
 from hollowrack.jobs.job_service import JobService
 from hollowrack.jobs.live_state import (
     LEADER_KEY,
@@ -40,6 +41,7 @@
 )
 from hollowrack.jobs.placement import NodeEntry
 from hollowrack.jobs.progress import ProgressLog
+from hollowrack.jobs.relay_restriction import JobRelayRestriction
 from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
@@ -90,6 +92,7 @@
         usage: Counts the tenants' requests that workers began.
         quarantine: Blocks requests that repeatedly crash workers.
         slots: Shares the slots of workers with other nodes.
+        relay_restriction: Decides which nodes may relay store calls about jobs.
         may_watch_feed: Set once the mirrors of the operators' and workers' keys may be started.
     """
 
@@ -134,8 +137,14 @@
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
         self.live = LiveState(
-            self.owner, zone, self.leadership, self._on_job_ended, self._on_job_owned
+            self.owner,
+            zone,
+            self.leadership,
+            self._on_job_ended,
+            self._on_job_owned,
+            JobRegions(self.topology),
         )
+        self.relay_restriction = store.restriction = JobRelayRestriction(self.live)
         self.jobs = JobService(
             log,
             progress,
--- a/src/hollowrack/jobs/job_intake.py
+++ b/src/hollowrack/jobs/job_intake.py
@@ -8,8 +8,15 @@
 
 from hollowrack.clock import now_s
 from hollowrack.jobs.job_log import MAX_JOB_ID_LENGTH, CreateOutcome, JobLog, StoredJob
+from hollowrack.jobs.job_regions import (
+    JobRegionsRecord,
+    RegionalJob,
+    RegionEvent,
+    describe_regions,
+)
 from hollowrack.jobs.live_state import LiveState
 from hollowrack.jobs.peer_jobs import PeerJobs
+from hollowrack.jobs.placement import placement_key
 from hollowrack.jobs.types import ItemResult, Job
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tasks import cancel_all
@@ -19,6 +26,8 @@
 CREATE_TIMEOUT_S = 0.6
 CREATE_RETRY_AFTER_S = 2.5
 STOPPING_RETRY_AFTER_S = 0.5
+# A zone without hosts gets one within this time if a node of it is up.
+REGIONS_RETRY_AFTER_S = 2.5
 # A write without an answer may have succeeded, so its outcome must be resolved first.
 RESOLVE_TIMEOUT_S = 8.0
 MAX_PEERS_ASKED = 3
@@ -29,7 +38,9 @@
 # it becomes the owner itself.
 MAX_OTHER_HOSTS = 1
 # Problems after which the job is certainly not stored, so that another node can be asked.
-_NOT_STORED_CODES = frozenset({ResultCode.STOPPING, ResultCode.JOB_NOT_STORED})
+_NOT_STORED_CODES = frozenset(
+    {ResultCode.STOPPING, ResultCode.JOB_NOT_STORED, ResultCode.JOB_REGIONS_UNAVAILABLE}
+)
 
 
 class JobOwner(Protocol):
@@ -78,23 +89,39 @@
         self._owner = owner
         self._background: set[asyncio.Task[Any]] = set()
 
-    async def submit(self, job: Job) -> Problem | None:
-        """Accept a job, here or at another node; ``None`` once it is stored durably."""
+    async def submit(
+        self, job: Job, allowed_regions: frozenset[str] | None = None
+    ) -> Problem | None:
+        """Accept a job, here or at another node; ``None`` once it is stored durably.
+
+        Args:
+            job: The job.
+            allowed_regions: Regions whose nodes may receive it; ``None`` for all.
+        """
+        if allowed_regions is not None and self._live.is_stored_in_regions(job.id):
+            return None  # A repeated submission; the stored job may have other allowed regions.
+        # A node of an unknown region passes on nothing that has allowed regions.
+        if allowed_regions is not None and self._live.regions.topology.own_region is None:
+            return self._regions_problem(job, allowed_regions)
         may_be_stored = False
-        tried_addresses = self._preferred_addresses(job)
+        tried_addresses = self._preferred_addresses(job, allowed_regions)
         for address in tried_addresses:
-            peer_problem = await self._submit_to_peer(address, job, PREFERRED_OWNER_TIMEOUT_S)
+            peer_problem = await self._submit_to_peer(
+                address, job, allowed_regions, PREFERRED_OWNER_TIMEOUT_S
+            )
             if peer_problem is None:
                 return None
             may_be_stored = may_be_stored or peer_problem.code not in _NOT_STORED_CODES
-        problem = await self.submit_here(job)
+        problem = await self.submit_here(job, allowed_regions)
         if problem is None or problem.code not in _NOT_STORED_CODES:
             return problem
         other_addresses = [
-            address for address in self._peer_addresses() if address not in tried_addresses
+            address
+            for address in self._permitted_peers(allowed_regions)
+            if address not in tried_addresses
         ]
         for address in other_addresses[:MAX_PEERS_ASKED]:
-            peer_problem = await self._submit_to_peer(address, job, PEER_TIMEOUT_S)
+            peer_problem = await self._submit_to_peer(address, job, allowed_regions, PEER_TIMEOUT_S)
             if peer_problem is None:
                 return None
             if peer_problem.code not in _NOT_STORED_CODES:
@@ -103,28 +130,54 @@
             return Problem(
                 ResultCode.OUTCOME_UNKNOWN, "another node may have stored the job", job.id
             )
+        if problem.code is ResultCode.JOB_REGIONS_UNAVAILABLE:
+            num_asked = len(tried_addresses) + len(other_addresses[:MAX_PEERS_ASKED])
+            logging.warning("job %s: refused, %s (%d asked)", job.id, problem.detail, num_asked)
         return problem
 
-    def _preferred_addresses(self, job: Job) -> list[str]:
+    def _permitted_peers(self, allowed_regions: frozenset[str] | None) -> list[str]:
+        """Addresses of the other nodes that may receive a job, in order of preference."""
+        if allowed_regions is None:
+            return self._peer_addresses()
+        hosts = self._live.hosts_in(allowed_regions).values()
+        permitted = {entry.address for entry in hosts}
+        return [address for address in self._peer_addresses() if address in permitted]
+
+    def _preferred_addresses(self, job: Job, allowed_regions: frozenset[str] | None) -> list[str]:
         """Addresses of the nodes to which a job is submitted before this one stores it."""
         if not self.uses_preferred_owner or self._owner.owns(job.id):
             return []
-        preferred = self._live.preferred_owner_address(job)
+        preferred = self._live.preferred_owner_address(job, allowed_regions)
         if preferred is None:
             return []
         if self._is_host():
             return [preferred]
-        other_addresses = [address for address in self._peer_addresses() if address != preferred]
+        other_addresses = [
+            address for address in self._permitted_peers(allowed_regions) if address != preferred
+        ]
         return [preferred, *other_addresses[:MAX_OTHER_HOSTS]]
 
-    async def _submit_to_peer(self, address: str, job: Job, timeout_s: float) -> Problem | None:
-        peer_problem = await self._peers.submit(address, job, timeout_s)
+    async def _submit_to_peer(
+        self, address: str, job: Job, allowed_regions: frozenset[str] | None, timeout_s: float
+    ) -> Problem | None:
+        if allowed_regions is None:
+            peer_problem = await self._peers.submit(address, job, timeout_s)
+        else:
+            regional_job = RegionalJob(job, tuple(sorted(allowed_regions)))
+            peer_problem = await self._peers.submit_in_regions(address, regional_job, timeout_s)
         if peer_problem is None:
             logging.info("job %s: submitted to the node at %s", job.id, address)
         return peer_problem
 
-    async def submit_here(self, job: Job) -> Problem | None:
-        """Accept a job on this node; ``None`` once it is stored durably."""
+    async def submit_here(
+        self, job: Job, allowed_regions: frozenset[str] | None = None
+    ) -> Problem | None:
+        """Accept a job on this node; ``None`` once it is stored durably.
+
+        Args:
+            job: The job.
+            allowed_regions: Regions whose nodes may receive it; ``None`` for all.
+        """
         if not 0 < len(job.id) <= MAX_JOB_ID_LENGTH:
             return Problem(ResultCode.BAD_REQUEST, "the job identifier is empty or too long", "id")
         if self._owner.owns(job.id):
@@ -132,22 +185,39 @@
         if self.is_stopping:
             detail = "this node is stopping"
             return Problem(ResultCode.STOPPING, detail, job.id, STOPPING_RETRY_AFTER_S)
-        store_task = asyncio.create_task(self._store(job))
+        if not self._live.regions.allows_here(allowed_regions):
+            return self._regions_problem(job, allowed_regions or frozenset())
+        record = None
+        if allowed_regions is not None:
+            record = JobRegionsRecord(tuple(sorted(allowed_regions)), placement_key(job))
+        self._live.regions.note(job.id, record)
+        store_task = asyncio.create_task(self._store(job, record))
         self._background.add(store_task)
         store_task.add_done_callback(self._background.discard)
         # The caller may disconnect; an attempt with an unknown outcome continues without it.
         outcome = await asyncio.shield(store_task)
         return _problem_of_outcome(outcome, job.id)
 
+    def _regions_problem(self, job: Job, allowed_regions: frozenset[str]) -> Problem:
+        """Return why a job that may not be stored here is refused."""
+        self._live.regions.count(RegionEvent.JOB_REFUSED)
+        hosts = self._live.hosts_in(allowed_regions)
+        detail = (
+            f"this node in region {self._live.regions.topology.own_region} may not store it; "
+            f"{len(hosts)} known hosts are in its allowed regions "
+            f"({describe_regions(allowed_regions)})"
+        )
+        return Problem(ResultCode.JOB_REGIONS_UNAVAILABLE, detail, job.id, REGIONS_RETRY_AFTER_S)
+
     async def stop(self) -> None:
         """Cancel unfinished attempts to store jobs."""
         await cancel_all(*self._background)
 
-    async def _store(self, job: Job) -> CreateOutcome:
+    async def _store(self, job: Job, regions: JobRegionsRecord | None) -> CreateOutcome:
         started_s = now_s()
         may_be_stored = False
         while True:
-            outcome = await self._log.create(job)
+            outcome = await self._log.create(job, regions)
             if outcome is CreateOutcome.CREATED:
                 self._owner.run_job(job, [])
                 return outcome
--- a/src/hollowrack/jobs/job_log.py
+++ b/src/hollowrack/jobs/job_log.py
@@ -27,6 +27,7 @@
     Unavailable,
     Unknown,
 )
+from hollowrack.jobs.job_regions import JobRegionsRecord, regions_key, regions_put
 from hollowrack.jobs.progress import progress_prefix
 from hollowrack.jobs.types import ItemResult, Job, ResultBatch
 from hollowrack.messages import codec
@@ -121,8 +122,13 @@
         self._store = store
         self.owner = owner
 
-    async def create(self, job: Job) -> CreateOutcome:
-        """Store a job, owned by this process, unless it exists."""
+    async def create(self, job: Job, regions: JobRegionsRecord | None = None) -> CreateOutcome:
+        """Store a job, owned by this process, unless it exists.
+
+        Args:
+            job: The job.
+            regions: Record of its allowed regions; ``None`` if it has none.
+        """
         data = codec.encode(job)
         parts = [
             data[start : start + MAX_PART_BYTES] for start in range(0, len(data), MAX_PART_BYTES)
@@ -131,6 +137,8 @@
             return CreateOutcome.TOO_LARGE
         puts = [Put(_part_key(job.id, index), part) for index, part in enumerate(parts)]
         puts.append(Put(_open_key(job.id), self.owner.encode()))
+        if regions is not None:
+            puts.append(regions_put(job.id, regions))
         outcome = await self._store.transact([Condition(_part_key(job.id, 0))], puts)
         if isinstance(outcome, Committed):
             return CreateOutcome.CREATED
@@ -209,14 +217,21 @@
             return item
         return item is not None
 
-    async def remove(self, job_id: str) -> bool:
-        """Remove an ended job and its progress; ``False`` if a call to the store fails."""
+    async def remove(self, job_id: str, has_regions: bool = False) -> bool:
+        """Remove an ended job and its progress; ``False`` if a call to the store fails.
+
+        Args:
+            job_id: Identifier of the job.
+            has_regions: Whether it has a record of allowed regions.
+        """
         keys: list[str] = []
         for prefix in (progress_prefix(job_id), f"{JOBS_PREFIX}{quote(job_id, safe='')}/"):
             listing = await self._store.list_prefix(prefix)
             if not isinstance(listing, Listing):
                 return False
             keys.extend(item.key for item in listing.items)
+        if has_regions:
+            keys.append(regions_key(job_id))
         # The end mark is removed last: while it exists, a failed removal is retried.
         keys.append(f"{ENDS_PREFIX}{quote(job_id, safe='')}")
         for start in range(0, len(keys), MAX_REMOVES):
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -16,6 +16,7 @@
 from hollowrack.jobs.job_intake import JobIntake
 from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
+from hollowrack.jobs.job_regions import RegionEvent, allowed_regions_of_job
 from hollowrack.jobs.job_runner import JobRunner
 from hollowrack.jobs.live_state import LiveState
 from hollowrack.jobs.peer_jobs import JobPage, PeerJobs, ReadJobRequest
@@ -99,14 +100,26 @@
 
     # -- accepting --------------------------------------------------------------------------
 
-    async def submit(self, job: Job) -> Problem | None:
-        """Accept a job, here or at another node; ``None`` once it is stored durably."""
-        version = self._services.routes.version or 0
-        return await self.intake.submit(replace(job, configuration_version=version))
+    async def submit(
+        self, job: Job, allowed_regions: frozenset[str] | None = None
+    ) -> Problem | None:
+        """Accept a job, here or at another node; ``None`` once it is stored durably.
 
-    async def submit_here(self, job: Job) -> Problem | None:
+        Args:
+            job: The job.
+            allowed_regions: Allowed regions of its route and tenant; ``None`` for all.
+        """
+        routes = self._services.routes
+        if self._live.regions.topology.regions:
+            allowed_regions = allowed_regions_of_job(job, routes, allowed_regions)
+        job = replace(job, configuration_version=routes.version or 0)
+        return await self.intake.submit(job, allowed_regions)
+
+    async def submit_here(
+        self, job: Job, allowed_regions: frozenset[str] | None = None
+    ) -> Problem | None:
         """Accept a job on this node; ``None`` once it is stored durably."""
-        return await self.intake.submit_here(job)
+        return await self.intake.submit_here(job, allowed_regions)
 
     def run_job(
         self,
@@ -127,6 +140,10 @@
         """
         if self.intake.is_stopping or job.id in self._runners:
             return
+        regions = self._live.regions
+        if not regions.allows_here(regions.allowed_regions(job.id)):
+            logging.error("job %s: not run, this node is outside its allowed regions", job.id)
+            return
         runner = JobRunner(
             job,
             results,
@@ -243,7 +260,8 @@
 
     async def end(self, job_id: str) -> Problem | None:
         """End a job; ``None`` once the end is stored durably."""
-        if job_id not in self._runners and not self._live.knows_job(job_id):
+        is_known = self._live.knows_job(job_id) or self._live.regions.is_stored(job_id)
+        if job_id not in self._runners and not is_known:
             job = await self._find_job(job_id)
             if job is None:
                 return _unknown_job_problem(job_id)
@@ -284,6 +302,12 @@
 
     def remainder(self, job_id: str) -> JobRemainder:
         """Return the remainder of a job that this node owns or owned; empty if there is none."""
+        if not self._live.may_send_remainder(job_id):
+            self._live.regions.count(RegionEvent.REMAINDER_WITHHELD)
+            logging.warning(
+                "job %s: remainder not sent, the owner is outside its allowed regions", job_id
+            )
+            return JobRemainder()
         runner = self._runners.get(job_id)
         if runner is not None:
             return runner.remainder()
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -16,10 +16,12 @@
 from hollowrack.coordination.session import decode_owner, is_owner, node_of_owner
 from hollowrack.coordination.store import StoredItem
 from hollowrack.jobs.job_log import ENDS_PREFIX, OPEN_PREFIX, OpenJob, job_id_of
-from hollowrack.jobs.placement import NodeEntry, preferred_owner
+from hollowrack.jobs.job_regions import REGIONS_PREFIX, JobRegions
+from hollowrack.jobs.placement import NodeEntry, preferred_owner, preferred_owner_by_key
 from hollowrack.jobs.types import Job
 from hollowrack.messages import codec
 from hollowrack.observability.log_rate_limiter import LogRateLimiter
+from hollowrack.regions.topology import RegionTopology
 from hollowrack.results import Problem, ResultCode
 
 LIVE_PREFIX = "hollowrack/live/"
@@ -47,8 +49,10 @@
         leadership: Receives changes of the leader keys.
         on_ended: Called with the identifier of each job that was ended.
         on_owned: Called with each unfinished job whenever its owner is written.
+        regions: Allowed regions of jobs; ``None`` if no zone has a region.
 
     Attributes:
+        regions: Allowed regions of jobs.
         nodes: Entries of live processes by owner name.
         open_jobs: Unfinished jobs by identifier.
         ended_jobs: Time at which this node received the end of each ended job, in seconds of the
@@ -63,7 +67,9 @@
         leadership: Leadership,
         on_ended: Callable[[str], None],
         on_owned: Callable[[OpenJob], None],
+        regions: JobRegions | None = None,
     ) -> None:
+        self.regions = regions or JobRegions(RegionTopology())
         self.nodes: dict[str, NodeEntry] = {}
         self._former_nodes: OrderedDict[str, NodeEntry] = OrderedDict()
         self.open_jobs: dict[str, OpenJob] = {}
@@ -91,6 +97,8 @@
             self._apply_open_job(job_id_of(key, OPEN_PREFIX), item)
         elif key.startswith(ENDS_PREFIX):
             self._apply_end(job_id_of(key, ENDS_PREFIX), item)
+        elif key.startswith(REGIONS_PREFIX):
+            self.regions.apply_change(key, item)
 
     def _apply_node(self, owner: str, item: StoredItem | None) -> None:
         if item is None:
@@ -199,9 +207,11 @@
             key=lambda owner: (self.nodes[owner].zone != self._zone, _rank(node, owner)),
         )
 
-    def preferred_owner_address(self, job: Job) -> str | None:
+    def preferred_owner_address(
+        self, job: Job, allowed_regions: frozenset[str] | None = None
+    ) -> str | None:
         """Address of the preferred owner of a job; ``None`` if that is this node or unknown."""
-        owner = preferred_owner(job, self.nodes, self._zone)
+        owner = preferred_owner(job, self.hosts_in(allowed_regions), self._zone)
         return None if owner is None else self._address_of(owner)
 
     def knows_job(self, job_id: str) -> bool:
@@ -238,8 +248,71 @@
 
     def successor(self, job: Job) -> str | None:
         """Preferred owner of a job among the other processes; ``None`` if there is none."""
-        others = {owner: entry for owner, entry in self.nodes.items() if owner != self._owner}
-        return preferred_owner(job, others, self._zone)
+        allowed_regions = self.regions.allowed_regions(job.id)
+        return preferred_owner(job, self._others(allowed_regions), self._zone)
+
+    def successor_in_regions(self, job_id: str) -> str | None:
+        """Preferred owner, among the other processes, of a job with allowed regions.
+
+        Unlike :meth:`successor` it needs no part of the job; ``None`` if no process may own it.
+        """
+        record = self.regions.record(job_id)
+        if record is None:
+            return None
+        others = self._others(frozenset(record.allowed_regions))
+        return preferred_owner_by_key(record.placement_key or job_id, others, self._zone)
+
+    def remover(self, job_id: str) -> str | None:
+        """Process that removes a job with allowed regions once it has ended.
+
+        Its keys are listed with their values, so the leader may not be allowed to.
+        """
+        hosts = self.hosts_in(self.regions.allowed_regions(job_id))
+        return preferred_owner_by_key(job_id, hosts)
+
+    def is_remover(self, job_id: str) -> bool:
+        """Whether this process removes a job with allowed regions once it has ended."""
+        return self.remover(job_id) == self._owner
+
+    def is_stored_in_regions(self, job_id: str) -> bool:
+        """Whether a job with allowed regions is known to be stored."""
+        return self.regions.is_stored(job_id) and self.knows_job(job_id)
+
+    def hosts_in(self, allowed_regions: frozenset[str] | None) -> dict[str, NodeEntry]:
+        """Entries of the live processes that may receive jobs with these allowed regions.
+
+        Args:
+            allowed_regions: Names of regions; ``None`` for all processes. Otherwise stopping
+                processes are left out, as they take no jobs.
+        """
+        if allowed_regions is None:
+            return self.nodes
+        allows = self.regions.topology.allows
+        return {
+            owner: entry
+            for owner, entry in self.nodes.items()
+            if entry.num_cores > 0.0 and allows(entry.zone, allowed_regions)
+        }
+
+    def addresses_in(self, allowed_regions: frozenset[str]) -> set[str]:
+        """Addresses of the live processes in allowed regions, including stopping ones."""
+        allows = self.regions.topology.allows
+        return {
+            entry.address for entry in self.nodes.values() if allows(entry.zone, allowed_regions)
+        }
+
+    def may_send_remainder(self, job_id: str) -> bool:
+        """Whether the known owner of a job may receive what its former owner holds."""
+        allowed_regions = self.regions.allowed_regions(job_id)
+        job = self.open_jobs.get(job_id)
+        if allowed_regions is None or job is None or job.owner == self._owner:
+            return True
+        entry = self.nodes.get(job.owner)
+        return entry is not None and self.regions.topology.allows(entry.zone, allowed_regions)
+
+    def _others(self, allowed_regions: frozenset[str] | None) -> dict[str, NodeEntry]:
+        hosts = self.hosts_in(allowed_regions)
+        return {owner: entry for owner, entry in hosts.items() if owner != self._owner}
 
     def peer_addresses(self) -> list[str]:
         """Addresses of the other nodes, sorted."""
--- a/src/hollowrack/jobs/peer_jobs.py
+++ b/src/hollowrack/jobs/peer_jobs.py
@@ -8,6 +8,7 @@
 from absl import logging
 from starlette.routing import Route
 
+from hollowrack.jobs.job_regions import RegionalJob
 from hollowrack.jobs.progress import JobRemainder
 from hollowrack.jobs.types import ItemResult, Job
 from hollowrack.messages.codec import message
@@ -107,6 +108,11 @@
         may be stored, or the problem that the node reported.
         """
 
+    async def submit_in_regions(
+        self, address: str, job: RegionalJob, timeout_s: float
+    ) -> Problem | None:
+        """Submit a job with allowed regions to another node in them; see :meth:`submit`."""
+
 
 class HttpPeerJobs:
     """HTTP client for requests to other nodes about jobs.
@@ -120,6 +126,17 @@
 
     async def submit(self, address: str, job: Job, timeout_s: float) -> Problem | None:
         """Submit a job to another node."""
+        return await self._submit(address, job, timeout_s)
+
+    async def submit_in_regions(
+        self, address: str, job: RegionalJob, timeout_s: float
+    ) -> Problem | None:
+        """Submit a job with allowed regions to another node in them."""
+        return await self._submit(address, job, timeout_s)
+
+    async def _submit(
+        self, address: str, job: Job | RegionalJob, timeout_s: float
+    ) -> Problem | None:
         try:
             answer = await call_node(self._session, address, SUBMIT_PATH, job, timeout_s)
         except NodeUnreachableError:
@@ -172,20 +189,23 @@
 
 
 def peer_routes(
-    submit: Callable[[Job], Awaitable[Problem | None]],
+    submit: Callable[[Job, frozenset[str] | None], Awaitable[Problem | None]],
     read: Callable[[ReadJobRequest], Awaitable[JobPage]],
     remainder: Callable[[str], JobRemainder],
 ) -> list[Route]:
     """Return the HTTP routes that answer other nodes' requests about jobs.
 
     Args:
-        submit: Stores a job on this node without forwarding it.
+        submit: Stores a job, with its allowed regions, on this node without forwarding it.
         read: Reads a job that this node owns.
         remainder: Returns the remainder of a job that this node owned.
     """
 
-    async def submit_job(job: Job) -> SubmitAnswer:
-        problem = await submit(job)
+    async def submit_job(submitted: Job | RegionalJob) -> SubmitAnswer:
+        if isinstance(submitted, RegionalJob):
+            problem = await submit(submitted.job, frozenset(submitted.allowed_regions))
+        else:
+            problem = await submit(submitted, None)
         if problem is None:
             return SubmitAnswer(int(ResultCode.OK))
         return SubmitAnswer(int(problem.code), problem.detail)
@@ -199,6 +219,6 @@
 
     return [
         message_route(REMAINDER_PATH, (RemainderRequest,), read_remainder),
-        message_route(SUBMIT_PATH, (Job,), submit_job),
+        message_route(SUBMIT_PATH, (Job, RegionalJob), submit_job),
         message_route(READ_PATH, (ReadJobRequest,), read_page),
     ]
--- a/src/hollowrack/jobs/placement.py
+++ b/src/hollowrack/jobs/placement.py
@@ -50,6 +50,16 @@
     Returns:
         The owner name; ``None`` if no process is reachable.
     """
+    return preferred_owner_by_key(placement_key(job), live, zone)
+
+
+def placement_key(job: Job) -> str:
+    """Return the key of a job's preferred owner, shared by all jobs of a model."""
+    return job.model or f"{job.host}{job.target}"
+
+
+def preferred_owner_by_key(key: str, live: Mapping[str, NodeEntry], zone: str = "") -> str | None:
+    """Return the preferred owner of the jobs with a placement key; see :func:`preferred_owner`."""
     reachable = {owner: entry for owner, entry in live.items() if entry.address}
     if not reachable:
         return None
@@ -63,7 +73,7 @@
         for owner, entry in reachable.items()
         if entry.num_cores >= LARGE_NODE_FRACTION * max_cores
     ]
-    return _first_by_hash(job.model or f"{job.host}{job.target}", candidates)
+    return _first_by_hash(key, candidates)
 
 
 def _first_by_hash(key: str, owners: Iterable[str]) -> str:
--- a/src/hollowrack/jobs/retention.py
+++ b/src/hollowrack/jobs/retention.py
@@ -18,6 +18,9 @@
 class JobRetention:
     """Removes ended jobs while this node is the leader.
 
+    The removal lists a job's keys with their values. A job with allowed regions is therefore
+    removed by one host in them, whether it leads or not.
+
     The retention period starts when this node receives the end of a job; a new leader may
     therefore retain a job longer, never shorter.
 
@@ -48,20 +51,25 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(RETENTION_POLL_INTERVAL_S)
-            if self._leadership.is_leader:
-                await self._remove_due()
+            await self._remove_due()
 
     async def _remove_due(self) -> None:
         due = [
             job_id
             for job_id, received_s in self._live.ended_jobs.items()
-            if now_s() - received_s > self._retention_s
+            if now_s() - received_s > self._retention_s and self._removes(job_id)
         ]
         for job_id in due[:MAX_REMOVED_PER_POLL]:
-            if not await self._log.remove(job_id):
+            if not await self._log.remove(job_id, self._live.regions.is_stored(job_id)):
                 return
             logging.info(
                 "job %s: removed from the store, ended more than %g s ago",
                 job_id,
                 self._retention_s,
             )
+
+    def _removes(self, job_id: str) -> bool:
+        """Whether this node removes a job once it is due."""
+        if self._live.regions.is_stored(job_id):
+            return self._live.is_remover(job_id)
+        return self._leadership.is_leader
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -12,6 +12,7 @@
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.session import node_of_owner
 from hollowrack.jobs.job_log import JobLog, OpenJob, StoredJob
+from hollowrack.jobs.job_regions import RegionEvent, describe_regions
 from hollowrack.jobs.job_service import JobService
 from hollowrack.jobs.live_state import LiveState
 from hollowrack.jobs.peer_jobs import PeerJobs
@@ -31,7 +32,8 @@
     """Takes over unfinished jobs of former owners.
 
     Every node takes over jobs of its earlier processes and jobs assigned to it; the leader also
-    takes over all others without a live owner.
+    takes over all others without a live owner. A node outside the allowed regions of a job assigns
+    it to a live host inside them, without reading it.
 
     Args:
         log: Durable state of jobs.
@@ -57,6 +59,8 @@
         self._progress = progress
         self._peers = peers
         self._assigned_since_s: dict[str, float] = {}
+        # Jobs without a live host in their allowed regions.
+        self._without_host: set[str] = set()
         self._jobs = jobs
         self._leadership = leadership
         self._live = live
@@ -132,8 +136,12 @@
 
     async def _take_over(self, job: OpenJob) -> None:
         """Claim a job and run it; an error must not prevent the takeover of other jobs."""
+        regions = self._live.regions
         try:
-            await self._claim_and_load(job)
+            if regions.allows_here(regions.allowed_regions(job.job_id)):
+                await self._claim_and_load(job)
+            else:
+                await self._assign_in_regions(job)
         except Exception:
             logging.exception("job %s: takeover failed, will be retried", job.job_id)
             self._next_scan_s = min(self._next_scan_s, now_s() + CLAIM_RETRY_INTERVAL_S)
@@ -145,6 +153,30 @@
         else:
             self._next_scan_s = min(self._next_scan_s, now_s() + SESSION_LOSS_GRACE_S)
 
+    async def _assign_in_regions(self, job: OpenJob) -> None:
+        """Assign a job that this node must not read to a live host in its allowed regions."""
+        regions = self._live.regions
+        successor = self._live.successor_in_regions(job.job_id)
+        if successor is not None and await self._log.assign(job, successor):
+            self._without_host.discard(job.job_id)
+            regions.count(RegionEvent.JOB_HANDED_OVER)
+            logging.info(
+                "job %s: assigned to %s in its allowed regions, was owned by %s",
+                job.job_id,
+                successor,
+                job.owner,
+            )
+            return
+        if successor is None and job.job_id not in self._without_host:
+            self._without_host = (self._without_host & self._live.open_jobs.keys()) | {job.job_id}
+            regions.count(RegionEvent.JOB_WITHOUT_HOST)
+            logging.warning(
+                "job %s: waits, no live host in its allowed regions (%s)",
+                job.job_id,
+                describe_regions(regions.allowed_regions(job.job_id) or ()),
+            )
+        self._next_scan_s = min(self._next_scan_s, now_s() + CLAIM_RETRY_INTERVAL_S)
+
     async def _fetch_remainder(self, job: OpenJob) -> JobRemainder:
         address = self._live.last_known_address(job.owner)
         return (
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -115,6 +115,7 @@
             value=self._counts.suspended_s,
         )
         yield self._refusals()
+        yield self._job_regions()
         yield self._waits()
         for name, description, value in self._gauges():
             yield GaugeMetricFamily(name, description, value=value)
@@ -131,6 +132,18 @@
             refusals.add_metric([service, reason.name], count)
         return refusals
 
+    def _job_regions(self) -> "Metric":
+        from prometheus_client.core import CounterMetricFamily  # noqa: PLC0415 (lazy import)
+
+        events = CounterMetricFamily(
+            "hollowrack_job_regions",
+            "Decisions made because of the allowed regions of a job",
+            labels=["event"],
+        )
+        for event, count in self._node.live.regions.num_events.items():
+            events.add_metric([event.name], count)
+        return events
+
     def _waits(self) -> "Metric":
         from prometheus_client.core import (  # noqa: PLC0415 (lazy import)
             HistogramMetricFamily,
@@ -192,6 +205,11 @@
             ("hollowrack_session_left_seconds", "Until the lease may be over", session_left_s),
             ("hollowrack_live_nodes", "Live processes known", len(node.live.nodes)),
             ("hollowrack_jobs_open", "Unfinished jobs known", len(node.live.open_jobs)),
+            (
+                "hollowrack_jobs_with_regions",
+                "Stored jobs that have allowed regions",
+                node.live.regions.num_jobs,
+            ),
             ("hollowrack_jobs_owned", "Unfinished jobs run here", node.jobs.num_running),
             (
                 "hollowrack_requests_suspected",
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -161,7 +161,7 @@
             jobs = self.node.jobs
             routes = [
                 *feed_routes(mirror_feed),
-                *relay_routes(store),
+                *relay_routes(store, self.node.relay_restriction.permits_here),
                 *peer_routes(jobs.submit_here, jobs.answer_peer, jobs.remainder),
                 *usage_routes(self.node.receive_usage),
                 *slot_routes(self.node.slots.answer),
--- a/src/hollowrack/platform/ingress.py
+++ b/src/hollowrack/platform/ingress.py
@@ -12,7 +12,8 @@
 from hollowrack.edge_node import EdgeNode
 from hollowrack.forwarding.forwarder import ForwardRequest
 from hollowrack.forwarding.stream_forwarder import StreamForwarder, StreamHead
-from hollowrack.forwarding.types import RouteKind
+from hollowrack.forwarding.types import Route, RouteKind
+from hollowrack.jobs.job_regions import intersection
 from hollowrack.jobs.types import scoped_job_id
 from hollowrack.platform import names
 from hollowrack.platform.exchange import (
@@ -124,7 +125,7 @@
         if isinstance(body, Problem):
             await exchange.send_problem(body)
         elif route.kind is RouteKind.JOB and exchange.method == "POST":
-            await self._submit(exchange, body, tenant)
+            await self._submit(exchange, route, body, tenant)
         elif route.kind is RouteKind.STREAM:
             await self._stream(exchange, exchange.forward_request(route, body, tenant))
         else:
@@ -201,13 +202,19 @@
                     await exchange.send_chunk(part)
         await exchange.finish()
 
-    async def _submit(self, exchange: Exchange, body: bytes, tenant: Tenant | None) -> None:
+    async def _submit(
+        self, exchange: Exchange, route: Route, body: bytes, tenant: Tenant | None
+    ) -> None:
         name = None if tenant is None else tenant.name
         job = decode_job(exchange.request_id, exchange.host, exchange.path, body, name)
         if isinstance(job, Failure):
             await exchange.send_problem(job.failure())
             return
-        problem = await exchange.run_while_connected(self._node.jobs.submit(job.unwrap()))
+        allowed_regions = intersection(
+            route.allowed_regions, None if tenant is None else tenant.allowed_regions
+        )
+        submission = self._node.jobs.submit(job.unwrap(), allowed_regions)
+        problem = await exchange.run_while_connected(submission)
         if problem is not None:
             await exchange.send_problem(problem)
         else:
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -70,6 +70,7 @@
     NOT_CONFIGURED = 308
     CONFIGURATION_OLD = 309
     REQUEST_QUARANTINED = 310
+    JOB_REGIONS_UNAVAILABLE = 314
 
     OUTCOME_UNKNOWN = 400
     ANSWER_INCOMPLETE = 401
@@ -258,6 +259,13 @@
         "Too many workers have ended while they ran this request; it is sent to none for a time.",
         "Change the request or mend the workers; the same one may run after Retry-After.",
     ),
+    ResultCode.JOB_REGIONS_UNAVAILABLE: CodeDescription(
+        _N,
+        _YES,
+        503,
+        "No node in the allowed regions of the job could store it; nothing of it runs.",
+        "Wait for Retry-After, or submit it to a node in an allowed region.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeDescription(
         _U,
         _SAME,
