--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -262,17 +262,13 @@
         others = self._others(frozenset(record.allowed_regions))
         return preferred_owner_by_key(record.placement_key or job_id, others, self._zone)
 
-    def remover(self, job_id: str) -> str | None:
-        """Process that removes a job with allowed regions once it has ended.
+    def is_designated_host(self, job_id: str) -> bool:
+        """Whether this process acts on a job with allowed regions where the leader must not read.
 
-        Its keys are listed with their values, so the leader may not be allowed to.
+        All processes that see the same live hosts agree on one of those in the allowed regions.
         """
         hosts = self.hosts_in(self.regions.allowed_regions(job_id))
-        return preferred_owner_by_key(job_id, hosts)
-
-    def is_remover(self, job_id: str) -> bool:
-        """Whether this process removes a job with allowed regions once it has ended."""
-        return self.remover(job_id) == self._owner
+        return preferred_owner_by_key(job_id, hosts) == self._owner
 
     def is_stored_in_regions(self, job_id: str) -> bool:
         """Whether a job with allowed regions is known to be stored."""
--- a/src/hollowrack/jobs/retention.py
+++ b/src/hollowrack/jobs/retention.py
@@ -71,5 +71,5 @@
     def _removes(self, job_id: str) -> bool:
         """Whether this node removes a job once it is due."""
         if self._live.regions.is_stored(job_id):
-            return self._live.is_remover(job_id)
+            return self._live.is_designated_host(job_id)
         return self._leadership.is_leader
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -26,14 +26,17 @@
 # it is added to the grace period.
 CLAIM_RETRY_INTERVAL_S = 1.5
 SCAN_INTERVAL_S = 6.0
+# The leader assigns a job within 2 s of the end of its owner's session.
+UNASSIGNED_TIMEOUT_S = 4.0
 
 
 class JobTakeover:
     """Takes over unfinished jobs of former owners.
 
     Every node takes over jobs of its earlier processes and jobs assigned to it; the leader also
-    takes over all others without a live owner. A node outside the allowed regions of a job assigns
-    it to a live host inside them, without reading it.
+    takes over all others without a live owner. A leader outside the allowed regions of a job
+    assigns it to a live host inside them, without reading it. If it does not, as its settings name
+    no regions, one of these hosts claims the job after a delay.
 
     Args:
         log: Durable state of jobs.
@@ -59,6 +62,8 @@
         self._progress = progress
         self._peers = peers
         self._assigned_since_s: dict[str, float] = {}
+        # Time since which jobs with allowed regions have had no live owner.
+        self._ownerless_since_s: dict[str, float] = {}
         # Jobs without a live host in their allowed regions.
         self._without_host: set[str] = set()
         self._jobs = jobs
@@ -88,6 +93,8 @@
             was_leader = is_leader
             self._update_owners()
             await self._take_over_assigned()
+            if not is_leader and self._live.regions.num_jobs:
+                await self._take_over_unassigned()
             if is_leader and now_s() >= self._next_scan_s:
                 self._next_scan_s = now_s() + SCAN_INTERVAL_S
                 await self._scan()
@@ -120,6 +127,22 @@
                 self._assigned_since_s[job_id] = now_s() + CLAIM_RETRY_INTERVAL_S
                 await self._take_over(not_running[job_id])
 
+    async def _take_over_unassigned(self) -> None:
+        """Take over jobs with allowed regions that the leader has not assigned in time."""
+        ownerless = {
+            job.job_id: job
+            for job in self._jobs_by_revision()
+            if self._live.regions.is_stored(job.job_id) and job.owner not in self._live.nodes
+        }
+        self._ownerless_since_s = {
+            job_id: self._ownerless_since_s.get(job_id, now_s()) for job_id in ownerless
+        }
+        for job_id, since_s in list(self._ownerless_since_s.items()):
+            is_due = now_s() - since_s >= UNASSIGNED_TIMEOUT_S
+            if is_due and self._live.is_designated_host(job_id):
+                self._ownerless_since_s[job_id] = now_s()
+                await self._take_over(ownerless[job_id])
+
     def _update_owners(self) -> None:
         """Schedule a scan if a process has lost its session since the previous check."""
         live = set(self._live.nodes)
--- a/tests/jobs/test_regions_of_jobs.py
+++ b/tests/jobs/test_regions_of_jobs.py
@@ -111,6 +111,26 @@
     run_virtual(main())
 
 
+def test_nodes_without_a_session_send_jobs_to_hosts_in_their_regions_only() -> None:
+    async def main() -> None:
+        fleet = RegionFleet(6, 6, shares_changes=True)
+        fleet.back_ends.num_events = 40
+        await asyncio.sleep(8.0)
+        observers = [name for name, node in fleet.nodes.items() if not node.session.is_held]
+        assert {fleet.region_of(name) for name in observers} == BOTH
+        for number, name in enumerate(observers):
+            job = make_job(f"job{number}x", 2)
+            allowed = NORTH if number % 2 else SOUTH
+            assert await fleet.submit_at(name, job, allowed) is None
+            assert set(owner_region(fleet, job).values()) == allowed
+            results = await read_all(fleet, name, job.id, len(job.items))
+            check_complete_results(job, results, num_events=40)
+        assert not fleet.violations
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_a_job_whose_regions_are_cut_off_is_refused_as_not_run() -> None:
     async def main() -> None:
         fleet = RegionFleet()
@@ -217,6 +237,27 @@
     run_virtual(main())
 
 
+def test_a_job_is_taken_over_inside_if_the_leader_knows_no_regions() -> None:
+    async def main() -> None:
+        fleet = RegionFleet(2, 3)
+        for node in fleet.nodes.values():
+            node.jobs.intake.uses_preferred_owner = False
+        _slow(fleet)
+        await asyncio.sleep(SETTLED_S)
+        leader = _leader(fleet)
+        fleet.nodes[leader].live.regions.topology = RegionTopology()
+        job = make_job()
+        owner = next(name for name in fleet.nodes if name.startswith("s") and name != leader)
+        assert await fleet.submit_at(owner, job, SOUTH) is None
+        await fleet.kill(owner)
+        await asyncio.sleep(9.0)
+        assert set(owner_region(fleet, job).values()) == SOUTH
+        assert not fleet.violations
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_a_planned_stop_hands_a_job_over_inside_its_regions() -> None:
     async def main() -> None:
         fleet = RegionFleet(3, 2)
--- a/tests/observability/test_edge_metrics.py
+++ b/tests/observability/test_edge_metrics.py
@@ -13,6 +13,7 @@
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.back_ends import WorkerBehaviour
 from tests.jobs.helpers import Fleet, make_job
+from tests.jobs.region_fleet import SOUTH, RegionFleet
 
 NUM_ITEMS = 12
 NUM_SLOTS = 8
@@ -97,3 +98,21 @@
     assert len(waits) == 2 + MAX_ATTEMPTS_LOGGED
     assert waits[1].endswith(" attempts before")
     assert "not run (the worker refused)" in waits[-2]
+
+
+def test_decisions_because_of_allowed_regions_are_counted_by_kind() -> None:
+    async def main() -> None:
+        fleet = RegionFleet()
+        node = fleet.nodes["n0"]
+        await asyncio.sleep(1.0)
+        assert await fleet.submit_at("n0", make_job(), SOUTH) is None
+        await asyncio.sleep(1.0)
+        assert await fleet.submit_at("n0", make_job("j2"), frozenset({"west"})) is not None
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(EdgeCollector(node, EdgeCounters()))
+        text = generate_latest(registry).decode()
+        assert "hollowrack_jobs_with_regions 1.0" in text
+        assert 'hollowrack_job_regions_total{event="JOB_REFUSED"} 1.0' in text
+        await fleet.stop()
+
+    run_virtual(main())
--- a/tests/platform/test_regions_of_jobs.py
+++ b/tests/platform/test_regions_of_jobs.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from functools import partial
 
 from hollowrack.coordination.relay import RelayedList
 from hollowrack.coordination.relay_http import HttpRelayClient
 from hollowrack.coordination.store import Listing, NotDone
 from hollowrack.edge_node import EdgeNode
+from hollowrack.forwarding.types import RouteKind
 from hollowrack.jobs.job_regions import RegionalJob
 from hollowrack.jobs.job_service import ResultPage
 from hollowrack.jobs.peer_jobs import HttpPeerJobs
@@ -63,6 +65,39 @@
     run_system(scenario)
 
 
+def _restrict_jobs(node: EdgeNode, allowed_regions: frozenset[str]) -> None:
+    configuration = node.routes._configuration
+    assert configuration is not None
+    routes = tuple(
+        replace(route, allowed_regions=allowed_regions) if route.kind is RouteKind.JOB else route
+        for route in configuration.routes
+    )
+    node.configuration_changed(replace(configuration, version=99, routes=routes))
+
+
+def test_a_clients_job_is_accepted_or_refused_by_the_regions_of_its_route() -> None:
+    async def scenario(system: System) -> None:
+        nodes = await _start_regions(system)
+        for node in nodes.values():
+            _restrict_jobs(node, SOUTH)
+        body = json.dumps(job_body("j1")).encode()
+        accepted = await system.send("/jobs/x", body=body, node="a0", request_id="j1")
+        assert accepted.status == 202
+        assert len(await system.read_job("j1", 6, node="a0")) == 6
+        assert nodes["a0"].live.regions.allowed_regions("j1") == SOUTH
+        assert "j1" not in nodes["a0"].jobs._runners
+        refused = await system.send("/jobs/x", body=body, node="n0", request_id="j2")
+        assert refused.status == 503
+        assert float(refused.headers["Retry-After"]) > 0.0
+        assert not any("j2" in key for key in _store_keys(nodes["a0"]))
+
+    run_system(scenario)
+
+
+def _store_keys(node: EdgeNode) -> list[str]:
+    return list(node._live_mirror.items)
+
+
 def test_a_node_outside_the_regions_refuses_jobs_and_relayed_calls_of_others() -> None:
     async def scenario(system: System) -> None:
         nodes = await _start_regions(system)
