--- a/src/hollowrack/jobs/job_intake.py
+++ b/src/hollowrack/jobs/job_intake.py
@@ -26,8 +26,8 @@
 CREATE_TIMEOUT_S = 0.6
 CREATE_RETRY_AFTER_S = 2.5
 STOPPING_RETRY_AFTER_S = 0.5
-# A zone without hosts gets one within this time if a node of it is up.
-REGIONS_RETRY_AFTER_S = 2.5
+# A zone that has lost its hosts gets another within 2 to 3.5 s if a node of it is up.
+REGIONS_RETRY_AFTER_S = 3.5
 # A write without an answer may have succeeded, so its outcome must be resolved first.
 RESOLVE_TIMEOUT_S = 8.0
 MAX_PEERS_ASKED = 3
@@ -196,6 +196,10 @@
         store_task.add_done_callback(self._background.discard)
         # The caller may disconnect; an attempt with an unknown outcome continues without it.
         outcome = await asyncio.shield(store_task)
+        is_stored_here = outcome in (CreateOutcome.CREATED, CreateOutcome.UNKNOWN)
+        if not is_stored_here and not self._owner.owns(job.id):
+            # The job may be, or become, stored by another node with other regions.
+            self._live.regions.forget(job.id)
         return _problem_of_outcome(outcome, job.id)
 
     def _regions_problem(self, job: Job, allowed_regions: frozenset[str]) -> Problem:
--- a/src/hollowrack/jobs/job_regions.py
+++ b/src/hollowrack/jobs/job_regions.py
@@ -160,6 +160,10 @@
         while len(self._noted) > MAX_NOTED_JOBS:
             self._noted.popitem(last=False)
 
+    def forget(self, job_id: str) -> None:
+        """Forget what was noted of a job that this node has not stored."""
+        self._noted.pop(job_id, None)
+
     def note_stored(self, item: StoredItem) -> None:
         """Remember a record that was read from the store."""
         job_id = unquote(item.key.removeprefix(REGIONS_PREFIX))
--- a/tests/jobs/test_regions_of_jobs.py
+++ b/tests/jobs/test_regions_of_jobs.py
@@ -295,6 +295,8 @@
         else:
             assert problem is not None
             assert problem.code is ResultCode.JOB_NOT_STORED
+            # It may be submitted elsewhere, with other regions.
+            assert not fleet.nodes["s0"].live.regions.is_noted(job.id)
             events = fleet.nodes["s0"].live.regions.num_events
             assert events[RegionEvent.RELAY_WITHHELD]
             fleet.faults["s0"].refuses = False
