--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -32,6 +32,7 @@
 from hollowrack.jobs.item_services import ItemServices
 from hollowrack.jobs.job_log import JobLog, OpenJob
 from hollowrack.jobs.job_reader import JobReader
+from hollowrack.jobs.job_regions import JobRegions
 from hollowrack.jobs.job_service import JobService
 from hollowrack.jobs.live_state import (
     LEADER_KEY,
@@ -42,6 +43,7 @@
 )
 from hollowrack.jobs.placement import NodeEntry
 from hollowrack.jobs.progress import ProgressLog
+from hollowrack.jobs.relay_restriction import JobRelayRestriction
 from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
@@ -99,6 +101,7 @@
         quarantine: Blocks requests that repeatedly crash workers.
         slots: Shares the slots of workers with other nodes.
         cold_workers: Limits the requests to cold workers; ``None`` if they are not limited.
+        relay_restriction: Decides which nodes may relay store calls about jobs.
         may_watch_feed: Set once the mirrors of the operators' and workers' keys may be started.
     """
 
@@ -149,8 +152,9 @@
             self.leadership,
             self._on_job_ended,
             self._on_job_owned,
-            topology=self.topology,
+            JobRegions(self.topology),
         )
+        self.relay_restriction = store.restriction = JobRelayRestriction(self.live)
         self.jobs = JobService(
             log,
             progress,
--- a/src/hollowrack/regions/distance.py
+++ b/src/hollowrack/regions/distance.py
@@ -31,7 +31,7 @@
     def __init__(self, own_zone: str, topology: RegionTopology) -> None:
         self._own_zone = own_zone
         self._topology = topology
-        self.has_other_regions = topology.own_region is not None and len(topology.regions) > 1
+        self.has_other_regions = topology.own_region is not None and topology.has_several_regions
 
     def of(self, zone: str) -> Distance:
         """Return the distance of a zone; one of an unknown region counts as another region."""
--- a/src/hollowrack/regions/topology.py
+++ b/src/hollowrack/regions/topology.py
@@ -24,6 +24,11 @@
         """Names of all regions."""
         return frozenset(self.zone_regions.values()) - {""}
 
+    @property
+    def has_several_regions(self) -> bool:
+        """Whether allowed regions can exclude any zone; they cannot if there is one region."""
+        return len(self.regions) > 1
+
     @property
     def own_region(self) -> str | None:
         """Region of this node; ``None`` if unknown."""
--- a/src/hollowrack/results.py
+++ b/src/hollowrack/results.py
@@ -72,6 +72,7 @@
     REQUEST_QUARANTINED = 310
     NO_WORKER_IN_REGIONS = 311
     ZONES_EVACUATED = 312
+    JOB_REGIONS_UNAVAILABLE = 314
     WORKERS_COLD = 315
 
     OUTCOME_UNKNOWN = 400
@@ -284,6 +285,13 @@
         "All workers of the service are warming up, and their limited requests are taken.",
         "Wait for Retry-After.",
     ),
+    ResultCode.JOB_REGIONS_UNAVAILABLE: CodeDescription(
+        _N,
+        _YES,
+        503,
+        "No node in the allowed regions of the job could store it; nothing of it runs.",
+        "Wait for Retry-After, or submit it to a node in an allowed region.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeDescription(
         _U,
         _SAME,
--- a/src/hollowrack_bench/loopback_proxy.py
+++ b/src/hollowrack_bench/loopback_proxy.py
@@ -72,6 +72,18 @@
         # Aborted transports are closed in the next iteration of the event loop.
         await asyncio.sleep(0)
 
+    def refuse_connections(self) -> None:
+        """Close the listener, so that new connections are refused as by an ended process."""
+        if self._server is not None:
+            self._server.close()
+
+    async def accept_connections(self) -> None:
+        """Listen again on the same address if the listener is closed."""
+        if self._server is not None and self._server.is_serving():
+            return
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
     def set_fault(self, fault: LinkFault) -> None:
         """Set the current fault; :attr:`LinkFault.NONE` ends it."""
         self.fault = fault
--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -115,7 +115,7 @@
             fault for fault in plan.faults if fault is not SoakFault.CRASHING_REQUESTS
         ]
         self._num_fault_loops = plan.num_fault_loops if kinds else 0
-        self._injector = FaultInjector(self._system, kinds, self._rng)
+        self._injector = FaultInjector(self._system, kinds, self._rng, plan.first_faults)
         self._crashing: CrashingRequests | None = None
         if SoakFault.CRASHING_REQUESTS in plan.faults:
             self._crashing = CrashingRequests(
--- a/src/hollowrack_bench/soak_faults.py
+++ b/src/hollowrack_bench/soak_faults.py
@@ -156,6 +156,7 @@
         system: The system to inject faults into.
         kinds: Kinds of faults, without crashing requests, which callers send.
         rng: Source of kinds, durations and targets.
+        first_kinds: Kinds of faults that are injected before any is drawn.
 
     Attributes:
         counts: Number of injected faults, by kind.
@@ -165,12 +166,21 @@
             end of one that has not ended is infinite.
     """
 
-    def __init__(self, system: SoakSystem, kinds: list[SoakFault], rng: random.Random) -> None:
+    def __init__(
+        self,
+        system: SoakSystem,
+        kinds: list[SoakFault],
+        rng: random.Random,
+        first_kinds: Sequence[SoakFault] = (),
+    ) -> None:
         self.counts: Counter[str] = Counter()
         self._system = system
         self._kinds = kinds
+        self._first_kinds = list(first_kinds)
         self._rng = rng
-        self.workers = WorkerFaults(system.workers, system.store, rng, self._wait_fault_duration)
+        self.workers = WorkerFaults(
+            system.workers, system.store, system.worker_links, rng, self._wait_fault_duration
+        )
         self.evacuations = Evacuations(system.store, rng)
         self.disturbances: list[tuple[float, float]] = []
         self._inject_by_kind: dict[SoakFault, Callable[[], Awaitable[None]]] = {
@@ -206,7 +216,7 @@
         """Inject faults until cancelled; may run several times concurrently."""
         while True:
             await asyncio.sleep(self._rng.uniform(MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S))
-            kind = self._rng.choice(self._kinds)
+            kind = self._first_kinds.pop(0) if self._first_kinds else self._rng.choice(self._kinds)
             self.counts[kind.value] += 1
             logging.info("fault: %s", kind.value)
             if kind in DISTURBING_FAULTS:
--- a/src/hollowrack_bench/soak_plan.py
+++ b/src/hollowrack_bench/soak_plan.py
@@ -32,6 +32,7 @@
             folder.
         limits_cold_workers: Whether the settings of the nodes bound the requests to cold workers;
             false only to show that the check finds what the bound prevents.
+        first_faults: Kinds that are injected first, one after the other, before any is drawn.
     """
 
     duration_s: float
@@ -42,6 +43,7 @@
     num_fault_loops: int = NUM_FAULT_LOOPS
     earlier_source: Path | None = None
     limits_cold_workers: bool = True
+    first_faults: Sequence[SoakFault] = ()
 
     def new_log_folder(self) -> Path | None:
         """Create a folder for the logs of one run; its name is unique."""
--- a/src/hollowrack_bench/soak_worker_faults.py
+++ b/src/hollowrack_bench/soak_worker_faults.py
@@ -5,10 +5,11 @@
 import math
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from hollowrack.forwarding.types import WorkerIncarnation
 from hollowrack.platform import names
+from hollowrack_bench.loopback_proxy import LoopbackProxy
 from hollowrack_bench.platform_demo import MODEL
 from hollowrack_bench.soak_cold_workers import COLD_S, ColdSpell
 from hollowrack_standins.users_platform import (
@@ -36,6 +37,7 @@
     Args:
         workers: All workers of the system.
         store: The platform's store.
+        links: Proxies between nodes and workers, by worker.
         rng: Source of the affected workers and the contents of entries.
         wait_fault_duration: Waits for the duration of one fault.
 
@@ -49,6 +51,7 @@
         self,
         workers: list[PlatformWorkerStandin],
         store: PlatformStoreStandin,
+        links: Mapping[str, LoopbackProxy],
         rng: random.Random,
         wait_fault_duration: WaitForFault,
     ) -> None:
@@ -57,6 +60,7 @@
         self.cold_spells: list[ColdSpell] = []
         self._workers = workers
         self._store = store
+        self._links = links
         self._rng = rng
         self._wait_fault_duration = wait_fault_duration
         self._stopped: set[str] = set()
@@ -93,6 +97,8 @@
             self._stopped.update(worker.id for worker in chosen)
             for worker in chosen:
                 await worker.server.crash()
+                # A connection that the proxy accepts would count as a request that has begun.
+                self._links[worker.id].refuse_connections()
             await self._wait_fault_duration()
         for worker in chosen:
             await self._turn_cold(worker)
@@ -121,6 +127,7 @@
     async def _restart_worker(self, worker: PlatformWorkerStandin) -> None:
         worker.begin_incarnation(RESTART_WEIGHT_VERSION)
         await worker.server.start()
+        await self._links[worker.id].accept_connections()
         self._stopped.discard(worker.id)
         self.restarted.append(WorkerIncarnation(worker.id, worker.started_ms))
 
