--- a/tests/jobs/test_item_regions.py
+++ b/tests/jobs/test_item_regions.py
@@ -138,6 +138,31 @@
     run_virtual(main())
 
 
+def test_item_whose_slot_was_granted_under_the_old_regions_is_not_sent() -> None:
+    """A change between the grant of the slot and the send is only seen by the send guard."""
+
+    async def main() -> None:
+        fleet, back_ends = await make_fleet(with_regions(2, {"generate": R2}))
+        node = fleet.nodes["n0"]
+        worker = node.workers.get("e1")
+        assert worker is not None
+        for _ in range(worker.capacity):
+            node.workers.reserve_slot(worker)
+        job = make_job(num_items=1)
+        assert await node.jobs.submit(job) is None
+        await asyncio.sleep(1.0)
+        node.workers.release_slot(worker)
+        node.queue._dispatch()
+        assert node.queue.num_waiting == 0
+        node.configuration_changed(with_regions(3, {"generate": R1}))
+        check_complete_results(job, await read_all(fleet, "n0", job.id, 1))
+        assert back_ends.zones() == {"z1"}
+        assert node.back_ends.num_stopped == {"RegionSendCondition": 1}
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_resumed_items_use_the_regions_in_force() -> None:
     """A run keeps its events, but its next attempt follows the change."""
 
--- a/tests/observability/test_edge_metrics.py
+++ b/tests/observability/test_edge_metrics.py
@@ -6,13 +6,15 @@
 import pytest
 from prometheus_client import CollectorRegistry, generate_latest
 
-from hollowrack.forwarding.back_end import NotRunReason
+from hollowrack.forwarding.back_end import BackEndCall, NotRunError, NotRunReason
+from hollowrack.forwarding.forwarder import ForwardRequest
 from hollowrack.forwarding.load_log import LoadLog
 from hollowrack.forwarding.run_waits import MAX_ATTEMPTS_LOGGED
 from hollowrack.observability.edge_metrics import EdgeCollector, EdgeCounters
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.back_ends import WorkerBehaviour
-from tests.jobs.helpers import Fleet, make_job
+from tests.jobs.helpers import HOST, Fleet, make_job
+from tests.regions.helpers import R2, TOPOLOGY
 
 NUM_ITEMS = 12
 NUM_SLOTS = 8
@@ -47,6 +49,29 @@
     assert any("queue 0.1" in line for line in final_lines)
 
 
+def test_requests_kept_in_their_regions_are_reported_as_metrics() -> None:
+    async def main() -> None:
+        fleet = Fleet(1, topology=TOPOLOGY, worker_zones=("z1", "z9"))
+        node = fleet.nodes["n0"]
+        route = node.routes.lookup(HOST, "/s/x")
+        assert route is not None
+        call = BackEndCall("q1", "POST", "/s/x", (), b"", allowed_regions=R2)
+        await node.forwarder.forward(ForwardRequest(call, route, None))
+        worker = node.workers.get("s0")
+        assert worker is not None
+        with pytest.raises(NotRunError):
+            await node.back_ends.open(worker, call, 1.0)
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(EdgeCollector(node, EdgeCounters()))
+        text = generate_latest(registry).decode()
+        assert 'hollowrack_requests_refused_by_regions_total{service="scorers"} 1.0' in text
+        assert 'hollowrack_sends_stopped_total{condition="RegionSendCondition"} 1.0' in text
+        assert "hollowrack_workers_of_unknown_region 2.0" in text
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_service_load_is_logged_only_while_there_is_work() -> None:
     async def main() -> None:
         fleet = Fleet(1)
