--- a/src/hollowrack_bench/soak_regions.py
+++ b/src/hollowrack_bench/soak_regions.py
@@ -65,6 +65,8 @@
     def __init__(self, node_of_port: Callable[[int], str | None], rng: random.Random) -> None:
         self.links: dict[str, LoopbackProxy] = {}
         self._routers: dict[str, RegionRouter] = {}
+        # Without faults, both ways to a worker have to take the same time.
+        self._near_links: dict[str, LoopbackProxy] = {}
         self._node_of_port = node_of_port
         self._rng = rng
 
@@ -78,8 +80,10 @@
         worker.zone = zone_of(worker.id)
         link = LoopbackProxy(address, self._rng)
         self.links[worker.id] = link
+        near_link = LoopbackProxy(address, self._rng)
+        self._near_links[worker.id] = near_link
         router = RegionRouter(
-            address,
+            await near_link.start(),
             await link.start(),
             lambda port: self._is_in_other_region(worker, port),
             self._rng,
@@ -90,6 +94,7 @@
     async def stop_link(self, worker_id: str) -> None:
         """Stop the link to a worker."""
         await self._routers.pop(worker_id).stop()
+        await self._near_links.pop(worker_id).stop()
         await self.links.pop(worker_id).stop()
 
     async def stop(self) -> None:
