--- a/src/hollowrack_bench/soak_checks.py
+++ b/src/hollowrack_bench/soak_checks.py
@@ -15,9 +15,9 @@
 MAX_ATTEMPTS = 3
 # Limit of the users' rules for requests that are passed on and lost when a connection is closed.
 MAX_LOST_AT_CLOSE = 3
-# Fraction of plain requests that may be answered in the other region: those that find the workers of
-# their own region late. Up to 3% were on a machine with 20 busy processes on 12 cores, and 8 to 42%
-# with nodes that know no regions.
+# Fraction of plain requests that may be answered in the other region: those that find the workers
+# of their own region late. Up to 3% were on a machine with 20 busy processes on 12 cores, and 8 to
+# 42% with nodes that know no regions.
 MAX_FAR_FRACTION = 0.05
 TENANT = "ana"
 SCORER_MARK = ".score-"
