--- a/tests/warmup/test_admission.py
+++ b/tests/warmup/test_admission.py
@@ -181,6 +181,23 @@
     run_virtual(main())
 
 
+def test_each_attempt_of_a_request_uses_a_permit_of_its_own() -> None:
+    async def main() -> None:
+        fleet, node = await make_fleet()
+        assert node.control is not None
+        for name in ("c0", "c1"):
+            node.update(make_worker(name, 30.0))
+            fleet.back_ends.behaviours[name] = WorkerBehaviour()
+        fleet.back_ends.behaviours["c0"].num_lost_answers = 1
+        outcomes = [await node.send_plain(f"q{index}") for index in range(2)]
+        assert all(isinstance(outcome, CompleteAnswer) for outcome in outcomes)
+        num_arrivals = sum(map(len, fleet.arrivals.values()))
+        assert num_arrivals == node.control.permits.num_used["svc"] == 3
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_items_use_cold_workers_only_with_permits_and_beside_warm_ones() -> None:
     async def main() -> None:
         fleet, node = await make_fleet()
