--- a/src/hollowrack/coordination/anti_entropy.py
+++ b/src/hollowrack/coordination/anti_entropy.py
@@ -6,7 +6,9 @@
 newer changes may be applied from any node, however stale its mirror is; the age in the answer says
 how current the result is.
 
-A round takes :data:`ROUND_INTERVAL_S`, plus the request timeout if a polled neighbour is dead.
+A round takes :data:`ROUND_INTERVAL_S`, plus the request timeout if a polled neighbour is dead. If
+no neighbour has newer changes, the delay is that of the node's own watch: its timeout, its backoff
+and its request to a source that may be dead.
 """
 
 import asyncio
@@ -31,7 +33,7 @@
 FANOUT = 2
 # Maximum age of an answer that shows that the store is reachable again.
 MAX_REACHABLE_STORE_AGE_S = 0.7
-# Neighbours may answer from mirrors of any age.
+# Neighbours may answer from mirrors of any age, as revisions show what is newer.
 ANY_AGE_S = 1e9
 
 
--- a/src/hollowrack/coordination/mirror.py
+++ b/src/hollowrack/coordination/mirror.py
@@ -35,7 +35,7 @@
 # Shorter than the store's history retention, so that an idle watch can resume from its revision.
 WATCH_WAIT_S = 15.0
 INITIAL_BACKOFF_S = 0.4
-# Well below the propagation limit of changes.
+# Well below the propagation limit of changes, within which a recovered store must be noticed.
 MAX_BACKOFF_S = 1.2
 # For mirrors with a sentinel, whose backoff ends early when the store answers again.
 MAX_BACKOFF_WITH_SENTINEL_S = 4.0
--- a/src/hollowrack/coordination/relay.py
+++ b/src/hollowrack/coordination/relay.py
@@ -39,10 +39,12 @@
 from hollowrack.messages.codec import message
 
 # Time after a failed direct call for which reads are relayed first; then one read probes the store.
+# A partition from the store lasts some seconds.
 FIRST_RELAY_PERIOD_S = 1.0
 MAX_RELAY_PERIOD_S = 4.0
 # Leaves time to relay a renewal within the lease's 2 s; a slow store answers within 0.25 s.
 LEASE_CALL_TIMEOUT_S = 0.5
+# Nodes that reject a call answer at once; a node that does not answer ends the attempt.
 MAX_NODES_ASKED = 2
 # Backoff of relaying after a failed attempt.
 INITIAL_RELAY_BACKOFF_S = 0.5
--- a/src/hollowrack/coordination/shared_store.py
+++ b/src/hollowrack/coordination/shared_store.py
@@ -44,7 +44,8 @@
 MAX_RELAYED_AGE_S = 1.7
 # Time for which a source that timed out is not asked again, as every timeout delays changes.
 UNRESPONSIVE_SOURCE_RETRY_INTERVAL_S = 1.5
-# Time for which a source that reported its mirror as stale is not asked again.
+# Time for which a source that reported its mirror as stale is not asked again. Shorter than for an
+# unresponsive source, as it answers at once.
 STALE_SOURCE_RETRY_INTERVAL_S = 0.5
 # Names the store as the source of a pending watch; no node has this address.
 STORE_SOURCE = ""
--- a/src/hollowrack/engines/controller.py
+++ b/src/hollowrack/engines/controller.py
@@ -25,7 +25,7 @@
 RECONCILE_INTERVAL_S = 0.1
 GROUP_POLL_INTERVAL_S = 1.0
 FAILED_ORDER_BACKOFF_S = 1.0
-# A group created before other nodes are discovered has a single member.
+# A group created before other nodes are discovered has a single member and is lost with it.
 DISCOVERY_POLL_INTERVAL_S = 0.1
 DISCOVERY_QUIET_PERIOD_S = 1.5
 # Longer than an election: a group without a leader by then may have lost its majority.
--- a/src/hollowrack/forwarding/call_limiter.py
+++ b/src/hollowrack/forwarding/call_limiter.py
@@ -16,7 +16,8 @@
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.regions.allowed_regions import AllowedRegions
 
-# Fraction of a worker's slots that the calls of one node may use.
+# Fraction of a worker's slots that the calls of one node may use. With the calls of two nodes at a
+# worker, a third of its slots stays free for callers.
 MAX_SLOT_FRACTION = 1.0 / 3.0
 
 
--- a/src/hollowrack/forwarding/dispatch_statistics.py
+++ b/src/hollowrack/forwarding/dispatch_statistics.py
@@ -7,7 +7,8 @@
 
 from hollowrack.forwarding.back_end import NotRunReason
 
-# Finest around the few seconds within which results are due.
+# From waits that callers do not notice to the longest that trainers accept; finest around the few
+# seconds within which results are due.
 BUCKET_BOUNDS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
--- a/src/hollowrack/forwarding/hedging.py
+++ b/src/hollowrack/forwarding/hedging.py
@@ -9,20 +9,25 @@
 
 from hollowrack.requests.retry_budget import RetryBudget
 
-# Quantile of the latencies of a service from which on an attempt is late.
+# Quantile of the latencies of a service from which on an attempt is late. Callers notice the
+# slowest twentieth; hedging more attempts adds load without benefit.
 LATE_QUANTILE = 0.95
-# Number of latencies stored per service.
+# Number of latencies stored per service: enough for three beyond the quantile, and few enough to
+# follow a change within seconds.
 WINDOW_SIZE = 64
-# Number of latencies needed before the quantile is used.
+# Number of latencies needed before the quantile is used. A node with one request per second has
+# them within seconds.
 MIN_SAMPLES = 8
-# Hedged attempts as a fraction of requests; bounds the additional load.
+# Hedged attempts as a fraction of requests; workers under full load can still take this much
+# additional load.
 HEDGE_FRACTION = 0.1
 # Burst size of the hedge budget, so that a node with few requests can hedge at all.
 MAX_HEDGE_BURST = 3.0
 # Delay until there are enough latencies: a multiple of the target latency, and its lower bound.
 DEFAULT_DELAY_FACTOR = 1.5
 MIN_DEFAULT_DELAY_S = 0.25
-# Fraction of the remaining time after which a late attempt is replaced if it cannot be hedged.
+# Fraction of the remaining time after which a late attempt is replaced if it cannot be hedged. The
+# rest of the time suffices for another worker.
 ABANDON_FRACTION = 0.5
 
 
--- a/src/hollowrack/forwarding/load_log.py
+++ b/src/hollowrack/forwarding/load_log.py
@@ -8,6 +8,7 @@
 from hollowrack.forwarding.back_end import NotRunReason
 from hollowrack.forwarding.dispatch_queue import DispatchQueue, WaitingLoad
 
+# Short enough to show a growing queue before its requests are due, a few seconds later.
 LOG_INTERVAL_S = 1.0
 
 _NO_LOAD = WaitingLoad(0, 0.0)
--- a/src/hollowrack/forwarding/load_shedding.py
+++ b/src/hollowrack/forwarding/load_shedding.py
@@ -14,9 +14,10 @@
 
 # Upper bound of the random factor that spreads retries.
 MAX_JITTER_FACTOR = 1.5
-# About the duration of a few requests.
+# About the duration of a few requests; before that, the queue has hardly changed.
 MIN_RETRY_AFTER_S = 0.1
-# The length of the queue cannot be predicted beyond this time.
+# The length of the queue cannot be predicted beyond this time. A caller that retries too early is
+# refused again at once.
 MAX_RETRY_AFTER_S = 5.0
 
 
--- a/src/hollowrack/forwarding/run_retry_policy.py
+++ b/src/hollowrack/forwarding/run_retry_policy.py
@@ -7,10 +7,12 @@
 from hollowrack.clock import now_s
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
 
+# Bounds the delay of a run after a brief connection failure.
 INITIAL_BACKOFF_S = 0.05
 # Also bounds the delay after all workers have recovered.
 MAX_BACKOFF_S = 2.0
-# Upper bound of the backoff before a retry at a worker that has not failed the run yet.
+# Upper bound of the backoff before a retry at a worker that has not failed the run yet. Failures of
+# other workers say nothing about it.
 MAX_OTHER_WORKER_BACKOFF_S = 0.3
 
 
--- a/src/hollowrack/forwarding/worker_event_intervals.py
+++ b/src/hollowrack/forwarding/worker_event_intervals.py
@@ -13,18 +13,21 @@
 from hollowrack.clock import now_s
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
 
-# Number of intervals stored per worker, and of events between updates of their median.
+# Number of intervals stored per worker, the last seconds of one with a few runs, and number of
+# events between updates of their median, which is too expensive to update at each event.
 WINDOW_SIZE = 64
 EVENTS_BETWEEN_MEDIANS = 8
 # Time constant of the decay of recent slowness, so that a slow worker is tried again.
 SLOWNESS_DECAY_TIME_S = 6.0
 # Smaller factors are treated as noise.
 MIN_SLOWNESS = 1.3
-# Slowness from which on runs leave a worker.
+# Slowness from which on runs leave a worker: a run makes more progress at any other one.
 MUCH_SLOWER_THRESHOLD = 2.5
-# Time constant of the decay of the slowness used to place runs.
+# Time constant of the decay of the slowness used to place runs. Longer than
+# ``SLOWNESS_DECAY_TIME_S``, as the inherent speed of a worker rarely changes.
 PLACEMENT_DECAY_TIME_S = 30.0
-# Smaller factors are treated as noise when runs are placed.
+# Smaller factors are treated as noise when runs are placed. Lower than ``MIN_SLOWNESS``, as lasting
+# differences show in many events.
 MIN_PLACEMENT_SLOWNESS = 1.1
 # Lower bound of intervals that are divided by.
 MIN_INTERVAL_S = 0.001
--- a/src/hollowrack/forwarding/worker_load.py
+++ b/src/hollowrack/forwarding/worker_load.py
@@ -20,27 +20,31 @@
 # Time constant of the exponential decay of slowness and penalties. A worker that is avoided gets no
 # requests that could show its recovery, so old observations have to expire.
 DECAY_TIME_S = 6.0
-# Weight of the latest answer in a worker's slowness.
+# Weight of the latest answer in a worker's slowness; evens out speeds that vary with each answer.
 ANSWER_WEIGHT = 0.3
-# Weight of a late request, which is stronger evidence than a single answer.
+# Weight of a late request, which is stronger evidence than a single answer, as nearly all answers
+# arrive earlier.
 LATE_WEIGHT = 0.7
-# Weight of the latest answer in the typical latency of a route; the first answers weigh equally.
+# Weight of the latest answer in the typical latency of a route, which rarely changes; the first
+# answers weigh equally.
 ROUTE_LATENCY_WEIGHT = 0.05
-# Smaller factors are treated as noise.
+# Smaller factors are treated as noise. A preference based on them would fill single workers.
 MIN_FACTOR = 1.3
 # Bounds the effect of a single outlier, such as a suspended process or a cached answer.
 MAX_FACTOR = 10.0
-# Slowness assumed of a worker that has just failed.
+# Slowness assumed of a worker that has just failed. It decays below ``MIN_FACTOR``
+# within 8 s.
 FAILURE_PENALTY = 2.5
 # Time constant of the decay of load reports, about the latency of a plain request.
 REPORT_DECAY_TIME_S = 0.1
-# Cost of a worker in another zone: higher latency and metered traffic.
+# Cost of a worker in another zone: a latency higher by a few milliseconds, and metered traffic.
 REMOTE_FACTOR = 1.25
 # Cost of a worker in another region while no latency of the route is known.
 OTHER_REGION_FACTOR = 1.5
 # Largest slowness of a worker that is in time where no latency objective or latency is known.
 MAX_SLOWNESS_IN_TIME = 2.0
-# Expected latencies within this factor count as equal.
+# Expected latencies within this factor count as equal, so that remainders of decayed observations
+# do not determine the choice.
 EQUALITY_FACTOR = 1.05
 # Number of routes whose typical latency is stored; the least recently used are evicted.
 MAX_ROUTES = 64
--- a/src/hollowrack/jobs/host_role.py
+++ b/src/hollowrack/jobs/host_role.py
@@ -26,11 +26,12 @@
 MIN_CHANGE_BOUND_WITHOUT_SESSION_S = 3.0
 ROLE_POLL_INTERVAL_S = 0.1
 # Core-seconds: a starting node waits for this divided by its number of cores, so that larger nodes
-# become hosts first.
+# become hosts first. A node with half a core starts in 0.8 s and waits 0.8 s, by which time it has
+# seen the larger ones.
 START_DELAY_CORE_S = 0.4
 STARTUP_WINDOW_S = 10.0
-# Longer than the longest retry interval of a session, so that a host whose lease has expired can
-# renew it first.
+# Longer than the longest retry interval of a session (1.6 s), so that a host whose lease has
+# expired can renew it first.
 REPLACEMENT_DELAY_S = 2.0
 # Spreads the attempts of dozens of nodes, because other nodes see a new session only after about
 # 0.5 s. The shorter jitter applies while the zone has no host.
--- a/src/hollowrack/jobs/item_order.py
+++ b/src/hollowrack/jobs/item_order.py
@@ -4,8 +4,8 @@
 deadline. If all needed groups fit the remaining time, they run concurrently, the longest item
 first. Otherwise they are completed one after the other, those with the fewest tokens left first,
 because run concurrently none would be complete in time. Groups that can no longer meet the deadline
-rank below those that can, including those of other jobs. Groups that the trainer does not need rank
-last.
+rank below those that can, including those of other jobs: under sustained overload, each job would
+otherwise wait for a group that is late already. Groups that the trainer does not need rank last.
 """
 
 from collections import defaultdict
--- a/src/hollowrack/jobs/length_estimate.py
+++ b/src/hollowrack/jobs/length_estimate.py
@@ -1,6 +1,6 @@
 """Estimate of the number of events of an item, from expected tokens and finished items."""
 
-# Half-life of the weight of a finished item.
+# Half-life of the weight of a finished item, so that estimates follow the latest items.
 HALF_LIFE_ITEMS = 100
 # An item beyond its estimate is expected to generate this fraction of its present number of events
 # in addition.
--- a/src/hollowrack/membership/dissemination.py
+++ b/src/hollowrack/membership/dissemination.py
@@ -10,7 +10,8 @@
 
 Update = TypeVar("Update")
 
-# Each update is sent this many times the binary logarithm of the number of members (SWIM's lambda).
+# Each update is sent this many times the binary logarithm of the number of members (SWIM's lambda;
+# Das et al., 2002).
 RETRANSMIT_FACTOR = 3
 
 
--- a/src/hollowrack/platform/ingress.py
+++ b/src/hollowrack/platform/ingress.py
@@ -29,7 +29,7 @@
 
 HTTP_OK = 200
 HTTP_ACCEPTED = 202
-# A node reads its first configuration within a second of its start.
+# A node reads its first configuration within a second of its start; other nodes have theirs.
 NOT_CONFIGURED_RETRY_AFTER_S = 0.5
 
 
--- a/src/hollowrack/platform/load_report.py
+++ b/src/hollowrack/platform/load_report.py
@@ -11,7 +11,8 @@
 MAX_NUM_FIELDS = 4
 # More digits than any possible number of requests, which connections limit.
 MAX_DIGITS = 6
-# One log line is written per this many malformed reports of all workers.
+# One log line is written per this many malformed reports of all workers, so that a faulty worker
+# cannot fill the log.
 MALFORMED_PER_LOG_LINE = 1000
 
 
--- a/src/hollowrack/platform/store_client.py
+++ b/src/hollowrack/platform/store_client.py
@@ -35,7 +35,8 @@
 
 CALL_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 0.6
-# Added to the wait of a watch. A watch over a lost connection delays changes by up to this time.
+# Added to the wait of a watch; a slow store answers within 0.25 s. A watch over a lost connection
+# delays changes by up to this time.
 WATCH_TIMEOUT_MARGIN_S = 0.8
 MS_PER_S = 1000
 
--- a/src/hollowrack/quarantine/registry.py
+++ b/src/hollowrack/quarantine/registry.py
@@ -16,14 +16,16 @@
 from hollowrack.forwarding.types import WorkerIncarnation
 from hollowrack.quarantine.types import QuarantineState, SuspectChange
 
-# Above the number of crashes that a harmless request may see because of others at its workers.
+# Above the number of crashes that interrupt a harmless request: one or, beside a request that
+# crashes workers, two.
 QUARANTINE_CRASH_THRESHOLD = 3
 # From this number on, crashes are shared with other nodes even while this node retries the request.
 IMMEDIATE_SHARING_CRASH_THRESHOLD = 2
 # After this time the request may be sent again, as its workers may have been fixed.
 QUARANTINE_DURATION_S = 3600.0
-# A crash within this time after a success is not attributed to the request. Protects requests that
-# many callers send concurrently when several workers are lost together.
+# A crash within this time after a success is not attributed to the request, as a request that
+# crashes workers crashes every one that runs it. Protects requests that many callers send
+# concurrently when several workers are lost together.
 SUCCESS_TTL_S = 5.0
 MAX_RECENT_SUCCESSES = 4096
 MAX_SUSPECTS = 1024
--- a/src/hollowrack/slots/allocator.py
+++ b/src/hollowrack/slots/allocator.py
@@ -17,13 +17,16 @@
 # Outlasts several lost messages and most leader elections. Shorter than the wait of a new leader,
 # so that grants of two arbiters never overlap.
 GRANT_TTL_S = 3.0
-# Several report intervals: a known owner without a report by then gets no slots reserved.
+# Several report intervals: a known owner without a report by then gets no slots reserved. It is
+# down, unreachable or shares no slots, and other owners need them.
 FIRST_REPORT_TIMEOUT_S = 0.5
-# Lifetime of a plan per pair of job and worker. Bounds the CPU time spent on planning, which is
-# proportional to the number of these pairs.
+# Lifetime of a plan per pair of job and worker. Planning takes about 2 us per pair, so it uses up
+# to 4% of a core, and more only where MAX_PLAN_TTL_S applies.
 PLAN_TTL_PER_JOB_AND_WORKER_S = 50e-6
+# Short enough for the plan to follow steps of a few seconds in a fleet of any size.
 MAX_PLAN_TTL_S = 1.0
-# Bounds the memory that reports under invalid owner names can take.
+# Far above the number of nodes that own jobs; bounds the memory that reports under invalid owner
+# names can take.
 MAX_OWNERS = 512
 
 
--- a/src/hollowrack/slots/arbiter.py
+++ b/src/hollowrack/slots/arbiter.py
@@ -10,6 +10,7 @@
 from hollowrack.slots.log_interval_limiter import LogIntervalLimiter
 from hollowrack.slots.types import SlotAnswer, SlotGrant, SlotRefusal, SlotReport, validate_report
 
+# More frequent lines would fill the log of a busy leader.
 LOG_INTERVAL_S = 1.0
 
 
--- a/src/hollowrack/slots/holder.py
+++ b/src/hollowrack/slots/holder.py
@@ -28,10 +28,12 @@
 # Limits are read thousands of times per second, while the set of owners rarely changes.
 EQUAL_SHARE_TTL_S = 0.1
 # While no arbiter acts, the limits of an expired grant stay valid for this long: a switch to equal
-# shares would overload workers where requests run already. Covers the election of a leader.
+# shares would overload workers where requests run already. Covers the election of a leader; after a
+# longer time the limits no longer fit the work.
 EXPIRED_GRANT_GRACE_S = 10.0
 # Longer than the longest report interval: each report shows whether an arbiter acts.
 NO_ARBITER_TTL_S = 1.5
+# Shares change several times per second; one line per second keeps the log of a day readable.
 SHARE_LOG_INTERVAL_S = 1.0
 
 
--- a/src/hollowrack/slots/peer_http.py
+++ b/src/hollowrack/slots/peer_http.py
@@ -14,7 +14,7 @@
 from hollowrack.slots.types import SlotAnswer, SlotGrant, SlotRefusal, SlotReport
 
 SLOTS_PATH = "/slots"
-# A later answer is useless, as the next report is already due.
+# Nodes are a few milliseconds apart. A later answer is useless, as the next report is already due.
 REPORT_TIMEOUT_S = 0.5
 
 
--- a/src/hollowrack/slots/plan.py
+++ b/src/hollowrack/slots/plan.py
@@ -9,8 +9,10 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-# Prevents starvation: each owner gets at least this fraction of an equal division.
+# Prevents starvation: each owner gets at least this fraction of an equal division. A trainer that
+# gets no slots while others are served falls behind for good.
 FLOOR_FRACTION = 0.25
+# Where that fraction is less than a slot, the owner still completes one item after the other.
 MIN_FLOOR_SLOTS = 1
 
 
--- a/src/hollowrack/slots/reporter.py
+++ b/src/hollowrack/slots/reporter.py
@@ -24,6 +24,7 @@
 MIN_REPORT_INTERVAL_S = 0.05
 # A report may be sent this much before it is due, as the loop wakes up at ticks, not at due times.
 TICK_TOLERANCE_S = 0.02
+# During an outage every report fails; one line per second shows how long the outage lasts.
 FAILURE_LOG_INTERVAL_S = 1.0
 
 
