--- a/src/hollowrack/forwarding/send_guard.py
+++ b/src/hollowrack/forwarding/send_guard.py
@@ -1,4 +1,4 @@
-"""Last check before a request is sent to a worker.
+"""Send guard: the last check before a request is sent to a worker.
 
 A worker is chosen some time before its request is sent, and the conditions on workers may have
 changed in between. The check covers all requests: first attempts, retries, hedged attempts, streams
@@ -30,7 +30,7 @@
 
 
 class GuardedBackEnds:
-    """Client of workers that sends a request only if all conditions permit it.
+    """Client of workers that sends a request only if all conditions allow it.
 
     Implements :class:`BackEndClient`.
 
@@ -39,7 +39,7 @@
         *conditions: The first conditions.
 
     Attributes:
-        conditions: Conditions on each request, checked in order until one does not permit it.
+        conditions: Conditions on each request, checked in order until one does not allow it.
         probe_conditions: Conditions on the workers that may be asked for their state.
         num_stopped: Number of requests that were not sent, by class name of the condition.
     """
@@ -61,7 +61,7 @@
         """Send a request; see :class:`BackEndClient`.
 
         Raises:
-            NotRunError: ``NOT_PERMITTED`` if a condition does not permit the request.
+            NotRunError: ``NOT_PERMITTED`` if a condition does not allow the request.
         """
         for condition in self.conditions:
             if not condition.permits(worker, call):
--- a/src/hollowrack/regions/conditions.py
+++ b/src/hollowrack/regions/conditions.py
@@ -28,7 +28,7 @@
 
 
 class RegionSendCondition:
-    """Permits a request only at workers in its allowed regions, see :class:`SendCondition`.
+    """Allows a request only at workers in its allowed regions, see :class:`SendCondition`.
 
     Args:
         topology: Regions of the zones.
--- a/src/hollowrack/warmup/control.py
+++ b/src/hollowrack/warmup/control.py
@@ -53,7 +53,7 @@
 
 
 class SendPermits:
-    """Permits one request to a cold worker for each permit; implements :class:`SendCondition`.
+    """Allows one request to a cold worker for each permit; implements :class:`SendCondition`.
 
     Args:
         is_limited: Whether a service limits the requests to its cold workers.
