--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -441,9 +441,9 @@
         if self._is_backing_off(worker):
             return  # Concurrent refusals count once.
         observations = self._observations_of(worker)
-        backoff_s = min(
-            MAX_BUSY_BACKOFF_S, BUSY_BACKOFF_S * 2**observations.num_consecutive_refusals
-        )
+        # The exponent is bounded, as a worker may refuse requests for hours.
+        backoff_s = BUSY_BACKOFF_S * 2 ** min(observations.num_consecutive_refusals, 5)
+        backoff_s = min(MAX_BUSY_BACKOFF_S, backoff_s)
         observations.num_consecutive_refusals += 1
         self._back_off(worker, backoff_s)
 
--- a/tests/forwarding/test_workers.py
+++ b/tests/forwarding/test_workers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
-from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.forwarding.workers import MAX_BUSY_BACKOFF_S, WorkerDirectory
 from hollowrack_bench.virtual_time import run_virtual
 from tests.forwarding.helpers import make_directory, make_worker
 
@@ -132,3 +132,20 @@
         assert not directory.is_much_slower(make_worker("w1"))
 
     run_virtual(main())
+
+
+def test_worker_that_refuses_requests_for_hours_causes_no_error() -> None:
+    """Guards against an exponent of the backoff that grows beyond the range of floats."""
+
+    async def main() -> None:
+        worker = make_worker("w")
+        directory = make_directory(worker)
+        for _ in range(1100):
+            directory.record_busy(worker)
+            await asyncio.sleep(MAX_BUSY_BACKOFF_S)
+        directory.record_busy(worker)
+        assert not directory.has_room(worker)
+        await asyncio.sleep(MAX_BUSY_BACKOFF_S)
+        assert directory.has_room(worker)
+
+    run_virtual(main())
