--- a/src/hollowrack/warmup/permits.py
+++ b/src/hollowrack/warmup/permits.py
@@ -19,13 +19,13 @@
         worker: The worker.
         expires_s: Time from which it may not be used, on the loop's clock.
         is_reserved: Whether it is reserved for a request that has not been sent yet.
-        request_id: Request that it is reserved for; empty for the run that has a slot there.
+        request_id: Request that it is reserved for; ``None`` for the run that has a slot there.
     """
 
     worker: Worker
     expires_s: float
     is_reserved: bool = False
-    request_id: str = ""
+    request_id: str | None = None
 
 
 class PermitStore:
@@ -42,7 +42,8 @@
         self.num_used: Counter[str] = Counter()
         self.num_expired: Counter[str] = Counter()
         self._permits: dict[WorkerIncarnation, list[_Permit]] = {}
-        self._promised: dict[str, _Permit] = {}
+        # By identifier; a client may repeat a request while the first one waits.
+        self._promised: dict[str, list[_Permit]] = {}
 
     def add(self, worker: Worker, number: int, expires_s: float) -> None:
         """Add granted permits; those that have expired already count as expired."""
@@ -54,12 +55,12 @@
         """Return the number of permits for a worker that are not reserved."""
         return sum(not permit.is_reserved for permit in self._valid(worker))
 
-    def reserve(self, worker: Worker, request_id: str = "") -> bool:
+    def reserve(self, worker: Worker, request_id: str | None = None) -> bool:
         """Reserve a permit for a request that is about to be sent.
 
         Args:
             worker: The worker.
-            request_id: Identifier of the request; empty for a run.
+            request_id: Identifier of the request; ``None`` for a run.
 
         Returns:
             Whether there was a permit.
@@ -68,24 +69,26 @@
         if permit is None:
             return False
         permit.is_reserved = True
-        if request_id:
+        if request_id is not None:
             permit.request_id = request_id
-            self._promised[request_id] = permit
+            self._promised.setdefault(request_id, []).append(permit)
         return True
 
     def promised(self, request_id: str) -> Worker | None:
         """Return the worker that a permit is reserved for a request at."""
-        permit = self._promised.get(request_id)
-        if permit is None or permit not in self._valid(permit.worker):
-            return None
-        return permit.worker
+        # A copy, as the check drops promises that have expired.
+        promised = tuple(self._promised.get(request_id, ()))
+        valid = (permit.worker for permit in promised if permit in self._valid(permit.worker))
+        return next(valid, None)
 
     def release(self, request_id: str) -> None:
         """Make the permit of a request that is not sent available to others."""
-        permit = self._promised.pop(request_id, None)
-        if permit is not None:
+        promised = self._promised.get(request_id)
+        if promised:
+            permit = promised[0]
+            self._drop_promise(permit)
             permit.is_reserved = False
-            permit.request_id = ""
+            permit.request_id = None
 
     def use(self, worker: Worker, request_id: str) -> bool:
         """Use a permit for a send that starts now; returns whether there was one.
@@ -93,16 +96,26 @@
         A permit reserved for the request goes first, then one reserved for a run, then a free one.
         Permits of other plain requests are not used.
         """
-        usable = [permit for permit in self._valid(worker) if permit.request_id in ("", request_id)]
+        usable = [
+            permit for permit in self._valid(worker) if permit.request_id in (None, request_id)
+        ]
         if not usable:
             return False
-        permit = min(usable, key=lambda held: (not held.request_id, not held.is_reserved))
+        permit = min(usable, key=lambda held: (held.request_id is None, not held.is_reserved))
         self._permits[worker.incarnation].remove(permit)
-        if permit.request_id:
-            del self._promised[permit.request_id]
+        self._drop_promise(permit)
         self.num_used[worker.service] += 1
         return True
 
+    def _drop_promise(self, permit: _Permit) -> None:
+        """Remove a permit from those promised to its request, if it is reserved for one."""
+        if permit.request_id is None:
+            return
+        promised = self._promised[permit.request_id]
+        promised.remove(permit)
+        if not promised:
+            del self._promised[permit.request_id]
+
     def _valid(self, worker: Worker) -> list[_Permit]:
         """Return the permits for a worker that have not expired; drops the others."""
         held = self._permits.get(worker.incarnation)
@@ -113,8 +126,8 @@
         if len(valid) < len(held):
             self.num_expired[worker.service] += len(held) - len(valid)
             for permit in held:
-                if now >= permit.expires_s and self._promised.get(permit.request_id) is permit:
-                    del self._promised[permit.request_id]
+                if now >= permit.expires_s:
+                    self._drop_promise(permit)
             self._permits[worker.incarnation] = valid
         if not valid:
             del self._permits[worker.incarnation]
--- a/tests/warmup/test_admission.py
+++ b/tests/warmup/test_admission.py
@@ -253,6 +253,21 @@
     run_virtual(main())
 
 
+def test_requests_with_the_same_identifier_each_use_their_permit() -> None:
+    """Guards against an error when a client repeats a request while the first one waits."""
+
+    async def main() -> None:
+        for request_id in ("q1", ""):
+            fleet, node = await make_fleet()
+            for name in ("c0", "c1"):
+                node.update(make_worker(name, 30.0))
+            outcomes = await asyncio.gather(*(node.send_plain(request_id) for _ in range(4)))
+            assert all(isinstance(outcome, CompleteAnswer) for outcome in outcomes)
+            await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_grants_with_a_lower_fencing_token_are_rejected() -> None:
     async def main() -> None:
         fleet, node = await make_fleet(2)
