--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -249,6 +249,10 @@
         service = self._routes.choose_service(request.route)
         in_regions = self._workers.in_regions(request.call.allowed_regions)
         refused: set[WorkerIncarnation] = set()
+
+        def has_not_refused(worker: Worker) -> bool:
+            return worker.incarnation not in refused and in_regions(worker)
+
         while len(refused) < MAX_REFUSALS:
             worker = None
             if self.cold_admission is not None:
@@ -257,7 +261,7 @@
                     request.route,
                     service,
                     request_deadline_s(request) - now_s(),
-                    in_regions,
+                    has_not_refused if refused else in_regions,
                 )
                 if problem is not None:
                     yield problem
--- a/src/hollowrack/warmup/admission.py
+++ b/src/hollowrack/warmup/admission.py
@@ -160,7 +160,11 @@
 
     def take_promised(self, call: BackEndCall) -> Worker | None:
         """Return the cold worker that a request has a permit for; ``None`` if it has none."""
-        return self._permits.promised(call.request_id)
+        worker = self._permits.promised(call.request_id)
+        while worker is not None and not self._may_still_run(worker):
+            self._permits.release(call.request_id)
+            worker = self._permits.promised(call.request_id)
+        return worker
 
     async def acquire_for_stream(
         self,
@@ -216,6 +220,11 @@
             for worker in self._workers.allowed(waiter.service, waiter.is_eligible)
         )
 
+    def _may_still_run(self, worker: Worker) -> bool:
+        """Whether a worker is still allowed, for instance not evacuated since it was promised."""
+        allowed = self._workers.allowed(worker.service)
+        return any(other.incarnation == worker.incarnation for other in allowed)
+
     def _num_unclaimed(self, worker: Worker, set_aside: Counter[WorkerIncarnation]) -> int:
         return max(0, self._permits.num_free(worker) - set_aside[worker.incarnation])
 
--- a/tests/warmup/test_admission.py
+++ b/tests/warmup/test_admission.py
@@ -1,12 +1,18 @@
 """Guards against permits for cold workers that go to the wrong requests, or come too late."""
 
 import asyncio
+from dataclasses import replace
+
+import pytest
 
 from hollowrack.clock import now_s
+from hollowrack.evacuation.send_condition import EvacuationCondition
+from hollowrack.evacuation.zones import EvacuatedZones
+from hollowrack.forwarding.back_end import BackEndCall, NotRunReason
 from hollowrack.forwarding.dispatch_rank import WorkKind
 from hollowrack.forwarding.forwarder import CompleteAnswer
 from hollowrack.forwarding.stream_forwarder import StreamForwarder, StreamHead
-from hollowrack.forwarding.types import RouteKind
+from hollowrack.forwarding.types import RouteKind, Worker
 from hollowrack.quarantine.quarantine import Quarantine
 from hollowrack.results import Problem, ResultCode
 from hollowrack.warmup.admission import MAX_RETRY_AFTER_S, MAX_STREAM_WAIT_S, MAX_WAIT_S
@@ -27,6 +33,21 @@
     return fleet, fleet.nodes["n0"]
 
 
+def make_streams(node: FleetNode) -> StreamForwarder:
+    assert node.control is not None
+    streams = StreamForwarder(
+        node.routes,
+        node.workers,
+        node.back_ends,
+        node.queue,
+        lambda _: None,
+        make_meter(),
+        Quarantine(node.back_ends),
+    )
+    streams.cold_admission = node.control.admission
+    return streams
+
+
 def worker_ids(fleet: Fleet) -> set[str]:
     return {worker_id for worker_id, arrivals in fleet.arrivals.items() if arrivals}
 
@@ -223,16 +244,7 @@
         node = fleet.nodes["n0"]
         assert node.control is not None
         node.update(make_worker("cold", 30.0))
-        streams = StreamForwarder(
-            node.routes,
-            node.workers,
-            node.back_ends,
-            node.queue,
-            lambda _: None,
-            make_meter(),
-            Quarantine(node.back_ends),
-        )
-        streams.cold_admission = node.control.admission
+        streams = make_streams(node)
         for is_resumable in (True, False):
             route = make_route(RouteKind.STREAM, is_resumable=is_resumable, timeout_s=20.0)
             sent_s = now_s()
@@ -253,6 +265,79 @@
     run_virtual(main())
 
 
+class EvacuationAtFirstSend:
+    """Evacuates a zone after the worker of a request was chosen, just before the last check.
+
+    The node learns of another worker at the same time, if one is given.
+    """
+
+    def __init__(self, node: FleetNode, zone: str, other: Worker | None) -> None:
+        self.num_sends = 0
+        self._node = node
+        self._zone = zone
+        self._other = other
+        self._zones = EvacuatedZones()
+        node.workers.evacuated_zones = self._zones.zones
+        self._zones.on_change(node.workers.evacuated_zones_changed)
+        node.back_ends.conditions[:0] = [self, EvacuationCondition(self._zones)]
+
+    def permits(self, worker: Worker, call: BackEndCall) -> bool:
+        del worker, call
+        self.num_sends += 1
+        assert self.num_sends < 10, "the request is sent again and again to an evacuated worker"
+        self._zones.evacuate(self._zone)
+        if self._other is not None and self.num_sends == 1:
+            self._node.update(self._other)
+        return True
+
+
+@pytest.mark.parametrize("other", [None, make_worker("other", 30.0), make_worker("other")])
+def test_permit_for_a_worker_whose_zone_was_evacuated_is_given_up(other: Worker | None) -> None:
+    """Guards against repeated sends to that worker, which never pause, until the permit expires."""
+
+    async def main() -> None:
+        for is_stream in (False, True):
+            fleet, node = await make_fleet()
+            node.update(replace(make_worker("evacuated", 30.0), zone="z2"))
+            evacuation = EvacuationAtFirstSend(node, "z2", other)
+            outcome: object
+            if is_stream:
+                route = make_route(RouteKind.STREAM, timeout_s=5.0)
+                parts = make_streams(node).forward(make_request(route), None)
+                outcome = await anext(parts)
+            else:
+                outcome = await node.send_plain("q1")
+            if other is not None:
+                assert isinstance(outcome, StreamHead if is_stream else CompleteAnswer)
+                assert worker_ids(fleet) == {"other"}
+            else:
+                assert isinstance(outcome, Problem)
+                assert outcome.code is ResultCode.ZONES_EVACUATED
+            assert evacuation.num_sends == (1 if other is None else 2)
+            await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_stream_refused_by_a_cold_worker_is_not_sent_there_again() -> None:
+    """Guards against a stream that is sent to one full worker for as long as permits come."""
+
+    async def main() -> None:
+        fleet, node = await make_fleet()
+        fleet.back_ends.behaviours["cold"] = WorkerBehaviour(refusal=NotRunReason.BUSY)
+        node.update(make_worker("cold", 30.0))
+        route = make_route(RouteKind.STREAM, timeout_s=2.0)
+        async with asyncio.timeout(2.0):
+            parts = [part async for part in make_streams(node).forward(make_request(route), None)]
+        (problem,) = parts
+        assert isinstance(problem, Problem)
+        assert problem.code in {ResultCode.NO_BACK_END, ResultCode.WORKERS_COLD}
+        assert len(fleet.arrivals["cold"]) == 1
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_requests_with_the_same_identifier_each_use_their_permit() -> None:
     """Guards against an error when a client repeats a request while the first one waits."""
 
