--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -140,7 +140,8 @@
                     return await slot
                 return await self._slot_while_in_regions(slot, service, allowed_regions)
 
-            if self.cold_admission is None or run.num_attempts > 0:
+            # A stream that may have run can no longer be refused as not run.
+            if self.cold_admission is None or run.may_have_run:
                 return await wait_for_slot()
             return await self.cold_admission.acquire_for_stream(
                 request.call, service, wait_for_slot, condition
