--- a/src/hollowrack/warmup/admission.py
+++ b/src/hollowrack/warmup/admission.py
@@ -148,7 +148,8 @@
             async with asyncio.timeout(max_wait_s):
                 may_send = await waiter.turn
         except TimeoutError:
-            may_send = False
+            # The time may end between the assignment of a permit and the end of the wait.
+            may_send = not waiter.turn.cancelled() and waiter.turn.result()
         except asyncio.CancelledError:
             self._permits.release(call.request_id)
             self.assign_permits()
