--- a/src/hollowrack/warmup/admission.py
+++ b/src/hollowrack/warmup/admission.py
@@ -43,6 +43,7 @@
         request_id: Identifier of the request.
         service: Name of the service.
         is_eligible: Condition that the worker has to meet.
+        cold: Incarnations of the cold workers that met the condition when the wait began.
         turn: Resolved with whether the request may be sent.
     """
 
@@ -51,6 +52,7 @@
     request_id: str
     service: str
     is_eligible: Eligible
+    cold: frozenset[WorkerIncarnation]
     turn: "asyncio.Future[bool]"
 
     @property
@@ -137,10 +139,11 @@
             call.request_id,
             service,
             is_eligible,
+            frozenset(worker.incarnation for worker in cold),
             asyncio.get_running_loop().create_future(),
         )
         bisect.insort(self._waiters, waiter, key=lambda other: other.sort_key)
-        self._refuse_surplus(service, cold)
+        self._refuse_surplus(waiter)
         self.assign_permits()
         if not waiter.turn.done():
             self._request_permits()
@@ -229,13 +232,20 @@
     def _num_unclaimed(self, worker: Worker, set_aside: Counter[WorkerIncarnation]) -> int:
         return max(0, self._permits.num_free(worker) - set_aside[worker.incarnation])
 
-    def _refuse_surplus(self, service: str, cold: list[Worker]) -> None:
-        """Refuse the last waiting request if more wait than can get a permit in time."""
-        waiters = [waiter for waiter in self._waiters if waiter.service == service]
-        max_grants = self._max_grants(service)
+    def _refuse_surplus(self, newest: _Waiter) -> None:
+        """Refuse the last request that waits for the workers of the newest one, or some of them.
+
+        Only if more wait for these workers than can get a permit in time.
+        """
+        waiters = [
+            waiter
+            for waiter in self._waiters
+            if waiter.service == newest.service and waiter.cold <= newest.cold
+        ]
+        max_grants = self._max_grants(newest.service)
         # Half of the window's permits may come at once, the others at an even rate.
         per_worker = max(1.0, max_grants / 2 + max_grants * MAX_WAIT_S / GRANT_WINDOW_S)
-        if len(waiters) > math.ceil(len(cold) * per_worker) and not waiters[-1].turn.done():
+        if len(waiters) > math.ceil(len(newest.cold) * per_worker) and not waiters[-1].turn.done():
             waiters[-1].turn.set_result(False)
 
     def _release_to_warm_workers(self) -> None:
--- a/tests/warmup/test_admission.py
+++ b/tests/warmup/test_admission.py
@@ -405,6 +405,32 @@
     run_virtual(main())
 
 
+def test_requests_limited_to_one_region_do_not_displace_others() -> None:
+    """Guards against a surplus counted over all waiting requests, but for the workers of one."""
+
+    async def main() -> None:
+        fleet = Fleet(3, 1, 4.0)
+        node = fleet.nodes["n0"]
+        assert node.control is not None
+        for index in range(8):
+            node.update(make_worker(f"c{index}", 30.0))
+        sends = [asyncio.create_task(node.send_plain(f"q{index}")) for index in range(10)]
+        await asyncio.sleep(0.01)
+        limited = make_request(make_route(priority=0), "limited")
+        turn = asyncio.create_task(
+            node.control.admission.wait_turn(
+                limited.call, limited.route, "svc", 2.0, lambda worker: worker.id == "c0"
+            )
+        )
+        await asyncio.sleep(0.01)
+        assert not any(send.done() for send in sends)
+        for task in (turn, *sends):
+            task.cancel()
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_grants_with_a_lower_fencing_token_are_rejected() -> None:
     async def main() -> None:
         fleet, node = await make_fleet(2)
