--- a/src/hollowrack/warmup/control.py
+++ b/src/hollowrack/warmup/control.py
@@ -186,7 +186,12 @@
 
     def is_cold(self, worker: Worker) -> bool:
         """Whether a worker is cold and its service limits the requests to cold workers."""
-        return self.coldness.remaining_s(worker) > 0.0 and self._is_limited(worker.service)
+        # Called for each worker of each choice: the cheap conditions come first.
+        return (
+            self.coldness.has_countdowns()
+            and self._is_limited(worker.service)
+            and self.coldness.remaining_s(worker) > 0.0
+        )
 
     def num_cold(self) -> Counter[str]:
         """Return the number of cold workers by service."""
@@ -241,7 +246,8 @@
         ]
 
     def _request_for_runs(self) -> None:
-        if self.coldness.has_countdowns():
+        # Each worker has a countdown for some time after its start, also where none is ever cold.
+        if self.coldness.has_countdowns() and any(map(self.is_cold, self._workers.all())):
             self.requester.request_permits()
 
     def _reserve_permit(self, worker: Worker) -> None:
