--- a/src/hollowrack/warmup/admission.py
+++ b/src/hollowrack/warmup/admission.py
@@ -67,6 +67,7 @@
     Args:
         workers: Directory of workers.
         permits: Permits held by this node.
+        is_limited: Whether a service limits the requests to its cold workers.
         is_cold: Whether a worker is cold and its service limits cold workers.
         cold_remaining_s: Returns how much longer a worker is cold, in seconds.
         max_grants: Returns how many permits a leader grants for a worker of a service within
@@ -83,6 +84,7 @@
         self,
         workers: WorkerDirectory,
         permits: PermitStore,
+        is_limited: Callable[[str], bool],
         is_cold: Callable[[Worker], bool],
         cold_remaining_s: Callable[[Worker], float],
         max_grants: Callable[[str], int],
@@ -93,6 +95,7 @@
         self.num_refused: Counter[str] = Counter()
         self._workers = workers
         self._permits = permits
+        self._is_limited = is_limited
         self._is_cold = is_cold
         self._cold_remaining_s = cold_remaining_s
         self._max_grants = max_grants
@@ -125,6 +128,8 @@
         is_eligible: Eligible = any_worker,
     ) -> Problem | None:
         """Wait until a plain request may be sent; see :class:`ColdWorkerAdmission`."""
+        if not self._is_limited(service):
+            return None
         allowed = self._workers.allowed(service, is_eligible)
         cold = [worker for worker in allowed if self._is_cold(worker)]
         if not cold or self._has_warm_room(allowed):
@@ -264,6 +269,8 @@
         )
 
     def _are_all_cold(self, service: str, is_eligible: Eligible) -> bool:
+        if not self._is_limited(service):
+            return False
         workers = self._workers.allowed(service, is_eligible)
         return bool(workers) and all(self._is_cold(worker) for worker in workers)
 
--- a/src/hollowrack/warmup/control.py
+++ b/src/hollowrack/warmup/control.py
@@ -143,6 +143,7 @@
         self.admission = ColdStartAdmission(
             workers,
             self.permits,
+            self._is_limited,
             self.is_cold,
             self.coldness.remaining_s,
             self._max_grants,
--- a/tests/warmup/test_admission.py
+++ b/tests/warmup/test_admission.py
@@ -459,6 +459,38 @@
     run_virtual(main())
 
 
+def test_admission_looks_at_no_worker_if_the_service_has_no_rate() -> None:
+    """Guards against a search per request where no worker can be cold."""
+
+    async def main() -> None:
+        fleet = Fleet(3, 1, 0.0)
+        node = fleet.nodes["n0"]
+        assert node.control is not None
+        admission = node.control.admission
+        worker = make_worker("w", 30.0)
+        node.update(worker)
+        request = make_request(make_route())
+        looked_at: list[Worker] = []
+
+        def is_eligible(worker: Worker) -> bool:
+            looked_at.append(worker)
+            return True
+
+        async def acquire() -> Worker:
+            return worker
+
+        assert (
+            await admission.wait_turn(request.call, request.route, "svc", 1.0, is_eligible) is None
+        )
+        assert (
+            await admission.acquire_for_stream(request.call, "svc", acquire, is_eligible) == worker
+        )
+        assert not looked_at
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_grants_with_a_lower_fencing_token_are_rejected() -> None:
     async def main() -> None:
         fleet, node = await make_fleet(2)
