--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -140,7 +140,8 @@
                     return await slot
                 return await self._slot_while_in_regions(slot, service, allowed_regions)
 
-            if self.cold_admission is None or run.num_attempts > 0:
+            # A stream that may have run can no longer be refused as not run.
+            if self.cold_admission is None or run.may_have_run:
                 return await wait_for_slot()
             return await self.cold_admission.acquire_for_stream(
                 request.call, service, wait_for_slot, condition
@@ -249,6 +250,10 @@
         service = self._routes.choose_service(request.route)
         in_regions = self._workers.in_regions(request.call.allowed_regions)
         refused: set[WorkerIncarnation] = set()
+
+        def has_not_refused(worker: Worker) -> bool:
+            return worker.incarnation not in refused and in_regions(worker)
+
         while len(refused) < MAX_REFUSALS:
             worker = None
             if self.cold_admission is not None:
@@ -257,7 +262,7 @@
                     request.route,
                     service,
                     request_deadline_s(request) - now_s(),
-                    in_regions,
+                    has_not_refused if refused else in_regions,
                 )
                 if problem is not None:
                     yield problem
--- a/src/hollowrack/warmup/admission.py
+++ b/src/hollowrack/warmup/admission.py
@@ -43,6 +43,7 @@
         request_id: Identifier of the request.
         service: Name of the service.
         is_eligible: Condition that the worker has to meet.
+        cold: Incarnations of the cold workers that met the condition when the wait began.
         turn: Resolved with whether the request may be sent.
     """
 
@@ -51,6 +52,7 @@
     request_id: str
     service: str
     is_eligible: Eligible
+    cold: frozenset[WorkerIncarnation]
     turn: "asyncio.Future[bool]"
 
     @property
@@ -65,6 +67,7 @@
     Args:
         workers: Directory of workers.
         permits: Permits held by this node.
+        is_limited: Whether a service limits the requests to its cold workers.
         is_cold: Whether a worker is cold and its service limits cold workers.
         cold_remaining_s: Returns how much longer a worker is cold, in seconds.
         max_grants: Returns how many permits a leader grants for a worker of a service within
@@ -81,6 +84,7 @@
         self,
         workers: WorkerDirectory,
         permits: PermitStore,
+        is_limited: Callable[[str], bool],
         is_cold: Callable[[Worker], bool],
         cold_remaining_s: Callable[[Worker], float],
         max_grants: Callable[[str], int],
@@ -91,6 +95,7 @@
         self.num_refused: Counter[str] = Counter()
         self._workers = workers
         self._permits = permits
+        self._is_limited = is_limited
         self._is_cold = is_cold
         self._cold_remaining_s = cold_remaining_s
         self._max_grants = max_grants
@@ -123,6 +128,8 @@
         is_eligible: Eligible = any_worker,
     ) -> Problem | None:
         """Wait until a plain request may be sent; see :class:`ColdWorkerAdmission`."""
+        if not self._is_limited(service):
+            return None
         allowed = self._workers.allowed(service, is_eligible)
         cold = [worker for worker in allowed if self._is_cold(worker)]
         if not cold or self._has_warm_room(allowed):
@@ -137,10 +144,11 @@
             call.request_id,
             service,
             is_eligible,
+            frozenset(worker.incarnation for worker in cold),
             asyncio.get_running_loop().create_future(),
         )
         bisect.insort(self._waiters, waiter, key=lambda other: other.sort_key)
-        self._refuse_surplus(service, cold)
+        self._refuse_surplus(waiter)
         self.assign_permits()
         if not waiter.turn.done():
             self._request_permits()
@@ -148,7 +156,8 @@
             async with asyncio.timeout(max_wait_s):
                 may_send = await waiter.turn
         except TimeoutError:
-            may_send = False
+            # The time may end between the assignment of a permit and the end of the wait.
+            may_send = not waiter.turn.cancelled() and waiter.turn.result()
         except asyncio.CancelledError:
             self._permits.release(call.request_id)
             self.assign_permits()
@@ -160,7 +169,11 @@
 
     def take_promised(self, call: BackEndCall) -> Worker | None:
         """Return the cold worker that a request has a permit for; ``None`` if it has none."""
-        return self._permits.promised(call.request_id)
+        worker = self._permits.promised(call.request_id)
+        while worker is not None and not self._may_still_run(worker):
+            self._permits.release(call.request_id)
+            worker = self._permits.promised(call.request_id)
+        return worker
 
     async def acquire_for_stream(
         self,
@@ -216,16 +229,28 @@
             for worker in self._workers.allowed(waiter.service, waiter.is_eligible)
         )
 
+    def _may_still_run(self, worker: Worker) -> bool:
+        """Whether a worker is still allowed, for instance not evacuated since it was promised."""
+        allowed = self._workers.allowed(worker.service)
+        return any(other.incarnation == worker.incarnation for other in allowed)
+
     def _num_unclaimed(self, worker: Worker, set_aside: Counter[WorkerIncarnation]) -> int:
         return max(0, self._permits.num_free(worker) - set_aside[worker.incarnation])
 
-    def _refuse_surplus(self, service: str, cold: list[Worker]) -> None:
-        """Refuse the last waiting request if more wait than can get a permit in time."""
-        waiters = [waiter for waiter in self._waiters if waiter.service == service]
-        max_grants = self._max_grants(service)
+    def _refuse_surplus(self, newest: _Waiter) -> None:
+        """Refuse the last request that waits for the workers of the newest one, or some of them.
+
+        Only if more wait for these workers than can get a permit in time.
+        """
+        waiters = [
+            waiter
+            for waiter in self._waiters
+            if waiter.service == newest.service and waiter.cold <= newest.cold
+        ]
+        max_grants = self._max_grants(newest.service)
         # Half of the window's permits may come at once, the others at an even rate.
         per_worker = max(1.0, max_grants / 2 + max_grants * MAX_WAIT_S / GRANT_WINDOW_S)
-        if len(waiters) > math.ceil(len(cold) * per_worker) and not waiters[-1].turn.done():
+        if len(waiters) > math.ceil(len(newest.cold) * per_worker) and not waiters[-1].turn.done():
             waiters[-1].turn.set_result(False)
 
     def _release_to_warm_workers(self) -> None:
@@ -244,6 +269,8 @@
         )
 
     def _are_all_cold(self, service: str, is_eligible: Eligible) -> bool:
+        if not self._is_limited(service):
+            return False
         workers = self._workers.allowed(service, is_eligible)
         return bool(workers) and all(self._is_cold(worker) for worker in workers)
 
