--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -262,7 +262,7 @@
         zones.on_change(self.workers.evacuated_zones_changed)
         condition = EvacuationCondition(zones)
         self.back_ends.conditions.append(condition)
-        self.back_ends.probe_conditions.append(condition.permits_probe)
+        self.back_ends.probe_conditions.append(condition.allows_probe)
         return zones
 
     def _num_workers_in(self, zone: str) -> int:
--- a/src/hollowrack/evacuation/send_condition.py
+++ b/src/hollowrack/evacuation/send_condition.py
@@ -17,7 +17,7 @@
     def __init__(self, zones: EvacuatedZones) -> None:
         self._zones = zones
 
-    def permits(self, worker: Worker, call: BackEndCall) -> bool:
+    def allows(self, worker: Worker, call: BackEndCall) -> bool:
         """Whether the worker's zone is not evacuated; a request that is stopped is counted."""
         del call
         if not self._zones.is_evacuated(worker.zone):
@@ -25,6 +25,6 @@
         self._zones.record_stopped(worker.zone)
         return False
 
-    def permits_probe(self, worker: Worker) -> bool:
+    def allows_probe(self, worker: Worker) -> bool:
         """Whether a worker may be asked for its state."""
         return not self._zones.is_evacuated(worker.zone)
--- a/src/hollowrack/forwarding/send_guard.py
+++ b/src/hollowrack/forwarding/send_guard.py
@@ -25,7 +25,7 @@
 class SendCondition(Protocol):
     """Condition on the requests that this node may send to a worker now."""
 
-    def permits(self, worker: Worker, call: BackEndCall) -> bool:
+    def allows(self, worker: Worker, call: BackEndCall) -> bool:
         """Whether a request may be sent now; called once for each send that is about to start."""
 
 
@@ -64,7 +64,7 @@
             NotRunError: ``NOT_PERMITTED`` if a condition does not allow the request.
         """
         for condition in self.conditions:
-            if not condition.permits(worker, call):
+            if not condition.allows(worker, call):
                 self.num_stopped[type(condition).__name__] += 1
                 logging.info(
                     "request %s: not sent to worker %s: %s",
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -218,6 +218,11 @@
         """Whether the settings name regions; without them no request has allowed regions."""
         return bool(self._topology.regions)
 
+    @property
+    def has_several_regions(self) -> bool:
+        """Whether allowed regions can exclude a zone of the settings."""
+        return self._topology.has_several_regions
+
     def num_of_unknown_region(self) -> int:
         """Return the number of workers whose zone has no known region; 0 without regions."""
         if not self.has_regions:
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -201,7 +201,7 @@
         return None if self._regions is None else self._regions.of_scorer_call()
 
     async def _run_once(self) -> ItemResult:
-        if self._regions is not None:
+        if self._regions is not None and self._services.workers.has_several_regions:
             await self._regions.wait_until_known()
         if not self.is_generation_complete:
             await self._generate_until_accepted()
--- a/src/hollowrack/jobs/job_regions.py
+++ b/src/hollowrack/jobs/job_regions.py
@@ -19,6 +19,7 @@
 from hollowrack.messages import codec
 from hollowrack.messages.codec import message
 from hollowrack.observability.log_rate_limiter import LogRateLimiter
+from hollowrack.regions.allowed_regions import intersection
 from hollowrack.regions.topology import RegionTopology
 from hollowrack.results import Problem, ResultCode
 
@@ -75,15 +76,6 @@
     return REGIONS_PREFIX + quote(job_id, safe="")
 
 
-def intersection(*lists: frozenset[str] | None) -> frozenset[str] | None:
-    """Return the regions that all lists allow; ``None`` if none of them restricts the regions."""
-    allowed: frozenset[str] | None = None
-    for regions in lists:
-        if regions is not None:
-            allowed = regions if allowed is None else allowed & regions
-    return allowed
-
-
 def allowed_regions_of_job(
     job: Job, routes: RouteTable, allowed_regions: frozenset[str] | None
 ) -> frozenset[str] | None:
@@ -97,9 +89,8 @@
     requests = {(job.host, item.target) for item in job.items}
     requests |= {(item.scorer.host, item.scorer.target) for item in job.items if item.scorer}
     found = (routes.lookup(host, target) for host, target in requests)
-    return intersection(
-        allowed_regions, *(route.allowed_regions for route in found if route is not None)
-    )
+    in_routes = (route.allowed_regions for route in found if route is not None)
+    return intersection((allowed_regions, *in_routes))
 
 
 class JobRegions:
--- a/src/hollowrack/jobs/relay_restriction.py
+++ b/src/hollowrack/jobs/relay_restriction.py
@@ -17,12 +17,12 @@
     NO_REGIONS,
     RegionEvent,
     describe_regions,
-    intersection,
     regions_key,
 )
 from hollowrack.jobs.live_state import LiveState
 from hollowrack.jobs.progress import PROGRESS_PREFIX
 from hollowrack.observability.log_rate_limiter import LogRateLimiter
+from hollowrack.regions.allowed_regions import intersection
 
 _JOB_PREFIXES = (JOBS_PREFIX, PROGRESS_PREFIX)
 
@@ -112,4 +112,4 @@
         job_ids = job_ids_of(call)
         if "" in job_ids and regions.topology.has_several_regions:
             return NO_REGIONS
-        return intersection(*(regions.allowed_regions(job_id) for job_id in job_ids))
+        return intersection(regions.allowed_regions(job_id) for job_id in job_ids)
--- a/src/hollowrack/platform/ingress.py
+++ b/src/hollowrack/platform/ingress.py
@@ -13,7 +13,6 @@
 from hollowrack.forwarding.forwarder import ForwardRequest
 from hollowrack.forwarding.stream_forwarder import StreamForwarder, StreamHead
 from hollowrack.forwarding.types import Route, RouteKind
-from hollowrack.jobs.job_regions import intersection
 from hollowrack.jobs.types import scoped_job_id
 from hollowrack.platform import names
 from hollowrack.platform.exchange import (
@@ -23,6 +22,7 @@
     send_complete,
 )
 from hollowrack.platform.job_format import decode_job, encode_page
+from hollowrack.regions.allowed_regions import intersection
 from hollowrack.results import Problem, ResultCode
 from hollowrack.tenants.authentication import authenticate
 from hollowrack.tenants.types import Tenant
@@ -211,7 +211,7 @@
             await exchange.send_problem(job.failure())
             return
         allowed_regions = intersection(
-            route.allowed_regions, None if tenant is None else tenant.allowed_regions
+            (route.allowed_regions, None if tenant is None else tenant.allowed_regions)
         )
         submission = self._node.jobs.submit(job.unwrap(), allowed_regions)
         problem = await exchange.run_while_connected(submission)
--- a/src/hollowrack/regions/allowed_regions.py
+++ b/src/hollowrack/regions/allowed_regions.py
@@ -11,10 +11,10 @@
 RETRY_AFTER_S = 2.0
 
 
-def intersection(restrictions: Iterable[AllowedRegions]) -> AllowedRegions:
-    """Return the regions that all restrictions allow; ``None`` if none of them restricts."""
+def intersection(lists: Iterable[AllowedRegions]) -> AllowedRegions:
+    """Return the regions that all lists allow; ``None`` if none of them restricts the regions."""
     allowed: AllowedRegions = None
-    for regions in restrictions:
+    for regions in lists:
         if regions is not None:
             allowed = regions if allowed is None else allowed & regions
     return allowed
--- a/src/hollowrack/regions/conditions.py
+++ b/src/hollowrack/regions/conditions.py
@@ -37,6 +37,6 @@
     def __init__(self, topology: RegionTopology) -> None:
         self._topology = topology
 
-    def permits(self, worker: Worker, call: BackEndCall) -> bool:
+    def allows(self, worker: Worker, call: BackEndCall) -> bool:
         """Whether the worker is in an allowed region of the request."""
         return self._topology.allows(worker.zone, call.allowed_regions)
--- a/src/hollowrack/warmup/control.py
+++ b/src/hollowrack/warmup/control.py
@@ -52,7 +52,7 @@
         """Return the leader's address; ``None`` if this node leads or the leader is unknown."""
 
 
-class SendPermits:
+class ColdWorkerCondition:
     """Allows one request to a cold worker for each permit; implements :class:`SendCondition`.
 
     Args:
@@ -74,7 +74,7 @@
         self._permits = permits
         self._recent_sends = recent_sends
 
-    def permits(self, worker: Worker, call: BackEndCall) -> bool:
+    def allows(self, worker: Worker, call: BackEndCall) -> bool:
         """Whether a request may be sent now; uses a permit if the worker is cold."""
         if not self._is_limited(worker.service):
             return True
@@ -158,7 +158,7 @@
         queue.on_assigned(self._reserve_permit)
         queue.on_unassigned(self._request_for_runs)
         back_ends.conditions.append(
-            SendPermits(self._is_limited, self.is_cold, self.permits, recent_sends)
+            ColdWorkerCondition(self._is_limited, self.is_cold, self.permits, recent_sends)
         )
 
     def start(self) -> None:
