--- a/src/hollowrack/forwarding/cold_admission.py
+++ b/src/hollowrack/forwarding/cold_admission.py
@@ -46,7 +46,7 @@
             ``None`` to send the request.
         """
 
-    def take_promised(self, call: BackEndCall) -> Worker | None:
+    def take_reserved(self, call: BackEndCall) -> Worker | None:
         """Return the cold worker that a request has a permit for; ``None`` if it has none."""
 
     async def acquire_for_stream(
--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -237,7 +237,7 @@
         """Return the worker of the next attempt; ``None`` if no further attempt is allowed."""
         if not self._may_attempt():
             return None
-        worker = self._promised_worker()
+        worker = self._reserved_worker()
         if worker is not None:
             return worker
         worker = self._choose(self.history.tried)
@@ -248,10 +248,10 @@
     def _choose(self, excluded: Collection[WorkerIncarnation]) -> Worker | None:
         return self._workers.choose(self._service, excluded, self._in_regions, self._objective)
 
-    def _promised_worker(self) -> Worker | None:
+    def _reserved_worker(self) -> Worker | None:
         if self._cold_admission is None:
             return None
-        return self._cold_admission.take_promised(self._call)
+        return self._cold_admission.take_reserved(self._call)
 
     def spare_worker(self, late: Worker) -> Worker | None:
         """Return a worker that may run the request in addition to, or instead of, a late one."""
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -267,7 +267,7 @@
                 if problem is not None:
                     yield problem
                     return
-                worker = self.cold_admission.take_promised(request.call)
+                worker = self.cold_admission.take_reserved(request.call)
             if worker is None:
                 worker = self._workers.choose(service, refused, in_regions)
             if worker is None:
--- a/src/hollowrack/warmup/admission.py
+++ b/src/hollowrack/warmup/admission.py
@@ -167,12 +167,12 @@
                 self._waiters.remove(waiter)
         return None if may_send else self._refusal(call, service, is_eligible)
 
-    def take_promised(self, call: BackEndCall) -> Worker | None:
+    def take_reserved(self, call: BackEndCall) -> Worker | None:
         """Return the cold worker that a request has a permit for; ``None`` if it has none."""
-        worker = self._permits.promised(call.request_id)
+        worker = self._permits.reserved_worker(call.request_id)
         while worker is not None and not self._may_still_run(worker):
             self._permits.release(call.request_id)
-            worker = self._permits.promised(call.request_id)
+            worker = self._permits.reserved_worker(call.request_id)
         return worker
 
     async def acquire_for_stream(
@@ -210,7 +210,7 @@
         for _, waiter, demand in sorted(entries, key=lambda entry: entry[0]):
             if demand is not None:
                 self._set_aside(demand, set_aside)
-            elif waiter is not None and self._promise(waiter, set_aside):
+            elif waiter is not None and self._reserve(waiter, set_aside):
                 waiter.turn.set_result(True)
 
     def _set_aside(self, demand: Demand, set_aside: Counter[WorkerIncarnation]) -> None:
@@ -222,7 +222,7 @@
             set_aside[worker.incarnation] += num_taken
             number -= num_taken
 
-    def _promise(self, waiter: _Waiter, set_aside: Counter[WorkerIncarnation]) -> bool:
+    def _reserve(self, waiter: _Waiter, set_aside: Counter[WorkerIncarnation]) -> bool:
         return any(
             self._num_unclaimed(worker, set_aside) > 0
             and self._permits.reserve(worker, waiter.request_id)
@@ -230,7 +230,7 @@
         )
 
     def _may_still_run(self, worker: Worker) -> bool:
-        """Whether a worker is still allowed, for instance not evacuated since it was promised."""
+        """Whether a worker is still allowed, for instance not evacuated since it was reserved."""
         allowed = self._workers.allowed(worker.service)
         return any(other.incarnation == worker.incarnation for other in allowed)
 
--- a/src/hollowrack/warmup/arbiter.py
+++ b/src/hollowrack/warmup/arbiter.py
@@ -22,7 +22,7 @@
 )
 
 # A node that wanted permits within this time is assumed to want them still.
-CLAIM_TTL_S = 0.5
+PENDING_WANT_TTL_S = 0.5
 # Shortest interval of one node's requests.
 MIN_REQUEST_INTERVAL_S = 0.1
 # Requests of all nodes together for which the leader sets longer intervals.
@@ -48,7 +48,7 @@
 
 
 @dataclass
-class _Claim:
+class _PendingWant:
     """What one node last wanted for a worker at one priority and did not get."""
 
     number: int
@@ -64,14 +64,14 @@
         num_in_window: Sum of these numbers.
         num_paced: Permits that may be granted now so that the rate is even.
         paced_s: Time at which ``num_paced`` was computed; ``None`` before the first grant.
-        claims: Latest unmet wants by node and priority.
+        pending_wants: Latest unmet wants by node and priority.
     """
 
     granted: deque[tuple[float, int]] = field(default_factory=deque)
     num_in_window: int = 0
     num_paced: float = 0.0
     paced_s: float | None = None
-    claims: dict[tuple[str, int], _Claim] = field(default_factory=dict)
+    pending_wants: dict[tuple[str, int], _PendingWant] = field(default_factory=dict)
 
     def add(self, number: int, now_s: float) -> None:
         """Count requests or permits of now."""
@@ -80,12 +80,12 @@
             self.num_in_window += number
 
     def drop_expired(self, now_s: float) -> None:
-        """Drop grants older than the window, and claims that have ended."""
+        """Drop grants older than the window, and unmet wants that have ended."""
         while self.granted and now_s - self.granted[0][0] > GRANT_WINDOW_S:
             self.num_in_window -= self.granted.popleft()[1]
-        ended = [key for key, claim in self.claims.items() if claim.until_s <= now_s]
+        ended = [key for key, pending in self.pending_wants.items() if pending.until_s <= now_s]
         for key in ended:
-            del self.claims[key]
+            del self.pending_wants[key]
 
     def refill(self, now_s: float, max_grants: int) -> None:
         """Add the permits of the time since the last call to the even rate."""
@@ -101,7 +101,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether nothing of it has to be kept."""
-        return not self.granted and not self.claims
+        return not self.granted and not self.pending_wants
 
 
 class PermitArbiter:
@@ -199,10 +199,10 @@
             number = min(want.number, self._share(worker, node, want.priority, num_free))
         worker.add(number, now_s)
         worker.num_paced -= number
-        worker.claims.pop((node, want.priority), None)
+        worker.pending_wants.pop((node, want.priority), None)
         if number < want.number:
-            claim = _Claim(want.number - number, now_s + CLAIM_TTL_S)
-            worker.claims[(node, want.priority)] = claim
+            pending = _PendingWant(want.number - number, now_s + PENDING_WANT_TTL_S)
+            worker.pending_wants[(node, want.priority)] = pending
         return number
 
     def _may_grant(self, now_s: float) -> bool:
@@ -218,9 +218,9 @@
         """Return how many of the free permits one node may have at one priority."""
         num_before = 0
         num_equal = 0
-        for (other, other_priority), claim in worker.claims.items():
+        for (other, other_priority), pending in worker.pending_wants.items():
             if other != node and other_priority < priority:
-                num_before += claim.number
+                num_before += pending.number
             elif other != node and other_priority == priority:
                 num_equal += 1
         return math.ceil(max(0, num_free - num_before) / (1 + num_equal))
--- a/src/hollowrack/warmup/permits.py
+++ b/src/hollowrack/warmup/permits.py
@@ -43,7 +43,7 @@
         self.num_expired: Counter[str] = Counter()
         self._permits: dict[WorkerIncarnation, list[_Permit]] = {}
         # By identifier; a client may repeat a request while the first one waits.
-        self._promised: dict[str, list[_Permit]] = {}
+        self._reserved: dict[str, list[_Permit]] = {}
 
     def add(self, worker: Worker, number: int, expires_s: float) -> None:
         """Add granted permits; those that have expired already count as expired."""
@@ -71,22 +71,22 @@
         permit.is_reserved = True
         if request_id is not None:
             permit.request_id = request_id
-            self._promised.setdefault(request_id, []).append(permit)
+            self._reserved.setdefault(request_id, []).append(permit)
         return True
 
-    def promised(self, request_id: str) -> Worker | None:
+    def reserved_worker(self, request_id: str) -> Worker | None:
         """Return the worker that a permit is reserved for a request at."""
-        # A copy, as the check drops promises that have expired.
-        promised = tuple(self._promised.get(request_id, ()))
-        valid = (permit.worker for permit in promised if permit in self._valid(permit.worker))
+        # A copy, as the check drops reservations that have expired.
+        reserved = tuple(self._reserved.get(request_id, ()))
+        valid = (permit.worker for permit in reserved if permit in self._valid(permit.worker))
         return next(valid, None)
 
     def release(self, request_id: str) -> None:
         """Make the permit of a request that is not sent available to others."""
-        promised = self._promised.get(request_id)
-        if promised:
-            permit = promised[0]
-            self._drop_promise(permit)
+        reserved = self._reserved.get(request_id)
+        if reserved:
+            permit = reserved[0]
+            self._drop_reservation(permit)
             permit.is_reserved = False
             permit.request_id = None
 
@@ -103,18 +103,18 @@
             return False
         permit = min(usable, key=lambda held: (held.request_id is None, not held.is_reserved))
         self._permits[worker.incarnation].remove(permit)
-        self._drop_promise(permit)
+        self._drop_reservation(permit)
         self.num_used[worker.service] += 1
         return True
 
-    def _drop_promise(self, permit: _Permit) -> None:
-        """Remove a permit from those promised to its request, if it is reserved for one."""
+    def _drop_reservation(self, permit: _Permit) -> None:
+        """Remove a permit from those reserved for its request, if it is reserved for one."""
         if permit.request_id is None:
             return
-        promised = self._promised[permit.request_id]
-        promised.remove(permit)
-        if not promised:
-            del self._promised[permit.request_id]
+        reserved = self._reserved[permit.request_id]
+        reserved.remove(permit)
+        if not reserved:
+            del self._reserved[permit.request_id]
 
     def _valid(self, worker: Worker) -> list[_Permit]:
         """Return the permits for a worker that have not expired; drops the others."""
@@ -127,7 +127,7 @@
             self.num_expired[worker.service] += len(held) - len(valid)
             for permit in held:
                 if now >= permit.expires_s:
-                    self._drop_promise(permit)
+                    self._drop_reservation(permit)
             self._permits[worker.incarnation] = valid
         if not valid:
             del self._permits[worker.incarnation]
