--- a/tests/warmup/test_arbiter.py
+++ b/tests/warmup/test_arbiter.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from hollowrack.results import ResultCode
-from hollowrack.warmup.arbiter import PENDING_WANT_TTL_S, MIN_REQUEST_INTERVAL_S, PermitArbiter
+from hollowrack.warmup.arbiter import MIN_REQUEST_INTERVAL_S, PENDING_WANT_TTL_S, PermitArbiter
 from hollowrack.warmup.types import (
     GRANT_WINDOW_S,
     MAX_PERMITS,
