--- a/src/hollowrack_bench/loopback_proxy.py
+++ b/src/hollowrack_bench/loopback_proxy.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from hollowrack.tasks import cancel_all
+from hollowrack_bench.free_ports import free_address
 
 CHUNK_BYTES = 65_536
 MAX_DELAY_S = 0.4
@@ -59,9 +60,9 @@
 
     async def start(self) -> str:
         """Start listening on a free port; returns the address."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        # An outgoing connection could take an ephemeral port while connections are refused.
+        self.address = free_address()
+        await self.accept_connections()
         return self.address
 
     async def stop(self) -> None:
--- a/src/hollowrack_bench/platform_demo.py
+++ b/src/hollowrack_bench/platform_demo.py
@@ -136,6 +136,8 @@
         self._store.put(names.CONFIGURATION_KEY, self._configuration())
         for worker in self._workers:
             worker.num_events = NUM_EVENTS
+            # An outgoing connection could take an ephemeral port while the worker is down.
+            worker.server.address = free_address()
             await self._start_worker(worker)
             self._store.put(names.WORKERS_PREFIX + worker.id, worker.entry())
         self._workers[0].faults.breaks_streams = NUM_ITEMS
