--- a/src/hollowrack/jobs/progress_saver.py
+++ b/src/hollowrack/jobs/progress_saver.py
@@ -30,10 +30,12 @@
     Attributes:
         record: The write that saves them.
         items: The events by item, as the record contains them.
+        has_all: Whether no other event is unsaved; false if the record has reached its limit.
     """
 
     record: Put
     items: tuple[ItemProgress, ...]
+    has_all: bool
 
 
 class ProgressSaver:
@@ -66,12 +68,18 @@
                 await asyncio.sleep(FAILURE_RETRY_INTERVAL_S)
 
     async def save(self) -> bool:
-        """Save the new events of all long items; ``False`` if a write failed."""
+        """Save the new events of all long items; ``False`` if a write failed.
+
+        Events that are generated during the last write are left to the next save: where a write
+        takes as long as an event, there are always new ones, and each write is billed.
+        """
         self._last_save_s = now_s()
         while (unsaved := self.unsaved()) is not None:
             if not await self._log.save(unsaved.record):
                 return False
             self.record_saved(unsaved)
+            if unsaved.has_all:
+                break
         return True
 
     def unsaved(self, min_age_s: float = 0.0) -> UnsavedProgress | None:
@@ -82,13 +90,13 @@
         """
         if now_s() - self._last_save_s < min_age_s:
             return None
-        items = self._new_parts()
+        items, has_all = self._new_parts()
         if not items:
             return None
         # Every record has a key of its own, so that a late write cannot replace a newer record.
         record = self._log.make_put(self._job_id, self._num_records, items)
         self._num_records += 1
-        return UnsavedProgress(record, tuple(items))
+        return UnsavedProgress(record, tuple(items), has_all)
 
     def record_saved(self, progress: UnsavedProgress) -> None:
         """Record that a write has succeeded."""
@@ -98,7 +106,8 @@
             end = part.position + len(part.events)
             self._num_saved[key] = max(end, self._num_saved.get(key, 0))
 
-    def _new_parts(self) -> list[ItemProgress]:
+    def _new_parts(self) -> tuple[list[ItemProgress], bool]:
+        """Return the unsaved events that fit one record, and whether these are all."""
         parts: list[ItemProgress] = []
         num_bytes = 0
         for runner in self._runners():
@@ -108,10 +117,10 @@
             events = tuple(to_saved_event(event) for event in runner.events[position:])
             num_bytes += _size(events)
             if parts and num_bytes > MAX_RECORD_BYTES:
-                break
+                return parts, False
             if events:
                 parts.append(ItemProgress(runner.item_id, runner.num_restarts, position, events))
-        return parts
+        return parts, True
 
 
 def _size(events: Collection[SavedEvent]) -> int:
