--- a/tests/jobs/test_order_of_jobs.py
+++ b/tests/jobs/test_order_of_jobs.py
@@ -255,3 +255,43 @@
         await tested_node.fleet.stop()
 
     run_virtual(main())
+
+
+def test_long_items_with_overestimated_lengths_start_before_short_ones_of_another_job() -> None:
+    """Guards against groups that count as late because callers overestimate their longest items.
+
+    Replays a load in which expected tokens grow faster than events: 8 tokens an event for 20 events
+    and 60 for 150.
+    """
+
+    def with_expected_lengths(job: Job) -> Job:
+        items = tuple(
+            replace(item, expected_tokens=round(0.4 * item.expected_tokens**2))
+            for item in job.items
+        )
+        return replace(job, items=items)
+
+    async def main() -> None:
+        tested_node = NodeUnderTest(make_configuration(1, 1))
+        await asyncio.sleep(1.0)
+
+        async def submit(job: Job) -> None:
+            for item in job.items:
+                tested_node.fleet.back_ends.num_events_of[item.id] = item.expected_tokens
+            assert await tested_node.node.jobs.submit(with_expected_lengths(job)) is None
+
+        rng = random.Random(1)
+        history = [[rng.randint(4, 60) for _ in range(8)] for _ in range(12)]
+        await submit(make_job("history", "first", history, 12))
+        await asyncio.sleep(2 * DEADLINE_S)
+        await submit(make_job("short", "second", [[40] * 8] * 4, 4))
+        await asyncio.sleep(0.1)
+        await submit(make_job("long", "first", [[180, 20, 20, 20]] * 2, 2))
+        await asyncio.sleep(2.0)
+        runs = tested_node.first_runs()
+        long_items = ["long.0.0", "long.1.0"]
+        first_short_after = runs.index("short.0.0") + NUM_SLOTS
+        assert set(runs[first_short_after : first_short_after + 2]) == set(long_items), runs[-40:]
+        await tested_node.fleet.stop()
+
+    run_virtual(main())
