--- a/src/hollowrack/coordination/relay.py
+++ b/src/hollowrack/coordination/relay.py
@@ -188,6 +188,9 @@
 
     Attributes:
         direct_failure_listeners: Called when direct calls begin to fail and relaying is possible.
+        direct_answer_listeners: Called with the time of each answer to a direct call.
+        direct_call_failure_listeners: Called for each direct call that failed, with the time at
+            which it was sent.
         restriction: Decides which nodes may relay calls; ``None`` if all may relay all calls.
     """
 
@@ -208,6 +211,8 @@
         self._retry_node_from_s: dict[str, float] = {}
         self._relay_backoff = Backoff(INITIAL_RELAY_BACKOFF_S, MAX_RELAY_BACKOFF_S, rng)
         self.direct_failure_listeners: list[Callable[[], None]] = []
+        self.direct_answer_listeners: list[Callable[[float], None]] = []
+        self.direct_call_failure_listeners: list[Callable[[float], None]] = []
         self.restriction: RelayRestriction | None = None
 
     async def get(self, key: str) -> StoredItem | Unavailable | None:
@@ -252,8 +257,9 @@
         if self._direct_calls_fail and self._may_relay(call):
             answer = await self._relay(call)
         if isinstance(answer, NotDone):
+            sent_s = now_s()
             answer = await self._store.transact(conditions, puts, removes)
-            self._record_direct(answer)
+            self._record_direct(answer, sent_s)
             if isinstance(answer, NotDone) and self._may_relay(call):
                 answer = await self._relay(call)
         if isinstance(answer, Committed | Conflict | LeaseGone | NotDone | Unknown):
@@ -300,8 +306,9 @@
             answer = await self._relay(call)
             if not isinstance(answer, NotDone | Unknown):
                 return answer
+        sent_s = now_s()
         answer = await call_directly()
-        self._record_direct(answer)
+        self._record_direct(answer, sent_s)
         if isinstance(answer, NotDone | Unknown) and self._may_relay(call):
             answer = await self._relay(call)
         return answer
@@ -327,13 +334,17 @@
                 restriction.record_withheld(call)
         return candidates[:MAX_NODES_ASKED]
 
-    def _record_direct(self, answer: RelayedOutcome) -> None:
+    def _record_direct(self, answer: RelayedOutcome, sent_s: float) -> None:
         """Update the relaying state from the outcome of a direct call."""
         failed_before = self._direct_calls_fail
         self._direct_calls_fail = isinstance(answer, NotDone | Unknown)
         if not self._direct_calls_fail:
             self._relay_first_backoff.reset()
+            for answer_listener in self.direct_answer_listeners:
+                answer_listener(now_s())
             return
+        for failure_listener in self.direct_call_failure_listeners:
+            failure_listener(sent_s)
         self._relay_first_until_s = now_s() + self._relay_first_backoff.next_delay_s()
         if not failed_before and self._may_relay():
             for listener in self.direct_failure_listeners:
--- a/src/hollowrack/coordination/shared_store.py
+++ b/src/hollowrack/coordination/shared_store.py
@@ -84,6 +84,7 @@
         sentinel_prefix: The prefix whose short watches detect that other watches hang.
         source_listeners: Called when the source that answers watches changes.
         recovery_listeners: Called when the store itself answers after it failed or was not asked.
+        answer_listeners: Called with each time as of which the store is known to have answered.
     """
 
     def __init__(
@@ -111,6 +112,7 @@
         self.sentinel_prefix: str | None = None
         self.source_listeners: list[Callable[[], None]] = []
         self.recovery_listeners: list[Callable[[], None]] = []
+        self.answer_listeners: list[Callable[[float], None]] = []
 
     def last_answer_s(self, prefix: str | None) -> float:
         """Return when the store last answered about a prefix, to this node or to its source.
@@ -128,6 +130,8 @@
     def record_answer(self, prefix: str, at_s: float) -> None:
         """Record that the known state of a prefix was the store's state at ``at_s``."""
         self._last_answers_s[prefix] = max(at_s, self._last_answers_s.get(prefix, at_s))
+        for listener in self.answer_listeners:
+            listener(at_s)
 
     async def watch(
         self, prefix: str, after_revision: int, wait_s: float
--- a/src/hollowrack/edge_connections.py
+++ b/src/hollowrack/edge_connections.py
@@ -62,6 +62,8 @@
         capacity: Sends capacity orders; ``None`` if capacity is not ordered.
         slots: Sends slot reports to other nodes; ``None`` if slots are not shared.
         topology: Regions of the zones; empty if the settings name none.
+        contact_s: Time for which a node must have been connected to the store so that time bounds
+            hold, in seconds; ``None`` if the settings do not state it.
         warmup: Limits on requests to cold workers; ``None`` if they are not limited.
     """
 
@@ -83,3 +85,4 @@
     slots: SlotPeers | None = None
     topology: RegionTopology = field(default_factory=RegionTopology)
     warmup: WarmupConnections | None = None
+    contact_s: float | None = None
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -17,12 +17,13 @@
 from hollowrack.coordination.relay import RelayingStore
 from hollowrack.coordination.session import Session, new_owner_name
 from hollowrack.coordination.shared_store import SharedStore, StoreAccess
-from hollowrack.coordination.store import Committed, CoordinationStore, Put, StoredItem
+from hollowrack.coordination.store import Committed, Put, StoredItem
 from hollowrack.edge_connections import EdgeConnections
 from hollowrack.evacuation.send_condition import EvacuationCondition
 from hollowrack.evacuation.zones import EvacuatedZones
 from hollowrack.forwarding.dispatch_queue import DispatchQueue
 from hollowrack.forwarding.forwarder import Forwarder
+from hollowrack.forwarding.kept_workers import KeptWorkers
 from hollowrack.forwarding.load_log import LoadLog
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.send_guard import GuardedBackEnds
@@ -95,6 +96,7 @@
         back_ends: Sends requests to workers, under the conditions of its list.
         topology: Regions of the zones.
         evacuated: The evacuated zones.
+        kept_workers: Keeps workers whose entries expired during an outage of the store in use.
         store: The coordination store, with relaying through other nodes.
         feed_client: Sends watches to other nodes.
         usage: Counts the tenants' requests that workers began.
@@ -126,6 +128,7 @@
         self.usage = usage_meter(self.owner, connections.usage)
         self.back_ends = GuardedBackEnds(connections.back_ends, RegionSendCondition(self.topology))
         self.evacuated = self._connect_evacuated_zones()
+        self.kept_workers = self._connect_kept_workers(connections)
         self.quarantine = Quarantine(self.back_ends)
         self.forwarder = Forwarder(
             self.routes, self.workers, self.back_ends, self.usage, self.quarantine, rng
@@ -184,10 +187,7 @@
             has_sentinel=True,
         )
         num_hosts = num_hosts_per_zone(connections.max_change_delay_s)
-        # Where only some nodes have sessions, other nodes watch those, so they must be known first.
-        self.may_watch_feed = asyncio.Event() if num_hosts is None else self._live_mirror.is_loaded
-        if num_hosts is None:
-            self.may_watch_feed.set()
+        self.may_watch_feed = self._feed_start_event(num_hosts is not None)
         self._host_role = HostRole(
             self.owner,
             self._entry,
@@ -248,11 +248,14 @@
         self._handover_timeout_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _connect_shared_store(self, store: CoordinationStore) -> SharedStore:
+    def _connect_shared_store(self, store: RelayingStore) -> SharedStore:
         """Create the store whose watches other nodes may answer."""
         shared_store = SharedStore(store, self.feed_client, self._feed_sources, self._store_access)
         shared_store.source_listeners.append(self._restart_live_watch)
         shared_store.recovery_listeners.append(self._retry_live_mirror)
+        store.direct_answer_listeners.append(self.kept_workers.record_store_answer)
+        store.direct_call_failure_listeners.append(self.kept_workers.record_store_failure)
+        shared_store.answer_listeners.append(self.kept_workers.record_store_answer)
         return shared_store
 
     def _connect_evacuated_zones(self) -> EvacuatedZones:
@@ -265,6 +268,23 @@
         self.back_ends.probe_conditions.append(condition.allows_probe)
         return zones
 
+    def _connect_kept_workers(self, connections: EdgeConnections) -> KeptWorkers:
+        # The contact time is at least the drain time.
+        contact_s = connections.contact_s or connections.max_change_delay_s
+        kept_workers = KeptWorkers(self.workers, contact_s)
+        self.workers.on_not_run(kept_workers.record_not_run)
+        self.back_ends.conditions.append(kept_workers)
+        return kept_workers
+
+    def _feed_start_event(self, has_observers: bool) -> asyncio.Event:
+        """Return the event that is set once the operators' and workers' keys may be watched."""
+        if has_observers:
+            # Observers watch other nodes, which must be known first.
+            return self._live_mirror.is_loaded
+        event = asyncio.Event()
+        event.set()
+        return event
+
     def _num_workers_in(self, zone: str) -> int:
         return sum(worker.zone == zone for worker in self.workers.all())
 
@@ -409,12 +429,27 @@
 
     def worker_changed(self, worker: Worker) -> None:
         """Add or update a worker."""
+        self.kept_workers.record_entry(worker)
         if self.cold_workers is not None:
             self.cold_workers.record_entry(worker, self.workers.get(worker.id))
         self.workers.update(worker)
 
+    def worker_entry_removed(self, worker_id: str) -> None:
+        """Remove a worker, or keep it if its entry may have expired during an outage."""
+        until_s = self.kept_workers.keep(worker_id)
+        if until_s is None:
+            self.worker_removed(worker_id)
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_at(until_s, self._remove_kept_workers, until_s)
+
+    def _remove_kept_workers(self, until_s: float) -> None:
+        for worker_id in self.kept_workers.end_until(until_s):
+            self.worker_removed(worker_id)
+
     def worker_removed(self, worker_id: str) -> None:
         """Remove a worker."""
+        self.kept_workers.record_unreadable(worker_id)
         worker = self.workers.get(worker_id)
         self.workers.remove(worker_id)
         if worker is None or self.workers.are_all_evacuated(worker.service):
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -303,7 +303,9 @@
             has_started = True
             self._record_usage(request)
             yield StreamHead(answer.status, answer.headers)
+            self._workers.record_answer(worker)
             async for chunk in answer.chunks():
+                self._workers.record_answer(worker)
                 yield chunk
             if answer.status in HTTP_SUCCESS:
                 self._quarantine.record_success(fingerprint_of(request.call))
--- a/src/hollowrack/forwarding/workers.py
+++ b/src/hollowrack/forwarding/workers.py
@@ -44,6 +44,8 @@
         num_consecutive_failures: Failures since the last success, unreachable ones included.
         num_consecutive_refusals: Refusals since the last success; concurrent ones count once.
         failure_score: Decaying sum of failures, by :data:`FAILURE_DECAY`.
+        last_answer_s: When it last answered, on the loop's clock; minus infinity if it never did or
+            could not be reached since.
     """
 
     num_in_flight: int = 0
@@ -51,6 +53,7 @@
     num_consecutive_failures: int = 0
     num_consecutive_refusals: int = 0
     failure_score: float = 0.0
+    last_answer_s: float = -float("inf")
 
 
 Eligible = Callable[[Worker], bool]
@@ -103,6 +106,7 @@
         self._event_intervals = WorkerEventIntervals(self.serving)
         self._listeners: list[Callable[[], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
+        self._not_run_listeners: list[Callable[[Worker, NotRunReason], None]] = []
         self._restrictions: list[Eligible] = []
         self._is_warm: Eligible = any_worker
         self._has_permit: Eligible = any_worker
@@ -143,6 +147,10 @@
         """Register a listener that is called with the worker of each request that has ended."""
         self._end_listeners.append(listener)
 
+    def on_not_run(self, listener: Callable[[Worker, NotRunReason], None]) -> None:
+        """Register a listener that is called when a worker certainly did not run a request."""
+        self._not_run_listeners.append(listener)
+
     def update(self, worker: Worker) -> None:
         """Update the registry entry of a worker; entries of earlier incarnations are ignored."""
         known = self._workers.get(worker.id)
@@ -395,8 +403,20 @@
             listener(worker)
         self._notify()
 
+    def record_answer(self, worker: Worker) -> None:
+        """Record that a worker answered, or sent a part of an answer."""
+        self._observations_of(worker).last_answer_s = now_s()
+
+    def last_answer_s(self, worker: Worker) -> float:
+        """Return when a worker last answered this node, on the loop's clock.
+
+        Returns minus infinity if it never did, or if it could not be reached since.
+        """
+        return self._observations_of(worker).last_answer_s
+
     def record_success(self, worker: Worker) -> None:
         """Record that a worker answered a request."""
+        self.record_answer(worker)
         observations = self._observations_of(worker)
         observations.num_consecutive_failures = 0
         observations.num_consecutive_refusals = 0
@@ -413,6 +433,7 @@
         """
         if not self.is_current(worker.incarnation):
             return  # State of an incarnation that has ended would never be removed.
+        self.record_answer(worker)
         self.loads.record_answer(worker, route, seconds)
         if not route:
             self._event_intervals.record(worker, seconds)
@@ -443,6 +464,7 @@
 
     def record_busy(self, worker: Worker) -> None:
         """Record that a worker refused a request because it is full."""
+        self.record_answer(worker)
         if self._is_backing_off(worker):
             return  # Concurrent refusals count once.
         observations = self._observations_of(worker)
@@ -467,6 +489,7 @@
         observations = self._observations_of(worker)
         observations.num_consecutive_failures += 1
         observations.failure_score = observations.failure_score * FAILURE_DECAY + 1.0
+        observations.last_answer_s = -float("inf")
         backoff_s = UNREACHABLE_BACKOFF_S * 2 ** min(observations.num_consecutive_failures - 1, 5)
         self._back_off(worker, min(backoff_s, MAX_UNREACHABLE_BACKOFF_S))
 
@@ -478,6 +501,8 @@
             self.record_unreachable(worker)
         elif reason is NotRunReason.REPLACED:
             self.record_replaced(worker)
+        for listener in self._not_run_listeners:
+            listener(worker, reason)
 
     def record_replaced(self, worker: Worker) -> None:
         """Remove a worker at whose address another incarnation answers."""
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -104,6 +104,7 @@
         for (service, state), count in self._workers().items():
             workers.add_metric([service, state], count)
         yield workers
+        yield from self._kept_workers()
         yield from self._slots()
         yield from self._evacuations()
         yield from self._distances()
@@ -213,6 +214,28 @@
         refused_messages.add_metric(["grant"], sharing.holder.num_refused)
         yield refused_messages
 
+    def _kept_workers(self) -> Iterator["Metric"]:
+        """Yield the metrics of workers that are used although their entries are missing."""
+        from prometheus_client.core import (  # noqa: PLC0415 (lazy import)
+            CounterMetricFamily,
+            GaugeMetricFamily,
+        )
+
+        kept_workers = self._node.kept_workers
+        yield GaugeMetricFamily(
+            "hollowrack_workers_kept",
+            "Workers used now although their entries expired during an outage of the store",
+            value=kept_workers.num_kept,
+        )
+        ended = CounterMetricFamily(
+            "hollowrack_workers_kept_ended",
+            "Such workers, by what became of them",
+            labels=["outcome"],
+        )
+        for outcome, count in kept_workers.num_by_outcome.items():
+            ended.add_metric([outcome.value], count)
+        yield ended
+
     def _evacuations(self) -> Iterator["Metric"]:
         """Yield the metrics of evacuated zones; without any, only their number."""
         from prometheus_client.core import (  # noqa: PLC0415 (lazy import)
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -101,6 +101,7 @@
         ]
         store = PlatformStore(self._sessions[0], settings.platform.address)
         workers = PlatformWorkers(self._sessions[1], self._sessions[2])
+        contact_ms = settings.bounds.contact_ms
         self.node = EdgeNode(
             settings.node_name,
             settings.zone,
@@ -124,6 +125,7 @@
                 HttpSlotPeers(self._sessions[3]) if settings.shares_slots else None,
                 RegionTopology(settings.zones, settings.zone, settings.region),
                 self._warmup_connections(),
+                None if contact_ms is None else contact_ms / MS_PER_S,
             ),
             self._rng,
         )
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -48,6 +48,8 @@
     drain_ms: float = Field(default=2000.0, alias="drain-ms")
     # Maximum time until a configuration change is in force on every node.
     config_apply_ms: float = Field(default=2000.0, alias="config-apply-ms")
+    # Time for which a node must have been connected to the store so that time bounds hold.
+    contact_ms: float | None = Field(default=None, alias="contact-ms", gt=0.0)
     # Time for which the results of an ended job can be requested.
     status_s: float = Field(default=120.0, alias="status-s")
     # Whether a node refuses API keys while its configuration is older than a revocation may take.
--- a/src/hollowrack/platform/store_feed.py
+++ b/src/hollowrack/platform/store_feed.py
@@ -47,7 +47,10 @@
         """Receive a new or changed worker."""
 
     def worker_removed(self, worker_id: str) -> None:
-        """Handle a worker's entry that was removed or cannot be decoded."""
+        """Handle a worker's entry that cannot be decoded."""
+
+    def worker_entry_removed(self, worker_id: str) -> None:
+        """Handle the removal of a worker's entry, which may have expired during an outage."""
 
     def target_version_changed(self, model: str, version: int) -> None:
         """Receive the weight version that a trainer announced for a model."""
@@ -227,7 +230,7 @@
         worker_id = key.removeprefix(names.WORKERS_PREFIX)
         if item is None:
             self.unreadable.remove(key)
-            self._listener.worker_removed(worker_id)
+            self._listener.worker_entry_removed(worker_id)
             return
         worker = decode_worker(key, item.value)
         if isinstance(worker, Failure):
--- a/tests/observability/test_edge_metrics.py
+++ b/tests/observability/test_edge_metrics.py
@@ -165,3 +165,28 @@
         await fleet.stop()
 
     run_virtual(main())
+
+
+def test_kept_workers_are_reported_by_outcome() -> None:
+    async def main() -> None:
+        fleet = Fleet(1)
+        node = fleet.nodes["n0"]
+        await asyncio.sleep(1.0)
+        fleet.faults["n0"].refuses = True
+        await asyncio.sleep(4.0)
+        for worker in node.workers.all():
+            node.workers.record_success(worker)
+        fleet.faults["n0"].refuses = False
+        await asyncio.sleep(0.5)
+        node.worker_entry_removed("e0")
+        node.worker_entry_removed("e1")
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(EdgeCollector(node, EdgeCounters()))
+        assert "hollowrack_workers_kept 2.0" in generate_latest(registry).decode()
+        await asyncio.sleep(2.0)
+        text = generate_latest(registry).decode()
+        assert "hollowrack_workers_kept 0.0" in text
+        assert 'hollowrack_workers_kept_ended_total{outcome="expired"} 2.0' in text
+        await fleet.stop()
+
+    run_virtual(main())
--- a/tests/platform/test_store_entries.py
+++ b/tests/platform/test_store_entries.py
@@ -228,6 +228,9 @@
     def worker_removed(self, worker_id: str) -> None:
         self.workers.pop(worker_id, None)
 
+    def worker_entry_removed(self, worker_id: str) -> None:
+        self.workers.pop(worker_id, None)
+
     def target_version_changed(self, model: str, version: int) -> None:
         self.target_versions.append((model, version))
 
