--- a/src/hollowrack/coordination/relay.py
+++ b/src/hollowrack/coordination/relay.py
@@ -190,7 +190,7 @@
         direct_failure_listeners: Called when direct calls begin to fail and relaying is possible.
         direct_answer_listeners: Called with the time of each answer to a direct call.
         direct_call_failure_listeners: Called for each direct call that failed, with the time at
-            which it was sent.
+            which it was sent, and whether it was refused or could not be sent.
         restriction: Decides which nodes may relay calls; ``None`` if all may relay all calls.
     """
 
@@ -212,7 +212,7 @@
         self._relay_backoff = Backoff(INITIAL_RELAY_BACKOFF_S, MAX_RELAY_BACKOFF_S, rng)
         self.direct_failure_listeners: list[Callable[[], None]] = []
         self.direct_answer_listeners: list[Callable[[float], None]] = []
-        self.direct_call_failure_listeners: list[Callable[[float], None]] = []
+        self.direct_call_failure_listeners: list[Callable[[float, bool], None]] = []
         self.restriction: RelayRestriction | None = None
 
     async def get(self, key: str) -> StoredItem | Unavailable | None:
@@ -344,7 +344,7 @@
                 answer_listener(now_s())
             return
         for failure_listener in self.direct_call_failure_listeners:
-            failure_listener(sent_s)
+            failure_listener(sent_s, isinstance(answer, NotDone))
         self._relay_first_until_s = now_s() + self._relay_first_backoff.next_delay_s()
         if not failed_before and self._may_relay():
             for listener in self.direct_failure_listeners:
--- a/src/hollowrack/forwarding/kept_workers.py
+++ b/src/hollowrack/forwarding/kept_workers.py
@@ -99,21 +99,23 @@
         """Number of workers that are kept now."""
         return len(self._kept)
 
-    def record_store_failure(self, sent_s: float) -> None:
+    def record_store_failure(self, sent_s: float, is_refused: bool) -> None:
         """Record that a call of this node to the store failed.
 
-        The first failure may be that of a connection that broke unnoticed long before. It closes
-        the other idle connections, so a call that is sent afterwards and fails as well shows that
-        the store cannot be reached.
+        The first call without an answer may be that of a connection that broke unnoticed long
+        before. It closes the other idle connections, so a call that is sent afterwards and fails as
+        well shows that the store cannot be reached.
 
         Args:
             sent_s: When it was sent, on the loop's clock.
+            is_refused: Whether the store refused it or could not be connected to.
         """
         if sent_s <= self._answered_s:
             return
+        is_first = self._first_failure is None
         if self._first_failure is None:
             self._first_failure = (sent_s, now_s())
-        elif sent_s >= self._first_failure[1]:
+        if is_refused or (not is_first and sent_s >= self._first_failure[1]):
             # Calls of different lengths end in any order.
             self._failed_s = max(sent_s, self._failed_s or sent_s)
 
