--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -209,6 +209,7 @@
             slots=self.slots,
             topology=self.topology or RegionTopology(self.zone_regions, zone),
         )
+        connections = self.connect(name, connections)
         node = EdgeNode(name, zone, 3.0, connections, random.Random(f"{name}{len(self.faults)}"))
         node.jobs.intake.uses_preferred_owner = self.uses_preferred_owner
         if is_configured:
@@ -222,6 +223,11 @@
         self.nodes[name] = node
         return node
 
+    def connect(self, name: str, connections: EdgeConnections) -> EdgeConnections:
+        """Return the connections of a node, which subclasses may change."""
+        del name
+        return connections
+
     def make_store(self, name: str, faults: StoreFaults) -> CoordinationStore:
         """Return a node's client of the store."""
         del name
