--- a/src/hollowrack/forwarding/kept_workers.py
+++ b/src/hollowrack/forwarding/kept_workers.py
@@ -156,7 +156,8 @@
     def record_entry(self, worker: Worker) -> None:
         """Record a worker's entry, before it is applied to the directory.
 
-        A kept worker of another incarnation is removed, as if its entry had never been missing.
+        A kept worker of another incarnation is removed first, so that the directory applies the
+        entry although it may have started earlier.
         """
         self._record_news()
         if now_s() < self._until_s:
