--- a/src/hollowrack/coordination/leadership.py
+++ b/src/hollowrack/coordination/leadership.py
@@ -116,6 +116,11 @@
             and now < self._session.valid_until_s - ACTION_MARGIN_S
         )
 
+    @property
+    def acts_in_s(self) -> float:
+        """Time until the handover time of the current term ends, in seconds; 0 if it has ended."""
+        return max(0.0, self._may_act_from_s - now_s())
+
     def start(self) -> None:
         """Start campaigning."""
         self._start_time_s = now_s()
--- a/src/hollowrack/edge_connections.py
+++ b/src/hollowrack/edge_connections.py
@@ -31,12 +31,18 @@
         peers: Pushes counts to other nodes.
         client: Delivers reports to the platform.
         time_of_day_s: Returns the machine's time of day, in seconds since 1970.
+        late_s: Time after the end of a window until which its report must be delivered, in seconds;
+            ``None`` if there is no bound.
+        tolerance: Largest allowed difference between reported and true counts, as a fraction of the
+            true ones; ``None`` if there is no bound.
     """
 
     window_s: float
     peers: UsagePeers
     client: UsageClient
     time_of_day_s: Callable[[], float] = time.time
+    late_s: float | None = None
+    tolerance: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/hollowrack/node_duties.py
+++ b/src/hollowrack/node_duties.py
@@ -15,6 +15,7 @@
 from hollowrack.usage.replicator import UsageReplicator
 from hollowrack.usage.reporter import UsageReporter
 from hollowrack.usage.wall_clock import WallClock
+from hollowrack.usage.window_schedule import WindowSchedule
 
 
 def usage_meter(owner: str, usage: UsageConnections | None) -> UsageMeter:
@@ -71,7 +72,7 @@
                 store,
                 leadership,
                 meter,
-                usage.window_s,
+                WindowSchedule(usage.window_s, usage.late_s),
                 usage.client,
                 live.other_processes,
             )
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -200,8 +200,14 @@
         client = self._duty_client(names.DUTY_USAGE)
         if client is None:
             return None
-        window_s = self._settings.bounds.usage_window_s
-        return UsageConnections(window_s, HttpUsagePeers(self._sessions[3]), client)
+        bounds = self._settings.bounds
+        return UsageConnections(
+            bounds.usage_window_s,
+            HttpUsagePeers(self._sessions[3]),
+            client,
+            late_s=bounds.usage_late_s,
+            tolerance=bounds.usage_tolerance,
+        )
 
     def _warmup_connections(self) -> WarmupConnections | None:
         bounds = self._settings.bounds.warmup
--- a/src/hollowrack/platform/settings.py
+++ b/src/hollowrack/platform/settings.py
@@ -23,6 +23,11 @@
 # Far above what any worker could take.
 MAX_COLD_OVERAGE = 1_000.0
 MAX_COLD_SLACK = 100_000.0
+# Longer windows and delays would keep counts in memory for more than a day.
+MAX_USAGE_WINDOW_S = 86_400.0
+MAX_USAGE_LATE_S = 86_400.0
+# A report takes one poll of the leader, one store write and one call at least.
+MIN_USAGE_LATE_S = 1.0
 
 
 class _Section(BaseModel):
@@ -54,7 +59,12 @@
     refuses_unsure_keys: bool = Field(default=False, alias="revoke-partitioned")
     # Maximum time until a revoked key is refused.
     revoke_ms: float = Field(default=5000.0, alias="revoke-ms")
-    usage_window_s: float = Field(default=5.0, alias="report-window-s", gt=0.0)
+    # Length of the windows in which usage is reported.
+    usage_window_s: float = Field(default=5.0, alias="report-window-s")
+    # Maximum time from the end of a window until its usage report. Absent: reports have no bound.
+    usage_late_s: float | None = Field(default=None, alias="usage-late-s", strict=True)
+    # Largest allowed difference between reported and true counts, as a fraction of the true ones.
+    usage_tolerance: float | None = Field(default=None, alias="usage-tolerance", strict=True)
     # A cold worker receives at most its sustained rate times this, plus ``cold_slack``, requests in
     # any second. Absent on deployments without such a rule.
     cold_overage: float | None = Field(
@@ -64,6 +74,38 @@
         default=None, alias="cold-slack", ge=0.0, le=MAX_COLD_SLACK, strict=True
     )
 
+    @field_validator("usage_window_s")
+    @classmethod
+    def _is_possible_window(cls, value: float) -> float:
+        """Reject lengths for which windows cannot be numbered or counts cannot be kept."""
+        if not 0.0 < value <= MAX_USAGE_WINDOW_S:
+            raise ValueError(
+                f"the length is {value} s; give one above 0 and up to {MAX_USAGE_WINDOW_S:.0f} s"
+            )
+        return value
+
+    @field_validator("usage_late_s")
+    @classmethod
+    def _is_possible_delay(cls, value: float | None) -> float | None:
+        """Reject delays in which no report can be made."""
+        if value is not None and not MIN_USAGE_LATE_S <= value <= MAX_USAGE_LATE_S:
+            raise ValueError(
+                f"the delay is {value} s; give one from {MIN_USAGE_LATE_S:.0f} to "
+                f"{MAX_USAGE_LATE_S:.0f} s, or remove the key if reports have no bound"
+            )
+        return value
+
+    @field_validator("usage_tolerance")
+    @classmethod
+    def _is_fraction(cls, value: float | None) -> float | None:
+        """Reject tolerances that are no fraction of the true counts."""
+        if value is not None and not 0.0 <= value < 1.0:
+            raise ValueError(
+                f"the tolerance is {value}; give a fraction from 0 to below 1, for example 0.05 "
+                "for 5%, or remove the key if counts have no bound"
+            )
+        return value
+
     @property
     def warmup(self) -> WarmupBounds | None:
         """Bound on the requests to cold workers; ``None`` if the settings have none.
--- a/src/hollowrack/usage/reporter.py
+++ b/src/hollowrack/usage/reporter.py
@@ -3,6 +3,9 @@
 A report is written to the coordination store on condition that its window is undecided, and only
 stored reports are delivered. Two leaders therefore cannot deliver different reports of one window,
 and a new leader delivers again what its predecessor may not have delivered.
+
+If the delay of reports is bounded, decisions and deliveries run independently, so that a store that
+does not answer holds up no delivery, and a new leader decides before it may deliver.
 """
 
 import asyncio
@@ -17,15 +20,11 @@
 from hollowrack.coordination.record import Record
 from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.tasks import cancel_all
-from hollowrack.usage.meter import WINDOW_GRACE_S, UsageMeter
+from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.types import DecidedUsage, UsageClient, WindowReport
+from hollowrack.usage.window_schedule import NEW_LEADER_WAIT_S, LeaderState, WindowSchedule
 
 POLL_INTERVAL_S = 0.25
-# Time for live processes to push counts that are missing. After a store outage a process may take
-# this long to see a new leader.
-MISSING_COUNTS_TIMEOUT_S = 5.0
-# Time for nodes to see a new leader and push their counts to it.
-NEW_LEADER_WAIT_S = 1.5
 RETRY_INTERVAL_S = 0.5
 # Older undelivered reports are dropped.
 MAX_PENDING_REPORTS = 8
@@ -40,7 +39,7 @@
         store: Holds the decided windows.
         leadership: Whether this node may report.
         meter: Provides the counts and the time of day.
-        window_s: Length of a window, in seconds.
+        schedule: Decides when windows are decided and in which order reports are delivered.
         client: Delivers reports to the platform.
         live_processes: Returns the other processes that have a session with the store.
     """
@@ -52,7 +51,7 @@
         store: CoordinationStore,
         leadership: Leadership,
         meter: UsageMeter,
-        window_s: float,
+        schedule: WindowSchedule,
         client: UsageClient,
         live_processes: Callable[[], Collection[str]],
     ) -> None:
@@ -61,7 +60,7 @@
         self._leadership = leadership
         self._counts = meter.counts
         self._time_s = meter.time_s
-        self._window_s = window_s
+        self._schedule = schedule
         self._client = client
         self._record = Record(store, key, DecidedUsage, self._discard_decided)
         self._term = LeadershipTerm(leadership)
@@ -69,15 +68,23 @@
         self._term_start_window = 0
         self._delivered: set[int] = set()
         self._retry_from_s = 0.0
-        self._task: asyncio.Task[None] | None = None
+        # Time from which a refused report is sent again, by window.
+        self._retry_report_from_s: dict[int, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Start reporting whenever this node leads."""
-        self._task = asyncio.create_task(self._run())
+        if self._schedule.late_s is None:
+            self._tasks = [asyncio.create_task(self._run())]
+        else:
+            self._tasks = [
+                asyncio.create_task(self._run_decisions()),
+                asyncio.create_task(self._run_deliveries()),
+            ]
 
     async def stop(self) -> None:
         """Stop reporting."""
-        await cancel_all(self._task)
+        await cancel_all(*self._tasks)
 
     def update_decided(self, item: StoredItem | None) -> None:
         """Update the decided windows from the mirrored item."""
@@ -87,54 +94,84 @@
         self._counts.remove_before(decided.next_window)
 
     async def _run(self) -> None:
+        """Decide and deliver, without a bound on the delay of reports."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             if not self._leadership.may_act:
                 continue
-            if self._term.update():
-                self._term_start_window = int(self._time_s() // self._window_s)
-                self._delivered.clear()
+            self._update_term()
             if self._term.age_s >= NEW_LEADER_WAIT_S:
                 await self._decide_next()
             await self._deliver()
 
+    async def _run_decisions(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            # A decision is a conditional write, so a new leader need not wait for the handover.
+            if self._leadership.is_leader:
+                self._update_term()
+                await self._decide_next()
+
+    async def _run_deliveries(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            if self._leadership.may_act:
+                self._update_term()
+                await self._deliver()
+
+    def _update_term(self) -> None:
+        if self._term.update():
+            self._term_start_window = self._schedule.window_at(self._time_s())
+            self._delivered.clear()
+            self._retry_report_from_s.clear()
+
     async def _decide_next(self) -> None:
-        """Decide the oldest undecided window, if it ended at least ``WINDOW_GRACE_S`` ago."""
+        """Decide the oldest undecided windows, as far as they are to be decided now."""
         if not await self._record.ensure_current():
             return
         decided = self._record.value or DecidedUsage(self._first_window())
-        window = decided.next_window
-        overdue_s = self._time_s() - (window + 1) * self._window_s - WINDOW_GRACE_S
-        if overdue_s < 0.0 or self._must_wait_for_counts(window, overdue_s):
-            return
-        report = WindowReport(window, self._counts.totals(window))
+        first_window = decided.next_window
         undelivered = [entry for entry in decided.reports if entry.window not in self._delivered]
-        updated = DecidedUsage(window + 1, (*undelivered[1 - MAX_PENDING_REPORTS :], report))
-        is_decided = await self._record.replace(updated)
-        logging.info(
-            "usage of window %d: %d requests, %s",
-            window,
-            sum(report.counts.values()),
-            "decided" if is_decided else "not decided",
+        state = LeaderState(self._time_s(), self._term.age_s, self._leadership.acts_in_s)
+        num_windows = self._schedule.num_to_decide(
+            first_window,
+            state,
+            lambda window: bool(self._missing_processes(window)),
+            max(1, MAX_PENDING_REPORTS - len(undelivered)),
         )
-
-    def _must_wait_for_counts(self, window: int, overdue_s: float) -> bool:
-        """Whether counts of a window may be missing that a live process will push soon."""
-        missing = [
+        if not num_windows:
+            return
+        windows = range(first_window, first_window + num_windows)
+        for window in windows:
+            self._log_missing(window)
+        reports = [WindowReport(window, self._counts.totals(window)) for window in windows]
+        pending = (*undelivered, *reports)[-MAX_PENDING_REPORTS:]
+        updated = DecidedUsage(windows.stop, pending)
+        is_decided = await self._record.replace(updated)
+        for report in reports:
+            logging.info(
+                "usage of window %d: %d requests, %s",
+                report.window,
+                sum(report.counts.values()),
+                "decided" if is_decided else "not decided",
+            )
+
+    def _missing_processes(self, window: int) -> list[str]:
+        """Return the live processes that may have counts of a window that are not known here."""
+        return [
             process for process in self._live_processes() if self._counts.may_lack(process, window)
         ]
-        if not missing:
-            return False
-        # A process that did not see this leader yet is given the same time as a late one.
-        if min(overdue_s, self._term.age_s) < MISSING_COUNTS_TIMEOUT_S:
-            return True
-        logging.warning(
-            "usage of window %d: decided without the last counts of %d processes, among them %s",
-            window,
-            len(missing),
-            missing[0],
-        )
-        return False
+
+    def _log_missing(self, window: int) -> None:
+        missing = self._missing_processes(window)
+        if missing:
+            logging.warning(
+                "usage of window %d: decided without the last counts of %d processes, among them "
+                "%s",
+                window,
+                len(missing),
+                missing[0],
+            )
 
     def _first_window(self) -> int:
         """The first window to report if none has been decided yet."""
@@ -143,19 +180,22 @@
         return term_start if counted is None else min(term_start, counted)
 
     async def _deliver(self) -> None:
-        """Deliver decided reports, oldest first."""
+        """Deliver decided reports until there is none left or a delivery fails."""
         decided = self._record.value
-        if decided is None or now_s() < self._retry_from_s:
+        if decided is None:
             return
-        for report in decided.reports:
+        while now_s() >= self._retry_from_s:
             token = self._leadership.fencing_token
-            if report.window in self._delivered:
-                continue
-            if token is None or not self._leadership.may_act:
+            report = self._schedule.next_delivery(
+                decided.reports, self._delivered, self._retry_report_from_s, self._time_s(), now_s()
+            )
+            if report is None or token is None or not self._leadership.may_act:
                 return
             outcome = await self._client.report_usage(DutyHolder(self._node, token), report)
             logging.info("usage of window %d: %s", report.window, outcome.value)
-            if outcome is not DutyOutcome.ACCEPTED:
+            if outcome is DutyOutcome.ACCEPTED:
+                self._delivered.add(report.window)
+            elif outcome is DutyOutcome.REFUSED and self._schedule.late_s is not None:
+                self._retry_report_from_s[report.window] = now_s() + RETRY_INTERVAL_S
+            else:
                 self._retry_from_s = now_s() + RETRY_INTERVAL_S
-                return
-            self._delivered.add(report.window)
