--- a/src/hollowrack/node_duties.py
+++ b/src/hollowrack/node_duties.py
@@ -32,7 +32,8 @@
     """
     if usage is None:
         return UsageMeter(owner, WallClock(time.time, now_s), None)
-    return UsageMeter(owner, WallClock(usage.time_of_day_s, now_s), usage.window_s)
+    clock = WallClock(usage.time_of_day_s, now_s)
+    return UsageMeter(owner, clock, usage.window_s, keeps_decided=usage.late_s is not None)
 
 
 class NodeDuties:
@@ -94,6 +95,7 @@
                 WindowSchedule(usage.window_s, usage.late_s),
                 usage.client,
                 live.other_processes,
+                usage.tolerance,
             )
         if capacity is not None:
             self._capacity = CapacityReconciler(
--- a/src/hollowrack/usage/meter.py
+++ b/src/hollowrack/usage/meter.py
@@ -17,6 +17,7 @@
         process: Name of this process.
         clock: Time of day, which determines the window of a request.
         window_s: Length of a window, in seconds; ``None`` if usage is not reported.
+        keeps_decided: Whether counts of decided windows are kept for some time.
 
     Attributes:
         counts: The counts known to this node, including those of other processes.
@@ -28,13 +29,19 @@
         changed: Set whenever a request is counted or a misdirected message is received.
     """
 
-    def __init__(self, process: str, clock: WallClock, window_s: float | None) -> None:
+    def __init__(
+        self,
+        process: str,
+        clock: WallClock,
+        window_s: float | None,
+        keeps_decided: bool = False,
+    ) -> None:
         self.num_counted = 0
         self.num_misdirected = 0
         self.misdirected: dict[str, int] = {}
         self.changed = asyncio.Event()
         self._process = process
-        self.counts = UsageCounts()
+        self.counts = UsageCounts(keeps_decided)
         self._clock = clock
         self._window_s = window_s
 
--- a/src/hollowrack/usage/reporter.py
+++ b/src/hollowrack/usage/reporter.py
@@ -20,6 +20,7 @@
 from hollowrack.coordination.record import Record
 from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.tasks import cancel_all
+from hollowrack.usage.counts import NUM_DECIDED_WINDOWS_KEPT
 from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.types import DecidedUsage, UsageClient, WindowReport
 from hollowrack.usage.window_schedule import NEW_LEADER_WAIT_S, LeaderState, WindowSchedule
@@ -42,6 +43,8 @@
         schedule: Decides when windows are decided and in which order reports are delivered.
         client: Delivers reports to the platform.
         live_processes: Returns the other processes that have a session with the store.
+        tolerance: Largest allowed difference between reported and true counts, as a fraction of the
+            true ones; ``None`` if there is no bound.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         schedule: WindowSchedule,
         client: UsageClient,
         live_processes: Callable[[], Collection[str]],
+        tolerance: float | None = None,
     ) -> None:
         self._node = node
         self._live_processes = live_processes
@@ -67,6 +71,10 @@
         # The window in which this node became the leader.
         self._term_start_window = 0
         self._delivered: set[int] = set()
+        self._tolerance = tolerance
+        # Requests reported and requests logged as not reported, by window decided in this term.
+        self._num_reported: dict[int, int] = {}
+        self._num_unreported: dict[int, int] = {}
         self._retry_from_s = 0.0
         # Time from which a refused report is sent again, by window.
         self._retry_report_from_s: dict[int, float] = {}
@@ -111,6 +119,7 @@
             if self._leadership.is_leader:
                 self._update_term()
                 await self._decide_next()
+                self._log_unreported()
 
     async def _run_deliveries(self) -> None:
         while True:
@@ -124,6 +133,8 @@
             self._term_start_window = self._schedule.window_at(self._time_s())
             self._delivered.clear()
             self._retry_report_from_s.clear()
+            self._num_reported.clear()
+            self._num_unreported.clear()
 
     async def _decide_next(self) -> None:
         """Decide the oldest undecided windows, as far as they are to be decided now."""
@@ -149,10 +160,13 @@
         updated = DecidedUsage(windows.stop, pending)
         is_decided = await self._record.replace(updated)
         for report in reports:
+            num_requests = sum(report.counts.values())
+            if is_decided:
+                self._num_reported[report.window] = num_requests
             logging.info(
                 "usage of window %d: %d requests, %s",
                 report.window,
-                sum(report.counts.values()),
+                num_requests,
                 "decided" if is_decided else "not decided",
             )
 
@@ -173,6 +187,30 @@
                 missing[0],
             )
 
+    def _log_unreported(self) -> None:
+        """Log how many requests arrived too late for the windows decided in this term."""
+        first_kept = max(self._num_reported, default=0) - NUM_DECIDED_WINDOWS_KEPT
+        for window, num_reported in list(self._num_reported.items()):
+            if window <= first_kept:
+                del self._num_reported[window]
+                self._num_unreported.pop(window, None)
+                continue
+            num_counted = self._counts.num_decided(window)
+            num_unreported = num_counted - num_reported
+            if num_unreported <= self._num_unreported.get(window, 0):
+                continue
+            self._num_unreported[window] = num_unreported
+            fraction = num_unreported / num_counted
+            is_allowed = self._tolerance is None or fraction <= self._tolerance
+            logging.log(
+                logging.INFO if is_allowed else logging.WARNING,
+                "usage of window %d: %d requests counted after the decision are not reported, "
+                "%.1f%% of all",
+                window,
+                num_unreported,
+                100.0 * fraction,
+            )
+
     def _first_window(self) -> int:
         """The first window to report if none has been decided yet."""
         counted = self._counts.first_counted()
@@ -195,7 +233,18 @@
             logging.info("usage of window %d: %s", report.window, outcome.value)
             if outcome is DutyOutcome.ACCEPTED:
                 self._delivered.add(report.window)
+                self._log_late(report.window)
             elif outcome is DutyOutcome.REFUSED and self._schedule.late_s is not None:
                 self._retry_report_from_s[report.window] = now_s() + RETRY_INTERVAL_S
             else:
                 self._retry_from_s = now_s() + RETRY_INTERVAL_S
+
+    def _log_late(self, window: int) -> None:
+        time_s = self._time_s()
+        if self._schedule.late_s is not None and self._schedule.is_late(window, time_s):
+            logging.warning(
+                "usage of window %d: reported %.1f s after its end, %.1f s allowed",
+                window,
+                self._schedule.age_s(window, time_s),
+                self._schedule.late_s,
+            )
--- a/tests/usage/test_counts.py
+++ b/tests/usage/test_counts.py
@@ -64,3 +64,33 @@
             if at == window:
                 expected[tenant] = expected.get(tenant, 0) + 1
         assert leader.totals(window) == dict(sorted(expected.items()))
+
+
+def test_counts_after_the_decision_are_told_and_not_reported() -> None:
+    """Nobody learned how many requests a decision had left out."""
+    counts = UsageCounts(keeps_decided=True)
+    for window in range(7):
+        counts.add("p", window, "a")
+    counts.remove_before(6)
+    counts.add("p", 5, "a")
+    for _ in range(2):
+        counts.merge(ProcessCounts("q", {5: {"a": 3}, 1: {"a": 9}, 6: {"b": 1}}))
+    assert counts.num_decided(5) == 5
+    assert counts.num_decided(1) == 0
+    assert counts.totals(5) == {}
+    assert counts.totals(6) == {"a": 1, "b": 1}
+    # Only the process that counted late tells the leader.
+    assert counts.of("p").windows == {5: {"a": 2}, 6: {"a": 1}}
+    assert counts.of("q").windows == {6: {"b": 1}}
+    counts.remove_before(20)
+    assert counts.num_decided(5) == 0
+    assert counts.of("p").windows == {}
+
+
+def test_counts_of_decided_windows_are_not_kept_without_bounds() -> None:
+    counts = UsageCounts()
+    counts.add("p", 5, "a")
+    counts.remove_before(6)
+    counts.add("p", 5, "a")
+    assert counts.num_decided(5) == 0
+    assert counts.of("p").windows == {}
