--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -59,6 +59,11 @@
 
 LIVE_POLL_INTERVAL_S = 0.2
 LIVE_WATCH_TIMEOUT_S = 5.0
+# Age of a node's view from which it may lack changes that most other nodes know. With a sentinel,
+# hosts reject sources whose view is older than 0.9 s, observers those older than 1.7 s.
+MAX_VIEW_AGE_S = 2.5
+# Without a sentinel, an idle watch of the live state makes the view that old.
+MAX_VIEW_AGE_WITHOUT_SENTINEL_S = LIVE_WATCH_TIMEOUT_S + 1.5
 REGISTER_RETRY_INTERVAL_S = 0.2
 # CPU cores announced by a stopping process, so that it is assigned no further jobs.
 NO_CORES = 0.0
@@ -228,7 +233,7 @@
             self.routes,
             self.workers,
             self.usage,
-            lambda: self.configuration_age_s,
+            self._may_lack_changes,
             connections.usage,
             connections.capacity,
         )
@@ -305,6 +310,14 @@
         """Whether the known configuration is older than the propagation limit of changes."""
         return self.configuration_age_s > self._max_change_delay_s
 
+    def _may_lack_changes(self) -> bool:
+        """Whether this node's view may lack changes that most other nodes know."""
+        if self.session.is_held and not self.session.is_valid:
+            return True
+        has_sentinel = self.shared_store.sentinel_prefix is not None
+        max_age_s = MAX_VIEW_AGE_S if has_sentinel else MAX_VIEW_AGE_WITHOUT_SENTINEL_S
+        return self.configuration_age_s > max_age_s
+
     def start(self) -> None:
         """Start all components."""
         self._host_role.start()
--- a/src/hollowrack/node_duties.py
+++ b/src/hollowrack/node_duties.py
@@ -18,10 +18,6 @@
 from hollowrack.usage.wall_clock import WallClock
 from hollowrack.usage.window_schedule import WindowSchedule
 
-# Age of a node's view from which it may lack a newer leader. Hosts reject sources whose view is
-# older than 0.9 s, observers those older than 1.7 s.
-MAX_VIEW_AGE_S = 2.5
-
 
 def usage_meter(owner: str, usage: UsageConnections | None) -> UsageMeter:
     """Create the meter of the requests sent through a node.
@@ -48,8 +44,7 @@
         routes: Provides the services in force.
         workers: The known workers.
         meter: Counts the requests sent through this node.
-        view_age_s: Returns the time since the store confirmed what this node knows of it, in
-            seconds.
+        may_lack_changes: Whether the node's view may lack changes that most other nodes know.
         usage: Usage reporting; ``None`` if usage is not reported.
         capacity: Sends capacity orders; ``None`` if capacity is not ordered.
     """
@@ -64,14 +59,14 @@
         routes: RouteTable,
         workers: WorkerDirectory,
         meter: UsageMeter,
-        view_age_s: Callable[[], float],
+        may_lack_changes: Callable[[], bool],
         usage: UsageConnections | None,
         capacity: CapacityClient | None,
     ) -> None:
         self._owner = owner
         self._leadership = leadership
         self._live = live
-        self._view_age_s = view_age_s
+        self._may_lack_changes = may_lack_changes
         self._meter = meter
         self._has_usage_bound = usage is not None and usage.late_s is not None
         self._replicator: UsageReplicator | None = None
@@ -105,7 +100,7 @@
     def _may_lack_leader(self) -> bool:
         """Whether there may be a newer leader than this node knows."""
         has_lost_leadership = self._live.leader() == self._owner and not self._leadership.is_leader
-        return has_lost_leadership or self._view_age_s() > MAX_VIEW_AGE_S
+        return has_lost_leadership or self._may_lack_changes()
 
     def start(self) -> None:
         """Start replicating counts, and making calls whenever the node leads."""
--- a/tests/usage/helpers.py
+++ b/tests/usage/helpers.py
@@ -47,6 +47,7 @@
         return not pair & self._fleet.cut_off and pair not in self._fleet.cut_links
 
     async def push(self, address: str, pushed: PushedCounts) -> bool:
+        self._fleet.pushes.append((self._name, address, pushed.leader))
         if not self._reaches(address):
             await asyncio.sleep(PUSH_TIMEOUT_S)
             return False
@@ -135,6 +136,7 @@
         begun: Requests that began, by window and tenant.
         sends_complete_before: Whether nodes say which counts are complete; earlier versions do not.
         cut_off: Nodes that reach neither other nodes nor the service, and are reached by none.
+        pushes: Sender, receiver and named leader of each message with counts.
         cut_links: Pairs of nodes that do not reach each other.
         reported_at_s: True time at which the service received the first report of each window.
     """
@@ -162,6 +164,7 @@
         self.usage_bounds = usage_bounds or {}
         self.unbounded = unbounded
         self.cut_off: set[str] = set()
+        self.pushes: list[tuple[str, str, str]] = []
         self.cut_links: set[frozenset[str]] = set()
         self.reported_at_s: dict[int, float] = {}
         for index in range(num_nodes):
--- a/tests/usage/test_partial_outages.py
+++ b/tests/usage/test_partial_outages.py
@@ -9,10 +9,16 @@
 from hypothesis.stateful import rule
 
 from hollowrack.coordination.duty import DutyHolder, DutyOutcome
+from hollowrack.usage.replicator import (
+    ADDITIONAL_PUSH_INTERVAL_S,
+    BATCH_INTERVAL_S,
+    NUM_FALLBACKS,
+)
 from hollowrack.usage.types import WindowReport
 from hollowrack_bench.virtual_time import run_virtual
 from tests.usage.helpers import EPOCH_S, WINDOW_S, UsageFleet, true_time_s
 from tests.usage.partial_outages import (
+    NUM_NODES,
     USAGE_LATE_S,
     USAGE_TOLERANCE,
     Scenario,
@@ -221,6 +227,38 @@
     assert found == ["WARNING"]
 
 
+def test_healthy_nodes_push_to_the_leader_and_one_other_node() -> None:
+    """Nodes must not take an idle view for an old one: each push to more nodes costs all counts."""
+    targets: dict[str, set[str]] = {}
+
+    async def scenario(fleet: UsageFleet) -> None:
+        fleet.pushes.clear()
+        await asyncio.sleep(30.0)
+        assert all(leader for _, _, leader in fleet.pushes)
+        for sender, receiver, _ in fleet.pushes:
+            targets.setdefault(sender, set()).add(receiver)
+
+    check(scenario, relays=True)
+    assert len(targets) == NUM_NODES
+    assert max(map(len, targets.values())) == 2
+
+
+def test_messages_of_nodes_that_may_not_know_the_leader_are_bounded() -> None:
+    """Counts that refused nodes pass to each other must not be passed on without end."""
+    num_pushes = 0
+
+    async def scenario(fleet: UsageFleet) -> None:
+        nonlocal num_pushes
+        fleet.pushes.clear()
+        await third_is_refused()(fleet)
+        num_pushes = len(fleet.pushes)
+
+    check(scenario, relays=False)
+    seconds = 10.0 + WINDOW_S
+    max_pushes_per_s = 2 / BATCH_INTERVAL_S + (NUM_FALLBACKS - 1) / ADDITIONAL_PUSH_INTERVAL_S
+    assert 0 < num_pushes <= NUM_NODES * max_pushes_per_s * seconds
+
+
 @pytest.mark.parametrize("unbounded", [["n0", "n1", "n2", "n3"], ["n4", "n6", "n8", "n10"]])
 def test_windows_are_reported_beside_nodes_of_the_previous_version(unbounded: list[str]) -> None:
     """Nodes of the previous version push on the counts of nodes that name no leader."""
