--- a/tests/usage/test_partial_outages.py
+++ b/tests/usage/test_partial_outages.py
@@ -243,6 +243,22 @@
     assert max(map(len, targets.values())) == 2
 
 
+def test_additional_processes_are_in_all_zones() -> None:
+    """Four processes of one zone are refused or lost together."""
+
+    async def scenario(fleet: UsageFleet) -> None:
+        for name, node in fleet.nodes.items():
+            live = node.node.live
+            few, many = (live.leader_and_fallback_addresses(number) for number in (1, 4))
+            assert few.items() <= many.items()
+            assert name not in many.values()
+            others = [owner for owner in many if owner != live.leader()]
+            assert len(others) == 4
+            assert {live.nodes[owner].zone for owner in others} == {"z1", "z2", "z3"}
+
+    check(scenario)
+
+
 def test_messages_of_nodes_that_may_not_know_the_leader_are_bounded() -> None:
     """Counts that refused nodes pass to each other must not be passed on without end."""
     num_pushes = 0
