--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -103,6 +103,7 @@
         store: The coordination store, with relaying through other nodes.
         feed_client: Sends watches to other nodes.
         usage: Counts the tenants' requests that workers began.
+        leader_duties: Calls to the platform that the leader makes.
         quarantine: Blocks requests that repeatedly crash workers.
         slots: Shares the slots of workers with other nodes.
         cold_workers: Limits the requests to cold workers; ``None`` if they are not limited.
@@ -224,7 +225,7 @@
             self._target_versions,
             connections.orders,
         )
-        self._leader_duties = NodeDuties(
+        self.leader_duties = NodeDuties(
             name,
             self.owner,
             store,
@@ -327,7 +328,7 @@
         self._retention.start()
         self._retirement.start()
         self._version_reconciler.start()
-        self._leader_duties.start()
+        self.leader_duties.start()
         self._suspects.start()
         self.slots.start()
         if self.cold_workers is not None:
@@ -353,7 +354,7 @@
         self._num_cores = NO_CORES
         await self._host_role.stop()
         await self._version_reconciler.stop()
-        await self._leader_duties.stop_calls()
+        await self.leader_duties.stop_calls()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
@@ -367,7 +368,7 @@
     async def complete_stop(self) -> None:
         """Complete a planned stop: drain owned jobs until their deadline, then release them."""
         await self.jobs.drain(self._drain_deadline_s - now_s(), self._handover_timeout_s)
-        await self._leader_duties.stop()
+        await self.leader_duties.stop()
         await self._suspects.stop()
         await self.slots.stop()
         await self._stop_cold_workers()
@@ -382,7 +383,7 @@
         """Stop at once, as in a crash; for tests."""
         await self._host_role.stop()
         await self._version_reconciler.stop()
-        await self._leader_duties.abandon()
+        await self.leader_duties.abandon()
         await self._suspects.stop()
         await self.slots.abandon()
         await self._stop_cold_workers()
@@ -536,7 +537,7 @@
         return StoreAccess.FOLLOWER if self.session.is_held else StoreAccess.OBSERVER
 
     def _on_live_change(self, key: str, item: StoredItem | None) -> None:
-        if not self._leader_duties.apply_change(key, item) and not self._suspects.apply_change(
+        if not self.leader_duties.apply_change(key, item) and not self._suspects.apply_change(
             key, item
         ):
             self.live.apply_change(key, item)
--- a/src/hollowrack/node_duties.py
+++ b/src/hollowrack/node_duties.py
@@ -47,6 +47,9 @@
         may_lack_changes: Whether the node's view may lack changes that most other nodes know.
         usage: Usage reporting; ``None`` if usage is not reported.
         capacity: Sends capacity orders; ``None`` if capacity is not ordered.
+
+    Attributes:
+        reporter: Reports usage while the node leads; ``None`` if usage is not reported.
     """
 
     def __init__(
@@ -70,7 +73,7 @@
         self._meter = meter
         self._has_usage_bound = usage is not None and usage.late_s is not None
         self._replicator: UsageReplicator | None = None
-        self._reporter: UsageReporter | None = None
+        self.reporter: UsageReporter | None = None
         self._capacity: CapacityReconciler | None = None
         if usage is not None:
             self._replicator = UsageReplicator(
@@ -81,7 +84,7 @@
                 usage.peers,
                 self._may_lack_leader if self._has_usage_bound else None,
             )
-            self._reporter = UsageReporter(
+            self.reporter = UsageReporter(
                 node,
                 USAGE_KEY,
                 store,
@@ -104,13 +107,13 @@
 
     def start(self) -> None:
         """Start replicating counts, and making calls whenever the node leads."""
-        for duty in (self._replicator, self._reporter, self._capacity):
+        for duty in (self._replicator, self.reporter, self._capacity):
             if duty is not None:
                 duty.start()
 
     async def stop_calls(self) -> None:
         """Stop calls to the platform; counts are still pushed to other nodes."""
-        for duty in (self._reporter, self._capacity):
+        for duty in (self.reporter, self._capacity):
             if duty is not None:
                 await duty.stop()
 
@@ -132,8 +135,8 @@
             # Counts are pushed to a new leader at once.
             self._meter.changed.set()
         if key == USAGE_KEY:
-            if self._reporter is not None:
-                self._reporter.update_decided(item)
+            if self.reporter is not None:
+                self.reporter.update_decided(item)
             return True
         if key == CAPACITY_KEY:
             if self._capacity is not None:
--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -108,6 +108,7 @@
         yield from self._evacuations()
         yield from self._distances()
         yield from self._cold_workers()
+        yield from self._usage()
         yield CounterMetricFamily(
             "hollowrack_second_attempts",
             "Attempts of plain requests begun beside one that was late",
@@ -264,6 +265,25 @@
             extra.add_metric([region], extra_s)
         yield extra
 
+    def _usage(self) -> Iterator["Metric"]:
+        """Yield the metrics of usage reports; none where their delay is not bounded."""
+        from prometheus_client.core import CounterMetricFamily  # noqa: PLC0415 (lazy import)
+
+        reporter = self._node.leader_duties.reporter
+        if reporter is None or not reporter.has_bound:
+            return
+        reports = CounterMetricFamily(
+            "hollowrack_usage_reports", "Usage reports delivered by this node", labels=["state"]
+        )
+        for is_late, count in reporter.num_delivered.items():
+            reports.add_metric(["late" if is_late else "in_time"], count)
+        yield reports
+        yield CounterMetricFamily(
+            "hollowrack_usage_unreported_requests",
+            "Requests counted after this node had decided their window",
+            value=reporter.num_unreported,
+        )
+
     def _cold_workers(self) -> Iterator["Metric"]:
         """Yield the metrics of cold workers; none where requests to them are not limited."""
         from prometheus_client.core import (  # noqa: PLC0415 (lazy import)
--- a/src/hollowrack/usage/meter.py
+++ b/src/hollowrack/usage/meter.py
@@ -72,6 +72,18 @@
                 self.misdirected[counts.process] = self.num_misdirected
             self.changed.set()
 
+    def remove_forwarded(self, num_misdirected: int) -> None:
+        """Forget the processes of the first misdirected messages, as the leader has their counts.
+
+        Args:
+            num_misdirected: Value of the attribute when these counts were pushed to the leader.
+        """
+        self.misdirected = {
+            process: number
+            for process, number in self.misdirected.items()
+            if number > num_misdirected
+        }
+
     def record_request(self, tenant: str | None, begun_s: float) -> None:
         """Count a request that a worker has begun.
 
--- a/src/hollowrack/usage/replicator.py
+++ b/src/hollowrack/usage/replicator.py
@@ -152,6 +152,7 @@
             self._complete_pushed[process] = complete_before
         if is_leader:
             self._num_forwarded = num_misdirected
+            self._meter.remove_forwarded(num_misdirected)
         if is_additional:
             self._retry_from_s[process] = now_s() + ADDITIONAL_PUSH_INTERVAL_S
 
--- a/src/hollowrack/usage/reporter.py
+++ b/src/hollowrack/usage/reporter.py
@@ -45,6 +45,12 @@
         live_processes: Returns the other processes that have a session with the store.
         tolerance: Largest allowed difference between reported and true counts, as a fraction of the
             true ones; ``None`` if there is no bound.
+
+    Attributes:
+        num_delivered: Number of reports delivered by this node, by whether they were late.
+        num_unreported: Number of requests that this node left out of windows that it decided, as
+            far as it learnt of them.
+        has_bound: Whether the delay of reports is bounded.
     """
 
     def __init__(
@@ -71,10 +77,13 @@
         # The window in which this node became the leader.
         self._term_start_window = 0
         self._delivered: set[int] = set()
+        self.num_delivered = {False: 0, True: 0}
+        self.num_unreported = 0
+        self.has_bound = schedule.late_s is not None
         self._tolerance = tolerance
         # Requests reported and requests logged as not reported, by window decided in this term.
         self._num_reported: dict[int, int] = {}
-        self._num_unreported: dict[int, int] = {}
+        self._num_unreported_in: dict[int, int] = {}
         self._retry_from_s = 0.0
         # Time from which a refused report is sent again, by window.
         self._retry_report_from_s: dict[int, float] = {}
@@ -134,7 +143,7 @@
             self._delivered.clear()
             self._retry_report_from_s.clear()
             self._num_reported.clear()
-            self._num_unreported.clear()
+            self._num_unreported_in.clear()
 
     async def _decide_next(self) -> None:
         """Decide the oldest undecided windows, as far as they are to be decided now."""
@@ -193,13 +202,15 @@
         for window, num_reported in list(self._num_reported.items()):
             if window <= first_kept:
                 del self._num_reported[window]
-                self._num_unreported.pop(window, None)
+                self._num_unreported_in.pop(window, None)
                 continue
             num_counted = self._counts.num_decided(window)
             num_unreported = num_counted - num_reported
-            if num_unreported <= self._num_unreported.get(window, 0):
+            num_new = num_unreported - self._num_unreported_in.get(window, 0)
+            if num_new <= 0:
                 continue
-            self._num_unreported[window] = num_unreported
+            self.num_unreported += num_new
+            self._num_unreported_in[window] = num_unreported
             fraction = num_unreported / num_counted
             is_allowed = self._tolerance is None or fraction <= self._tolerance
             logging.log(
@@ -233,15 +244,18 @@
             logging.info("usage of window %d: %s", report.window, outcome.value)
             if outcome is DutyOutcome.ACCEPTED:
                 self._delivered.add(report.window)
-                self._log_late(report.window)
+                self._record_delivery(report.window)
             elif outcome is DutyOutcome.REFUSED and self._schedule.late_s is not None:
                 self._retry_report_from_s[report.window] = now_s() + RETRY_INTERVAL_S
             else:
                 self._retry_from_s = now_s() + RETRY_INTERVAL_S
 
-    def _log_late(self, window: int) -> None:
+    def _record_delivery(self, window: int) -> None:
+        """Count a delivered report, and log it if it is late."""
         time_s = self._time_s()
-        if self._schedule.late_s is not None and self._schedule.is_late(window, time_s):
+        is_late = self._schedule.is_late(window, time_s)
+        self.num_delivered[is_late] += 1
+        if is_late:
             logging.warning(
                 "usage of window %d: reported %.1f s after its end, %.1f s allowed",
                 window,
--- a/tests/usage/test_partial_outages.py
+++ b/tests/usage/test_partial_outages.py
@@ -7,8 +7,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
+from prometheus_client import CollectorRegistry, generate_latest
 
 from hollowrack.coordination.duty import DutyHolder, DutyOutcome
+from hollowrack.observability.edge_metrics import EdgeCollector, EdgeCounters
 from hollowrack.usage.replicator import (
     ADDITIONAL_PUSH_INTERVAL_S,
     BATCH_INTERVAL_S,
@@ -227,6 +229,37 @@
     assert found == ["WARNING"]
 
 
+def sum_of_metric(fleet: UsageFleet, name: str) -> float:
+    """Return the sum of a metric over all nodes."""
+    total = 0.0
+    for node in fleet.nodes.values():
+        registry = CollectorRegistry()
+        registry.register(EdgeCollector(node.node, EdgeCounters()))
+        lines = generate_latest(registry).decode().splitlines()
+        total += sum(float(line.split()[-1]) for line in lines if line.startswith(name))
+    return total
+
+
+@pytest.mark.parametrize("has_bounds", [True, False])
+def test_late_reports_and_unreported_requests_are_metrics(has_bounds: bool) -> None:
+    figures: list[float] = []
+
+    async def scenario(fleet: UsageFleet) -> None:
+        await count_after_the_decision(fleet)
+        await refuse_one_report(fleet)
+        await asyncio.sleep(5.0)
+        for name in ('reports_total{state="late"}', "reports_total{", "unreported_requests_total"):
+            figures.append(sum_of_metric(fleet, f"hollowrack_usage_{name}"))
+
+    run_scenario(scenario, usage_bounds=BOUNDS if has_bounds else {}, relays=True)
+    num_late, num_reports, num_unreported = figures
+    if has_bounds:
+        assert (num_late, num_unreported) == (1, 20)
+        assert num_reports > 4
+    else:
+        assert figures == [0, 0, 0]
+
+
 def test_healthy_nodes_push_to_the_leader_and_one_other_node() -> None:
     """Nodes must not take an idle view for an old one: each push to more nodes costs all counts."""
     targets: dict[str, set[str]] = {}
