--- a/src/hollowrack/observability/edge_metrics.py
+++ b/src/hollowrack/observability/edge_metrics.py
@@ -275,8 +275,8 @@
         reports = CounterMetricFamily(
             "hollowrack_usage_reports", "Usage reports delivered by this node", labels=["state"]
         )
-        for is_late, count in reporter.num_delivered.items():
-            reports.add_metric(["late" if is_late else "in_time"], count)
+        for state, count in reporter.num_delivered.items():
+            reports.add_metric([state], count)
         yield reports
         yield CounterMetricFamily(
             "hollowrack_usage_unreported_requests",
--- a/src/hollowrack/usage/replicator.py
+++ b/src/hollowrack/usage/replicator.py
@@ -6,7 +6,8 @@
 
 If the delay of reports is bounded, a process that may not reach the current leader pushes its
 counts to several processes and names no leader, so that each of them pushes the counts on to the
-leader that it knows. These processes may be of an earlier version.
+leader that it knows. These processes may be of an earlier version. It also pushes to several
+processes while one of its targets does not acknowledge the counts.
 """
 
 import asyncio
@@ -65,8 +66,8 @@
         # The first window whose counts may be incomplete, as each target has acknowledged it.
         self._complete_pushed: dict[str, int] = {}
         self._may_lack_leader = may_lack_leader
-        # Whether the leader acknowledged the last message to it.
-        self._reaches_leader = True
+        # Targets that did not acknowledge the last message to them.
+        self._unreached: set[str] = set()
         # Whether the leader may not get the counts that are pushed to it.
         self._is_leader_unsure = False
         # Number of misdirected messages whose counts the leader has acknowledged.
@@ -100,14 +101,16 @@
         leader = self._leader()
         if leader != self._last_leader:
             self._complete_pushed.clear()
-            self._reaches_leader = True
         if leader in {self._process, None} or leader != self._last_leader:
             # A new leader gets all counts.
             self._meter.misdirected.clear()
+        is_bounded = self._may_lack_leader is not None
         self._is_leader_unsure = self._may_lack_leader is not None and (
-            self._may_lack_leader() or not self._reaches_leader
+            self._may_lack_leader() or leader in self._unreached
         )
-        targets = self._targets(NUM_FALLBACKS if self._is_leader_unsure else 1)
+        must_add = self._is_leader_unsure or (is_bounded and bool(self._unreached))
+        targets = self._targets(NUM_FALLBACKS if must_add else 1)
+        self._unreached &= targets.keys()
         self._num_pushed = {
             process: number
             for process, number in self._num_pushed.items()
@@ -142,11 +145,11 @@
         named_leader = None if self._is_leader_unsure else self._last_leader
         pushed = PushedCounts(counts, named_leader or "")
         is_acknowledged = not counts or await self._peers.push(address, pushed)
-        if is_leader:
-            self._reaches_leader = is_acknowledged
         if not is_acknowledged:
+            self._unreached.add(process)
             self._retry_from_s[process] = now_s() + RETRY_INTERVAL_S
             return
+        self._unreached.discard(process)
         self._num_pushed[process] = num_counted
         if must_state_complete:
             self._complete_pushed[process] = complete_before
--- a/src/hollowrack/usage/reporter.py
+++ b/src/hollowrack/usage/reporter.py
@@ -20,7 +20,6 @@
 from hollowrack.coordination.record import Record
 from hollowrack.coordination.store import CoordinationStore, StoredItem
 from hollowrack.tasks import cancel_all
-from hollowrack.usage.counts import NUM_DECIDED_WINDOWS_KEPT
 from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.types import DecidedUsage, UsageClient, WindowReport
 from hollowrack.usage.window_schedule import NEW_LEADER_WAIT_S, LeaderState, WindowSchedule
@@ -47,7 +46,8 @@
             true ones; ``None`` if there is no bound.
 
     Attributes:
-        num_delivered: Number of reports delivered by this node, by whether they were late.
+        num_delivered: Number of reports delivered by this node: ``in_time``, ``late``, or
+            ``inherited`` from an earlier leader, which may have delivered them in time.
         num_unreported: Number of requests that this node left out of windows that it decided, as
             far as it learnt of them.
         has_bound: Whether the delay of reports is bounded.
@@ -77,7 +77,7 @@
         # The window in which this node became the leader.
         self._term_start_window = 0
         self._delivered: set[int] = set()
-        self.num_delivered = {False: 0, True: 0}
+        self.num_delivered = {"in_time": 0, "late": 0, "inherited": 0}
         self.num_unreported = 0
         self.has_bound = schedule.late_s is not None
         self._tolerance = tolerance
@@ -198,7 +198,7 @@
 
     def _log_unreported(self) -> None:
         """Log how many requests arrived too late for the windows decided in this term."""
-        first_kept = max(self._num_reported, default=0) - NUM_DECIDED_WINDOWS_KEPT
+        first_kept = max(self._num_reported, default=0) - MAX_PENDING_REPORTS
         for window, num_reported in list(self._num_reported.items()):
             if window <= first_kept:
                 del self._num_reported[window]
@@ -251,11 +251,14 @@
                 self._retry_from_s = now_s() + RETRY_INTERVAL_S
 
     def _record_delivery(self, window: int) -> None:
-        """Count a delivered report, and log it if it is late."""
+        """Count a delivered report, and log it if it was decided in this term and is late."""
         time_s = self._time_s()
-        is_late = self._schedule.is_late(window, time_s)
-        self.num_delivered[is_late] += 1
-        if is_late:
+        if window not in self._num_reported:
+            self.num_delivered["inherited"] += 1
+        elif not self._schedule.is_late(window, time_s):
+            self.num_delivered["in_time"] += 1
+        else:
+            self.num_delivered["late"] += 1
             logging.warning(
                 "usage of window %d: reported %.1f s after its end, %.1f s allowed",
                 window,
--- a/tests/usage/test_partial_outages.py
+++ b/tests/usage/test_partial_outages.py
@@ -35,7 +35,7 @@
     third_is_refused,
     wait_for_window_end,
 )
-from tests.usage.test_reporting import ELECTION_S, NAMES, ReportingUnderFaults
+from tests.usage.test_reporting import ELECTION_S, NAMES, OUTCOMES, ReportingUnderFaults
 
 # Time, node, window, number of requests and outcome of each call to the platform's service in
 # `record_calls`, on c1bcfc7, which had no bounds.
@@ -132,6 +132,11 @@
     check(leader_dies_without_counts(after_s), relays=True)
 
 
+def test_counts_of_a_leader_survive_that_does_not_reach_its_fallback() -> None:
+    """A leader kept its counts to itself while the one other node did not acknowledge them."""
+    check(leader_dies_without_counts(6.0), relays=True, seed=9)
+
+
 @pytest.mark.parametrize("duration_s", [3.0, 6.0, 9.0])
 def test_windows_are_reported_when_the_leader_freezes(duration_s: float) -> None:
     check(leader_freezes(1.0, duration_s), relays=True)
@@ -345,6 +350,13 @@
             if value:
                 self._advance(seconds)
 
+    @rule(outcome=OUTCOMES, num_lost=st.integers(0, 2))
+    def service_fails(self, outcome: DutyOutcome | None, num_lost: int) -> None:
+        # More than 8 undelivered reports are dropped, so the service fails for less than 40 s.
+        super().service_fails(outcome, num_lost)
+        self._advance(10.0)
+        self.fleet.service.faults.outcome = None
+
     @rule(relays=st.booleans())
     def relays_work(self, relays: bool) -> None:
         self.fleet.relays = relays
