--- a/tests/usage/test_partial_outages.py
+++ b/tests/usage/test_partial_outages.py
@@ -110,6 +110,25 @@
     check(third_is_refused(silent=is_silent), relays=relays)
 
 
+def test_refused_leader_decides_through_a_peer() -> None:
+    """A change of leader takes 6 s and more, although other nodes reach the store."""
+
+    async def scenario(fleet: UsageFleet) -> None:
+        leader = leader_of(fleet)
+        refusal = asyncio.create_task(refuse_a_third(fleet))
+        num_reports = len(fleet.service.reports)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            assert fleet.leaders() == [leader]
+        assert len(fleet.service.reports) >= num_reports + 2
+        await refusal
+
+    async def refuse_a_third(fleet: UsageFleet) -> None:
+        await third_is_refused(before_s=5.0, after_s=5.0)(fleet)
+
+    check(scenario, relays=True)
+
+
 @pytest.mark.parametrize("after_s", [1.0, 3.0, 6.0])
 @pytest.mark.parametrize("relays", [False, True])
 def test_windows_are_reported_when_the_leader_dies_among_refused_nodes(
