--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -60,6 +60,11 @@
 
 LIVE_POLL_INTERVAL_S = 0.2
 LIVE_WATCH_TIMEOUT_S = 5.0
+# Age of a node's view from which it may lack changes that most other nodes know. With a sentinel,
+# hosts reject sources whose view is older than 0.9 s, observers those older than 1.7 s.
+MAX_VIEW_AGE_S = 2.5
+# Without a sentinel, an idle watch of the live state makes the view that old.
+MAX_VIEW_AGE_WITHOUT_SENTINEL_S = LIVE_WATCH_TIMEOUT_S + 1.5
 REGISTER_RETRY_INTERVAL_S = 0.2
 # CPU cores announced by a stopping process, so that it is assigned no further jobs.
 NO_CORES = 0.0
@@ -100,6 +105,7 @@
         store: The coordination store, with relaying through other nodes.
         feed_client: Sends watches to other nodes.
         usage: Counts the tenants' requests that workers began.
+        leader_duties: Calls to the platform that the leader makes.
         quarantine: Blocks requests that repeatedly crash workers.
         slots: Shares the slots of workers with other nodes.
         cold_workers: Limits the requests to cold workers; ``None`` if they are not limited.
@@ -219,7 +225,7 @@
             self._target_versions,
             connections.orders,
         )
-        self._leader_duties = NodeDuties(
+        self.leader_duties = NodeDuties(
             name,
             self.owner,
             store,
@@ -228,6 +234,7 @@
             self.routes,
             self.workers,
             self.usage,
+            self._may_lack_changes,
             connections.usage,
             connections.capacity,
         )
@@ -324,6 +331,14 @@
         """Whether the known configuration is older than the propagation limit of changes."""
         return self.configuration_age_s > self._max_change_delay_s
 
+    def _may_lack_changes(self) -> bool:
+        """Whether this node's view may lack changes that most other nodes know."""
+        if self.session.is_held and not self.session.is_valid:
+            return True
+        has_sentinel = self.shared_store.sentinel_prefix is not None
+        max_age_s = MAX_VIEW_AGE_S if has_sentinel else MAX_VIEW_AGE_WITHOUT_SENTINEL_S
+        return self.configuration_age_s > max_age_s
+
     def start(self) -> None:
         """Start all components."""
         self._host_role.start()
@@ -333,7 +348,7 @@
         self._retention.start()
         self._retirement.start()
         self._version_reconciler.start()
-        self._leader_duties.start()
+        self.leader_duties.start()
         self._suspects.start()
         self.slots.start()
         if self.cold_workers is not None:
@@ -359,7 +374,7 @@
         self._num_cores = NO_CORES
         await self._host_role.stop()
         await self._version_reconciler.stop()
-        await self._leader_duties.stop_calls()
+        await self.leader_duties.stop_calls()
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
@@ -373,7 +388,7 @@
     async def complete_stop(self) -> None:
         """Complete a planned stop: drain owned jobs until their deadline, then release them."""
         await self.jobs.drain(self._drain_deadline_s - now_s(), self._handover_timeout_s)
-        await self._leader_duties.stop()
+        await self.leader_duties.stop()
         await self._suspects.stop()
         await self.slots.stop()
         await self._stop_cold_workers()
@@ -388,7 +403,7 @@
         """Stop at once, as in a crash; for tests."""
         await self._host_role.stop()
         await self._version_reconciler.stop()
-        await self._leader_duties.abandon()
+        await self.leader_duties.abandon()
         await self._suspects.stop()
         await self.slots.abandon()
         await self._stop_cold_workers()
@@ -557,7 +572,7 @@
         return StoreAccess.FOLLOWER if self.session.is_held else StoreAccess.OBSERVER
 
     def _on_live_change(self, key: str, item: StoredItem | None) -> None:
-        if not self._leader_duties.apply_change(key, item) and not self._suspects.apply_change(
+        if not self.leader_duties.apply_change(key, item) and not self._suspects.apply_change(
             key, item
         ):
             self.live.apply_change(key, item)
--- a/src/hollowrack/node_duties.py
+++ b/src/hollowrack/node_duties.py
@@ -1,6 +1,7 @@
 """The leader's calls to the platform, as far as the deployment has them configured."""
 
 import time
+from collections.abc import Callable
 
 from hollowrack.capacity.reconciler import CapacityReconciler
 from hollowrack.capacity.types import CapacityClient
@@ -10,11 +11,12 @@
 from hollowrack.edge_connections import UsageConnections
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.workers import WorkerDirectory
-from hollowrack.jobs.live_state import CAPACITY_KEY, USAGE_KEY, LiveState
+from hollowrack.jobs.live_state import CAPACITY_KEY, LEADER_KEY, USAGE_KEY, LiveState
 from hollowrack.usage.meter import UsageMeter
 from hollowrack.usage.replicator import UsageReplicator
 from hollowrack.usage.reporter import UsageReporter
 from hollowrack.usage.wall_clock import WallClock
+from hollowrack.usage.window_schedule import WindowSchedule
 
 
 def usage_meter(owner: str, usage: UsageConnections | None) -> UsageMeter:
@@ -26,7 +28,8 @@
     """
     if usage is None:
         return UsageMeter(owner, WallClock(time.time, now_s), None)
-    return UsageMeter(owner, WallClock(usage.time_of_day_s, now_s), usage.window_s)
+    clock = WallClock(usage.time_of_day_s, now_s)
+    return UsageMeter(owner, clock, usage.window_s, keeps_decided=usage.late_s is not None)
 
 
 class NodeDuties:
@@ -41,8 +44,12 @@
         routes: Provides the services in force.
         workers: The known workers.
         meter: Counts the requests sent through this node.
+        may_lack_changes: Whether the node's view may lack changes that most other nodes know.
         usage: Usage reporting; ``None`` if usage is not reported.
         capacity: Sends capacity orders; ``None`` if capacity is not ordered.
+
+    Attributes:
+        reporter: Reports usage while the node leads; ``None`` if usage is not reported.
     """
 
     def __init__(
@@ -55,40 +62,58 @@
         routes: RouteTable,
         workers: WorkerDirectory,
         meter: UsageMeter,
+        may_lack_changes: Callable[[], bool],
         usage: UsageConnections | None,
         capacity: CapacityClient | None,
     ) -> None:
+        self._owner = owner
+        self._leadership = leadership
+        self._live = live
+        self._may_lack_changes = may_lack_changes
+        self._meter = meter
+        self._has_usage_bound = usage is not None and usage.late_s is not None
         self._replicator: UsageReplicator | None = None
-        self._reporter: UsageReporter | None = None
+        self.reporter: UsageReporter | None = None
         self._capacity: CapacityReconciler | None = None
         if usage is not None:
             self._replicator = UsageReplicator(
-                owner, meter, live.leader_and_fallback_addresses, live.leader, usage.peers
+                owner,
+                meter,
+                live.leader_and_fallback_addresses,
+                live.leader,
+                usage.peers,
+                self._may_lack_leader if self._has_usage_bound else None,
             )
-            self._reporter = UsageReporter(
+            self.reporter = UsageReporter(
                 node,
                 USAGE_KEY,
                 store,
                 leadership,
                 meter,
-                usage.window_s,
+                WindowSchedule(usage.window_s, usage.late_s),
                 usage.client,
                 live.other_processes,
+                usage.tolerance,
             )
         if capacity is not None:
             self._capacity = CapacityReconciler(
                 node, CAPACITY_KEY, store, leadership, routes.services, workers, capacity
             )
 
+    def _may_lack_leader(self) -> bool:
+        """Whether there may be a newer leader than this node knows."""
+        has_lost_leadership = self._live.leader() == self._owner and not self._leadership.is_leader
+        return has_lost_leadership or self._may_lack_changes()
+
     def start(self) -> None:
         """Start replicating counts, and making calls whenever the node leads."""
-        for duty in (self._replicator, self._reporter, self._capacity):
+        for duty in (self._replicator, self.reporter, self._capacity):
             if duty is not None:
                 duty.start()
 
     async def stop_calls(self) -> None:
         """Stop calls to the platform; counts are still pushed to other nodes."""
-        for duty in (self._reporter, self._capacity):
+        for duty in (self.reporter, self._capacity):
             if duty is not None:
                 await duty.stop()
 
@@ -106,9 +131,12 @@
 
     def apply_change(self, key: str, item: StoredItem | None) -> bool:
         """Process a change of a live-state key; returns whether the key belongs to a duty."""
+        if key == LEADER_KEY and self._has_usage_bound:
+            # Counts are pushed to a new leader at once.
+            self._meter.changed.set()
         if key == USAGE_KEY:
-            if self._reporter is not None:
-                self._reporter.update_decided(item)
+            if self.reporter is not None:
+                self.reporter.update_decided(item)
             return True
         if key == CAPACITY_KEY:
             if self._capacity is not None:
--- a/src/hollowrack/usage/meter.py
+++ b/src/hollowrack/usage/meter.py
@@ -17,21 +17,31 @@
         process: Name of this process.
         clock: Time of day, which determines the window of a request.
         window_s: Length of a window, in seconds; ``None`` if usage is not reported.
+        keeps_decided: Whether counts of decided windows are kept for some time.
 
     Attributes:
         counts: The counts known to this node, including those of other processes.
         num_counted: Number of requests counted by this process.
+        misdirected: For each process whose counts came with such a message, the value of
+            ``num_misdirected`` after the last one.
         num_misdirected: Number of messages with counts whose sender knew another leader than this
             node, so that this node must push the counts to the leader.
         changed: Set whenever a request is counted or a misdirected message is received.
     """
 
-    def __init__(self, process: str, clock: WallClock, window_s: float | None) -> None:
+    def __init__(
+        self,
+        process: str,
+        clock: WallClock,
+        window_s: float | None,
+        keeps_decided: bool = False,
+    ) -> None:
         self.num_counted = 0
         self.num_misdirected = 0
+        self.misdirected: dict[str, int] = {}
         self.changed = asyncio.Event()
         self._process = process
-        self.counts = UsageCounts()
+        self.counts = UsageCounts(keeps_decided)
         self._clock = clock
         self._window_s = window_s
 
@@ -58,8 +68,22 @@
             self.counts.merge(counts)
         if pushed.leader != leader:
             self.num_misdirected += 1
+            for counts in pushed.counts:
+                self.misdirected[counts.process] = self.num_misdirected
             self.changed.set()
 
+    def remove_forwarded(self, num_misdirected: int) -> None:
+        """Forget the processes of the first misdirected messages, as the leader has their counts.
+
+        Args:
+            num_misdirected: Value of the attribute when these counts were pushed to the leader.
+        """
+        self.misdirected = {
+            process: number
+            for process, number in self.misdirected.items()
+            if number > num_misdirected
+        }
+
     def record_request(self, tenant: str | None, begun_s: float) -> None:
         """Count a request that a worker has begun.
 
