--- a/src/hollowrack/api/server.py
+++ b/src/hollowrack/api/server.py
@@ -11,7 +11,7 @@
 
 from hollowrack.api.read_timeout_protocol import make_read_timeout_protocol
 from hollowrack.results import Problem, ProblemError, ResultCode
-from hollowrack.settings.model import split_address
+from hollowrack.settings.address import split_address
 
 START_POLL_INTERVAL_S = 0.01
 LISTEN_BACKLOG = 1024
--- a/src/hollowrack/membership/network.py
+++ b/src/hollowrack/membership/network.py
@@ -10,7 +10,7 @@
 from hollowrack.membership.messages import GossipMessage
 from hollowrack.messages.transport import PeerConnection, PeerServer
 from hollowrack.results import Problem, ProblemError, ResultCode
-from hollowrack.settings.model import split_address
+from hollowrack.settings.address import split_address
 
 OnDatagram = Callable[[str, GossipMessage], None]
 OnRequest = Callable[[Any], Awaitable[object]]
--- a/src/hollowrack/observability/logs.py
+++ b/src/hollowrack/observability/logs.py
@@ -15,7 +15,7 @@
 from absl import flags, logging
 from pythonjsonlogger.json import JsonFormatter
 
-from hollowrack.settings.model import Logging
+from hollowrack.settings.sections import Logging
 
 _fields: contextvars.ContextVar[dict[str, str]] = contextvars.ContextVar("log_fields")
 
--- a/src/hollowrack/platform/program.py
+++ b/src/hollowrack/platform/program.py
@@ -32,7 +32,7 @@
     from hollowrack.platform.edge_process import serve_edge  # noqa: PLC0415
     from hollowrack.platform.settings import read_process_settings  # noqa: PLC0415
     from hollowrack.results import ProblemError, exit_status  # noqa: PLC0415
-    from hollowrack.settings.model import Logging  # noqa: PLC0415
+    from hollowrack.settings.sections import Logging  # noqa: PLC0415
     from hollowrack.suspension import run_on_boot_time  # noqa: PLC0415
 
     settings = read_process_settings()
--- a/src/hollowrack/settings/load.py
+++ b/src/hollowrack/settings/load.py
@@ -16,7 +16,8 @@
 from returns.result import Failure, Result, Success
 
 from hollowrack.results import Problem, ResultCode
-from hollowrack.settings.model import NodeSettings, split_address
+from hollowrack.settings.address import split_address
+from hollowrack.settings.model import NodeSettings
 
 CLUSTER_KEY_BYTES = 32
 
--- a/tests/observability/test_log_texts.py
+++ b/tests/observability/test_log_texts.py
@@ -34,7 +34,7 @@
 )
 from hollowrack.observability.logs import BoundedLogHandler, setup_logging
 from hollowrack.platform.ingress import IngressApp
-from hollowrack.settings.model import Logging
+from hollowrack.settings.sections import Logging
 from hollowrack_bench import soak_checks
 from hollowrack_bench.virtual_time import run_virtual
 from hollowrack_standins.back_ends import AnswerStandin, BackEndsStandin, WorkerBehaviour
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -11,7 +11,7 @@
 
 from hollowrack.observability.decisions import DecisionKind, DecisionLog
 from hollowrack.observability.logs import log_fields, setup_logging, use_bounded_handler
-from hollowrack.settings.model import Logging
+from hollowrack.settings.sections import Logging
 
 
 @pytest.fixture
