--- a/src/hollowrack/platform/worker_client.py
+++ b/src/hollowrack/platform/worker_client.py
@@ -137,6 +137,9 @@
         if connection.protocol is not None:
             self._ended = connection.protocol.closed
         if self._ended is not None:
+            # Added once per connection: each callback keeps the context of a request until the
+            # connection is closed, and a busy connection may stay open for hours.
+            self._ended.remove_done_callback(_consume_exception)
             self._ended.add_done_callback(_consume_exception)
         return await super().start(connection)
 
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -10,6 +10,7 @@
 
 from hollowrack.forwarding.back_end import BackEndCall, BrokenAnswerError, LoadReport, NotRunError
 from hollowrack.forwarding.types import Worker
+from hollowrack.platform import worker_client
 from hollowrack.platform.worker_client import PlatformWorkers, worker_session
 from tests.forwarding.helpers import make_worker
 
@@ -166,3 +167,36 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_requests_over_one_connection_leave_one_callback(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Every request left a callback with its context on a connection that stayed open."""
+    num_requests = 5
+    ended: list[asyncio.Future[None]] = []
+    monkeypatch.setattr(worker_client, "_consume_exception", ended.append)
+    num_connections = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal num_connections
+        num_connections += 1
+        for _ in range(num_requests):
+            await reader.readuntil(CALL.body)
+            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n")
+            await writer.drain()
+        writer.close()
+
+    async def run() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        session = worker_session()
+        workers = PlatformWorkers(session, session)
+        for _ in range(num_requests):
+            opened = await workers.open(Worker("w", "svc", address, "z", 1), CALL, 5.0)
+            await opened.read()
+        await session.close()
+        await asyncio.sleep(0)
+        server.close()
+
+    asyncio.run(run())
+    assert num_connections == 1
+    assert len(ended) == 1
