--- a/src/hollowrack/jobs/job_reader.py
+++ b/src/hollowrack/jobs/job_reader.py
@@ -23,6 +23,11 @@
 from hollowrack.results import ProblemError
 
 MAX_CACHED_JOBS = 64
+# Some 20 jobs of 80 items. Trainers end a job once they have read it, and what is no longer cached
+# is read from the store.
+MAX_CACHED_BYTES = 4_000_000
+# Measured for an item with its result, without texts and bodies: 2.1 kB in all, 0.6 kB of text.
+BYTES_PER_ITEM = 1_500
 
 
 @dataclass
@@ -46,6 +51,16 @@
     def is_fully_listed(self) -> bool:
         return len(self.results) >= len(self.job.items)
 
+    def estimated_bytes(self) -> int:
+        """Return about how much memory the job and its results take."""
+        items = self.job.items
+        return (
+            BYTES_PER_ITEM * len(items)
+            + sum(len(item.body) for item in items)
+            + sum(len(item.scorer.body) for item in items if item.scorer is not None)
+            + sum(len(result.text) for result in self.results)
+        )
+
 
 class JobReader:
     """Reads jobs that other nodes own, and caches those that this node owned.
@@ -53,11 +68,16 @@
     Args:
         store: The coordination store.
         log: Durable state of jobs.
+        max_cached_bytes: Bound on the estimated size of the cache; the job that was used last is
+            kept whatever its size.
     """
 
-    def __init__(self, store: CoordinationStore, log: JobLog) -> None:
+    def __init__(
+        self, store: CoordinationStore, log: JobLog, max_cached_bytes: int = MAX_CACHED_BYTES
+    ) -> None:
         self._store = store
         self._log = log
+        self._max_cached_bytes = max_cached_bytes
         self._cache: OrderedDict[str, _CachedJob] = OrderedDict()
 
     def cache_job(self, job: Job, results: list[ItemResult], revision: int = 0) -> None:
@@ -120,8 +140,21 @@
         self._cache.move_to_end(job_id)
         while len(self._cache) > MAX_CACHED_JOBS:
             self._cache.popitem(last=False)
+        self._evict_excess_bytes(job_id)
         return cached
 
+    def _evict_excess_bytes(self, kept_id: str) -> None:
+        """Evict ended jobs, then the others, each from the one that was not used for longest."""
+        sizes = {job_id: cached.estimated_bytes() for job_id, cached in self._cache.items()}
+        excess = sum(sizes.values()) - self._max_cached_bytes
+        # A stable sort: the cache is in order of use.
+        for job_id in sorted(sizes, key=lambda job_id: not self._cache[job_id].is_ended):
+            if excess <= 0:
+                break
+            if job_id != kept_id:
+                del self._cache[job_id]
+                excess -= sizes[job_id]
+
     async def _refresh(self, cached: _CachedJob, after: int, wait_s: float) -> Unavailable | None:
         async with cached.lock:
             if len(cached.results) > after:
