--- a/src/hollowrack/platform/program.py
+++ b/src/hollowrack/platform/program.py
@@ -1,6 +1,6 @@
 """Entry point of a process with the role ``edge`` or ``storage``."""
 
-import asyncio
+import os
 import signal
 import sys
 
@@ -18,7 +18,7 @@
     if arguments == [STORAGE_ROLE]:
         from hollowrack.platform.storage_process import serve_storage  # noqa: PLC0415
 
-        asyncio.run(serve_storage())
+        serve_storage()
         return 0
     if arguments == [EDGE_ROLE]:
         return _run_edge()
@@ -27,13 +27,16 @@
 
 
 def _run_edge() -> int:
+    # aiohttp creates TLS contexts when it is imported, and each loads the certificates of the
+    # system: 1.9 MB and 0.06 s. The platform is addressed over plain HTTP only.
+    os.environ["SSL_CERT_FILE"] = os.devnull
     from returns.result import Failure  # noqa: PLC0415
 
     from hollowrack.observability.logs import setup_logging, use_bounded_handler  # noqa: PLC0415
     from hollowrack.platform.edge_process import serve_edge  # noqa: PLC0415
     from hollowrack.platform.settings import read_process_settings  # noqa: PLC0415
     from hollowrack.results import ProblemError, exit_status  # noqa: PLC0415
-    from hollowrack.settings.model import Logging  # noqa: PLC0415
+    from hollowrack.settings.sections import Logging  # noqa: PLC0415
     from hollowrack.suspension import run_on_boot_time  # noqa: PLC0415
 
     settings = read_process_settings()
