--- a/src/hollowrack_bench/platform_soak.py
+++ b/src/hollowrack_bench/platform_soak.py
@@ -110,7 +110,7 @@
             self._operator,
         )
         if SoakFault.REGION_LINK in plan.faults:
-            self._system.regions = SoakRegions(self._system.processes.node_of_port, self._rng)
+            self._system.regions = SoakRegions(self._system.processes.node_of_connection, self._rng)
         kinds: list[SoakFault] = [
             fault for fault in plan.faults if fault is not SoakFault.CRASHING_REQUESTS
         ]
--- a/src/hollowrack_bench/soak_regions.py
+++ b/src/hollowrack_bench/soak_regions.py
@@ -32,7 +32,8 @@
     Args:
         target: ``IP:PORT`` of the worker for nodes of its own region.
         link_target: ``IP:PORT`` of the link to the worker.
-        is_in_other_region: Whether the process that uses a local port is in another region.
+        is_in_other_region: Whether the process that uses a local port, connected to another one,
+            is in another region.
         rng: Source of the delays of the proxy, which are not used.
     """
 
@@ -40,7 +41,7 @@
         self,
         target: str,
         link_target: str,
-        is_in_other_region: Callable[[int], bool],
+        is_in_other_region: Callable[[int, int], bool],
         rng: random.Random,
     ) -> None:
         super().__init__(target, rng)
@@ -48,26 +49,31 @@
         self._is_in_other_region = is_in_other_region
 
     def _target_of(self, client_port: int) -> str:
-        return self._link_target if self._is_in_other_region(client_port) else self._target
+        own_port = int(self.address.rpartition(":")[2])
+        is_far = self._is_in_other_region(client_port, own_port)
+        return self._link_target if is_far else self._target
 
 
 class SoakRegions:
     """Links between nodes and the workers of the other region.
 
     Args:
-        node_of_port: Returns the node whose process uses a local port; ``None`` if unknown.
+        node_of_connection: Returns the node whose process uses a local port, connected to another
+            one; ``None`` if unknown.
         rng: Source of delays.
 
     Attributes:
         links: Links to workers for nodes of the other region, by worker.
     """
 
-    def __init__(self, node_of_port: Callable[[int], str | None], rng: random.Random) -> None:
+    def __init__(
+        self, node_of_connection: Callable[[int, int], str | None], rng: random.Random
+    ) -> None:
         self.links: dict[str, LoopbackProxy] = {}
         self._routers: dict[str, RegionRouter] = {}
         # Without faults, both ways to a worker have to take the same time.
         self._near_links: dict[str, LoopbackProxy] = {}
-        self._node_of_port = node_of_port
+        self._node_of_connection = node_of_connection
         self._rng = rng
 
     def settings(self, node: str) -> dict[str, object]:
@@ -85,7 +91,7 @@
         router = RegionRouter(
             await near_link.start(),
             await link.start(),
-            lambda port: self._is_in_other_region(worker, port),
+            lambda port, peer_port: self._is_in_other_region(worker, port, peer_port),
             self._rng,
         )
         self._routers[worker.id] = router
@@ -102,6 +108,6 @@
         for worker_id in list(self.links):
             await self.stop_link(worker_id)
 
-    def _is_in_other_region(self, worker: PlatformWorkerStandin, port: int) -> bool:
-        node = self._node_of_port(port)
+    def _is_in_other_region(self, worker: PlatformWorkerStandin, port: int, peer_port: int) -> bool:
+        node = self._node_of_connection(port, peer_port)
         return node is not None and region_of(node) != region_of(worker.id)
