--- a/src/hollowrack_bench/platform_demo.py
+++ b/src/hollowrack_bench/platform_demo.py
@@ -261,11 +261,12 @@
         self, method: str, path: str, request_id: str, body: bytes = b""
     ) -> tuple[int, bytes]:
         """Send a request to the next edge; returns status 0 if there is no answer."""
+        return await self._call_at(self._next_edge(), method, path, request_id, body)
+
+    def _next_edge(self) -> str:
         edges = sorted(self._addresses)
         self._num_calls += 1
-        return await self._call_at(
-            edges[self._num_calls % len(edges)], method, path, request_id, body
-        )
+        return edges[self._num_calls % len(edges)]
 
     def _headers(self, request_id: str) -> dict[str, str]:
         """Return the headers of a request, including those sent with all requests."""
--- a/src/hollowrack_bench/soak_kept_connections.py
+++ b/src/hollowrack_bench/soak_kept_connections.py
@@ -23,6 +23,27 @@
 READ_SIZE = 65536
 
 
+@dataclass(frozen=True)
+class PlainOutcome:
+    """How a plain request ended for its caller.
+
+    Attributes:
+        request_id: Identifier of the request.
+        node: Node that it was sent to.
+        path: Its path, which determines its route.
+        status: HTTP status of the answer; 0 if there was none.
+        sent_s: Time at which it was sent, on the loop's clock.
+        latency_s: Time until the complete answer or its absence, in seconds.
+    """
+
+    request_id: str
+    node: str
+    path: str
+    status: int
+    sent_s: float
+    latency_s: float
+
+
 class ConnectionClosedError(Exception):
     """The node closed the connection before it had sent a complete answer."""
 
@@ -50,6 +71,8 @@
     Args:
         addresses: Addresses of the nodes, by name, without proxies.
         headers: Returns the headers of a request, given its identifier.
+        record_outcome: Called with the outcome of each request, unless its connection was closed
+            before it was answered.
 
     Attributes:
         num_answered: Number of complete answers.
@@ -57,12 +80,16 @@
     """
 
     def __init__(
-        self, addresses: Mapping[str, str], headers: Callable[[str], Mapping[str, str]]
+        self,
+        addresses: Mapping[str, str],
+        headers: Callable[[str], Mapping[str, str]],
+        record_outcome: Callable[[PlainOutcome], None],
     ) -> None:
         self.num_answered = 0
         self.unanswered: list[UnansweredRequest] = []
         self._addresses = addresses
         self._headers = headers
+        self._record_outcome = record_outcome
         self._num_sent = 0
 
     async def run(self) -> None:
@@ -96,18 +123,25 @@
             sent_s = now_s()
             try:
                 async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                    await self._exchange(request_id, reader, writer)
+                    status = await self._exchange(request_id, reader, writer)
             except TimeoutError:
+                self._record(request_id, node, 0, sent_s)
                 return
             except (ConnectionClosedError, OSError):
                 self.unanswered.append(UnansweredRequest(request_id, node, sent_s, now_s()))
                 return
             self.num_answered += 1
+            self._record(request_id, node, status, sent_s)
             await asyncio.sleep(REQUEST_INTERVAL_S * len(self._addresses))
 
+    def _record(self, request_id: str, node: str, status: int, sent_s: float) -> None:
+        latency_s = now_s() - sent_s
+        self._record_outcome(PlainOutcome(request_id, node, PATH, status, sent_s, latency_s))
+
     async def _exchange(
         self, request_id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    ) -> int:
+        """Send a request and read its answer; returns the status."""
         # A new state machine for each request, as one that was told of the close sends no more.
         connection = h11.Connection(h11.CLIENT)
         headers = [*self._headers(request_id).items(), ("Content-Length", str(len(BODY)))]
@@ -116,10 +150,13 @@
         writer.write(connection.send(h11.Data(data=BODY)) or b"")
         await writer.drain()
         connection.send(h11.EndOfMessage())
+        status = 0
         while True:
             event = connection.next_event()
+            if isinstance(event, h11.Response):
+                status = event.status_code
             if isinstance(event, h11.EndOfMessage):
-                return
+                return status
             if event is h11.NEED_DATA:
                 received = await reader.read(READ_SIZE)
                 if not received:
--- a/src/hollowrack_bench/soak_plan.py
+++ b/src/hollowrack_bench/soak_plan.py
@@ -32,6 +32,9 @@
             folder.
         limits_cold_workers: Whether the settings of the nodes bound the requests to cold workers;
             false only to show that the check finds what the bound prevents.
+        silences_lookup_links: Whether the links between the regions discard all bytes to and from
+            the workers of plain requests during all steps, instead of the faults of these links.
+            Links to engines still work, so that steps are completed.
         first_faults: Kinds that are injected first, one after the other, before any is drawn.
     """
 
@@ -44,6 +47,12 @@
     earlier_source: Path | None = None
     limits_cold_workers: bool = True
     first_faults: Sequence[SoakFault] = ()
+    silences_lookup_links: bool = False
+
+    @property
+    def has_only_region_link_faults(self) -> bool:
+        """Whether all workers work, so that each region can answer its own plain requests."""
+        return set(self.faults) == {SoakFault.REGION_LINK}
 
     def new_log_folder(self) -> Path | None:
         """Create a folder for the logs of one run; its name is unique."""
