--- a/src/hollowrack_bench/soak_checks.py
+++ b/src/hollowrack_bench/soak_checks.py
@@ -6,6 +6,7 @@
 
 from hollowrack.platform import names
 from hollowrack_bench.platform_demo import HTTP_OK, QUEUE_TTL_S
+from hollowrack_bench.soak_allowed_regions import RegionFindings
 from hollowrack_bench.soak_cold_workers import MAX_REQUESTS_PER_S, ColdSpellCheck
 from hollowrack_bench.soak_crashes import MAX_LATE_RUNS, CrashingAttempt, late_runs
 from hollowrack_bench.soak_evacuations import Evacuation, late_arrivals
@@ -126,6 +127,13 @@
                 f"for {len(missed) - 1} of {len(self.plain_outcomes) - 1} other plain requests"
             )
 
+    def check_allowed_regions(self, findings: RegionFindings) -> None:
+        """Check that requests and jobs with allowed regions were in these only (HOME)."""
+        if findings.outside:
+            name, text = findings.outside[0]
+            num_others = len(findings.outside) - 1
+            self._violations.append(f"{name}: {text}, as were {num_others} others outside")
+
     def check_unsafe(self) -> None:
         """Check that unsafe requests ran at most once, and never if they were refused."""
         for request_id, num_runs in self._records.executions.items():
--- a/src/hollowrack_bench/soak_faults.py
+++ b/src/hollowrack_bench/soak_faults.py
@@ -16,6 +16,7 @@
 from hollowrack.clock import now_s
 from hollowrack_bench.edge_processes import EdgeProcesses
 from hollowrack_bench.loopback_proxy import LinkFault, LoopbackProxy
+from hollowrack_bench.soak_allowed_regions import RegionRestrictions
 from hollowrack_bench.soak_evacuations import Evacuations
 from hollowrack_bench.soak_operator import SoakOperator
 from hollowrack_bench.soak_regions import REGION_LINK_FAULTS, SoakRegions
@@ -80,6 +81,7 @@
     EVACUATE = "evacuate"
     REGION_LINK = "region-link"
     COLD_RETURN = "cold-return"
+    ALLOWED_REGIONS = "allowed-regions"
 
 
 # Faults during which nodes may not be connected to the store, or requests to workers are held up.
@@ -162,6 +164,7 @@
         counts: Number of injected faults, by kind.
         workers: Injects the worker faults.
         evacuations: Evacuates zones.
+        restrictions: Changes the allowed regions of routes.
         disturbances: Start and end of each fault of ``DISTURBING_FAULTS``, on the loop's clock; the
             end of one that has not ended is infinite.
     """
@@ -182,6 +185,7 @@
             system.workers, system.store, system.worker_links, rng, self._wait_fault_duration
         )
         self.evacuations = Evacuations(system.store, rng)
+        self.restrictions = RegionRestrictions(system.operator, rng)
         self.disturbances: list[tuple[float, float]] = []
         self._inject_by_kind: dict[SoakFault, Callable[[], Awaitable[None]]] = {
             SoakFault.KILL: lambda: self._stop_and_restart(signal.SIGKILL),
@@ -209,6 +213,7 @@
             SoakFault.EVACUATE: self.evacuations.run,
             SoakFault.REGION_LINK: self._impair_region_links,
             SoakFault.COLD_RETURN: self.workers.return_cold,
+            SoakFault.ALLOWED_REGIONS: self.restrictions.run,
         }
         self._signals = SignalSeries(system.processes, rng, self._stop_process, self._start_process)
 
@@ -242,6 +247,7 @@
         await asyncio.gather(*(self._recover(name) for name in sorted(system.faulted_nodes)))
         await self.workers.clear_faults()
         self.evacuations.lift_all()
+        self.restrictions.lift_all()
 
     async def _recover(self, name: str) -> None:
         """Have a node's process run on, or run again once it has ended as it was told to."""
--- a/src/hollowrack_bench/soak_operator.py
+++ b/src/hollowrack_bench/soak_operator.py
@@ -47,6 +47,19 @@
         self._spare.pop(prefix, None)
         self._write()
 
+    def restrict_route(self, prefix: str, regions: list[str] | None) -> None:
+        """Set the allowed regions of a route of the first configuration.
+
+        Args:
+            prefix: Prefix of the route.
+            regions: The allowed regions; ``None`` for all.
+        """
+        route = next(route for route in self._content["routes"] if route["path-prefix"] == prefix)
+        route.pop(names.ALLOWED_REGIONS, None)
+        if regions is not None:
+            route[names.ALLOWED_REGIONS] = regions
+        self._write()
+
     def change_spare_routes(self) -> None:
         """Add or remove a random route that no caller uses."""
         prefix = f"/spare-{self._rng.randrange(NUM_SPARE_ROUTES)}/"
--- a/src/hollowrack_standins/coordination_store.py
+++ b/src/hollowrack_standins/coordination_store.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from hollowrack.coordination.store import (
@@ -67,6 +67,7 @@
         num_calls: Number of calls of all nodes, including those that failed.
         num_watches: Number of calls that watch a prefix.
         num_job_reads: Number of listings and watches of job keys.
+        on_write: Called with each change of a key; ``None`` for nobody.
     """
 
     def __init__(self) -> None:
@@ -75,6 +76,7 @@
         self.num_calls = 0
         self.num_watches = 0
         self.num_job_reads = 0
+        self.on_write: Callable[[KeyChange], None] | None = None
         self._history: list[KeyChange] = []
         self._compacted_revision = 0
         self._lease_expiries_s: dict[int, float] = {}
@@ -180,7 +182,10 @@
             self.items.pop(key, None)
         else:
             self.items[key] = item
-        self._history.append(RemovedKey(key, self.revision) if item is None else item)
+        change = RemovedKey(key, self.revision) if item is None else item
+        self._history.append(change)
+        if self.on_write is not None:
+            self.on_write(change)
 
     def _notify_watches(self) -> None:
         self._changed.set()
