--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -10,6 +10,7 @@
 
 from absl import logging
 
+from hollowrack.backoff import Backoff
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.machine_retirement import MachineRetirement
@@ -28,6 +29,7 @@
 from hollowrack.forwarding.send_guard import GuardedBackEnds
 from hollowrack.forwarding.types import RoutingConfiguration, Worker
 from hollowrack.forwarding.workers import WorkerDirectory
+from hollowrack.jobs.handover_schedule import HandoverSchedule
 from hollowrack.jobs.host_role import HostRole, num_hosts_per_zone
 from hollowrack.jobs.item_services import ItemServices
 from hollowrack.jobs.job_log import JobLog, OpenJob
@@ -63,18 +65,14 @@
 # CPU cores announced by a stopping process, so that it is assigned no further jobs.
 NO_CORES = 0.0
 ANNOUNCE_TIMEOUT_S = 0.5
+INITIAL_ANNOUNCE_BACKOFF_S = 0.4
+MAX_ANNOUNCE_BACKOFF_S = 1.0
 # Time for callers to switch to other nodes at a planned stop.
 MAX_REFUSE_NEW_S = 3.5
 REFUSE_NEW_FRACTION = 0.45
-# Time to drain owned jobs at a planned stop. It exceeds the time for callers, as the output of
-# items unfinished at the deadline is lost.
-MAX_DRAIN_S = 10.0
-DRAIN_FRACTION = 0.65
-MAX_HANDOVER_S = 0.6
 # After a node of the own region failed to relay a store call, others are asked first for this long.
 # Each further try costs a time-out, and a lease must be renewed within 2 s.
 OTHER_REGION_FIRST_S = 10.0
-HANDOVER_FRACTION = 0.1
 
 
 class EdgeNode:
@@ -244,8 +242,8 @@
         self.cold_workers = self._cold_worker_control(connections.warmup, rng)
         self._rng = rng
         self._retirement = MachineRetirement(self.leadership, connections.complete_retirement)
-        self._drain_deadline_s = 0.0
-        self._handover_timeout_s = 0.0
+        self._handover_schedule = HandoverSchedule(0.0, 0.0, rng)
+        self._is_stop_announced = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def _connect_shared_store(self, store: CoordinationStore) -> SharedStore:
@@ -343,25 +341,38 @@
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
-        await self.leadership.resign()
-        await self._announce_stop()
         refuse_new_s = min(MAX_REFUSE_NEW_S, REFUSE_NEW_FRACTION * grace_s)
+        # A store that does not answer must not delay the drain and the end of the process.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(started_s + max(refuse_new_s, ANNOUNCE_TIMEOUT_S)):
+                await self.leadership.resign()
+                await self._announce_stop()
+        if not self._is_stop_announced and self.session.is_held:
+            self._tasks.append(asyncio.create_task(self._keep_announcing()))
         await asyncio.sleep(max(0.0, started_s + refuse_new_s - now_s()))
-        self._drain_deadline_s = started_s + min(MAX_DRAIN_S, DRAIN_FRACTION * grace_s)
-        self._handover_timeout_s = min(MAX_HANDOVER_S, HANDOVER_FRACTION * grace_s)
+        self._handover_schedule = HandoverSchedule(started_s, grace_s, self._rng)
 
     async def complete_stop(self) -> None:
-        """Complete a planned stop: drain owned jobs until their deadline, then release them."""
-        await self.jobs.drain(self._drain_deadline_s - now_s(), self._handover_timeout_s)
-        await self._leader_duties.stop()
+        """Complete a planned stop: drain owned jobs until their deadline, then hand them over.
+
+        The process releases the jobs before the end of the grace period, whatever the store does.
+        """
+        schedule = self._handover_schedule
+        await self.jobs.drain(schedule.drain_deadline_s - now_s())
+        handover = await self.jobs.hand_over(schedule)
+        # The last counts are pushed while the handover is retried, so that they are not delayed.
+        await asyncio.gather(handover.complete(), self._leader_duties.stop())
+        await self.jobs.stop()
         await self._suspects.stop()
-        await self.slots.stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(schedule.release_deadline_s):
+                await self.slots.stop()
         await self._stop_cold_workers()
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
         # If the call fails, the lease expires.
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._handover_timeout_s):
+            async with asyncio.timeout(schedule.timeout_s(now_s())):
                 await self.session.stop()
 
     async def abandon(self) -> None:
@@ -376,7 +387,7 @@
         await self._retention.stop()
         await self._retirement.stop()
         await self.leadership.stop()
-        await self.jobs.drain(0.0)
+        await self.jobs.stop()
         await cancel_all(*self._tasks)
         await self._live_mirror.stop()
         await self.session.abandon()
@@ -471,7 +482,15 @@
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(ANNOUNCE_TIMEOUT_S):
-                await self._register(self.session.lease)
+                self._is_stop_announced = await self._register(self.session.lease)
+
+    async def _keep_announcing(self) -> None:
+        """Announce the stop until the store has certainly recorded it."""
+        backoff = Backoff(INITIAL_ANNOUNCE_BACKOFF_S, MAX_ANNOUNCE_BACKOFF_S, self._rng)
+        while not self._is_stop_announced:
+            await asyncio.sleep(backoff.next_delay_s())
+            if self.session.lease is not None:
+                self._is_stop_announced = await self._register(self.session.lease)
 
     async def _register(self, lease: int) -> bool:
         """Write this node's entry; returns whether that certainly succeeded."""
--- a/src/hollowrack/jobs/job_log.py
+++ b/src/hollowrack/jobs/job_log.py
@@ -65,6 +65,16 @@
     FAILED = "failed"
 
 
+class AssignOutcome(Enum):
+    """Outcome of an attempt to change the owner of a job."""
+
+    ASSIGNED = "assigned"
+    OWNER_CHANGED = "the owner entry has changed"
+    SUCCESSOR_CHANGED = "the entry of the next owner has changed"
+    NOT_DONE = "not done"
+    UNKNOWN = "unknown"
+
+
 @dataclass
 class StoredJob:
     """A job as read from the store.
@@ -182,6 +192,7 @@
         results: Sequence[ItemResult],
         is_last: bool,
         extra_puts: Sequence[Put] = (),
+        owner_revision: int | None = None,
     ) -> AppendOutcome:
         """List results at a position; the last ones close the job.
 
@@ -191,13 +202,15 @@
             results: Results to be listed, in order.
             is_last: Whether these are the job's last results.
             extra_puts: Further writes of the same transaction.
+            owner_revision: Revision that the owner entry must have; ``None`` for any.
         """
         key = f"{log_prefix(job_id)}{position:08d}"
         value = codec.encode(ResultBatch(tuple(results)))
         removes = [_open_key(job_id)] if is_last else []
-        outcome = await self._store.transact(
-            [Condition(key)], [Put(key, value), *extra_puts], removes
-        )
+        conditions = [Condition(key)]
+        if owner_revision is not None:
+            conditions.append(Condition(_open_key(job_id), owner_revision))
+        outcome = await self._store.transact(conditions, [Put(key, value), *extra_puts], removes)
         if isinstance(outcome, Committed):
             return AppendOutcome.APPENDED
         if isinstance(outcome, Conflict):
@@ -240,24 +253,48 @@
                 return False
         return True
 
-    async def owner_of(self, job_id: str) -> str | Unavailable | None:
-        """Read the owner of an unfinished job; ``None`` if it is finished, ended or unknown."""
+    async def open_entry(self, job_id: str) -> OpenJob | Unavailable | None:
+        """Read the entry of an unfinished job; ``None`` if it is finished, ended or unknown."""
         item = await self._store.get(_open_key(job_id))
         if isinstance(item, StoredItem):
-            return decode_owner(item.value)
+            return OpenJob(job_id, decode_owner(item.value), item.revision)
         return item
 
+    async def owner_of(self, job_id: str) -> str | Unavailable | None:
+        """Read the owner of an unfinished job; ``None`` if it is finished, ended or unknown."""
+        entry = await self.open_entry(job_id)
+        return entry.owner if isinstance(entry, OpenJob) else entry
+
     async def claim(self, job: OpenJob) -> bool:
         """Make this process the owner of a job; ``False`` if that failed or is unknown."""
         return await self.assign(job, self.owner)
 
     async def assign(self, job: OpenJob, owner: str) -> bool:
         """Change the owner of an unfinished job; ``False`` if that failed or is unknown."""
+        return await self.try_assign(job, owner) is AssignOutcome.ASSIGNED
+
+    async def try_assign(
+        self, job: OpenJob, owner: str, owner_condition: Condition | None = None
+    ) -> AssignOutcome:
+        """Change the owner of an unfinished job.
+
+        Args:
+            job: Entry of the job, which must be unchanged.
+            owner: Owner name of the next owner.
+            owner_condition: Condition on the entry of the next owner; ``None`` for none.
+        """
         key = _open_key(job.job_id)
-        outcome = await self._store.transact(
-            [Condition(key, job.revision)], [Put(key, owner.encode())]
-        )
-        return isinstance(outcome, Committed)
+        conditions = [Condition(key, job.revision)]
+        if owner_condition is not None:
+            conditions.append(owner_condition)
+        outcome = await self._store.transact(conditions, [Put(key, owner.encode())])
+        if isinstance(outcome, Committed):
+            return AssignOutcome.ASSIGNED
+        if isinstance(outcome, Conflict):
+            revisions = {item.key: item.revision for item in outcome.current}
+            is_unchanged = revisions.get(key) == job.revision
+            return AssignOutcome.SUCCESSOR_CHANGED if is_unchanged else AssignOutcome.OWNER_CHANGED
+        return AssignOutcome.UNKNOWN if isinstance(outcome, Unknown) else AssignOutcome.NOT_DONE
 
 
 def join_batches(batches: Sequence[StoredItem]) -> list[ItemResult]:
--- a/src/hollowrack/jobs/job_runner.py
+++ b/src/hollowrack/jobs/job_runner.py
@@ -100,6 +100,8 @@
         self._late_writes_task: asyncio.Task[None] | None = None
         if is_taken_over:
             self._late_writes_task = asyncio.create_task(self._poll_late_writes())
+        # Revision that the job's owner entry must have when results are listed; ``None`` for any.
+        self._owner_revision: int | None = None
         self._saver_task = asyncio.create_task(self._saver.run())
         self.task = asyncio.create_task(self._run())
 
@@ -115,6 +117,17 @@
         )
         self._notify_changed()
 
+    def require_owner_revision(self, revision: int) -> None:
+        """List further results only while the job's owner entry has this revision.
+
+        Called before another owner is written, as the outcome of that write may be unknown.
+        """
+        self._owner_revision = revision
+
+    def release_readers(self) -> None:
+        """Answer the reads that wait for results, although there may be no new ones."""
+        self._notify_changed()
+
     async def _run(self) -> None:
         try:
             self._start_items()
@@ -172,9 +185,17 @@
                 # The job may be complete now although no item has finished here.
                 self._listing_due.set()
 
-    async def save_progress(self) -> None:
-        """Save the events of running items for the job's next owner."""
-        await self._saver.save()
+    async def save_progress(self) -> bool:
+        """Save the events of running items for the job's next owner; ``False`` if that failed."""
+        return await self._saver.save()
+
+    async def list_finished(self) -> None:
+        """List the results that wait for others to share a write; one attempt."""
+        async with self._listing_lock:
+            if self._finished:
+                await self._list_finished()
+        if self.is_fully_listed:
+            self._listing_due.set()
 
     def has_waiting(self, service: str) -> bool:
         """Return whether any item waits for a slot at a service."""
@@ -257,7 +278,9 @@
         is_last = position + len(batch) == len(self.job.items)
         unsaved_progress = None if is_last else self._saver.unsaved(MIN_SAVE_INTERVAL_S)
         extra_puts = [] if unsaved_progress is None else [unsaved_progress.record]
-        outcome = await self._log.append(self.job.id, position, batch, is_last, extra_puts)
+        outcome = await self._log.append(
+            self.job.id, position, batch, is_last, extra_puts, self._owner_revision
+        )
         if outcome is AppendOutcome.APPENDED:
             if unsaved_progress is not None:
                 self._saver.record_saved(unsaved_progress)
@@ -284,8 +307,8 @@
             ``False`` if another process owns the job now.
         """
         listed = await self._log.read_results(self.job.id)
-        owner = await self._log.owner_of(self.job.id)
-        if isinstance(listed, NotDone | Unknown) or isinstance(owner, NotDone | Unknown):
+        entry = await self._log.open_entry(self.job.id)
+        if isinstance(listed, NotDone | Unknown) or isinstance(entry, NotDone | Unknown):
             await asyncio.sleep(RETRY_INTERVAL_S)
             return True
         listed_ids = {result.item_id for result in listed}
@@ -293,9 +316,16 @@
         for item_id in listed_ids & self._item_tasks.keys():
             self._item_tasks[item_id].cancel()
         self._update_results(listed)
-        if owner is not None and owner != self._log.owner:
-            logging.warning("job %s: now owned by %s, stopped on this node", self.job.id, owner)
+        if entry is not None and entry.owner != self._log.owner:
+            logging.warning(
+                "job %s: now owned by %s, stopped on this node", self.job.id, entry.owner
+            )
             return False
+        if self._owner_revision is not None:
+            # Without an entry the job is finished or ended, so that nothing more may be listed.
+            if entry is None:
+                return False
+            self._owner_revision = entry.revision
         return True
 
     def _update_results(self, results: list[ItemResult]) -> None:
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -12,6 +12,8 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.session import Session
 from hollowrack.coordination.store import NotDone, Unavailable, Unknown
+from hollowrack.jobs.handover import JobHandover
+from hollowrack.jobs.handover_schedule import HandoverSchedule
 from hollowrack.jobs.item_services import ItemServices
 from hollowrack.jobs.job_intake import JobIntake
 from hollowrack.jobs.job_log import JobLog, OpenJob
@@ -31,6 +33,8 @@
 READ_RETRY_AFTER_S = 0.3
 # All nodes see a new job within two polls of the feed of changes, which are 0.2 s apart.
 JOB_VISIBILITY_TIMEOUT_S = 0.5
+# After an outage of the store the entries of all processes are written again within some seconds.
+SESSION_LOSS_WINDOW_S = 5.0
 # Jobs taken over by other nodes whose remainder is held for requests of their new owners.
 MAX_REMAINDERS = 4
 
@@ -295,10 +299,14 @@
 
     def _stop_lost_job(self, runner: JobRunner) -> None:
         """Stop running a job, and hold its remainder for requests of the new owner."""
+        self._hold_remainder(runner)
+        self._track_task(asyncio.create_task(runner.stop()))
+
+    def _hold_remainder(self, runner: JobRunner) -> None:
+        """Hold the remainder of a job for requests of its next owner."""
         self._remainders[runner.job.id] = runner.remainder()
         while len(self._remainders) > MAX_REMAINDERS:
             self._remainders.popitem(last=False)
-        self._track_task(asyncio.create_task(runner.stop()))
 
     def remainder(self, job_id: str) -> JobRemainder:
         """Return the remainder of a job that this node owns or owned; empty if there is none."""
@@ -330,42 +338,47 @@
         """Accept and take over no more jobs; owned jobs continue."""
         self.intake.is_stopping = True
 
-    async def drain(self, timeout_s: float, handover_timeout_s: float = 0.0) -> None:
-        """Accept no more jobs, let owned ones finish for a limited time, then hand the rest over.
+    async def drain(self, timeout_s: float) -> None:
+        """Accept no more jobs, and let owned ones continue for a limited time.
 
         Args:
             timeout_s: How long owned jobs may continue, in seconds.
-            handover_timeout_s: How long the handover of the rest may take, in seconds; 0 to skip
-                it.
         """
         self.stop_accepting()
+        # A listing without an answer may be applied late, after the handover.
+        for job_id, runner in self._runners.items():
+            open_job = self._live.open_jobs.get(job_id)
+            if open_job is not None and open_job.owner == self._log.owner:
+                runner.require_owner_revision(open_job.revision)
         if self._runners:
             await asyncio.wait(
                 {runner.task for runner in self._runners.values()}, timeout=max(0.0, timeout_s)
             )
-        runners = list(self._runners.values())
-        await asyncio.gather(*(self._hand_over(runner, handover_timeout_s) for runner in runners))
+
+    async def hand_over(self, schedule: HandoverSchedule) -> JobHandover:
+        """Try once to hand owned jobs over to other processes.
+
+        Returns:
+            The handover of the jobs for which that failed, to be completed.
+        """
+        handover = JobHandover(
+            self._log,
+            self._live,
+            self.owns,
+            self._hold_remainder,
+            schedule,
+            lambda: not self._session.is_valid or self._live.lost_own_entry(SESSION_LOSS_WINDOW_S),
+        )
+        await handover.start(list(self._runners.values()))
+        return handover
+
+    async def stop(self) -> None:
+        """Stop the jobs that are still run here, and all tasks."""
+        self.stop_accepting()
+        await asyncio.gather(*(runner.stop() for runner in list(self._runners.values())))
         await self.intake.stop()
         await cancel_all(*self._background)
 
-    async def _hand_over(self, runner: JobRunner, timeout_s: float) -> None:
-        """Save the progress of an unfinished job and assign it to its preferred next owner."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await runner.save_progress()
-                open_job = self._live.open_jobs.get(runner.job.id)
-                successor = self._live.successor(runner.job)
-                if open_job is not None and successor is not None:
-                    is_done = await self._log.assign(open_job, successor)
-                    outcome = "handed over" if is_done else "not handed over"
-                    logging.info("job %s: %s to %s", runner.job.id, outcome, successor)
-        except TimeoutError:
-            logging.warning(
-                "job %s: not handed over, the store did not answer within the handover timeout",
-                runner.job.id,
-            )
-        await runner.stop()
-
     def _track_task(self, task: asyncio.Task[Any]) -> None:
         self._background.add(task)
         task.add_done_callback(self._background.discard)
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -6,7 +6,7 @@
 import asyncio
 import contextlib
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import xxhash
 from absl import logging
@@ -14,7 +14,7 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.session import decode_owner, is_owner, node_of_owner
-from hollowrack.coordination.store import StoredItem
+from hollowrack.coordination.store import Condition, StoredItem
 from hollowrack.jobs.job_log import ENDS_PREFIX, OPEN_PREFIX, OpenJob, job_id_of
 from hollowrack.jobs.job_regions import REGIONS_PREFIX, JobRegions
 from hollowrack.jobs.placement import NodeEntry, preferred_owner, preferred_owner_by_key
@@ -57,6 +57,7 @@
     Attributes:
         regions: Allowed regions of jobs.
         nodes: Entries of live processes by owner name.
+        node_revisions: Store revision of each of these entries, by owner name.
         open_jobs: Unfinished jobs by identifier.
         ended_jobs: Time at which this node received the end of each ended job, in seconds of the
             event loop's clock.
@@ -75,6 +76,7 @@
     ) -> None:
         self.regions = regions or JobRegions(RegionTopology())
         self.nodes: dict[str, NodeEntry] = {}
+        self.node_revisions: dict[str, int] = {}
         self._former_nodes: OrderedDict[str, NodeEntry] = OrderedDict()
         self.open_jobs: dict[str, OpenJob] = {}
         self.ended_jobs: dict[str, float] = {}
@@ -85,6 +87,7 @@
         self._leadership = leadership
         self._on_ended = on_ended
         self._on_owned = on_owned
+        self._own_entry_lost_s = -float("inf")
         self._leader: str | None = None
         self._new_job = asyncio.Event()
         self._log_limiter = LogRateLimiter()
@@ -108,6 +111,9 @@
     def _apply_node(self, owner: str, item: StoredItem | None) -> None:
         if item is None:
             former = self.nodes.pop(owner, None)
+            self.node_revisions.pop(owner, None)
+            if owner == self._owner:
+                self._own_entry_lost_s = now_s()
             if former is not None:
                 self._former_nodes[owner] = former
             while len(self._former_nodes) > MAX_FORMER_NODES:
@@ -115,6 +121,7 @@
             return
         entry = codec.decode(item.value).value_or(None)
         self.nodes[owner] = entry if isinstance(entry, NodeEntry) else NodeEntry("")
+        self.node_revisions[owner] = item.revision
 
     def _apply_open_job(self, job_id: str, item: StoredItem | None) -> None:
         if item is None:
@@ -264,12 +271,30 @@
             return None
         return entry.address or None
 
-    def successor(self, job: Job) -> str | None:
-        """Preferred owner of a job among the other processes; ``None`` if there is none."""
+    def successor(self, job: Job, excluded: Collection[str] = ()) -> str | None:
+        """Preferred owner of a job among the other processes; ``None`` if there is none.
+
+        Args:
+            job: The job.
+            excluded: Owner names of other processes that it must not be.
+        """
         allowed_regions = self.regions.allowed_regions(job.id)
-        others = self._others(allowed_regions)
+        others = {
+            owner: entry
+            for owner, entry in self._others(allowed_regions).items()
+            if owner not in excluded
+        }
         return preferred_owner(job, others, self._zone, self.distances.own_region_zones())
 
+    def lost_own_entry(self, within_s: float) -> bool:
+        """Whether this process's entry was removed within the last ``within_s`` seconds."""
+        return now_s() - self._own_entry_lost_s < within_s
+
+    def node_condition(self, owner: str) -> Condition | None:
+        """Condition that the entry of a live process is as known; ``None`` if it is unknown."""
+        revision = self.node_revisions.get(owner)
+        return None if revision is None else Condition(OWNERS_PREFIX + owner, revision)
+
     def successor_in_regions(self, job_id: str) -> str | None:
         """Preferred owner, among the other processes, of a job with allowed regions.
 
--- a/tests/jobs/helpers.py
+++ b/tests/jobs/helpers.py
@@ -153,6 +153,7 @@
         relays: Whether nodes make store calls for each other.
         num_lost_submit_answers: Number of next submissions between nodes whose answer is lost.
         num_peer_reads: Number of reads of jobs between nodes.
+        core_sizes: CPU cores by node; 1 for the others.
     """
 
     def __init__(
@@ -179,6 +180,7 @@
         self.num_peer_reads = 0
         self.zone_regions = dict(zone_regions or {})
         self.zones = dict(zones or {})
+        self.core_sizes: dict[str, float] = {}
         self.core = CoordinationStoreCore()
         self.back_ends = BackEndsStandin()
         self.faults: dict[str, StoreFaults] = {}
@@ -204,6 +206,7 @@
             self.feed,
             self.make_peers(name),
             name,
+            self.core_sizes.get(name, 1.0),
             max_change_delay_s=self.change_bound_s,
             seeds=self.seeds,
             slots=self.slots,
