--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -46,6 +46,7 @@
 from hollowrack.jobs.placement import NodeEntry
 from hollowrack.jobs.progress import ProgressLog
 from hollowrack.jobs.relay_restriction import JobRelayRestriction
+from hollowrack.jobs.restart_order import RestartOrder
 from hollowrack.jobs.retention import JobRetention
 from hollowrack.jobs.takeover import JobTakeover
 from hollowrack.messages import codec
@@ -144,6 +145,7 @@
         )
         log = JobLog(store, self.owner)
         progress = ProgressLog(store, self.owner)
+        num_hosts = num_hosts_per_zone(connections.max_change_delay_s)
         self.live = LiveState(
             self.owner,
             zone,
@@ -151,6 +153,7 @@
             self._on_job_ended,
             self._on_job_owned,
             JobRegions(self.topology),
+            None if num_hosts is None else RestartOrder(),
         )
         self.relay_restriction = store.restriction = JobRelayRestriction(self.live)
         self.jobs = JobService(
@@ -181,7 +184,6 @@
             LIVE_WATCH_TIMEOUT_S,
             has_sentinel=True,
         )
-        num_hosts = num_hosts_per_zone(connections.max_change_delay_s)
         # Where only some nodes have sessions, other nodes watch those, so they must be known first.
         self.may_watch_feed = asyncio.Event() if num_hosts is None else self._live_mirror.is_loaded
         if num_hosts is None:
@@ -341,6 +343,7 @@
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
+        self._tasks.append(asyncio.create_task(self.jobs.pass_on_unstarted()))
         refuse_new_s = min(MAX_REFUSE_NEW_S, REFUSE_NEW_FRACTION * grace_s)
         # A store that does not answer must not delay the drain and the end of the process.
         with contextlib.suppress(TimeoutError):
--- a/src/hollowrack/jobs/handover.py
+++ b/src/hollowrack/jobs/handover.py
@@ -166,7 +166,7 @@
             return await self._read_owner(job_id)
         successor = self._live.successor(runner.job, changed)
         if successor is None:
-            may_appear = changed or self._has_lost_session()
+            may_appear = changed or self._has_lost_session() or self._live.is_rolling_restart
             return HandoverOutcome.FAILED if may_appear else HandoverOutcome.NO_SUCCESSOR
         runner.require_owner_revision(entry.revision)
         self._unresolved.add(job_id)
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -24,6 +24,7 @@
 from hollowrack.jobs.peer_jobs import JobPage, PeerJobs, ReadJobRequest
 from hollowrack.jobs.progress import JobRemainder, ProgressLog, SavedEvents
 from hollowrack.jobs.types import ItemResult, Job, JobItem
+from hollowrack.jobs.unstarted_jobs import UnstartedJobs
 from hollowrack.results import Problem, ResultCode
 from hollowrack.slots.types import OpenWork
 from hollowrack.tasks import cancel_all
@@ -338,6 +339,10 @@
         """Accept and take over no more jobs; owned jobs continue."""
         self.intake.is_stopping = True
 
+    async def pass_on_unstarted(self) -> None:
+        """Assign jobs that this process owns but does not run to others, until cancelled."""
+        await UnstartedJobs(self._log, self._live, self._runners).run()
+
     async def drain(self, timeout_s: float) -> None:
         """Accept no more jobs, and let owned ones continue for a limited time.
 
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -6,7 +6,7 @@
 import asyncio
 import contextlib
 from collections import OrderedDict
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import xxhash
 from absl import logging
@@ -18,6 +18,7 @@
 from hollowrack.jobs.job_log import ENDS_PREFIX, OPEN_PREFIX, OpenJob, job_id_of
 from hollowrack.jobs.job_regions import REGIONS_PREFIX, JobRegions
 from hollowrack.jobs.placement import NodeEntry, preferred_owner, preferred_owner_by_key
+from hollowrack.jobs.restart_order import RestartOrder
 from hollowrack.jobs.types import Job
 from hollowrack.messages import codec
 from hollowrack.observability.log_rate_limiter import LogRateLimiter
@@ -53,6 +54,7 @@
         on_ended: Called with the identifier of each job that was ended.
         on_owned: Called with each unfinished job whenever its owner is written.
         regions: Allowed regions of jobs, and the regions of the zones; ``None`` for no regions.
+        restart_order: Order of preferred owners during a rolling restart; ``None`` for none.
 
     Attributes:
         regions: Allowed regions of jobs.
@@ -73,7 +75,9 @@
         on_ended: Callable[[str], None],
         on_owned: Callable[[OpenJob], None],
         regions: JobRegions | None = None,
+        restart_order: RestartOrder | None = None,
     ) -> None:
+        self._restart_order = restart_order
         self.regions = regions or JobRegions(RegionTopology())
         self.nodes: dict[str, NodeEntry] = {}
         self.node_revisions: dict[str, int] = {}
@@ -119,9 +123,12 @@
             while len(self._former_nodes) > MAX_FORMER_NODES:
                 self._former_nodes.popitem(last=False)
             return
-        entry = codec.decode(item.value).value_or(None)
-        self.nodes[owner] = entry if isinstance(entry, NodeEntry) else NodeEntry("")
+        decoded = codec.decode(item.value).value_or(None)
+        entry = decoded if isinstance(decoded, NodeEntry) else NodeEntry("")
+        self.nodes[owner] = entry
         self.node_revisions[owner] = item.revision
+        if self._restart_order is not None:
+            self._restart_order.record_entry(owner, entry, item.revision, now_s())
 
     def _apply_open_job(self, job_id: str, item: StoredItem | None) -> None:
         if item is None:
@@ -235,7 +242,7 @@
         self, job: Job, allowed_regions: frozenset[str] | None = None
     ) -> str | None:
         """Address of the preferred owner of a job; ``None`` if that is this node or unknown."""
-        hosts = self.hosts_in(allowed_regions)
+        hosts = self._candidates(self.hosts_in(allowed_regions))
         owner = preferred_owner(job, hosts, self._zone, self.distances.own_region_zones())
         return None if owner is None else self._address_of(owner)
 
@@ -279,11 +286,12 @@
             excluded: Owner names of other processes that it must not be.
         """
         allowed_regions = self.regions.allowed_regions(job.id)
-        others = {
+        others: Mapping[str, NodeEntry] = {
             owner: entry
             for owner, entry in self._others(allowed_regions).items()
             if owner not in excluded
         }
+        others = self._candidates(others)
         return preferred_owner(job, others, self._zone, self.distances.own_region_zones())
 
     def lost_own_entry(self, within_s: float) -> bool:
@@ -300,13 +308,18 @@
 
         Unlike :meth:`successor` it needs no part of the job; ``None`` if no process may own it.
         """
+        return None if self.regions.record(job_id) is None else self.successor_of_unread(job_id)
+
+    def successor_of_unread(self, job_id: str) -> str | None:
+        """Preferred owner, among the other processes, of a job of which this node has no part.
+
+        ``None`` if no process may own it.
+        """
         record = self.regions.record(job_id)
-        if record is None:
-            return None
-        others = self._others(frozenset(record.allowed_regions))
-        key = record.placement_key or job_id
+        key = "" if record is None else record.placement_key
+        others = self._candidates(self._others(self.regions.allowed_regions(job_id)))
         region_zones = self.distances.own_region_zones()
-        return preferred_owner_by_key(key, others, self._zone, region_zones)
+        return preferred_owner_by_key(key or job_id, others, self._zone, region_zones)
 
     def is_designated_host(self, job_id: str) -> bool:
         """Whether this process acts on a job with allowed regions where the leader must not read.
@@ -356,6 +369,18 @@
         hosts = self.hosts_in(allowed_regions)
         return {owner: entry for owner, entry in hosts.items() if owner != self._owner}
 
+    def _candidates(self, hosts: Mapping[str, NodeEntry]) -> Mapping[str, NodeEntry]:
+        """Processes among which the owner of a job is chosen; others during a rolling restart."""
+        if self._restart_order is None:
+            return hosts
+        region_zones = self.distances.own_region_zones()
+        return self._restart_order.candidates(hosts, region_zones, now_s())
+
+    @property
+    def is_rolling_restart(self) -> bool:
+        """Whether a rolling restart is in progress, where the order of owners depends on that."""
+        return self._restart_order is not None and self._restart_order.is_restarting(now_s())
+
     def peer_addresses(self) -> list[str]:
         """Addresses of the other nodes, sorted."""
         others = {entry.address for owner, entry in self.nodes.items() if owner != self._owner}
