--- a/src/hollowrack/jobs/progress_saver.py
+++ b/src/hollowrack/jobs/progress_saver.py
@@ -62,7 +62,8 @@
         """Save periodically until cancelled."""
         while True:
             await asyncio.sleep(max(MIN_SLEEP_S, self._last_save_s + SAVE_INTERVAL_S - now_s()))
-            if now_s() - self._last_save_s < SAVE_INTERVAL_S:
+            # The clock's rounding must not delay a save by another minimum sleep.
+            if self._last_save_s + SAVE_INTERVAL_S - now_s() > MIN_SLEEP_S:
                 continue
             if not await self.save():
                 await asyncio.sleep(FAILURE_RETRY_INTERVAL_S)
