--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -343,7 +343,7 @@
         await self._takeover.stop()
         await self._retention.stop()
         await self._retirement.stop()
-        self._tasks.append(asyncio.create_task(self.jobs.pass_on_unstarted()))
+        self.jobs.pass_on_unstarted()
         refuse_new_s = min(MAX_REFUSE_NEW_S, REFUSE_NEW_FRACTION * grace_s)
         # A store that does not answer must not delay the drain and the end of the process.
         with contextlib.suppress(TimeoutError):
@@ -558,6 +558,8 @@
     def _on_job_owned(self, job: OpenJob) -> None:
         if job.owner != self.owner:
             self.jobs.receive_owner_change(job)
+        elif self.is_stopping:
+            self.jobs.pass_on_unstarted()
 
     def _on_job_ended(self, job_id: str) -> None:
         self.jobs.receive_job_end(job_id)
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -93,6 +93,8 @@
         self._remainders: OrderedDict[str, JobRemainder] = OrderedDict()
         self._sequence = itertools.count()
         self._background: set[asyncio.Task[Any]] = set()
+        self._unstarted = UnstartedJobs(log, live, self._is_known)
+        self._pass_on_task: asyncio.Task[None] | None = None
 
     @property
     def num_running(self) -> int:
@@ -339,9 +341,15 @@
         """Accept and take over no more jobs; owned jobs continue."""
         self.intake.is_stopping = True
 
-    async def pass_on_unstarted(self) -> None:
-        """Assign jobs that this process owns but does not run to others, until cancelled."""
-        await UnstartedJobs(self._log, self._live, self._runners).run()
+    def pass_on_unstarted(self) -> None:
+        """Assign jobs that this stopping process owns but does not run to others."""
+        is_running = self._pass_on_task is not None and not self._pass_on_task.done()
+        if not is_running and self._unstarted.find():
+            self._pass_on_task = asyncio.create_task(self._unstarted.run())
+            self._track_task(self._pass_on_task)
+
+    def _is_known(self, job_id: str) -> bool:
+        return self.owns(job_id) or self._reader.complete_job(job_id) is not None
 
     async def drain(self, timeout_s: float) -> None:
         """Accept no more jobs, and let owned ones continue for a limited time.
--- a/src/hollowrack/jobs/unstarted_jobs.py
+++ b/src/hollowrack/jobs/unstarted_jobs.py
@@ -5,12 +5,12 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from absl import logging
 
 from hollowrack.clock import now_s
 from hollowrack.jobs.job_log import AssignOutcome, JobLog, OpenJob
-from hollowrack.jobs.job_runner import JobRunner
 from hollowrack.jobs.live_state import LiveState
 
 POLL_INTERVAL_S = 0.25
@@ -29,23 +29,26 @@
     Args:
         log: Durable state of jobs.
         live: Cluster state as seen by this node.
-        runners: The jobs that this process runs, by identifier.
+        is_known: Returns whether this process runs a job or has finished it.
     """
 
-    def __init__(self, log: JobLog, live: LiveState, runners: dict[str, JobRunner]) -> None:
+    def __init__(self, log: JobLog, live: LiveState, is_known: Callable[[str], bool]) -> None:
         self._log = log
         self._live = live
-        self._runners = runners
+        self._is_known = is_known
         self._due_s: dict[str, float] = {}
 
+    def find(self) -> dict[str, OpenJob]:
+        """Return the unstarted jobs by identifier."""
+        return {
+            job.job_id: job
+            for job in self._live.open_jobs.values()
+            if job.owner == self._log.owner and not self._is_known(job.job_id)
+        }
+
     async def run(self) -> None:
-        """Assign unstarted jobs until cancelled."""
-        while True:
-            unstarted = {
-                job.job_id: job
-                for job in self._live.open_jobs.values()
-                if job.owner == self._log.owner and job.job_id not in self._runners
-            }
+        """Assign unstarted jobs until there are none."""
+        while unstarted := self.find():
             self._due_s = {
                 job_id: self._due_s.get(job_id, now_s() + UNSTARTED_GRACE_S) for job_id in unstarted
             }
