--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -6,7 +6,7 @@
 import asyncio
 import contextlib
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 
 import xxhash
 from absl import logging
@@ -14,10 +14,11 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.leadership import Leadership
 from hollowrack.coordination.session import decode_owner, is_owner, node_of_owner
-from hollowrack.coordination.store import StoredItem
+from hollowrack.coordination.store import Condition, StoredItem
 from hollowrack.jobs.job_log import ENDS_PREFIX, OPEN_PREFIX, OpenJob, job_id_of
 from hollowrack.jobs.job_regions import REGIONS_PREFIX, JobRegions
 from hollowrack.jobs.placement import NodeEntry, preferred_owner, preferred_owner_by_key
+from hollowrack.jobs.restart_order import RestartOrder
 from hollowrack.jobs.types import Job
 from hollowrack.messages import codec
 from hollowrack.observability.log_rate_limiter import LogRateLimiter
@@ -53,10 +54,12 @@
         on_ended: Called with the identifier of each job that was ended.
         on_owned: Called with each unfinished job whenever its owner is written.
         regions: Allowed regions of jobs, and the regions of the zones; ``None`` for no regions.
+        restart_order: Order of preferred owners during a rolling restart; ``None`` for none.
 
     Attributes:
         regions: Allowed regions of jobs.
         nodes: Entries of live processes by owner name.
+        node_revisions: Store revision of each of these entries, by owner name.
         open_jobs: Unfinished jobs by identifier.
         ended_jobs: Time at which this node received the end of each ended job, in seconds of the
             event loop's clock.
@@ -72,9 +75,12 @@
         on_ended: Callable[[str], None],
         on_owned: Callable[[OpenJob], None],
         regions: JobRegions | None = None,
+        restart_order: RestartOrder | None = None,
     ) -> None:
+        self._restart_order = restart_order
         self.regions = regions or JobRegions(RegionTopology())
         self.nodes: dict[str, NodeEntry] = {}
+        self.node_revisions: dict[str, int] = {}
         self._former_nodes: OrderedDict[str, NodeEntry] = OrderedDict()
         self.open_jobs: dict[str, OpenJob] = {}
         self.ended_jobs: dict[str, float] = {}
@@ -85,6 +91,7 @@
         self._leadership = leadership
         self._on_ended = on_ended
         self._on_owned = on_owned
+        self._own_entry_lost_s = -float("inf")
         self._leader: str | None = None
         self._new_job = asyncio.Event()
         self._log_limiter = LogRateLimiter()
@@ -108,13 +115,20 @@
     def _apply_node(self, owner: str, item: StoredItem | None) -> None:
         if item is None:
             former = self.nodes.pop(owner, None)
+            self.node_revisions.pop(owner, None)
+            if owner == self._owner:
+                self._own_entry_lost_s = now_s()
             if former is not None:
                 self._former_nodes[owner] = former
             while len(self._former_nodes) > MAX_FORMER_NODES:
                 self._former_nodes.popitem(last=False)
             return
-        entry = codec.decode(item.value).value_or(None)
-        self.nodes[owner] = entry if isinstance(entry, NodeEntry) else NodeEntry("")
+        decoded = codec.decode(item.value).value_or(None)
+        entry = decoded if isinstance(decoded, NodeEntry) else NodeEntry("")
+        self.nodes[owner] = entry
+        self.node_revisions[owner] = item.revision
+        if self._restart_order is not None:
+            self._restart_order.record_entry(owner, entry, item.revision, now_s())
 
     def _apply_open_job(self, job_id: str, item: StoredItem | None) -> None:
         if item is None:
@@ -238,7 +252,7 @@
         self, job: Job, allowed_regions: frozenset[str] | None = None
     ) -> str | None:
         """Address of the preferred owner of a job; ``None`` if that is this node or unknown."""
-        hosts = self.hosts_in(allowed_regions)
+        hosts = self._candidates(self.hosts_in(allowed_regions))
         owner = preferred_owner(job, hosts, self._zone, self.distances.own_region_zones())
         return None if owner is None else self._address_of(owner)
 
@@ -274,24 +288,48 @@
             return None
         return entry.address or None
 
-    def successor(self, job: Job) -> str | None:
-        """Preferred owner of a job among the other processes; ``None`` if there is none."""
+    def successor(self, job: Job, excluded: Collection[str] = ()) -> str | None:
+        """Preferred owner of a job among the other processes; ``None`` if there is none.
+
+        Args:
+            job: The job.
+            excluded: Owner names of other processes that it must not be.
+        """
         allowed_regions = self.regions.allowed_regions(job.id)
-        others = self._others(allowed_regions)
+        others: Mapping[str, NodeEntry] = {
+            owner: entry
+            for owner, entry in self._others(allowed_regions).items()
+            if owner not in excluded
+        }
+        others = self._candidates(others)
         return preferred_owner(job, others, self._zone, self.distances.own_region_zones())
 
+    def lost_own_entry(self, within_s: float) -> bool:
+        """Whether this process's entry was removed within the last ``within_s`` seconds."""
+        return now_s() - self._own_entry_lost_s < within_s
+
+    def node_condition(self, owner: str) -> Condition | None:
+        """Condition that the entry of a live process is as known; ``None`` if it is unknown."""
+        revision = self.node_revisions.get(owner)
+        return None if revision is None else Condition(OWNERS_PREFIX + owner, revision)
+
     def successor_in_regions(self, job_id: str) -> str | None:
         """Preferred owner, among the other processes, of a job with allowed regions.
 
         Unlike :meth:`successor` it needs no part of the job; ``None`` if no process may own it.
         """
+        return None if self.regions.record(job_id) is None else self.successor_of_unread(job_id)
+
+    def successor_of_unread(self, job_id: str) -> str | None:
+        """Preferred owner, among the other processes, of a job of which this node has no part.
+
+        ``None`` if no process may own it.
+        """
         record = self.regions.record(job_id)
-        if record is None:
-            return None
-        others = self._others(frozenset(record.allowed_regions))
-        key = record.placement_key or job_id
+        key = "" if record is None else record.placement_key
+        others = self._candidates(self._others(self.regions.allowed_regions(job_id)))
         region_zones = self.distances.own_region_zones()
-        return preferred_owner_by_key(key, others, self._zone, region_zones)
+        return preferred_owner_by_key(key or job_id, others, self._zone, region_zones)
 
     def is_designated_host(self, job_id: str) -> bool:
         """Whether this process acts on a job with allowed regions where the leader must not read.
@@ -341,6 +379,18 @@
         hosts = self.hosts_in(allowed_regions)
         return {owner: entry for owner, entry in hosts.items() if owner != self._owner}
 
+    def _candidates(self, hosts: Mapping[str, NodeEntry]) -> Mapping[str, NodeEntry]:
+        """Processes among which the owner of a job is chosen; others during a rolling restart."""
+        if self._restart_order is None:
+            return hosts
+        region_zones = self.distances.own_region_zones()
+        return self._restart_order.candidates(hosts, region_zones, now_s())
+
+    @property
+    def is_rolling_restart(self) -> bool:
+        """Whether a rolling restart is in progress, where the order of owners depends on that."""
+        return self._restart_order is not None and self._restart_order.is_restarting(now_s())
+
     def peer_addresses(self) -> list[str]:
         """Addresses of the other nodes, sorted."""
         others = {entry.address for owner, entry in self.nodes.items() if owner != self._owner}
