--- a/src/hollowrack/forwarding/kept_workers.py
+++ b/src/hollowrack/forwarding/kept_workers.py
@@ -90,6 +90,8 @@
         # When the last call was sent that shows an interruption; ``None`` without one.
         self._failed_s: float | None = None
         self._returned_s = -float("inf")
+        # When the call was sent that showed the interruption before the last return.
+        self._returned_after_s: float | None = None
         self._until_s = -float("inf")
         # Workers whose entries were written since the last return.
         self._written: set[str] = set()
@@ -212,7 +214,11 @@
         # The time of a first return goes on if the store fails again meanwhile.
         if at_s - self._answered_s < MIN_INTERRUPTION_S or now < self._returned_s + KEEP_S:
             return
+        # Changes may arrive for longer than the time without a newer answer of the store.
+        if failed_s == self._returned_after_s:
+            return
         self._returned_s = now
+        self._returned_after_s = failed_s
         self._until_s = min(now + KEEP_S, failed_s + self._contact_s - SEND_MARGIN_S)
         self._written.clear()
 
--- a/src/hollowrack/usage/reporter.py
+++ b/src/hollowrack/usage/reporter.py
@@ -153,11 +153,14 @@
         first_window = decided.next_window
         undelivered = [entry for entry in decided.reports if entry.window not in self._delivered]
         state = LeaderState(self._time_s(), self._term.age_s, self._leadership.acts_in_s)
+        room = MAX_PENDING_REPORTS - len(undelivered)
+        if room <= 0 and not self._schedule.may_displace_report(first_window, state):
+            return
         num_windows = self._schedule.num_to_decide(
             first_window,
             state,
             lambda window: bool(self._missing_processes(window)),
-            max(1, MAX_PENDING_REPORTS - len(undelivered)),
+            max(1, room),
         )
         if not num_windows:
             return
@@ -166,6 +169,12 @@
             self._log_missing(window)
         reports = [WindowReport(window, self._counts.totals(window)) for window in windows]
         pending = (*undelivered, *reports)[-MAX_PENDING_REPORTS:]
+        if room < num_windows:
+            logging.warning(
+                "usage of window %d: dropped, %d later reports are undelivered",
+                undelivered[0].window,
+                len(undelivered) - 1,
+            )
         updated = DecidedUsage(windows.stop, pending)
         is_decided = await self._record.replace(updated)
         for report in reports:
--- a/src/hollowrack/usage/window_schedule.py
+++ b/src/hollowrack/usage/window_schedule.py
@@ -72,6 +72,16 @@
         """Whether a report of a window would be late now."""
         return self.late_s is not None and self.age_s(window, time_s) > self.late_s
 
+    def may_displace_report(self, window: int, state: LeaderState) -> bool:
+        """Whether a window is decided although the oldest undelivered report is dropped for it.
+
+        With a bound on the delay, only a report that can still be in time is worth that. A leader
+        that may not deliver yet, and one that catches up after an outage, deliver first.
+        """
+        if self.late_s is None:
+            return True
+        return state.acts_in_s <= 0.0 and not self.is_late(window, state.time_s)
+
     def num_to_decide(
         self,
         first_window: int,
--- a/tests/usage/test_window_schedule.py
+++ b/tests/usage/test_window_schedule.py
@@ -171,3 +171,21 @@
             assert age_s >= 0.0
         elif acts_in_s <= DECISION_RESERVE_S:
             assert age_s < LAST_DECISION_S or age_s + acts_in_s > LATE_S
+
+
+@pytest.mark.parametrize(
+    ("late_s", "acts_in_s", "age_s", "expected"),
+    [
+        (10.0, 0.0, 7.0, True),
+        (10.0, 0.0, 11.0, False),
+        (10.0, 0.5, 7.0, False),
+        (None, 0.5, 11.0, True),
+    ],
+)
+def test_undelivered_reports_are_dropped_only_for_one_that_can_be_in_time(
+    late_s: float | None, acts_in_s: float, age_s: float, expected: bool
+) -> None:
+    """A new leader could drop reports that it was not allowed to deliver yet."""
+    schedule = WindowSchedule(5.0, late_s)
+    state = LeaderState(5.0 + age_s, 3.0, acts_in_s)
+    assert schedule.may_displace_report(0, state) is expected
