--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -384,7 +384,7 @@
         if self._restart_order is None:
             return hosts
         region_zones = self.distances.own_region_zones()
-        return self._restart_order.candidates(hosts, region_zones, now_s())
+        return self._restart_order.candidates(hosts, region_zones, now_s(), self._zone)
 
     @property
     def is_rolling_restart(self) -> bool:
--- a/src/hollowrack/jobs/restart_order.py
+++ b/src/hollowrack/jobs/restart_order.py
@@ -56,32 +56,39 @@
         return len(self._stops) >= MIN_STOPS and self._is_recent(now_s)
 
     def candidates(
-        self, hosts: Mapping[str, NodeEntry], region_zones: Collection[str], now_s: float
+        self,
+        hosts: Mapping[str, NodeEntry],
+        region_zones: Collection[str],
+        now_s: float,
+        zone: str = "",
     ) -> Mapping[str, NodeEntry]:
         """Return the processes among which the next owner of a job is chosen.
 
         During a rolling restart these are the processes started since its first stop, first those
         of nodes that were seen to stop: the entry of another process may also be new because it
-        became a host. They are passed over if they are much smaller than other hosts, or in
-        another region. Without any, all running processes are candidates.
+        became a host. They are passed over if they are much smaller than other hosts, in another
+        region, or in another zone although the own zone has a large host: every result would then
+        cross zones. Without any, all running processes are candidates.
 
         Args:
             hosts: Entries of the processes that may own the job, by owner name.
             region_zones: Zones of the own region if there are other regions; else empty.
             now_s: Current time on the event loop's clock.
+            zone: Zone in which the job was submitted or is owned; empty if unknown.
         """
         if not self.is_restarting(now_s):
             return hosts
         running = {owner: entry for owner, entry in hosts.items() if entry.num_cores > 0.0}
         max_cores = max((entry.num_cores for entry in running.values()), default=0.0)
         first_stop = min(self._stops.values())
+        zones = {zone} if _has_large_host(running, zone, max_cores) else region_zones
         started = {
             owner: entry
             for owner, entry in running.items()
             if entry.address
             and self._created.get(owner, 0) > first_stop
             and entry.num_cores >= LOCAL_NODE_FRACTION * max_cores
-            and (not region_zones or entry.zone in region_zones)
+            and (not zones or entry.zone in zones)
         }
         stopped_nodes = {node_of_owner(owner) for owner in self._stops}
         restarted = {
@@ -90,3 +97,11 @@
             if node_of_owner(owner) in stopped_nodes
         }
         return restarted or started or running
+
+
+def _has_large_host(running: Mapping[str, NodeEntry], zone: str, max_cores: float) -> bool:
+    """Whether owners are chosen in a zone, as in :func:`preferred_owner_by_key`."""
+    return bool(zone) and any(
+        entry.address and entry.zone == zone and entry.num_cores >= LOCAL_NODE_FRACTION * max_cores
+        for entry in running.values()
+    )
--- a/tests/jobs/test_restart_order.py
+++ b/tests/jobs/test_restart_order.py
@@ -84,6 +84,17 @@
     assert set(order.candidates(hosts, (), 105.0)) == {"n1#2"}
 
 
+def test_new_processes_of_other_zones_are_not_preferred_to_the_own_zone() -> None:
+    """On a play, jobs of two models left their callers' zone at the end of a rolling restart."""
+    order, hosts = order_after_stops(("n0", "n1"))
+    add(order, hosts, "n5#1", NodeEntry("n5", 2.0, "z2"))
+    assert set(order.candidates(hosts, (), 105.0, "z1")) == {"n2#1", "n3#1", "n5#1"}
+    assert set(order.candidates(hosts, (), 105.0, "z2")) == {"n5#1"}
+    assert set(order.candidates(hosts, (), 105.0, "z3")) == {"n5#1"}
+    add(order, hosts, "n0#2", NodeEntry("n0", 2.0, "z1"))
+    assert set(order.candidates(hosts, (), 105.0, "z1")) == {"n0#2"}
+
+
 EVENTS = st.lists(
     st.tuples(
         st.integers(0, 5), st.integers(1, 3), st.sampled_from([0.0, 0.5, 2.0]), st.floats(0.0, 8.0)
