--- a/src/hollowrack_bench/capacity_page.py
+++ b/src/hollowrack_bench/capacity_page.py
@@ -276,6 +276,23 @@
 - **Version reconciler**: two workers in five load at a time, 240 of 600; three rounds of about a
   second for each version. Fits by that count; the users' sheets bear it out up to 22 workers only.
 
+Growth sweep of a deployment like the catalogue site at 30, 100 and 300 nodes (72139cb, beside other
+load; the days at 100 and 300 nodes were given up at 466 s of processor time, that at 100 after 22 s
+of the day, so their figures are of its first part and not of a clean day). Middle and busiest node;
+the busiest grows as nodes to the power in the last column:
+
+| | 30 | 100 | 300 | power |
+| --- | --- | --- | --- | --- |
+| edge: percent of a core | 9.4, 38 | 11.5, 83 | 10.7, 51 | 0.14 |
+| edge: memory, MB | 50, 72 | 45, 64 | 52, 120 | 0.22 |
+| edge: kB a second | 242, 1,647 | 243, 3,643 | 381, 8,740 | 0.72 |
+| edge: connections | 31, 403 | 26, 685 | 22, 1,088 | 0.43 |
+| edge: new connections a second | 3.9, 20 | 4.1, 91 | 4.5, 82 | 0.62 |
+| configuration in force everywhere, ms | 0, 0 | 0, 319 | 80, 136 | 0.45 |
+
+- The **kB a second of the busiest node** grow fastest: an owner of jobs sends every result to the
+  node where its caller reads, and hosts answer watches.
+
 Memory on the platform, VmRSS in MB, before and after part D of
 `docs/design/0025-recovery-under-load.md` (commits c1bcfc7 and 32249ca, three real edge processes
 with compiled sources against the stand-ins, three runs of each in turn; mean of the processes):
