--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -410,7 +410,7 @@
         await self._live_mirror.stop()
         # If the call fails, the lease expires.
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(schedule.lease_timeout_s(now_s())):
+            async with asyncio.timeout(schedule.timeout_s(now_s())):
                 await self.session.stop()
 
     async def abandon(self) -> None:
--- a/src/hollowrack/jobs/handover_schedule.py
+++ b/src/hollowrack/jobs/handover_schedule.py
@@ -13,7 +13,7 @@
 ATTEMPT_FRACTION = 0.1
 # Attempts end at this fraction of the grace period; the rest is for the end of the process.
 END_FRACTION = 0.9
-# Slots are released, and the lease is ended, until this fraction at the latest.
+# Slots are released until this fraction at the latest.
 RELEASE_FRACTION = 0.95
 # Backoff between attempts: about five while the store refuses calls for the 2 s of a grace period
 # of 8 s.
@@ -51,14 +51,6 @@
         """Return how long an attempt that starts now may take; 0 if it must not start."""
         return max(0.0, min(self.attempt_timeout_s, self.end_s - now_s))
 
-    def lease_timeout_s(self, now_s: float) -> float:
-        """Return how long the end of the lease may take.
-
-        Others take over the jobs that were not handed over once the lease has ended, so that there
-        is time for it also after the last attempt.
-        """
-        return max(0.0, min(self.attempt_timeout_s, self.release_deadline_s - now_s))
-
     def next_start_s(self, now_s: float) -> float | None:
         """Return when the next attempt starts after one failed; ``None`` if it was the last one."""
         latest_s = self.end_s - LAST_ATTEMPT_FRACTION * self.attempt_timeout_s
