--- a/review/worker.py
+++ b/review/worker.py
@@ -1,7 +1,6 @@
 """Worker of the platform, as a process of its own: runs requests and reports each on its output.
 
-The argument is a JSON object: ``id``, ``capacity``, ``has_model``, ``version``, and
-``hangs_every``, the number of requests of which one is accepted and never answered (0 for none).
+The argument is a JSON object: ``id``, ``capacity``, ``has_model`` and ``version``.
 The body of a request says how long it takes: ``events=N,interval-ms=M`` for a stream, ``work-ms=M``
 for a plain answer. Other bodies are answered at once.
 """
@@ -23,9 +22,7 @@
         self.id: str = options["id"]
         self.version: int = options.get("version", 1)
         self.has_model: bool = options.get("has_model", False)
-        self.hangs_every: int = options.get("hangs_every", 0)
         self.num_orders = 0
-        self.num_requests = 0
         self.is_busy = False
         self.slots = asyncio.Semaphore(options["capacity"])
 
@@ -91,16 +88,10 @@
         request_id = headers["request-id"]
         after = int(headers.get("last-event-id", "0"))
         self._note("arrived", id=request_id, method=method, target=target, after=after)
-        self.num_requests += 1
-        hangs = self.hangs_every and self.num_requests % self.hangs_every == 0
         outcome = "dropped"
         try:
             async with self.slots:
                 self._note("started", id=request_id, after=after)
-                if hangs:
-                    self._note("hangs", id=request_id)
-                    await reader.read(1)
-                    raise ConnectionResetError
                 await self._work(
                     writer, request_id, after, _figures(body), "token-count" in headers
                 )
