--- a/review/worker.py
+++ b/review/worker.py
@@ -1,6 +1,7 @@
 """Worker of the platform, as a process of its own: runs requests and reports each on its output.
 
-The argument is a JSON object: ``id``, ``capacity``, ``has_model`` and ``version``.
+The argument is a JSON object: ``id``, ``capacity``, ``has_model`` and ``version``. From SIGUSR1 to
+SIGUSR2 it leaves two requests of five unanswered, and keeps their connections open.
 The body of a request says how long it takes: ``events=N,interval-ms=M`` for a stream, ``work-ms=M``
 for a plain answer. Other bodies are answered at once.
 """
@@ -8,11 +9,14 @@
 import asyncio
 import contextlib
 import json
+import signal
 import sys
 import time
 from typing import Any
 
 MAX_HEAD_BYTES = 65536
+HANGING_REMAINDERS = (1, 3)
+NUM_REMAINDERS = 5
 
 
 class Worker:
@@ -23,7 +27,9 @@
         self.version: int = options.get("version", 1)
         self.has_model: bool = options.get("has_model", False)
         self.num_orders = 0
+        self.num_requests = 0
         self.is_busy = False
+        self.is_grey = False
         self.slots = asyncio.Semaphore(options["capacity"])
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -88,10 +94,16 @@
         request_id = headers["request-id"]
         after = int(headers.get("last-event-id", "0"))
         self._note("arrived", id=request_id, method=method, target=target, after=after)
+        self.num_requests += 1
+        hangs = self.is_grey and self.num_requests % NUM_REMAINDERS in HANGING_REMAINDERS
         outcome = "dropped"
         try:
             async with self.slots:
                 self._note("started", id=request_id, after=after)
+                if hangs:
+                    self._note("hangs", id=request_id)
+                    await reader.read(1)
+                    raise ConnectionResetError
                 await self._work(
                     writer, request_id, after, _figures(body), "token-count" in headers
                 )
@@ -151,6 +163,9 @@
     """Serve until the process is killed."""
     worker = Worker(json.loads(sys.argv[1]))
     server = await asyncio.start_server(worker.serve, "127.0.0.1", 0, limit=MAX_HEAD_BYTES)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, setattr, worker, "is_grey", True)
+    loop.add_signal_handler(signal.SIGUSR2, setattr, worker, "is_grey", False)
     host, port = server.sockets[0].getsockname()
     sys.stdout.write(json.dumps({"address": f"{host}:{port}"}) + "\n")
     sys.stdout.flush()
