--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,8 +23,9 @@
 # The trainer waits for 90% of the groups.
 NUM_DESIRED = 9
 LONG_ITEM = "long-0"
-# Each crash takes one worker of four away.
-NUM_CRASHES = 3
+# Each crash takes one worker of four away. Three that the edges count are enough, but they miss a
+# crash now and then: their check may reach the port of the process while it still ends.
+MAX_CRASHES = 4
 CRASH_AFTER_S = 0.5
 DOWN_S = 1.0
 STEP_LIMIT_S = 12.0
@@ -58,9 +59,9 @@
 
 
 async def crash_workers(fleet: Fleet, record: Record) -> None:
-    """Crash the worker that runs the long item, three times; a new incarnation follows each."""
+    """Crash the worker that runs the long item until none does; a new incarnation follows each."""
     num_seen = num_crashes = 0
-    while num_crashes < NUM_CRASHES:
+    while num_crashes < MAX_CRASHES:
         runs = await next_run(record, num_seen)
         num_seen = len(runs)
         await asyncio.sleep(CRASH_AFTER_S)
