--- a/src/hollowrack/forwarding/forwarder.py
+++ b/src/hollowrack/forwarding/forwarder.py
@@ -34,7 +34,7 @@
 from hollowrack.forwarding.workers import WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, quarantine_problem
-from hollowrack.quarantine.types import QuarantineState
+from hollowrack.quarantine.types import QuarantineState, crash_timing
 from hollowrack.regions.allowed_regions import no_worker_problem
 from hollowrack.results import Problem
 from hollowrack.usage.meter import UsageMeter
@@ -340,7 +340,13 @@
         except BrokenAnswerError as error:
             self._workers.record_failure(worker)
             self.history.record_failure(worker, str(error))
-            self._quarantine.record_disconnect(self._call.request_id, self._fingerprint, worker)
+            # The worker's progress is unknown before its answer is whole.
+            self._quarantine.record_disconnect(
+                self._call.request_id,
+                self._fingerprint,
+                worker,
+                timing=crash_timing(has_output=False, duration_s=now_s() - sent_s),
+            )
             return None
         finally:
             self._workers.release_slot(worker)
--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -27,6 +27,7 @@
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine
+from hollowrack.quarantine.types import crash_timing
 from hollowrack.regions.allowed_regions import AllowedRegions
 
 HTTP_OK = 200
@@ -79,6 +80,8 @@
         time_left_s: Time sent to workers as the caller's remaining time, in seconds.
         max_workers: Maximum number of current incarnations that the run may start at; ``None`` for
             no limit.
+        max_stable_wait_s: Maximum time to wait before an attempt until workers no longer crash, if
+            several have crashed under the call, in seconds.
     """
 
     max_failures: int
@@ -86,6 +89,7 @@
     idle_timeout_s: float
     time_left_s: float
     max_workers: int | None = None
+    max_stable_wait_s: float = 0.0
 
 
 # Arguments: incarnations to avoid, and a condition on the worker or None.
@@ -188,6 +192,7 @@
             self.num_attempts += 1
             self.waits.record_start(worker.incarnation, self.queue_wait_s - waited_before_s)
             has_no_event = True
+            started_s = now_s()
             try:
                 async with contextlib.aclosing(self._events_of(worker)) as events:
                     async for event in events:
@@ -224,7 +229,11 @@
                 )
                 if isinstance(error, BrokenAnswerError):
                     self._quarantine.record_disconnect(
-                        self._call.request_id, self._fingerprint, worker, is_retried_here=True
+                        self._call.request_id,
+                        self._fingerprint,
+                        worker,
+                        is_retried_here=True,
+                        timing=crash_timing(self._last_number is not None, now_s() - started_s),
                     )
             finally:
                 self.waits.record_end()
@@ -240,6 +249,9 @@
             RunEndedError: If the call is quarantined because too many workers crashed under it.
         """
         while True:
+            await self._quarantine.wait_until_stable(
+                self._fingerprint, self._limits.max_stable_wait_s
+            )
             self._check_quarantine()
             worker = await self._next_worker()
             placement = self._quarantine.suspect_placement
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -33,6 +33,7 @@
 from hollowrack.forwarding.workers import Eligible, WorkerDirectory, any_worker, both
 from hollowrack.quarantine.fingerprint import fingerprint_of
 from hollowrack.quarantine.quarantine import Quarantine, quarantine_problem
+from hollowrack.quarantine.types import crash_timing
 from hollowrack.regions.allowed_regions import AllowedRegions, no_worker_problem
 from hollowrack.results import Problem, ResultCode
 from hollowrack.usage.meter import UsageMeter
@@ -295,8 +296,10 @@
     ) -> AsyncGenerator[StreamPart]:
         answer: OpenAnswer | None = None
         has_started = False
+        has_output = False
+        sent_s = now_s()
         try:
-            time_left_s = request_deadline_s(request) - now_s()
+            time_left_s = request_deadline_s(request) - sent_s
             answer = await self._back_ends.open(
                 worker, request.call, time_left_s, after_event, is_repeatable=False
             )
@@ -306,13 +309,17 @@
             self._workers.record_answer(worker)
             async for chunk in answer.chunks():
                 self._workers.record_answer(worker)
+                has_output = True
                 yield chunk
             if answer.status in HTTP_SUCCESS:
                 self._quarantine.record_success(fingerprint_of(request.call))
         except BrokenAnswerError as error:
             self._workers.record_failure(worker)
             self._quarantine.record_disconnect(
-                request.call.request_id, fingerprint_of(request.call), worker
+                request.call.request_id,
+                fingerprint_of(request.call),
+                worker,
+                timing=crash_timing(has_output, now_s() - sent_s),
             )
             if has_started:
                 raise
--- a/src/hollowrack/jobs/item_runner.py
+++ b/src/hollowrack/jobs/item_runner.py
@@ -34,6 +34,7 @@
 
 EVENT_TIMEOUT_S = 1.5
 RUN_TIMEOUT_S = 30.0
+MAX_STABLE_WAIT_S = 4.0
 MIN_SCORER_TIMEOUT_S = 0.6
 SCORER_TIMEOUT_PER_TARGET_LATENCY = 2.0
 SCORER_RETRY_INTERVAL_S = 0.1
@@ -314,7 +315,11 @@
                 self.is_waiting_for_slot = False
 
         limits = RunLimits(
-            route.max_attempts, services.first_event_timeout, EVENT_TIMEOUT_S, RUN_TIMEOUT_S
+            route.max_attempts,
+            services.first_event_timeout,
+            EVENT_TIMEOUT_S,
+            RUN_TIMEOUT_S,
+            max_stable_wait_s=MAX_STABLE_WAIT_S,
         )
         run = ResumableRun(
             call,
--- a/src/hollowrack/quarantine/crash_detector.py
+++ b/src/hollowrack/quarantine/crash_detector.py
@@ -7,8 +7,14 @@
 
 from absl import logging
 
+from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
+from hollowrack.quarantine.types import CrashTiming
+
+# Arguments: fingerprint of the interrupted request, incarnation of the crashed worker, whether this
+# node retries the request until it is complete, and when the worker crashed.
+OnCrash = Callable[[str, WorkerIncarnation, bool, CrashTiming], None]
 
 
 class DisconnectCause(Enum):
@@ -25,24 +31,28 @@
 
     Args:
         back_ends: Checks whether a worker has ended.
-        on_crash: Called for each crash with the fingerprint of the request, the incarnation of the
-            worker, and whether this node retries the request until it is complete.
+        on_crash: Called for each request that a crash interrupted.
 
     Attributes:
         num_disconnects: Number of interrupted requests, by cause.
+        last_crash_s: Time of the last crash seen by this node, on the loop's clock.
     """
 
-    def __init__(
-        self, back_ends: BackEndClient, on_crash: Callable[[str, WorkerIncarnation, bool], None]
-    ) -> None:
+    def __init__(self, back_ends: BackEndClient, on_crash: OnCrash) -> None:
         self.num_disconnects: Counter[DisconnectCause] = Counter()
+        self.last_crash_s = float("-inf")
         self._back_ends = back_ends
         self._on_crash = on_crash
         self._checks: dict[WorkerIncarnation, asyncio.Task[bool]] = {}
         self._reports: dict[str, set[asyncio.Task[None]]] = {}
 
     def record_disconnect(
-        self, request_id: str, fingerprint: str, worker: Worker, is_retried_here: bool = False
+        self,
+        request_id: str,
+        fingerprint: str,
+        worker: Worker,
+        is_retried_here: bool = False,
+        timing: CrashTiming = CrashTiming.AT_START,
     ) -> None:
         """Record an interrupted request, and check in the background whether its worker crashed."""
         check = self._checks.get(worker.incarnation)
@@ -51,7 +61,7 @@
             self._checks[worker.incarnation] = check
             check.add_done_callback(lambda _: self._checks.pop(worker.incarnation, None))
         report_task = asyncio.create_task(
-            self._report(request_id, fingerprint, worker, check, is_retried_here)
+            self._report(request_id, fingerprint, worker, check, is_retried_here, timing)
         )
         self._reports.setdefault(fingerprint, set()).add(report_task)
         report_task.add_done_callback(lambda task: self._remove_report(fingerprint, task))
@@ -79,15 +89,18 @@
         worker: Worker,
         check: asyncio.Task[bool],
         is_retried_here: bool,
+        timing: CrashTiming,
     ) -> None:
         cause = DisconnectCause.ENDED if await asyncio.shield(check) else DisconnectCause.UNPROVEN
         self.num_disconnects[cause] += 1
         logging.info(
-            "request %s with fingerprint %s: interrupted by worker %s, %s",
+            "request %s with fingerprint %s: interrupted by worker %s %s, %s",
             request_id,
             fingerprint,
             worker.incarnation,
+            timing.value,
             cause.value,
         )
         if cause is DisconnectCause.ENDED:
-            self._on_crash(fingerprint, worker.incarnation, is_retried_here)
+            self.last_crash_s = now_s()
+            self._on_crash(fingerprint, worker.incarnation, is_retried_here, timing)
--- a/src/hollowrack/quarantine/placement.py
+++ b/src/hollowrack/quarantine/placement.py
@@ -26,15 +26,12 @@
 
     def allows(self, fingerprint: str, worker: WorkerIncarnation) -> bool:
         """Return whether a request may start at a worker, given the suspects that run there."""
-        num_crashes = self._registry.num_crashes(fingerprint)
-        if num_crashes == 0 or worker not in self._suspects_at:
+        weight = self._registry.crash_weight(fingerprint)
+        if weight == 0.0 or worker not in self._suspects_at:
             return True
         others = [other for other in self._suspects_at[worker] if other != fingerprint]
-        max_other_crashes = max((self._registry.num_crashes(other) for other in others), default=0)
-        return (
-            max_other_crashes == 0
-            or max(num_crashes, max_other_crashes) < ISOLATION_CRASH_THRESHOLD
-        )
+        max_other_weight = max(map(self._registry.crash_weight, others), default=0.0)
+        return max_other_weight == 0.0 or max(weight, max_other_weight) < ISOLATION_CRASH_THRESHOLD
 
     def begin(self, fingerprint: str, worker: WorkerIncarnation) -> None:
         """Record the start of a request at a worker."""
--- a/src/hollowrack/quarantine/quarantine.py
+++ b/src/hollowrack/quarantine/quarantine.py
@@ -3,17 +3,20 @@
 import asyncio
 import contextlib
 
+from hollowrack.clock import now_s
 from hollowrack.forwarding.back_end import BackEndClient
 from hollowrack.forwarding.types import Worker
 from hollowrack.quarantine.crash_detector import CrashDetector
 from hollowrack.quarantine.placement import SuspectPlacement
 from hollowrack.quarantine.registry import QUARANTINE_CRASH_THRESHOLD, SuspectRegistry
-from hollowrack.quarantine.types import QuarantineState
+from hollowrack.quarantine.types import CrashTiming, QuarantineState
 from hollowrack.results import Problem, ResultCode
 
 # A worker's end is proved and stored within milliseconds. If the worker or the store is silent, a
 # retry waits no longer than this.
 EVIDENCE_TIMEOUT_S = 0.3
+# Time without a crash after which workers count as stable.
+STABLE_DURATION_S = 2.0
 
 
 class Quarantine:
@@ -34,7 +37,12 @@
         self.suspect_placement = SuspectPlacement(self.registry)
 
     def record_disconnect(
-        self, request_id: str, fingerprint: str, worker: Worker, is_retried_here: bool = False
+        self,
+        request_id: str,
+        fingerprint: str,
+        worker: Worker,
+        is_retried_here: bool = False,
+        timing: CrashTiming = CrashTiming.AT_START,
     ) -> None:
         """Record that a worker closed the connection before the answer was complete.
 
@@ -43,8 +51,11 @@
             fingerprint: Fingerprint of the request.
             worker: Worker that closed the connection.
             is_retried_here: Whether this node retries the request until it is complete.
+            timing: When the worker closed it, relative to the request.
         """
-        self.crash_detector.record_disconnect(request_id, fingerprint, worker, is_retried_here)
+        self.crash_detector.record_disconnect(
+            request_id, fingerprint, worker, is_retried_here, timing
+        )
 
     def record_success(self, fingerprint: str) -> None:
         """Record that a worker answered a request successfully."""
@@ -68,16 +79,33 @@
                 await self.crash_detector.wait_for_checks(fingerprint)
                 await self.registry.wait_until_shared(fingerprint)
 
+    async def wait_until_stable(self, fingerprint: str, timeout_s: float) -> None:
+        """Wait until workers no longer crash, if several have crashed under a request.
+
+        Such a request has few retries left, which crashes of other causes would use up.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            timeout_s: Limit of the wait, in seconds.
+        """
+        if self.registry.num_crashes(fingerprint) < QUARANTINE_CRASH_THRESHOLD:
+            return
+        end_s = now_s() + timeout_s
+        while (wait_s := min(self._stable_from_s(), end_s) - now_s()) > 0.0:  # noqa: ASYNC110
+            await asyncio.sleep(wait_s)
+
+    def _stable_from_s(self) -> float:
+        return self.crash_detector.last_crash_s + STABLE_DURATION_S
+
     def is_evidence_pending(self, fingerprint: str) -> bool:
         """Whether a check in progress may quarantine a request that may not be sent before."""
         has_unfinished_checks = self.crash_detector.num_unfinished_checks(fingerprint) > 0
         return has_unfinished_checks and self._is_one_crash_from_quarantine(fingerprint)
 
     def _is_one_crash_from_quarantine(self, fingerprint: str) -> bool:
-        num_possible_crashes = self.registry.num_crashes(
-            fingerprint
-        ) + self.crash_detector.num_unfinished_checks(fingerprint)
-        return num_possible_crashes >= QUARANTINE_CRASH_THRESHOLD - 1
+        num_unfinished_checks = self.crash_detector.num_unfinished_checks(fingerprint)
+        possible_weight = self.registry.crash_weight(fingerprint) + num_unfinished_checks
+        return possible_weight >= QUARANTINE_CRASH_THRESHOLD - 1
 
     def quarantine_state(self, fingerprint: str) -> QuarantineState | None:
         """Return the quarantine state of a request; ``None`` if it may be sent to workers."""
--- a/src/hollowrack/quarantine/registry.py
+++ b/src/hollowrack/quarantine/registry.py
@@ -1,12 +1,15 @@
 """Registry of suspects: requests under which workers have crashed, as known to one node.
 
 A request is quarantined once :data:`QUARANTINE_CRASH_THRESHOLD` worker incarnations have crashed
-under it, over all nodes and attempts. A successful answer by any worker clears the request.
+soon after they started it, over all nodes and attempts. A crash under a run that had made progress
+has more often another cause and counts :data:`LATER_CRASH_WEIGHT`; as such crashes count as well, a
+request that crashes its workers late is stopped too. A successful answer by any worker clears the
+request.
 """
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from absl import logging
@@ -14,11 +17,13 @@
 from hollowrack.clock import now_s
 from hollowrack.coordination.store import ABSENT_REVISION
 from hollowrack.forwarding.types import WorkerIncarnation
-from hollowrack.quarantine.types import QuarantineState, SuspectChange
+from hollowrack.quarantine.types import CrashTiming, QuarantineState, SuspectChange
 
 # Above the number of crashes that interrupt a harmless request: one or, beside a request that
 # crashes workers, two.
 QUARANTINE_CRASH_THRESHOLD = 3
+# Limits the crashes under one request to twice the threshold, whatever their timing.
+LATER_CRASH_WEIGHT = 0.5
 # From this number on, crashes are shared with other nodes even while this node retries the request.
 IMMEDIATE_SHARING_CRASH_THRESHOLD = 2
 # After this time the request may be sent again, as its workers may have been fixed.
@@ -36,21 +41,32 @@
     """One request under which workers have crashed.
 
     Attributes:
-        crashed: Crashed worker incarnations, as texts.
-        shared: Crashed worker incarnations contained in the store's record.
+        crashes: Timing of the crashes, by the text of the worker incarnation.
+        shared: The same, as contained in the store's record.
         revision: Revision of that record; :data:`ABSENT_REVISION` without one.
         must_share: Whether crashes missing in the record must be written to it.
         is_cleared: Whether the request has been cleared and its record must be removed.
         since_s: Time at which this node learned of the suspect, on the loop's clock.
     """
 
-    crashed: set[str] = field(default_factory=set)
-    shared: frozenset[str] = frozenset()
+    crashes: dict[str, CrashTiming] = field(default_factory=dict)
+    shared: Mapping[str, CrashTiming] = field(default_factory=dict)
     revision: int = ABSENT_REVISION
     must_share: bool = False
     is_cleared: bool = False
     since_s: float = 0.0
 
+    @property
+    def crash_weight(self) -> float:
+        """Number of crashes, those after the start weighted less."""
+        num_at_start = sum(timing is CrashTiming.AT_START for timing in self.crashes.values())
+        return num_at_start + LATER_CRASH_WEIGHT * (len(self.crashes) - num_at_start)
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether enough workers have crashed under it to quarantine it."""
+        return not self.is_cleared and self.crash_weight >= QUARANTINE_CRASH_THRESHOLD
+
 
 class SuspectRegistry:
     """Suspected and quarantined requests, by fingerprint.
@@ -77,7 +93,11 @@
         return sum(self.quarantine_state(fingerprint) is not None for fingerprint in self._suspects)
 
     def record_crash(
-        self, fingerprint: str, worker: WorkerIncarnation, is_retried_here: bool
+        self,
+        fingerprint: str,
+        worker: WorkerIncarnation,
+        is_retried_here: bool,
+        timing: CrashTiming = CrashTiming.AT_START,
     ) -> None:
         """Record that a worker crashed while it ran a request.
 
@@ -86,15 +106,16 @@
             worker: Incarnation of the worker.
             is_retried_here: Whether this node retries the request until it is complete, so that a
                 first crash need not be shared with other nodes.
+            timing: When the worker crashed, relative to the request.
         """
         last_success_s = self._last_success_s.get(fingerprint)
         if last_success_s is not None and now_s() - last_success_s < SUCCESS_TTL_S:
             return
         suspect = self._get_or_add(fingerprint)
         suspect.is_cleared = False
-        self._add_crashes(fingerprint, suspect, {str(worker)})
+        self._add_crashes(fingerprint, suspect, {str(worker): timing})
         suspect.must_share |= (
-            not is_retried_here or len(suspect.crashed) >= IMMEDIATE_SHARING_CRASH_THRESHOLD
+            not is_retried_here or len(suspect.crashes) >= IMMEDIATE_SHARING_CRASH_THRESHOLD
         )
         self.changed.set()
 
@@ -118,19 +139,20 @@
     def quarantine_state(self, fingerprint: str) -> QuarantineState | None:
         """Return the quarantine state of a request; ``None`` if it may be sent to workers."""
         suspect = self._suspects.get(fingerprint)
-        if (
-            suspect is None
-            or suspect.is_cleared
-            or len(suspect.crashed) < QUARANTINE_CRASH_THRESHOLD
-        ):
+        if suspect is None or not suspect.is_quarantined:
             return None
         remaining_s = suspect.since_s + QUARANTINE_DURATION_S - now_s()
-        return QuarantineState(len(suspect.crashed), remaining_s) if remaining_s > 0.0 else None
+        return QuarantineState(len(suspect.crashes), remaining_s) if remaining_s > 0.0 else None
 
     def num_crashes(self, fingerprint: str) -> int:
         """Return the number of worker incarnations known to have crashed under a request."""
         suspect = self._suspects.get(fingerprint)
-        return 0 if suspect is None or suspect.is_cleared else len(suspect.crashed)
+        return 0 if suspect is None or suspect.is_cleared else len(suspect.crashes)
+
+    def crash_weight(self, fingerprint: str) -> float:
+        """Return the number of crashes under a request, those after its start weighted less."""
+        suspect = self._suspects.get(fingerprint)
+        return 0.0 if suspect is None or suspect.is_cleared else suspect.crash_weight
 
     async def wait_until_lifted(self, fingerprint: str) -> None:
         """Wait until a request is not quarantined."""
@@ -149,13 +171,13 @@
             await self._record_updated.wait()
 
     def update_from_record(
-        self, fingerprint: str, ended_workers: Iterable[str], revision: int
+        self, fingerprint: str, crashes: Mapping[str, CrashTiming], revision: int
     ) -> None:
         """Apply the store's record of a request, unless its revision is known already."""
         suspect = self._get_or_add(fingerprint)
         if revision <= suspect.revision:
             return
-        suspect.shared = frozenset(ended_workers)
+        suspect.shared = dict(crashes)
         suspect.revision = revision
         self._add_crashes(fingerprint, suspect, suspect.shared)
         self.changed.set()
@@ -177,7 +199,7 @@
     def expired_records(self) -> list[SuspectChange]:
         """Return removals of the records known for longer than a quarantine lasts."""
         return [
-            SuspectChange(fingerprint, frozenset(), suspect.revision)
+            SuspectChange(fingerprint, {}, suspect.revision)
             for fingerprint, suspect in self._suspects.items()
             if suspect.revision != ABSENT_REVISION and _is_expired(suspect)
         ]
@@ -189,7 +211,7 @@
             self._evict_excess()
         elif _is_expired(suspect):
             # The quarantine is over: counting restarts, and the next change replaces the record.
-            suspect.crashed.clear()
+            suspect.crashes.clear()
             suspect.must_share = False
             suspect.since_s = now_s()
         return suspect
@@ -234,16 +256,23 @@
         self._quarantine_lifted.set()
         self._quarantine_lifted = asyncio.Event()
 
-    def _add_crashes(self, fingerprint: str, suspect: _Suspect, workers: Collection[str]) -> None:
-        """Add crashed workers to a suspect; logs a warning when that quarantines the request."""
-        was_below_limit = len(suspect.crashed) < QUARANTINE_CRASH_THRESHOLD
-        suspect.crashed.update(workers)
-        if was_below_limit and len(suspect.crashed) >= QUARANTINE_CRASH_THRESHOLD:
+    def _add_crashes(
+        self, fingerprint: str, suspect: _Suspect, crashes: Mapping[str, CrashTiming]
+    ) -> None:
+        """Add crashes to a suspect; logs a warning when that quarantines the request.
+
+        If nodes disagree about one crash, it happened at the start of one attempt at least.
+        """
+        was_quarantined = suspect.is_quarantined
+        for worker, timing in crashes.items():
+            if suspect.crashes.get(worker) is not CrashTiming.AT_START:
+                suspect.crashes[worker] = timing
+        if suspect.is_quarantined and not was_quarantined:
             logging.warning(
                 "request with fingerprint %s: quarantined for %.0f s, workers crashed under it: %s",
                 fingerprint,
                 max(0.0, suspect.since_s + QUARANTINE_DURATION_S - now_s()),
-                ", ".join(sorted(suspect.crashed)),
+                ", ".join(sorted(suspect.crashes)),
             )
 
 
@@ -253,11 +282,15 @@
 
 def _pending_change(fingerprint: str, suspect: _Suspect) -> SuspectChange | None:
     if suspect.is_cleared:
-        return SuspectChange(fingerprint, frozenset(), suspect.revision)
+        return SuspectChange(fingerprint, {}, suspect.revision)
     if _has_unshared_crashes(suspect):
-        return SuspectChange(fingerprint, frozenset(suspect.crashed), suspect.revision)
+        return SuspectChange(fingerprint, dict(suspect.crashes), suspect.revision)
     return None
 
 
 def _has_unshared_crashes(suspect: _Suspect) -> bool:
-    return suspect.must_share and not suspect.is_cleared and not suspect.crashed <= suspect.shared
+    if not suspect.must_share or suspect.is_cleared:
+        return False
+    return any(
+        suspect.shared.get(worker) is not timing for worker, timing in suspect.crashes.items()
+    )
--- a/src/hollowrack/quarantine/replicator.py
+++ b/src/hollowrack/quarantine/replicator.py
@@ -24,7 +24,7 @@
 )
 from hollowrack.messages import codec
 from hollowrack.quarantine.registry import SuspectRegistry
-from hollowrack.quarantine.types import SuspectChange, SuspectRecord
+from hollowrack.quarantine.types import SuspectChange, SuspectRecord, make_record
 from hollowrack.results import ResultCode
 from hollowrack.tasks import cancel_all
 
@@ -89,7 +89,7 @@
             return True
         record = codec.decode(item.value).value_or(None)
         if isinstance(record, SuspectRecord):
-            self._registry.update_from_record(fingerprint, record.ended_workers, item.revision)
+            self._registry.update_from_record(fingerprint, record.crashes(), item.revision)
         else:
             logging.error(
                 "[%d] record %s is not a suspect record, ignored: remove its key",
@@ -122,8 +122,8 @@
         """Write or remove one record at its known revision; returns whether the store answered."""
         key = self._prefix + quote(change.fingerprint, safe="")
         condition = Condition(key, change.revision)
-        if change.ended_workers:
-            value = codec.encode(SuspectRecord(tuple(sorted(change.ended_workers))))
+        if change.crashes:
+            value = codec.encode(make_record(change.crashes))
             outcome = await self._store.transact([condition], [Put(key, value)])
         else:
             outcome = await self._store.transact([condition], [], [key])
@@ -141,8 +141,8 @@
         return False
 
     def _apply_written(self, change: SuspectChange, revision: int) -> None:
-        if change.ended_workers:
-            self._registry.update_from_record(change.fingerprint, change.ended_workers, revision)
+        if change.crashes:
+            self._registry.update_from_record(change.fingerprint, change.crashes, revision)
         else:
             self._registry.remove_record(change.fingerprint)
 
--- a/src/hollowrack_standins/back_ends.py
+++ b/src/hollowrack_standins/back_ends.py
@@ -72,6 +72,7 @@
         blocked_requests: Identifiers of requests that reach no further worker, as the process that
             forwards them has ended.
         crashing_bodies: Bodies that crash each worker which runs a request with one of them.
+        crashing_after_events: Bodies that crash each worker after it has sent so many events.
         crashes: Crashes, in order.
         on_crash: Called with the incarnation at each crash.
         work_time_factors: Factors of the time until an answer starts, by body; 1 for other bodies.
@@ -89,6 +90,7 @@
     remaining_times_s: list[float] = field(default_factory=list)
     blocked_requests: set[str] = field(default_factory=set)
     crashing_bodies: set[bytes] = field(default_factory=set)
+    crashing_after_events: dict[bytes, int] = field(default_factory=dict)
     crashes: list["WorkerCrash"] = field(default_factory=list)
     on_crash: Callable[[Worker], None] = lambda _: None
     work_time_factors: dict[bytes, float] = field(default_factory=dict)
@@ -250,6 +252,9 @@
                 raise BrokenAnswerError("fault: connection reset within an event")
             data = f"{self._call.request_id}.{number}"
             yield f"id: {number}\ndata: {data}\n\n".encode()
+            max_sent = back_ends.crashing_after_events.get(self._call.body)
+            if max_sent is not None and number - self._after_event >= max_sent:
+                back_ends.crash(self._worker, self._call.body)
 
     def abort(self) -> None:
         """End the request at its worker; the caller no longer needs the answer."""
--- a/tests/messages/test_earlier_versions.py
+++ b/tests/messages/test_earlier_versions.py
@@ -107,6 +107,11 @@
     windows: dict[int, dict[str, int]]
 
 
+@dataclass(frozen=True)
+class EarlierSuspectRecord:
+    ended_workers: tuple[str, ...]
+
+
 @pytest.mark.parametrize("encoded", EARLIER_MESSAGES)
 def test_messages_and_records_of_earlier_version_are_read(encoded: str) -> None:
     assert codec.decode(bytes.fromhex(encoded)).unwrap() == EARLIER_MESSAGES[encoded]
@@ -130,6 +135,7 @@
             ProcessCounts("n1#a", {3: {"a": 2}}, complete_before=4),
             EarlierProcessCounts("n1#a", {3: {"a": 2}}),
         ),
+        (SuspectRecord(("s0",), ("s1@5",)), EarlierSuspectRecord(("s0",))),
     ],
 )
 def test_earlier_version_reads_messages_with_added_fields(sent: Any, earlier: Any) -> None:
