--- a/src/hollowrack/jobs/job_intake.py
+++ b/src/hollowrack/jobs/job_intake.py
@@ -7,7 +7,13 @@
 from absl import logging
 
 from hollowrack.clock import now_s
-from hollowrack.jobs.job_log import MAX_JOB_ID_LENGTH, CreateOutcome, JobLog, StoredJob
+from hollowrack.jobs.job_log import (
+    MAX_JOB_ID_LENGTH,
+    CreateOutcome,
+    JobLog,
+    OpenJob,
+    StoredJob,
+)
 from hollowrack.jobs.job_regions import (
     JobRegionsRecord,
     RegionalJob,
@@ -49,8 +55,15 @@
     def owns(self, job_id: str) -> bool:
         """Whether this node runs a job."""
 
-    def run_job(self, job: Job, results: list[ItemResult]) -> None:
-        """Run a job on this node, given the results listed so far."""
+    def run_job(self, job: Job, results: list[ItemResult], *, owner_revision: int = 0) -> None:
+        """Run a job on this node, given the results listed so far.
+
+        Args:
+            job: The job.
+            results: Results listed so far.
+            owner_revision: Revision of the job's owner entry that this process read as its own; 0
+                if it created the entry.
+        """
 
 
 class JobIntake:
@@ -238,11 +251,13 @@
 
     async def _run_if_owned(self, job: Job) -> None:
         """Run a job that an earlier attempt of this process stored though its answer was lost."""
-        owner = await self._log.owner_of(job.id)
-        if owner == self._log.owner and not self._owner.owns(job.id):
+        entry = await self._log.open_entry(job.id)
+        if not isinstance(entry, OpenJob) or entry.owner != self._log.owner:
+            return
+        if not self._owner.owns(job.id):
             stored = await self._log.load(job.id)
             owned = stored if isinstance(stored, StoredJob) else StoredJob(job)
-            self._owner.run_job(owned.job, owned.results)
+            self._owner.run_job(owned.job, owned.results, owner_revision=entry.revision)
 
 
 def _problem_of_outcome(outcome: CreateOutcome, job_id: str) -> Problem | None:
--- a/src/hollowrack/jobs/job_service.py
+++ b/src/hollowrack/jobs/job_service.py
@@ -135,15 +135,21 @@
         is_taken_over: bool = False,
         saved_events: SavedEvents | None = None,
         unlisted: Sequence[ItemResult] = (),
+        owner_revision: int = 0,
     ) -> None:
         """Run a job on this node, unless it runs already or the node is stopping.
 
+        A job that was ended, finished or given to another owner since this process became its owner
+        is not run either: the changes of a job without a runner are received only once.
+
         Args:
             job: The job.
             results: Results listed so far.
             is_taken_over: Whether another process owned it before.
             saved_events: Stored events of its unfinished items.
             unlisted: Results of an earlier owner that may not be listed yet.
+            owner_revision: Revision of the job's owner entry that this process read as its own or
+                replaced; 0 if it created the entry.
         """
         if self.intake.is_stopping or job.id in self._runners:
             return
@@ -151,6 +157,10 @@
         if not regions.allows_here(regions.allowed_regions(job.id)):
             logging.error("job %s: not run, this node is outside its allowed regions", job.id)
             return
+        reason = self._live.reason_not_to_run(job.id, owner_revision)
+        if reason is not None:
+            logging.info("job %s: not run on this node, %s", job.id, reason)
+            return
         runner = JobRunner(
             job,
             results,
@@ -279,6 +289,7 @@
             if now_s() - started_s > END_TIMEOUT_S:
                 return _unsure_problem(job_id, "the end of the job could not be stored")
             await asyncio.sleep(END_RETRY_INTERVAL_S)
+        self._live.note_end(job_id)
         self.receive_job_end(job_id)
         return None
 
--- a/src/hollowrack/jobs/live_state.py
+++ b/src/hollowrack/jobs/live_state.py
@@ -260,6 +260,30 @@
         """Whether this node has seen the job, open, finished or ended."""
         return job_id in self.open_jobs or job_id in self.last_owners or job_id in self.ended_jobs
 
+    def note_end(self, job_id: str) -> None:
+        """Note that the store has stored the end of a job, before the mirror reports it."""
+        self.ended_jobs.setdefault(job_id, now_s())
+
+    def reason_not_to_run(self, job_id: str, owner_revision: int) -> str | None:
+        """Return why this process must not start to run a job; ``None`` if it may.
+
+        The job may have changed since the store executed the call that made this process its owner.
+
+        Args:
+            job_id: Identifier of the job.
+            owner_revision: Revision of the owner entry that this process read as its own or
+                replaced; 0 if it created the entry.
+        """
+        if job_id in self.ended_jobs:
+            return "it was ended"
+        job = self.open_jobs.get(job_id)
+        if job is None:
+            # Without an entry, a job that was seen before is over; one that was not may be new.
+            return "it is finished" if job_id in self.last_owners else None
+        if job.owner != self._owner and job.revision > owner_revision:
+            return f"it is now owned by {job.owner}"
+        return None
+
     async def wait_for_job(self, job_id: str, wait_s: float) -> None:
         """Wait at most ``wait_s`` seconds until this node has seen a job."""
         with contextlib.suppress(TimeoutError):
--- a/src/hollowrack/jobs/takeover.py
+++ b/src/hollowrack/jobs/takeover.py
@@ -213,10 +213,13 @@
             self._fetch_remainder(job),
         )
         if job.job_id not in self._live.open_jobs:
-            return  # The job was finished or ended during the reads.
+            logging.info("job %s: not run on this node, over since it was claimed", job.job_id)
+            return
         if isinstance(stored, StoredJob):
             logging.info("job %s: taken over from %s", job.job_id, job.owner)
             saved_events = longest_runs([*records, remainder.items])
-            self._jobs.run_job(stored.job, stored.results, True, saved_events, remainder.results)
+            self._jobs.run_job(
+                stored.job, stored.results, True, saved_events, remainder.results, job.revision
+            )
         else:
             self._next_scan_s = min(self._next_scan_s, now_s() + SESSION_LOSS_GRACE_S)
