--- a/src/hollowrack/api/server.py
+++ b/src/hollowrack/api/server.py
@@ -18,10 +18,25 @@
 DEFAULT_READ_TIMEOUT_S = 30.0
 DEFAULT_IDLE_TIMEOUT_S = 30.0
 DEFAULT_GRACEFUL_STOP_TIMEOUT_S = 5.0
+# Time for which uvicorn waits after it has closed idle connections.
+SHUTDOWN_OVERHEAD_S = 0.1
 
 
 class _EmbeddedServer(uvicorn.Server):
-    """Uvicorn server that does not install signal handlers."""
+    """Uvicorn server that leaves signals to the process and is told to exit by an event.
+
+    Attributes:
+        exit_requested: Ends the server when it is set.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.exit_requested = asyncio.Event()
+
+    async def main_loop(self) -> None:
+        """Wait for the end; the periodic tasks of uvicorn's own loop are not used here."""
+        await self.on_tick(0)
+        await self.exit_requested.wait()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -41,7 +56,7 @@
         idle_timeout_s: Keep-alive timeout of idle connections, in seconds; rounded up to
             an integer.
         graceful_stop_s: Maximum time for open requests to finish at a stop, in seconds; rounded up
-            to an integer.
+            to an integer. :meth:`stop` may be given another one.
     """
 
     def __init__(
@@ -80,17 +95,27 @@
         while not self._server.started and not self._task.done():  # noqa: ASYNC110 (no event)
             await asyncio.sleep(START_POLL_INTERVAL_S)
 
-    async def stop(self) -> None:
-        """Stop accepting connections, let open requests finish within the timeout, then close."""
-        self._server.should_exit = True
-        if self._task is not None:
-            await asyncio.gather(self._task, return_exceptions=True)
-        self._socket.close()
+    async def stop(self, graceful_stop_s: float | None = None) -> None:
+        """Stop accepting connections, let open requests finish within the timeout, then close.
+
+        Args:
+            graceful_stop_s: Maximum time until open requests are cancelled, in seconds; ``None``
+                for the server's own.
+        """
+        if graceful_stop_s is not None:
+            timeout_s = max(0.0, graceful_stop_s - SHUTDOWN_OVERHEAD_S)
+            # Uvicorn passes it to asyncio, which takes fractions.
+            self._server.config.timeout_graceful_shutdown = timeout_s  # type: ignore[assignment]
+        await self._exit()
 
     async def abort(self) -> None:
         """Close all connections immediately, without waiting for open requests."""
-        self._server.should_exit = True
         self._server.force_exit = True
+        await self._exit()
+
+    async def _exit(self) -> None:
+        self._server.should_exit = True
+        self._server.exit_requested.set()
         if self._task is not None:
             await asyncio.gather(self._task, return_exceptions=True)
         self._socket.close()
--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -56,6 +56,7 @@
 from hollowrack.quarantine.replicator import SuspectReplicator
 from hollowrack.regions.conditions import RegionSendCondition
 from hollowrack.slots.slot_sharing import SlotSharing
+from hollowrack.stop_schedule import StopSchedule
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.types import PushedCounts
 from hollowrack.warmup.control import ColdWorkerControl, WarmupConnections
@@ -74,9 +75,6 @@
 ANNOUNCE_TIMEOUT_S = 0.5
 INITIAL_ANNOUNCE_BACKOFF_S = 0.4
 MAX_ANNOUNCE_BACKOFF_S = 1.0
-# Time for callers to switch to other nodes at a planned stop.
-MAX_REFUSE_NEW_S = 3.5
-REFUSE_NEW_FRACTION = 0.45
 # After a node of the own region failed to relay a store call, others are asked first for this long.
 # Each further try costs a time-out, and a lease must be renewed within 2 s.
 OTHER_REGION_FIRST_S = 10.0
@@ -96,7 +94,7 @@
 
     Attributes:
         owner: Name of this incarnation, unique across nodes and restarts.
-        is_stopping: Whether a planned stop has begun.
+        stop_schedule: Times of the planned stop; ``None`` before it.
         back_ends: Sends requests to workers, under the conditions of its list.
         topology: Regions of the zones.
         evacuated: The evacuated zones.
@@ -123,7 +121,7 @@
         self.name = name
         self._zone = zone
         self.owner = new_owner_name(name, rng)
-        self.is_stopping = False
+        self.stop_schedule: StopSchedule | None = None
         store = RelayingStore(connections.store, connections.relay, self.neighbour_addresses, rng)
         store.direct_failure_listeners.append(self._restart_live_watch)
         self.store = store
@@ -331,6 +329,11 @@
         """Whether the known configuration is older than the propagation limit of changes."""
         return self.configuration_age_s > self._max_change_delay_s
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stop_schedule is not None
+
     def _may_lack_changes(self) -> bool:
         """Whether this node's view may lack changes that most other nodes know."""
         if self.session.is_held and not self.session.is_valid:
@@ -359,16 +362,18 @@
             asyncio.create_task(self._load_log.run()),
         ]
 
-    async def begin_stop(self, grace_s: float) -> None:
+    async def begin_stop(self, grace_s: float, requested_s: float | None = None) -> None:
         """Begin a planned stop: report not ready, resign, and wait for callers to switch nodes.
 
         Owned jobs go on; :meth:`complete_stop` drains them.
 
         Args:
-            grace_s: Time until the process is killed, in seconds; less than half of it is used.
+            grace_s: Time from the request to stop until the process is killed, in seconds; less
+                than half of it is used.
+            requested_s: Time of the request, on the loop's clock; ``None`` for now.
         """
-        self.is_stopping = True
-        started_s = now_s()
+        started_s = now_s() if requested_s is None else requested_s
+        schedule = self.stop_schedule = StopSchedule(started_s, grace_s)
         logging.info("stopping: %d jobs running", self.jobs.num_running)
         self.jobs.stop_accepting()
         self._num_cores = NO_CORES
@@ -379,15 +384,15 @@
         await self._retention.stop()
         await self._retirement.stop()
         self.jobs.pass_on_unstarted()
-        refuse_new_s = min(MAX_REFUSE_NEW_S, REFUSE_NEW_FRACTION * grace_s)
         # A store that does not answer must not delay the drain and the end of the process.
+        announced_by_s = max(schedule.listen_until_s, started_s + ANNOUNCE_TIMEOUT_S)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(started_s + max(refuse_new_s, ANNOUNCE_TIMEOUT_S)):
+            async with asyncio.timeout_at(announced_by_s):
                 await self.leadership.resign()
                 await self._announce_stop()
         if not self._is_stop_announced and self.session.is_held:
             self._tasks.append(asyncio.create_task(self._keep_announcing()))
-        await asyncio.sleep(max(0.0, started_s + refuse_new_s - now_s()))
+        await asyncio.sleep(max(0.0, schedule.listen_until_s - now_s()))
         self._handover_schedule = HandoverSchedule(started_s, grace_s, self._rng)
 
     async def complete_stop(self) -> None:
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -9,6 +9,7 @@
 from starlette.applications import Starlette
 
 from hollowrack.api.server import HttpServer
+from hollowrack.clock import now_s
 from hollowrack.coordination.feed_http import HttpFeedClient, feed_routes
 from hollowrack.coordination.relay_http import HttpRelayClient, relay_routes
 from hollowrack.coordination.store import Committed, Put
@@ -37,6 +38,7 @@
 )
 from hollowrack.regions.topology import RegionTopology
 from hollowrack.slots.peer_http import HttpSlotPeers, slot_routes
+from hollowrack.stop_schedule import StopSchedule
 from hollowrack.suspension import SuspensionMonitor
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.peer_http import HttpUsagePeers, usage_routes
@@ -48,9 +50,6 @@
 JOB_RETENTION_FACTOR = 2.0
 READ_TIMEOUT_S = 40.0
 IDLE_TIMEOUT_S = 60.0
-# Time for requests in progress to complete at a stop: a fraction of the grace period, bounded.
-MAX_GRACEFUL_STOP_S = 3.5
-GRACEFUL_STOP_FRACTION = 0.4
 STORE_CALL_LOG_INTERVAL_S = 10.0
 # Time for the last request accepted before a revocation to reach a worker.
 KEY_REVOCATION_MARGIN_S = 0.5
@@ -156,7 +155,6 @@
             MAX_CONNECTIONS,
             READ_TIMEOUT_S,
             IDLE_TIMEOUT_S,
-            min(MAX_GRACEFUL_STOP_S, GRACEFUL_STOP_FRACTION * settings.bounds.grace_s),
         )
         self._readiness = HttpServer(
             ReadinessApp(self.node), settings.listen.readiness, "listen.readiness", MAX_CONNECTIONS
@@ -229,19 +227,25 @@
     def start_stop(self) -> None:
         """Start a graceful stop in the background; it waits until the process has started."""
         if self._stop_task is None:
-            self._stop_task = asyncio.create_task(self._stop())
+            self._stop_task = asyncio.create_task(self._stop(now_s()))
 
-    async def _stop(self) -> None:
+    async def _stop(self, requested_s: float) -> None:
         await self._is_started.wait()
-        await self.node.begin_stop(self._settings.bounds.grace_s)
+        grace_s = self._settings.bounds.grace_s
+        await self.node.begin_stop(grace_s, requested_s)
+        requests_end_s = StopSchedule(requested_s, grace_s).requests_end_s
         # Requests in progress and owned jobs finish concurrently.
-        await asyncio.gather(self._frontend.stop(), self.node.complete_stop())
+        await asyncio.gather(
+            self._frontend.stop(requests_end_s - now_s()),
+            self._readiness.stop(),
+            self.node.complete_stop(),
+        )
+        # Other nodes may ask for the remainder of a job until the jobs are handed over.
+        if self._peers is not None:
+            await self._peers.abort()
         await cancel_all(self._store_call_log_task)
         await self._suspension_monitor.stop()
         await self._feed.stop()
-        await self._readiness.stop()
-        if self._peers is not None:
-            await self._peers.abort()
         for session in self._sessions:
             await session.close()
         logging.info("stopped")
--- a/src/hollowrack/platform/exchange.py
+++ b/src/hollowrack/platform/exchange.py
@@ -49,6 +49,7 @@
         method: HTTP method.
         path: Raw path without the query.
         has_started: Whether the response has started.
+        may_have_run: Whether work for the request has begun.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self._node = node
         self._received_s = now_s()
         self.has_started = False
+        self.may_have_run = False
 
     @property
     def host(self) -> str:
@@ -153,6 +155,7 @@
         Raises:
             ClientDisconnectedError: If the client disconnects before the work is done.
         """
+        self.may_have_run = True
         work_task = asyncio.ensure_future(work)
         disconnect_task = asyncio.ensure_future(self._wait_for_disconnect())
         try:
--- a/src/hollowrack/platform/ingress.py
+++ b/src/hollowrack/platform/ingress.py
@@ -1,5 +1,6 @@
 """ASGI applications for client and trainer requests and for readiness checks."""
 
+import asyncio
 import contextlib
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -9,8 +10,9 @@
 from returns.result import Failure, Result
 from starlette.types import Receive, Scope, Send
 
+from hollowrack.clock import now_s
 from hollowrack.edge_node import EdgeNode
-from hollowrack.forwarding.forwarder import ForwardRequest
+from hollowrack.forwarding.forwarder import ForwardRequest, request_deadline_s
 from hollowrack.forwarding.stream_forwarder import StreamForwarder, StreamHead
 from hollowrack.forwarding.types import Route, RouteKind
 from hollowrack.jobs.types import scoped_job_id
@@ -31,6 +33,8 @@
 HTTP_ACCEPTED = 202
 # A node reads its first configuration within a second of its start; other nodes have theirs.
 NOT_CONFIGURED_RETRY_AFTER_S = 0.5
+# Other nodes are ready when this one refuses requests, and new connections reach only those.
+STOPPING_RETRY_AFTER_S = 0.0
 
 
 class ReadinessApp:
@@ -80,6 +84,14 @@
                 await self._answer(exchange)
             except ClientDisconnectedError:
                 raise
+            except asyncio.CancelledError:
+                if exchange.has_started:
+                    raise
+                if exchange.may_have_run:
+                    problem = _interrupted_problem(exchange.request_id)
+                else:
+                    problem = _stopping_problem(exchange.request_id)
+                await exchange.send_problem(problem)
             except Exception:
                 logging.exception("request %s failed with an unexpected error", exchange.request_id)
                 if exchange.has_started:
@@ -124,12 +136,26 @@
         body = await exchange.read_body(routes.limits.max_body_bytes)
         if isinstance(body, Problem):
             await exchange.send_problem(body)
-        elif route.kind is RouteKind.JOB and exchange.method == "POST":
+            return
+        request = exchange.forward_request(route, body, tenant)
+        is_submission = route.kind is RouteKind.JOB and exchange.method == "POST"
+        if not self._accepts(None if is_submission else request_deadline_s(request)):
+            await exchange.send_problem(_stopping_problem(exchange.request_id))
+        elif is_submission:
             await self._submit(exchange, route, body, tenant)
         elif route.kind is RouteKind.STREAM:
-            await self._stream(exchange, exchange.forward_request(route, body, tenant))
+            await self._stream(exchange, request)
         else:
-            await self._forward(exchange, exchange.forward_request(route, body, tenant))
+            await self._forward(exchange, request)
+
+    def _accepts(self, latest_end_s: float | None = None) -> bool:
+        """Whether a request that has been read now can be answered before the process stops.
+
+        Args:
+            latest_end_s: Time by which it is answered or has failed by itself; ``None`` if unknown.
+        """
+        schedule = self._node.stop_schedule
+        return schedule is None or schedule.accepts(now_s(), latest_end_s)
 
     def _authenticate(self, exchange: Exchange, is_public: bool) -> Result[Tenant | None, Problem]:
         tenants = self._node.routes.tenants
@@ -172,6 +198,9 @@
         if isinstance(caller, Failure):
             await exchange.send_problem(caller.failure())
             return
+        if not self._accepts():
+            await exchange.send_problem(_stopping_problem(exchange.request_id))
+            return
         tenant = caller.unwrap()
         caller_job_id = unquote(exchange.path.removeprefix(prefix))
         name = None if tenant is None else tenant.name
@@ -251,3 +280,15 @@
         else:
             headers = (("Content-Type", "application/octet-stream"),)
             await exchange.send(HTTP_OK, headers, item.body)
+
+
+def _stopping_problem(request_id: str) -> Problem:
+    """Return the problem of a request that arrives too late to be complete before a stop."""
+    detail = "this node stops before the request could be complete"
+    return Problem(ResultCode.STOPPING, detail, request_id, STOPPING_RETRY_AFTER_S)
+
+
+def _interrupted_problem(request_id: str) -> Problem:
+    """Return the problem of a request that was not complete at the end of a stop."""
+    detail = "this node stopped before the request was complete"
+    return Problem(ResultCode.OUTCOME_UNKNOWN, detail, request_id)
