--- a/src/hollowrack/forwarding/resumable_run.py
+++ b/src/hollowrack/forwarding/resumable_run.py
@@ -51,6 +51,7 @@
     REJECTED = "a worker rejected it as impossible to complete"
     FAILED_TOO_OFTEN = "the maximum number of failed attempts was reached"
     QUARANTINED = "too many workers crashed under it"
+    DEADLINE_PASSED = "its deadline has passed"
 
 
 class RunEndedError(Exception):
@@ -82,6 +83,8 @@
             no limit.
         max_stable_wait_s: Maximum time to wait before an attempt until workers no longer crash, if
             several have crashed under the call, in seconds.
+        deadline_s: Time by which an answer must have begun, on the loop's clock; ``None`` for no
+            limit.
     """
 
     max_failures: int
@@ -90,6 +93,7 @@
     time_left_s: float
     max_workers: int | None = None
     max_stable_wait_s: float = 0.0
+    deadline_s: float | None = None
 
 
 # Arguments: incarnations to avoid, and a condition on the worker or None.
@@ -188,7 +192,7 @@
     async def _attempts(self) -> AsyncGenerator[VersionedEvent]:
         while True:
             waited_before_s = self.queue_wait_s
-            worker = await self._next_allowed_worker()
+            worker = await self._next_worker_in_time()
             self.num_attempts += 1
             self.waits.record_start(worker.incarnation, self.queue_wait_s - waited_before_s)
             has_no_event = True
@@ -239,9 +243,23 @@
                 self.waits.record_end()
                 self._release(worker)
             self._avoided = frozenset({worker.incarnation})
+            if self._answer_deadline_s is not None and now_s() >= self._answer_deadline_s:
+                raise RunEndedError(RunEndReason.DEADLINE_PASSED)
             await asyncio.sleep(RETRY_INTERVAL_S)
             await self._quarantine.settle_evidence(self._fingerprint)
 
+    @property
+    def _answer_deadline_s(self) -> float | None:
+        """Deadline of the run; ``None`` without one and after an answer has begun."""
+        return self._limits.deadline_s if self.head is None else None
+
+    async def _next_worker_in_time(self) -> Worker:
+        try:
+            async with asyncio.timeout_at(self._answer_deadline_s):
+                return await self._next_allowed_worker()
+        except TimeoutError:
+            raise RunEndedError(RunEndReason.DEADLINE_PASSED) from None
+
     async def _next_allowed_worker(self) -> Worker:
         """Wait for a slot at a worker where the quarantine allows the run.
 
@@ -300,7 +318,10 @@
             call = self._call
             if self._current_regions is not None:
                 call = replace(call, allowed_regions=self._current_regions())
-            async with asyncio.timeout(self._limits.first_event_timeout.value_s):
+            head_by_s = sent_s + self._limits.first_event_timeout.value_s
+            if self._answer_deadline_s is not None:
+                head_by_s = min(head_by_s, self._answer_deadline_s)
+            async with asyncio.timeout_at(head_by_s):
                 answer = await self._back_ends.open(
                     worker, call, self._limits.time_left_s, self._last_number
                 )
--- a/src/hollowrack/forwarding/stream_forwarder.py
+++ b/src/hollowrack/forwarding/stream_forwarder.py
@@ -26,7 +26,12 @@
     ForwardRequest,
     request_deadline_s,
 )
-from hollowrack.forwarding.resumable_run import ResumableRun, RunEndedError, RunLimits
+from hollowrack.forwarding.resumable_run import (
+    ResumableRun,
+    RunEndedError,
+    RunEndReason,
+    RunLimits,
+)
 from hollowrack.forwarding.route_table import RouteTable
 from hollowrack.forwarding.run_waits import RunWaits
 from hollowrack.forwarding.types import Worker, WorkerIncarnation
@@ -43,6 +48,7 @@
 STREAM_IDLE_TIMEOUT_S = 1.5
 # Interval of checks whether a stream that waits for a slot still has workers in its regions.
 REGION_CHECK_INTERVAL_S = 0.25
+DEADLINE_PASSED = "the deadline has passed"
 
 
 @dataclass(frozen=True)
@@ -154,6 +160,7 @@
             STREAM_IDLE_TIMEOUT_S,
             deadline_s - now_s(),
             request.route.max_attempts,
+            deadline_s=deadline_s,
         )
         run = ResumableRun(
             request.call,
@@ -184,7 +191,9 @@
                 raise BrokenAnswerError(str(error)) from error
             fingerprint = fingerprint_of(request.call)
             quarantine_state = self._quarantine.quarantine_state(fingerprint)
-            if quarantine_state is not None and run.num_attempts == 0:
+            if error.reason is RunEndReason.DEADLINE_PASSED:
+                yield _deadline_problem(request, run.may_have_run)
+            elif quarantine_state is not None and run.num_attempts == 0:
                 yield quarantine_problem(quarantine_state, fingerprint, request.call.request_id)
             else:
                 yield Problem(ResultCode.BACK_END_FAILED, str(error), request.call.request_id)
@@ -298,21 +307,34 @@
         has_started = False
         has_output = False
         sent_s = now_s()
+        deadline_s = request_deadline_s(request)
         try:
-            time_left_s = request_deadline_s(request) - sent_s
-            answer = await self._back_ends.open(
-                worker, request.call, time_left_s, after_event, is_repeatable=False
-            )
+            async with asyncio.timeout_at(deadline_s):
+                answer = await self._back_ends.open(
+                    worker, request.call, deadline_s - sent_s, after_event, is_repeatable=False
+                )
             has_started = True
             self._record_usage(request)
             yield StreamHead(answer.status, answer.headers)
             self._workers.record_answer(worker)
-            async for chunk in answer.chunks():
+            chunks = answer.chunks()
+            while True:
+                # A stream that still sends events may exceed its deadline, a silent one may not.
+                async with asyncio.timeout_at(max(deadline_s, now_s() + STREAM_IDLE_TIMEOUT_S)):
+                    chunk = await anext(chunks, None)
+                if chunk is None:
+                    break
                 self._workers.record_answer(worker)
                 has_output = True
                 yield chunk
             if answer.status in HTTP_SUCCESS:
                 self._quarantine.record_success(fingerprint_of(request.call))
+        except TimeoutError:
+            self._workers.record_failure(worker)
+            if has_started:
+                raise BrokenAnswerError(DEADLINE_PASSED) from None
+            self._record_usage(request)
+            yield _deadline_problem(request, may_have_run=True)
         except BrokenAnswerError as error:
             self._workers.record_failure(worker)
             self._quarantine.record_disconnect(
@@ -335,3 +357,10 @@
             return Problem(ResultCode.NO_BACK_END, detail, call.request_id, RETRY_AFTER_S)
         self._workers.num_refused_by_regions[service] += 1
         return no_worker_problem(service, call.allowed_regions, call.request_id)
+
+
+def _deadline_problem(request: ForwardRequest, may_have_run: bool) -> Problem:
+    """Return the error of a stream that had not begun when its deadline passed."""
+    if may_have_run:
+        return Problem(ResultCode.OUTCOME_UNKNOWN, DEADLINE_PASSED, request.call.request_id)
+    return Problem(ResultCode.NO_BACK_END, DEADLINE_PASSED, request.call.request_id, RETRY_AFTER_S)
