--- a/src/hollowrack/edge_node.py
+++ b/src/hollowrack/edge_node.py
@@ -362,7 +362,7 @@
             asyncio.create_task(self._load_log.run()),
         ]
 
-    async def begin_stop(self, grace_s: float, requested_s: float | None = None) -> None:
+    async def begin_stop(self, grace_s: float, requested_s: float | None = None) -> StopSchedule:
         """Begin a planned stop: report not ready, resign, and wait for callers to switch nodes.
 
         Owned jobs go on; :meth:`complete_stop` drains them.
@@ -371,6 +371,9 @@
             grace_s: Time from the request to stop until the process is killed, in seconds; less
                 than half of it is used.
             requested_s: Time of the request, on the loop's clock; ``None`` for now.
+
+        Returns:
+            The times of the stop.
         """
         started_s = now_s() if requested_s is None else requested_s
         schedule = self.stop_schedule = StopSchedule(started_s, grace_s)
@@ -394,6 +397,7 @@
             self._tasks.append(asyncio.create_task(self._keep_announcing()))
         await asyncio.sleep(max(0.0, schedule.listen_until_s - now_s()))
         self._handover_schedule = HandoverSchedule(started_s, grace_s, self._rng)
+        return schedule
 
     async def complete_stop(self) -> None:
         """Complete a planned stop: drain owned jobs until their deadline, then hand them over.
--- a/src/hollowrack/platform/edge_process.py
+++ b/src/hollowrack/platform/edge_process.py
@@ -38,7 +38,6 @@
 )
 from hollowrack.regions.topology import RegionTopology
 from hollowrack.slots.peer_http import HttpSlotPeers, slot_routes
-from hollowrack.stop_schedule import StopSchedule
 from hollowrack.suspension import SuspensionMonitor
 from hollowrack.tasks import cancel_all
 from hollowrack.usage.peer_http import HttpUsagePeers, usage_routes
@@ -231,12 +230,10 @@
 
     async def _stop(self, requested_s: float) -> None:
         await self._is_started.wait()
-        grace_s = self._settings.bounds.grace_s
-        await self.node.begin_stop(grace_s, requested_s)
-        requests_end_s = StopSchedule(requested_s, grace_s).requests_end_s
+        schedule = await self.node.begin_stop(self._settings.bounds.grace_s, requested_s)
         # Requests in progress and owned jobs finish concurrently.
         await asyncio.gather(
-            self._frontend.stop(requests_end_s - now_s()),
+            self._frontend.stop(schedule.requests_end_s - now_s()),
             self._readiness.stop(),
             self.node.complete_stop(),
         )
--- a/src/hollowrack/quarantine/types.py
+++ b/src/hollowrack/quarantine/types.py
@@ -14,7 +14,7 @@
     """When a worker crashed, relative to a request that it ran; values are for the log."""
 
     AT_START = "before any output"
-    LATER = "well after it had begun"
+    LATER = "after it had begun"
 
 
 # A request that crashes the workers that start it does so soon after it is sent.
